--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/entry/src/control/settle.rs
@@ -0,0 +1,198 @@
+//! Settlement of receipts into statements.
+//!
+//! A statement remembers which receipts it took in, and changes by conditional write. Settling twice,
+//! by two instances, or by one that was paused and resumes, bills nothing twice.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalog::Object;
+use receipt::{Receipt, Segment, Statement};
+use smol::Timer;
+use store::{Expect, ObjectApi, StoreError};
+
+use crate::claim;
+use crate::control::is_first;
+use crate::control::state::Control;
+
+/// How often a lost race for a statement is run again at once.
+const MAX_TRIES: u32 = 4;
+
+/// How often old claims are looked for, in milliseconds.
+const CLAIM_SWEEP_MS: u64 = 600_000;
+
+/// How long claims are kept, in milliseconds.
+const CLAIM_KEEP_MS: u64 = 24 * 3_600_000;
+
+/// A settled segment that waits to be deleted.
+struct Settled {
+    path: Arc<str>,
+    revision: u64,
+    until_ms: u64,
+}
+
+/// The progress in one shard.
+#[derive(Default)]
+struct Shard {
+    cursor: Option<u64>,
+    settled: Vec<Settled>,
+}
+
+/// Settles the shards that fall to this instance.
+pub(super) async fn run(control: Rc<Control>) {
+    let settings = &control.shared.settings;
+    let mut shards: HashMap<u32, Shard> = HashMap::new();
+    let mut swept_ms = 0;
+    loop {
+        Timer::after(Duration::from_millis(settings.settle_interval_ms)).await;
+        for index in 0..settings.settle_shards {
+            let mine = is_first(
+                control.shared.me,
+                &format!("settle/{index}"),
+                &control.table.borrow().live(),
+            );
+            if !mine {
+                shards.remove(&index);
+                continue;
+            }
+            let shard = shards.entry(index).or_default();
+            if let Err(err) = settle(&control, index, shard).await {
+                tracing::debug!("settle: shard {index} waits, {err}");
+            }
+            if index == 0 && control.now_ms() > swept_ms + CLAIM_SWEEP_MS {
+                swept_ms = control.now_ms();
+                drop(sweep_claims(&control).await);
+            }
+        }
+    }
+}
+
+async fn settle(control: &Control, index: u32, shard: &mut Shard) -> Result<(), StoreError> {
+    let prefix = format!("receipts/{index}/");
+    let platform = &control.shared.platform;
+    let listing = match shard.cursor {
+        None => platform.list(&prefix).await?,
+        Some(cursor) => match platform.watch(&prefix, cursor, 0).await {
+            Err(StoreError::Expired) => platform.list(&prefix).await?,
+            other => other?,
+        },
+    };
+    let mut receipts: BTreeMap<Arc<str>, Vec<Receipt>> = BTreeMap::new();
+    let mut settled = Vec::new();
+    let until_ms = control.now_ms() + control.shared.settings.segment_keep_ms;
+    for object in listing.objects {
+        let Some(segment) = read_segment(&object) else {
+            continue;
+        };
+        for receipt in segment.receipts {
+            receipts
+                .entry(receipt.workspace.clone())
+                .or_default()
+                .push(receipt);
+        }
+        settled.push(Settled {
+            path: object.path,
+            revision: object.revision,
+            until_ms,
+        });
+    }
+    for (workspace, receipts) in receipts {
+        fold(control, index, &workspace, &receipts).await?;
+    }
+    // Only now is all of it in the statements; a failure above reads the same segments again.
+    shard.cursor = Some(listing.revision);
+    shard.settled.extend(settled);
+    drop_old(control, shard).await
+}
+
+fn read_segment(object: &Object) -> Option<Segment> {
+    let value = object.value.as_ref()?;
+    match serde_json::from_value(value.clone()) {
+        Ok(segment) => Some(segment),
+        Err(err) => {
+            tracing::error!("settle: {} is no segment and stays, {err}", object.path);
+            None
+        }
+    }
+}
+
+/// Takes receipts into one statement.
+async fn fold(
+    control: &Control,
+    index: u32,
+    workspace: &str,
+    receipts: &[Receipt],
+) -> Result<(), StoreError> {
+    let platform = &control.shared.platform;
+    let path = format!("statements/{workspace}/{index}");
+    let mut last = StoreError::Conflict;
+    for _ in 0..MAX_TRIES {
+        let (mut statement, expect) = match platform.get(&path).await {
+            Ok(object) => (read_statement(&object)?, Expect::Revision(object.revision)),
+            Err(StoreError::NotFound) => (Statement::default(), Expect::Absent),
+            Err(err) => return Err(err),
+        };
+        if statement.fold(receipts, control.shared.clock.wall_ms()) == 0 {
+            return Ok(());
+        }
+        let value = serde_json::to_value(&statement).unwrap_or_default();
+        match platform.put(&path, &value, expect).await {
+            Ok(_) => return Ok(()),
+            // The write may have taken effect; the next try reads what stands there.
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
+/// Reads a statement; one that cannot be read is never written over.
+fn read_statement(object: &Object) -> Result<Statement, StoreError> {
+    let value = object.value.clone().unwrap_or_default();
+    serde_json::from_value(value).map_err(|err| StoreError::Unavailable {
+        verdict: kernel::Verdict::NotRun,
+        message: format!("{} is no statement: {err}", object.path),
+    })
+}
+
+/// Deletes segments whose time is over, unless they were written again meanwhile.
+async fn drop_old(control: &Control, shard: &mut Shard) -> Result<(), StoreError> {
+    let now_ms = control.now_ms();
+    while let Some(oldest) = shard.settled.first() {
+        if oldest.until_ms > now_ms {
+            return Ok(());
+        }
+        match control
+            .shared
+            .platform
+            .delete(&oldest.path, Expect::Revision(oldest.revision))
+            .await
+        {
+            Ok(_) | Err(StoreError::Conflict | StoreError::NotFound) => {
+                drop(shard.settled.remove(0))
+            }
+            Err(err) => return Err(err),
+        }
+    }
+    Ok(())
+}
+
+/// Deletes claims that are older than the promise to remember them.
+async fn sweep_claims(control: &Control) -> Result<(), StoreError> {
+    let now_ms = control.shared.clock.wall_ms();
+    let listing = control.shared.platform.list(claim::PREFIX).await?;
+    for object in listing.objects {
+        let claim: Option<claim::Claim> = object
+            .value
+            .and_then(|value| serde_json::from_value(value).ok());
+        if claim.is_some_and(|claim| claim.created_ms + CLAIM_KEEP_MS < now_ms) {
+            control
+                .shared
+                .platform
+                .delete(&object.path, Expect::Revision(object.revision))
+                .await?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/instance.rs
@@ -0,0 +1,210 @@
+//! A running instance.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use arc_swap::ArcSwap;
+use async_channel::{Sender, bounded};
+use async_io::Async;
+use kernel::{Clock, Incarnation, SystemClock};
+use member::Member;
+use smol::Executor;
+use store::{Budget, HttpPlatform};
+use upstream::{DispatchSettings, Dispatcher};
+use web::{Client, Drain, Limits, Server};
+
+use crate::control::{self, Inbox};
+use crate::exposure::Exposure;
+use crate::keyed::Keyed;
+use crate::metrics::Metrics;
+use crate::quota::Quota;
+use crate::routes::Router;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::view::View;
+
+/// The most receipts that wait for the control thread.
+const BILL_QUEUE: usize = 4096;
+
+/// The most lessons that wait for the control thread.
+const LESSON_QUEUE: usize = 4096;
+
+/// How often a stopping instance looks whether requests are still open.
+const STOP_TICK: Duration = Duration::from_millis(20);
+
+/// How long connections stay open after the address lifetime, for answers that close them.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+
+/// A running instance. Dropping it without [`Instance::stop`] ends it with the process.
+pub struct Instance {
+    shared: Arc<Shared>,
+    http_addr: SocketAddr,
+    peer_addr: SocketAddr,
+    drain: Arc<Drain>,
+    stop_control: Sender<()>,
+    stop_traffic: Sender<()>,
+    control: JoinHandle<()>,
+    traffic: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub fn start(settings: Settings) -> anyhow::Result<Instance> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let me = Incarnation::random();
+        let executor = Arc::new(Executor::new());
+        let (bills, bill_inbox) = bounded(BILL_QUEUE);
+        let (lessons, lesson_inbox) = bounded(LESSON_QUEUE);
+        let threads = settings.traffic_threads;
+        let shared = Arc::new(Shared {
+            me,
+            started_ms: clock.wall_ms(),
+            view: ArcSwap::from_pointee(View::default()),
+            dispatcher: Dispatcher::new(dispatch_settings(&settings), clock.clone()),
+            peers: Client::new(settings.connect_timeout_ms),
+            platform: Arc::new(platform(&settings)),
+            keyed: Keyed::new(settings.max_keyed_requests, settings.max_kept_bytes),
+            quota: Quota::default(),
+            exposure: Exposure::default(),
+            metrics: Metrics::new(&settings.metrics_addr),
+            bills,
+            lessons,
+            stopping: AtomicBool::new(false),
+            executor: executor.clone(),
+            clock,
+            settings,
+        });
+        let settings = &shared.settings;
+        let router = Arc::new(Router {
+            shared: shared.clone(),
+        });
+        let server = Server::bind(settings.listen, router, limits(settings));
+        let server = server.with_context(|| format!("cannot listen on {}", settings.listen))?;
+        let peers = Async::<TcpListener>::bind(settings.peer_listen);
+        let peers = peers.with_context(|| format!("cannot listen on {}", settings.peer_listen))?;
+        let http_addr = server.local_addr()?;
+        let peer_addr = peers.get_ref().local_addr()?;
+        let member = Member::new(me, &settings.name, &settings.zone)
+            .at(&http_addr.to_string(), &peer_addr.to_string())
+            .started_ms(shared.started_ms);
+        let drain = server.drain();
+        executor.spawn(server.run(executor.clone())).detach();
+        let (stop_control, stop) = bounded(2);
+        let inbox = Inbox {
+            bills: bill_inbox,
+            lessons: lesson_inbox,
+            stop,
+            peers,
+        };
+        let control_shared = shared.clone();
+        let control = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control::run(control_shared, member, inbox))?;
+        let (stop_traffic, traffic_stop) = bounded::<()>(1);
+        let mut traffic = Vec::new();
+        for index in 0..threads {
+            let executor = executor.clone();
+            let stop = traffic_stop.clone();
+            let serve = move || {
+                let _ = smol::block_on(executor.run(stop.recv()));
+            };
+            traffic.push(
+                std::thread::Builder::new()
+                    .name(format!("traffic-{index}"))
+                    .spawn(serve)?,
+            );
+        }
+        Ok(Instance {
+            shared,
+            http_addr,
+            peer_addr,
+            drain,
+            stop_control,
+            stop_traffic,
+            control,
+            traffic,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn http_addr(&self) -> SocketAddr {
+        self.http_addr
+    }
+
+    /// Returns where other instances connect.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer_addr
+    }
+
+    /// Returns whether the instance takes new work.
+    pub fn is_serving(&self) -> bool {
+        self.shared.view.load().serving
+    }
+
+    /// Returns how many live instances this one knows, itself included.
+    pub fn known_instances(&self) -> usize {
+        self.shared.view.load().members.len()
+    }
+
+    /// Stops the instance without cutting any request.
+    ///
+    /// The address answers leave it out at once. Callers that hold an earlier answer are served
+    /// until that is out of date; each answer closes its connection. Then open requests end and
+    /// receipts are saved.
+    pub fn stop(self) {
+        tracing::info!("stop: began");
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        let _ = self.stop_control.send_blocking(());
+        self.drain.close_after_answer();
+        std::thread::sleep(Duration::from_millis(
+            self.shared.settings.address_lifetime_ms,
+        ));
+        std::thread::sleep(CLOSE_GRACE);
+        self.drain.end();
+        while self.drain.open_requests() > 0 {
+            std::thread::sleep(STOP_TICK);
+        }
+        let _ = self.stop_control.send_blocking(());
+        drop(self.control.join());
+        drop(self.stop_traffic);
+        for thread in self.traffic {
+            drop(thread.join());
+        }
+        tracing::info!("stop: ended");
+    }
+}
+
+fn dispatch_settings(settings: &Settings) -> DispatchSettings {
+    DispatchSettings {
+        zone: settings.zone.as_str().into(),
+        connect_timeout_ms: settings.connect_timeout_ms,
+        head_timeout_ms: settings.head_timeout_ms,
+        max_attempts: settings.max_attempts,
+    }
+}
+
+fn platform(settings: &Settings) -> HttpPlatform {
+    let budget = Budget {
+        reads_per_s: settings.platform_reads_per_s,
+        writes_per_s: settings.platform_writes_per_s,
+    };
+    HttpPlatform::new(settings.platform, settings.platform_timeout_ms, budget)
+        .caller(&settings.name)
+}
+
+fn limits(settings: &Settings) -> Limits {
+    Limits::default()
+        .max_body_bytes(settings.max_body_bytes)
+        .max_connections(settings.max_connections)
+        .idle_timeout_ms(settings.idle_timeout_ms)
+        .body_timeout_ms(settings.body_timeout_ms)
+        .write_timeout_ms(settings.write_timeout_ms)
+}
--- /dev/null
+++ b/crates/entry/src/keyed.rs
@@ -0,0 +1,361 @@
+//! Requests that carry a key are run once, and their answer is kept.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use http_types::Response;
+use kernel::{Failure, Reason, RequestId, Verdict};
+use web::Incoming;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::claim::{self, Owner};
+use crate::context::{Context, Key};
+use crate::execute::{self, Job};
+use crate::forward;
+use crate::shared::Shared;
+use crate::tape::Tape;
+
+/// The moment to come back when too many keyed requests are remembered, in milliseconds.
+const FULL_RETRY_MS: u64 = 2_000;
+
+/// The moment to ask again when a key turns out to be another instance's, in milliseconds.
+const ELSEWHERE_RETRY_MS: u64 = 100;
+
+/// Plans a request after its key was taken.
+pub(crate) type Prepare = Box<dyn FnOnce(&Context, &Shared) -> Result<Job, Failure> + Send>;
+
+/// The name of a keyed request at its home.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Name {
+    pub(crate) workspace: Arc<str>,
+    pub(crate) key: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    body_hash: u64,
+    tape: Option<Arc<Tape>>,
+}
+
+#[derive(Debug)]
+struct Expiry {
+    name: Name,
+    answer_until_ms: u64,
+    until_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    slots: HashMap<Name, Slot>,
+    answers: VecDeque<Expiry>,
+    expiries: VecDeque<Expiry>,
+    kept_bytes: usize,
+}
+
+/// The keyed requests that this incarnation remembers.
+#[derive(Debug)]
+pub(crate) struct Keyed {
+    inner: Mutex<Inner>,
+    max_requests: usize,
+    max_bytes: usize,
+}
+
+/// What is known of a key.
+pub(crate) enum Lookup {
+    /// The request is new and now taken; its answer goes onto the tape.
+    New(Arc<Tape>),
+    /// It was asked before; its answer is on the tape.
+    Known(Arc<Tape>),
+}
+
+impl Keyed {
+    /// Makes an empty memory.
+    pub(crate) fn new(max_requests: usize, max_bytes: usize) -> Keyed {
+        Keyed {
+            inner: Mutex::default(),
+            max_requests,
+            max_bytes,
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a key, or finds what it was taken for.
+    ///
+    /// `answer_until_ms` and `until_ms` say how long the answer and the key are kept.
+    pub(crate) fn take(
+        &self,
+        name: Name,
+        body_hash: u64,
+        now_ms: u64,
+        answer_until_ms: u64,
+        until_ms: u64,
+    ) -> Result<Lookup, Failure> {
+        let mut inner = self.inner();
+        inner.expire(now_ms, self.max_bytes);
+        if let Some(slot) = inner.slots.get(&name) {
+            return slot.open(body_hash).map(Lookup::Known);
+        }
+        if inner.slots.len() >= self.max_requests {
+            let detail = "this instance remembers as many keyed requests as it may";
+            return Err(Failure::not_run(Reason::Overloaded, detail).retry_after_ms(FULL_RETRY_MS));
+        }
+        let tape = Arc::new(Tape::default());
+        inner.slots.insert(
+            name.clone(),
+            Slot {
+                body_hash,
+                tape: Some(tape.clone()),
+            },
+        );
+        inner.answers.push_back(Expiry {
+            name: name.clone(),
+            answer_until_ms,
+            until_ms,
+        });
+        inner.expiries.push_back(Expiry {
+            name,
+            answer_until_ms,
+            until_ms,
+        });
+        Ok(Lookup::New(tape))
+    }
+
+    /// Frees a key whose request did not run, so that the same key may be tried again.
+    pub(crate) fn release(&self, name: &Name) {
+        self.inner().slots.remove(name);
+    }
+
+    /// Notes the size of a kept answer.
+    pub(crate) fn kept(&self, bytes: usize) {
+        self.inner().kept_bytes += bytes;
+    }
+}
+
+impl Slot {
+    fn open(&self, body_hash: u64) -> Result<Arc<Tape>, Failure> {
+        if self.body_hash != body_hash {
+            let detail = "this key was used with another request";
+            return Err(Failure::not_run(Reason::BadRequest, detail));
+        }
+        self.tape.clone().ok_or_else(|| {
+            Failure::new(
+                Verdict::Ran,
+                Reason::StaleId,
+                "the request was answered before, and its answer is not kept any more",
+            )
+        })
+    }
+}
+
+impl Inner {
+    /// Drops answers and keys whose time is over, and the oldest answers while they take too much.
+    fn expire(&mut self, now_ms: u64, max_bytes: usize) {
+        while let Some(oldest) = self.answers.front() {
+            if oldest.answer_until_ms > now_ms && self.kept_bytes <= max_bytes {
+                break;
+            }
+            let Some(slot) = self.slots.get_mut(&oldest.name) else {
+                self.answers.pop_front();
+                continue;
+            };
+            // A running request keeps its tape; the look starts over with the next request.
+            if slot.tape.as_ref().is_some_and(|tape| !tape.is_ended()) {
+                break;
+            }
+            if let Some(tape) = slot.tape.take() {
+                self.kept_bytes = self.kept_bytes.saturating_sub(tape.len());
+            }
+            self.answers.pop_front();
+        }
+        while let Some(oldest) = self.expiries.front() {
+            if oldest.until_ms > now_ms {
+                break;
+            }
+            if let Some(oldest) = self.expiries.pop_front() {
+                let running = |slot: &Slot| slot.tape.as_ref().is_some_and(|tape| !tape.is_ended());
+                if self.slots.get(&oldest.name).is_some_and(running) {
+                    self.expiries.push_back(Expiry {
+                        until_ms: now_ms + 1_000,
+                        ..oldest
+                    });
+                    break;
+                }
+                self.slots.remove(&oldest.name);
+            }
+        }
+    }
+}
+
+/// Answers a keyed request: at its home it runs once, elsewhere it is sent on.
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    context: Context,
+    incoming: Incoming,
+    body: Vec<u8>,
+    prepare: Prepare,
+) -> Result<Response, Failure> {
+    match context.key.clone() {
+        Some(Key::Homed(id)) if id.home == shared.me => {
+            at_home(shared, context, incoming, body, id, prepare).await
+        }
+        Some(Key::Homed(id)) => forward::to_home(&shared, &context, &incoming, body, id.home).await,
+        Some(Key::Foreign(key)) => foreign(shared, context, incoming, body, key, prepare).await,
+        None => Err(Failure::not_run(
+            Reason::BadRequest,
+            "the request has no key",
+        )),
+    }
+}
+
+/// How far the clock of the instance that issued a prefix may be ahead, in milliseconds.
+const MAX_CLOCK_SKEW_MS: u64 = 5_000;
+
+/// Refuses identifiers that are older than the memory of keys, or not yet issued.
+fn check_age(shared: &Shared, id: &RequestId) -> Result<(), Failure> {
+    let now_ms = shared.clock.wall_ms();
+    if id.issued_ms > now_ms + MAX_CLOCK_SKEW_MS {
+        let detail = "this identifier's prefix was issued in the future";
+        return Err(Failure::not_run(Reason::StaleId, detail));
+    }
+    if id.issued_ms + shared.settings.id_lifetime_ms < now_ms {
+        let detail =
+            "this identifier is too old to tell whether its request ran; ask for a new prefix";
+        return Err(Failure::may_have_run(Reason::StaleId, detail));
+    }
+    Ok(())
+}
+
+/// A key that was taken and whose request is still to run.
+struct Taken {
+    name: Name,
+    tape: Arc<Tape>,
+}
+
+/// Takes a key, or returns the response to the request that it was taken for.
+async fn take(
+    shared: &Shared,
+    context: &Context,
+    incoming: &Incoming,
+    body: &[u8],
+    key: &str,
+    until_ms: u64,
+) -> Result<Result<Taken, Response>, Failure> {
+    let name = Name {
+        workspace: context.workspace.name.clone(),
+        key: key.into(),
+    };
+    let body_hash = xxh3_64(body) ^ xxh3_64(incoming.path().as_bytes());
+    let now_ms = shared.clock.wall_ms();
+    let answer_until_ms = now_ms + shared.settings.answer_keep_ms;
+    match shared
+        .keyed
+        .take(name.clone(), body_hash, now_ms, answer_until_ms, until_ms)?
+    {
+        Lookup::Known(tape) => tape.response().await.map(Err),
+        Lookup::New(tape) => Ok(Ok(Taken { name, tape })),
+    }
+}
+
+impl Taken {
+    /// Ends the request without a run and frees the key.
+    fn give_back(self, shared: &Shared, failure: &Failure) {
+        self.tape.fail(failure.clone());
+        shared.keyed.release(&self.name);
+    }
+
+    /// Runs the request to its end, whether or not its caller stays, and answers the caller.
+    async fn run(
+        self,
+        shared: Arc<Shared>,
+        context: Context,
+        prepare: Prepare,
+    ) -> Result<Response, Failure> {
+        let job = match prepare(&context, &shared) {
+            Ok(job) => job,
+            Err(failure) => {
+                self.give_back(&shared, &failure);
+                return Err(failure);
+            }
+        };
+        let request = context.request.clone();
+        let tape = self.tape.clone();
+        let task = record(shared.clone(), Arc::new(context), job, self);
+        shared.executor.spawn(task).detach();
+        let mut response = tape.response().await?;
+        response.insert_header("x-request-id", &*request);
+        Ok(response)
+    }
+}
+
+async fn record(shared: Arc<Shared>, context: Arc<Context>, job: Job, taken: Taken) {
+    let Taken { name, tape } = taken;
+    execute::record(shared.clone(), context, job, tape.clone()).await;
+    shared.keyed.kept(tape.len());
+    if tape
+        .failure()
+        .is_some_and(|failure| failure.verdict == Verdict::NotRun)
+    {
+        shared.keyed.release(&name);
+    }
+}
+
+/// Runs a request under an identifier that this incarnation issued.
+async fn at_home(
+    shared: Arc<Shared>,
+    context: Context,
+    incoming: Incoming,
+    body: Vec<u8>,
+    id: RequestId,
+    prepare: Prepare,
+) -> Result<Response, Failure> {
+    check_age(&shared, &id)?;
+    let until_ms = id.issued_ms + shared.settings.id_lifetime_ms + shared.settings.answer_keep_ms;
+    match take(
+        &shared,
+        &context,
+        &incoming,
+        &body,
+        &id.to_string(),
+        until_ms,
+    )
+    .await?
+    {
+        Ok(taken) => taken.run(shared, context, prepare).await,
+        Err(response) => Ok(response),
+    }
+}
+
+/// Runs a request under a key of the caller's own making, once the key is claimed in the object API.
+async fn foreign(
+    shared: Arc<Shared>,
+    context: Context,
+    incoming: Incoming,
+    body: Vec<u8>,
+    key: String,
+    prepare: Prepare,
+) -> Result<Response, Failure> {
+    let until_ms =
+        shared.clock.wall_ms() + shared.settings.id_lifetime_ms + shared.settings.answer_keep_ms;
+    let taken = match take(&shared, &context, &incoming, &body, &key, until_ms).await? {
+        Ok(taken) => taken,
+        Err(response) => return Ok(response),
+    };
+    match claim::take(&shared, &taken.name).await {
+        Ok(Owner::Me) => taken.run(shared, context, prepare).await,
+        Ok(Owner::Other(home)) => {
+            let elsewhere = Failure::may_have_run(
+                Reason::StaleId,
+                "this key belongs to another instance; ask again",
+            );
+            taken.give_back(&shared, &elsewhere.retry_after_ms(ELSEWHERE_RETRY_MS));
+            forward::to_home(&shared, &context, &incoming, body, home).await
+        }
+        Err(failure) => {
+            taken.give_back(&shared, &failure);
+            Err(failure)
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,132 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+
+use http_types::Response;
+use kernel::{Failure, Reason};
+use upstream::{Call, PoolState};
+use web::Incoming;
+
+use crate::billing::Billing;
+use crate::context::Context;
+use crate::execute::{self, Answer, Job, exchange, settle_failure, within};
+use crate::keyed;
+use crate::shared::Shared;
+
+/// The path prefix of service calls.
+pub(crate) const PREFIX: &str = "/v1/services/";
+
+/// A planned service call.
+pub(crate) struct ServiceCall {
+    pool: Arc<PoolState>,
+    path: String,
+    body: Vec<u8>,
+}
+
+/// Answers a service call: `POST /v1/services/{pool}/{call}`.
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    incoming: Incoming,
+    body: Vec<u8>,
+) -> Result<Response, Failure> {
+    let mut context = Context::read(&shared, &incoming)?;
+    let rest = incoming
+        .path()
+        .strip_prefix(PREFIX)
+        .unwrap_or_default()
+        .to_owned();
+    let Some((pool, call)) = rest.split_once('/').filter(|(_, call)| !call.is_empty()) else {
+        return Err(Failure::not_run(
+            Reason::NotFound,
+            "expected a path /v1/services/POOL/CALL",
+        ));
+    };
+    let pool = find_pool(&context, pool)?;
+    if serde_json::from_slice::<serde::de::IgnoredAny>(&body).is_err() {
+        return Err(Failure::not_run(Reason::BadRequest, "the body is not JSON"));
+    }
+    context.check_serving(&shared)?;
+    context.non_idempotent |= !pool.spec.repeatable;
+    let service = ServiceCall {
+        pool,
+        path: format!("/{call}"),
+        body: body.clone(),
+    };
+    if context.key.is_some() {
+        let prepare =
+            Box::new(move |context: &Context, shared: &Shared| prepare(shared, context, service));
+        return keyed::answer(shared, context, incoming, body, prepare).await;
+    }
+    if context.non_idempotent {
+        let detail = "a call that may not be repeated needs a header 'Idempotency-Key'";
+        return Err(Failure::not_run(Reason::BadRequest, detail));
+    }
+    let job = prepare(&shared, &context, service)?;
+    execute::respond(shared, context, job).await
+}
+
+fn prepare(shared: &Shared, context: &Context, service: ServiceCall) -> Result<Job, Failure> {
+    crate::quota::admit(shared, context)?;
+    Ok(Job::Service(service))
+}
+
+fn find_pool(context: &Context, name: &str) -> Result<Arc<PoolState>, Failure> {
+    let allowed = context
+        .workspace
+        .services
+        .iter()
+        .any(|service| &**service == name);
+    let pool = context
+        .view
+        .pools
+        .get(name)
+        .filter(|pool| !pool.is_engine());
+    match pool {
+        Some(pool) if allowed => Ok(pool.clone()),
+        Some(_) => {
+            let detail = format!(
+                "workspace '{}' may not call service '{name}'",
+                context.workspace.name
+            );
+            Err(Failure::not_run(Reason::Forbidden, detail))
+        }
+        None => Err(Failure::not_run(
+            Reason::NotFound,
+            format!("unknown service '{name}'"),
+        )),
+    }
+}
+
+impl ServiceCall {
+    /// Runs the call.
+    pub(crate) async fn run(
+        self,
+        shared: &Arc<Shared>,
+        context: &Arc<Context>,
+    ) -> Result<Answer, Failure> {
+        let mut billing = Billing::new(shared.clone(), context);
+        let call = Call::builder(self.path, self.body, context.request.clone())
+            .priority(context.priority)
+            .idempotent(!context.non_idempotent)
+            .deadline_ms(context.deadline_ms)
+            .build();
+        billing.runs_on(&self.pool.spec.name, false);
+        match within(
+            shared,
+            context,
+            exchange(shared, context, &self.pool, &call),
+        )
+        .await
+        {
+            Ok(bytes) => {
+                billing.add_cost(self.pool.spec.cost_per_call_micros);
+                billing.answered().await;
+                Ok(Answer::Whole {
+                    bytes,
+                    version: self.pool.spec.name.clone(),
+                })
+            }
+            Err(failure) => Err(settle_failure(billing, failure)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/endpoint.rs
@@ -0,0 +1,364 @@
+//! Model engines and plain services over HTTP.
+
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use catalog::PoolKind;
+use futures_lite::io::BufReader;
+use futures_lite::{AsyncRead, Future};
+use http_types::{Body, Response, StatusCode};
+use kernel::{Clock, SystemClock};
+use serde_json::{Value, json};
+use smol::Timer;
+use web::{BoxFuture, Handler, Incoming};
+
+use crate::answer::{self, Answer};
+use crate::farm::World;
+use crate::faults::EndpointFault;
+use crate::runs::Run;
+
+/// How many tokens an answer has unless the request says.
+const DEFAULT_TOKENS: usize = 8;
+
+/// How long a hung call waits.
+const HANG: Duration = Duration::from_secs(3600);
+
+/// One endpoint's handler.
+pub(crate) struct Endpoint {
+    pub(crate) name: String,
+    pub(crate) kind: PoolKind,
+    pub(crate) world: Arc<World>,
+    pub(crate) running: Arc<AtomicU32>,
+    pub(crate) clock: SystemClock,
+}
+
+/// Counts a call as running while it lives.
+struct Running(Arc<AtomicU32>);
+
+impl Running {
+    fn new(count: &Arc<AtomicU32>) -> Running {
+        count.fetch_add(1, Ordering::Relaxed);
+        Running(count.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// One call being answered.
+struct Call {
+    id: String,
+    target: String,
+    fault: EndpointFault,
+    token_ms: u64,
+    run: usize,
+    running: Running,
+}
+
+impl Handler for Endpoint {
+    fn handle(&self, incoming: Incoming) -> BoxFuture<'_, Response> {
+        Box::pin(self.answer(incoming))
+    }
+}
+
+impl Endpoint {
+    async fn answer(&self, mut incoming: Incoming) -> Response {
+        let path = incoming.path().to_owned();
+        let id = incoming
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let faults = self.world.faults.take(&self.name);
+        let Ok(body) = incoming.body().await else {
+            return web::json(400, &json!({}));
+        };
+        let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        if let Some(refusal) = refuse(faults.fault) {
+            return refusal;
+        }
+        let target = match self.kind {
+            PoolKind::Engine => value["model"].as_str().unwrap_or_default().to_owned(),
+            PoolKind::Service => path.trim_start_matches('/').to_owned(),
+        };
+        let run = Run {
+            request: id.clone(),
+            endpoint: self.name.clone(),
+            target: target.clone(),
+            started_ms: self.clock.wall_ms(),
+            finished: false,
+        };
+        let call = Call {
+            id,
+            target,
+            fault: faults.fault,
+            token_ms: self.world.token_ms + faults.slow_ms,
+            run: self.world.runs.start(run),
+            running: Running::new(&self.running),
+        };
+        let mut response = match self.kind {
+            PoolKind::Engine => self.complete(call, &value).await,
+            PoolKind::Service => self.serve(call, &value).await,
+        };
+        let load = format!("{};0", self.running.load(Ordering::Relaxed));
+        response.insert_header("x-endpoint-load", load);
+        response
+    }
+
+    async fn serve(&self, call: Call, value: &Value) -> Response {
+        Timer::after(Duration::from_millis(call.token_ms)).await;
+        self.world.runs.finish(call.run);
+        let body = json!({ "request": call.id, "call": call.target, "done": true, "echo": value });
+        self.finish(&call, body)
+    }
+
+    async fn complete(&self, call: Call, value: &Value) -> Response {
+        let tokens = value["max_tokens"]
+            .as_u64()
+            .map_or(DEFAULT_TOKENS, |count| count as usize);
+        let quality = self.world.quality(&call.target);
+        let request = call.id.split('/').next().unwrap_or_default();
+        let answer = answer::make(request, &call.target, quality, tokens);
+        if value["stream"].as_bool().unwrap_or(false) {
+            return self.stream(call, answer);
+        }
+        let wait_ms = call.token_ms * answer.words.len() as u64;
+        if wait_ms > 0 {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+        }
+        self.world.runs.finish(call.run);
+        let body = json!({
+            "id": format!("chatcmpl-{}", call.id),
+            "object": "chat.completion",
+            "model": call.target,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": answer.words.join(" ") },
+                "finish_reason": "stop",
+                "logprobs": { "content": [{ "token": "", "logprob": answer.confidence.max(1e-6).ln() }] },
+            }],
+            "usage": usage(&answer),
+        });
+        self.finish(&call, body)
+    }
+
+    /// Ends a call with a whole answer, or with the fault that is switched on.
+    fn finish(&self, call: &Call, body: Value) -> Response {
+        let id = if call.fault == EndpointFault::WrongId {
+            "another-call"
+        } else {
+            &call.id
+        };
+        let text = body.to_string();
+        let mut response = match call.fault {
+            EndpointFault::ErrorAfterRun => web::json(500, &json!({ "error": "ran, then failed" })),
+            EndpointFault::CutHalf => cut(text.into_bytes()),
+            EndpointFault::Twice => {
+                let mut bytes = text.clone().into_bytes();
+                let again = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}",
+                    text.len()
+                );
+                let length = bytes.len();
+                bytes.extend(again.into_bytes());
+                let mut response = Response::new(StatusCode::Ok);
+                response.set_body(Body::from_reader(
+                    futures_lite::io::Cursor::new(bytes),
+                    Some(length),
+                ));
+                response
+            }
+            EndpointFault::ResetAfterRun => cut(Vec::new()),
+            _ => web::json(200, &body),
+        };
+        response.insert_header("x-request-id", id);
+        response
+    }
+
+    fn stream(&self, call: Call, answer: Answer) -> Response {
+        let id = if call.fault == EndpointFault::WrongId {
+            "another-call".to_owned()
+        } else {
+            call.id.clone()
+        };
+        let stream = TokenStream::new(call, &answer, self.world.clone());
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(
+            BufReader::with_capacity(1024, stream),
+            None,
+        ));
+        response.insert_header("content-type", "text/event-stream");
+        response.insert_header("x-request-id", id);
+        response
+    }
+}
+
+/// Refuses a call before it runs, if the fault says so.
+fn refuse(fault: EndpointFault) -> Option<Response> {
+    let mut response = match fault {
+        EndpointFault::Refuse => web::json(503, &json!({ "error": "full" })),
+        EndpointFault::Leaving => {
+            let mut response = web::json(503, &json!({ "error": "leaving" }));
+            response.insert_header("x-endpoint-leaving", "1");
+            response
+        }
+        EndpointFault::ErrorBeforeRun => {
+            return Some(web::json(500, &json!({ "error": "failed" })));
+        }
+        EndpointFault::ResetBeforeRun => return Some(cut(Vec::new())),
+        EndpointFault::Hang => return Some(hang()),
+        _ => return None,
+    };
+    response.insert_header("x-request-not-started", "1");
+    Some(response)
+}
+
+/// Makes a response whose connection breaks before its declared end.
+fn cut(mut bytes: Vec<u8>) -> Response {
+    let declared = bytes.len() + 100;
+    bytes.truncate(bytes.len() / 2);
+    let mut response = Response::new(StatusCode::Ok);
+    let broken = Broken {
+        bytes: bytes.into(),
+    };
+    response.set_body(Body::from_reader(BufReader::new(broken), Some(declared)));
+    response
+}
+
+/// Makes a response that never comes.
+fn hang() -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    let silent = Silent {
+        timer: Timer::after(HANG),
+    };
+    response.set_body(Body::from_reader(BufReader::new(silent), Some(1)));
+    response
+}
+
+fn usage(answer: &Answer) -> Value {
+    json!({ "prompt_tokens": 20, "completion_tokens": answer.words.len() })
+}
+
+/// Gives some bytes, then an error.
+struct Broken {
+    bytes: VecDeque<u8>,
+}
+
+impl AsyncRead for Broken {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.bytes.is_empty() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let count = buf.len().min(self.bytes.len());
+        for (slot, byte) in buf.iter_mut().zip(self.bytes.drain(..count)) {
+            *slot = byte;
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+/// Gives nothing for long.
+struct Silent {
+    timer: Timer,
+}
+
+impl AsyncRead for Silent {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(Pin::new(&mut self.timer).poll(cx));
+        Poll::Ready(Ok(0))
+    }
+}
+
+/// Server-sent events, one token at a time.
+struct TokenStream {
+    events: VecDeque<Vec<u8>>,
+    timer: Option<Timer>,
+    token_ms: u64,
+    world: Arc<World>,
+    run: usize,
+    cut_at: usize,
+    _running: Running,
+}
+
+impl TokenStream {
+    fn new(call: Call, answer: &Answer, world: Arc<World>) -> TokenStream {
+        let id = format!("chatcmpl-{}", call.id);
+        let mut events = VecDeque::new();
+        for word in &answer.words {
+            let delta = json!({ "content": format!("{word} ") });
+            let choice = json!({ "index": 0, "delta": delta, "finish_reason": null });
+            events.push_back(event(&id, &call.target, json!([choice]), &Value::Null));
+        }
+        let last = json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]);
+        events.push_back(event(&id, &call.target, last, &Value::Null));
+        events.push_back(event(&id, &call.target, json!([]), &usage(answer)));
+        events.push_back(b"data: [DONE]\n\n".to_vec());
+        let cut_at = match call.fault {
+            EndpointFault::CutHalf => events.len() / 2,
+            EndpointFault::ResetAfterRun => events.len(),
+            _ => 0,
+        };
+        let token_ms = call.token_ms;
+        TokenStream {
+            events,
+            timer: None,
+            token_ms,
+            world,
+            run: call.run,
+            cut_at,
+            _running: call.running,
+        }
+    }
+}
+
+fn event(id: &str, version: &str, choices: Value, usage: &Value) -> Vec<u8> {
+    let mut chunk = json!({ "id": id, "object": "chat.completion.chunk", "model": version, "choices": choices });
+    if !usage.is_null() {
+        chunk["usage"] = usage.clone();
+    }
+    format!("data: {chunk}\n\n").into_bytes()
+}
+
+impl AsyncRead for TokenStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.token_ms > 0 {
+            let pause = Duration::from_millis(self.token_ms);
+            let timer = self.timer.get_or_insert_with(|| Timer::after(pause));
+            ready!(Pin::new(timer).poll(cx));
+            self.timer = None;
+        }
+        if self.cut_at > 0 && self.events.len() == self.cut_at {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let Some(mut event) = self.events.pop_front() else {
+            let run = self.run;
+            self.world.runs.finish(run);
+            return Poll::Ready(Ok(0));
+        };
+        let count = buf.len().min(event.len());
+        buf[..count].copy_from_slice(&event[..count]);
+        if count < event.len() {
+            self.events.push_front(event.split_off(count));
+        }
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/farm.rs
@@ -0,0 +1,195 @@
+//! All stand-ins of one deployment.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use catalog::{Declarations, Pool, Resource};
+use kernel::SystemClock;
+use smol::Executor;
+use store::{InstanceState, ListedInstance};
+use web::{Drain, Limits, Server};
+
+use crate::endpoint::Endpoint;
+use crate::faults::Faults;
+use crate::objects::ObjectStore;
+use crate::platform::Platform;
+use crate::ratings::Ratings;
+use crate::runs::RunLog;
+
+/// The share of good answers of a version that is not declared.
+const UNKNOWN_QUALITY: f64 = 0.5;
+
+/// What all stand-ins share.
+pub struct World {
+    /// The object API's contents.
+    pub objects: ObjectStore,
+    /// The switches for faults.
+    pub faults: Faults,
+    /// What endpoints ran.
+    pub runs: RunLog,
+    /// How long a token or service call takes, in milliseconds.
+    pub token_ms: u64,
+    pub(crate) ratings: Ratings,
+    pub(crate) instances: Mutex<Vec<ListedInstance>>,
+    qualities: BTreeMap<Arc<str>, f64>,
+}
+
+impl World {
+    /// Returns the share of good answers of a version now.
+    pub(crate) fn quality(&self, version: &str) -> f64 {
+        let faults = self.faults.get();
+        let declared = || {
+            self.qualities
+                .get(version)
+                .copied()
+                .unwrap_or(UNKNOWN_QUALITY)
+        };
+        faults
+            .quality
+            .get(version)
+            .copied()
+            .unwrap_or_else(declared)
+    }
+
+    /// Replaces the entry instances in the platform's list; endpoints stay.
+    pub fn set_instances(&self, list: Vec<ListedInstance>) {
+        let mut held = self
+            .instances
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        held.retain(|instance| instance.name.contains('/'));
+        held.extend(list);
+    }
+}
+
+/// What to stand in for.
+#[derive(Debug, Clone)]
+pub struct FarmPlan {
+    /// The declarations whose pools get endpoints.
+    pub declarations: Declarations,
+    /// Where the platform listens.
+    pub platform_addr: SocketAddr,
+    /// Whether endpoints listen on free ports, which the declarations then name.
+    pub free_ports: bool,
+    /// How long a token or service call takes, in milliseconds.
+    pub token_ms: u64,
+}
+
+/// Running stand-ins.
+pub struct Farm {
+    /// What they share.
+    pub world: Arc<World>,
+    /// Where the platform listens.
+    pub platform_addr: SocketAddr,
+    /// The declarations, with the endpoints' addresses.
+    pub declarations: Declarations,
+    drains: Vec<Arc<Drain>>,
+}
+
+impl Farm {
+    /// Starts every stand-in on an executor.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub fn start(plan: FarmPlan, executor: &Arc<Executor<'static>>) -> anyhow::Result<Farm> {
+        let world = Arc::new(World {
+            objects: ObjectStore::default(),
+            faults: Faults::default(),
+            runs: RunLog::default(),
+            token_ms: plan.token_ms,
+            ratings: Ratings::default(),
+            instances: Mutex::default(),
+            qualities: qualities(&plan.declarations),
+        });
+        let mut farm = Farm {
+            world: world.clone(),
+            platform_addr: plan.platform_addr,
+            declarations: plan.declarations,
+            drains: Vec::new(),
+        };
+        let platform = Platform {
+            world,
+            clock: SystemClock::new(),
+        };
+        farm.platform_addr = farm.serve(plan.platform_addr, Arc::new(platform), executor)?;
+        let mut declarations = std::mem::take(&mut farm.declarations);
+        for item in &mut declarations.items {
+            if let Resource::Pool(pool) = &mut item.resource {
+                farm.start_pool(pool, plan.free_ports, executor)?;
+                item.value = serde_json::to_value(&*pool)?;
+            }
+        }
+        farm.declarations = declarations;
+        Ok(farm)
+    }
+
+    /// Stops all stand-ins.
+    pub fn stop(&self) {
+        for drain in &self.drains {
+            drain.end();
+        }
+    }
+
+    fn start_pool(
+        &mut self,
+        pool: &mut Pool,
+        free_ports: bool,
+        executor: &Arc<Executor<'static>>,
+    ) -> anyhow::Result<()> {
+        let kind = pool.kind;
+        for spec in &mut pool.endpoints {
+            let mut addr: SocketAddr = spec.addr.parse()?;
+            if free_ports {
+                addr.set_port(0);
+            }
+            let endpoint = Endpoint {
+                name: spec.name.to_string(),
+                kind,
+                world: self.world.clone(),
+                running: Arc::new(AtomicU32::new(0)),
+                clock: SystemClock::new(),
+            };
+            let addr = self.serve(addr, Arc::new(endpoint), executor)?;
+            spec.addr = addr.to_string().into();
+            let listed = ListedInstance {
+                name: format!("{}/{}", pool.name, spec.name).into(),
+                addr: spec.addr.clone(),
+                zone: spec.zone.clone(),
+                state: InstanceState::Live,
+            };
+            self.world
+                .instances
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(listed);
+        }
+        Ok(())
+    }
+
+    fn serve(
+        &mut self,
+        addr: SocketAddr,
+        handler: Arc<dyn web::Handler>,
+        executor: &Arc<Executor<'static>>,
+    ) -> anyhow::Result<SocketAddr> {
+        let limits = Limits::default().max_body_bytes(16 << 20);
+        let server = Server::bind(addr, handler, limits)?;
+        let bound = server.local_addr()?;
+        self.drains.push(server.drain());
+        executor.spawn(server.run(executor.clone())).detach();
+        Ok(bound)
+    }
+}
+
+fn qualities(declarations: &Declarations) -> BTreeMap<Arc<str>, f64> {
+    let mut qualities = BTreeMap::new();
+    for item in &declarations.items {
+        if let Resource::Version(version) = &item.resource {
+            qualities.insert(version.name.clone(), version.quality_prior);
+        }
+    }
+    qualities
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,31 @@
+//! Small stand-ins for what surrounds the router: the platform, model engines and plain services.
+//!
+//! They run over HTTP on loopback, keep a record of every run, and have switches for faults.
+//!
+//! # Examples
+//!
+//! ```
+//! use fakes::ObjectStore;
+//! use store::Expect;
+//!
+//! let objects = ObjectStore::default();
+//! let revision = objects.put("spec/model/a", serde_json::json!({}), Expect::Absent).unwrap();
+//! assert_eq!(objects.get("spec/model/a").unwrap().revision, revision);
+//! ```
+
+mod admin;
+mod answer;
+mod cli;
+mod endpoint;
+mod farm;
+mod faults;
+mod objects;
+mod platform;
+mod ratings;
+mod runs;
+
+pub use cli::{Args, args, run};
+pub use farm::{Farm, FarmPlan};
+pub use faults::{EndpointFault, EndpointFaults, Faults, PlatformFaults};
+pub use objects::ObjectStore;
+pub use runs::{Run, RunLog};
--- /dev/null
+++ b/crates/fakes/src/objects.rs
@@ -0,0 +1,162 @@
+//! An object API in memory.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use catalog::Object;
+use serde_json::Value;
+use store::{Expect, Listing, StoreError};
+
+/// How many changes are remembered for watches.
+const HISTORY: usize = 20_000;
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    objects: BTreeMap<Arc<str>, Object>,
+    history: Vec<Object>,
+    expired_revision: u64,
+    stale: Option<Listing>,
+}
+
+/// A versioned object store in memory.
+#[derive(Debug, Default)]
+pub struct ObjectStore {
+    inner: Mutex<Inner>,
+}
+
+impl ObjectStore {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none.
+    pub fn get(&self, path: &str) -> Result<Object, StoreError> {
+        self.inner()
+            .objects
+            .get(path)
+            .cloned()
+            .ok_or(StoreError::NotFound)
+    }
+
+    /// Lists the objects under a prefix.
+    pub fn list(&self, prefix: &str) -> Listing {
+        let inner = self.inner();
+        let objects = inner
+            .objects
+            .values()
+            .filter(|object| object.path.starts_with(prefix));
+        Listing {
+            revision: inner.revision,
+            objects: objects.cloned().collect(),
+        }
+    }
+
+    /// Writes an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object is not as expected.
+    pub fn put(&self, path: &str, value: Value, expect: Expect) -> Result<u64, StoreError> {
+        self.write(path, Some(value), expect)
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object is not as expected.
+    pub fn delete(&self, path: &str, expect: Expect) -> Result<u64, StoreError> {
+        self.write(path, None, expect)
+    }
+
+    /// Returns the changes under a prefix after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the revision is too old.
+    pub fn changes(&self, prefix: &str, from_revision: u64) -> Result<Listing, StoreError> {
+        let inner = self.inner();
+        if from_revision < inner.expired_revision {
+            return Err(StoreError::Expired);
+        }
+        let start = inner
+            .history
+            .partition_point(|object| object.revision <= from_revision);
+        let changed = inner.history[start..]
+            .iter()
+            .filter(|object| object.path.starts_with(prefix));
+        Ok(Listing {
+            revision: inner.revision,
+            objects: changed.cloned().collect(),
+        })
+    }
+
+    /// Forgets the history, so that every watch expires.
+    pub fn expire(&self) {
+        let mut inner = self.inner();
+        inner.history.clear();
+        inner.expired_revision = inner.revision;
+    }
+
+    /// Keeps the present listing for stale reads.
+    pub fn remember_stale(&self) {
+        let listing = self.list("");
+        self.inner().stale = Some(listing);
+    }
+
+    /// Lists the objects as they were when the stale listing was kept.
+    pub fn stale_list(&self, prefix: &str) -> Listing {
+        let inner = self.inner();
+        let Some(stale) = &inner.stale else {
+            drop(inner);
+            return self.list(prefix);
+        };
+        let objects = stale
+            .objects
+            .iter()
+            .filter(|object| object.path.starts_with(prefix));
+        Listing {
+            revision: stale.revision,
+            objects: objects.cloned().collect(),
+        }
+    }
+
+    fn write(&self, path: &str, value: Option<Value>, expect: Expect) -> Result<u64, StoreError> {
+        let mut inner = self.inner();
+        let held = inner.objects.get(path).map(|object| object.revision);
+        let fits = match expect {
+            Expect::Any => true,
+            Expect::Absent => held.is_none(),
+            Expect::Revision(revision) => held == Some(revision),
+        };
+        if !fits {
+            return Err(StoreError::Conflict);
+        }
+        if held.is_none() && value.is_none() {
+            return Err(StoreError::NotFound);
+        }
+        inner.revision += 1;
+        let revision = inner.revision;
+        let object = Object {
+            path: path.into(),
+            revision,
+            value,
+        };
+        if object.value.is_some() {
+            inner.objects.insert(object.path.clone(), object.clone());
+        } else {
+            inner.objects.remove(path);
+        }
+        inner.history.push(object);
+        if inner.history.len() > HISTORY {
+            let dropped = inner.history.remove(0);
+            inner.expired_revision = dropped.revision;
+        }
+        Ok(revision)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,160 @@
+//! The platform's services over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::{Method, Response};
+use kernel::{Clock, SystemClock};
+use serde_json::{Value, json};
+use smol::Timer;
+use store::{Expect, InstanceState, ListedInstance, Sample, StoreError};
+use web::{BoxFuture, Handler, Incoming};
+
+use crate::admin;
+use crate::farm::World;
+
+/// How often a waiting watch looks for changes.
+const WATCH_TICK: Duration = Duration::from_millis(5);
+
+/// The platform's handler.
+pub(crate) struct Platform {
+    pub(crate) world: Arc<World>,
+    pub(crate) clock: SystemClock,
+}
+
+impl Handler for Platform {
+    fn handle(&self, incoming: Incoming) -> BoxFuture<'_, Response> {
+        Box::pin(self.answer(incoming))
+    }
+}
+
+fn query(incoming: &Incoming, name: &str) -> String {
+    let found = incoming.url().query_pairs().find(|(key, _)| key == name);
+    found
+        .map(|(_, value)| value.into_owned())
+        .unwrap_or_default()
+}
+
+fn error(err: &StoreError) -> Response {
+    let status = match err {
+        StoreError::NotFound => 404,
+        StoreError::Conflict => 409,
+        StoreError::Expired => 410,
+        StoreError::OverBudget => 429,
+        StoreError::Unavailable { .. } => 503,
+    };
+    web::json(status, &json!({ "error": err.to_string() }))
+}
+
+fn reply(result: Result<impl serde::Serialize, StoreError>) -> Response {
+    result.map_or_else(|err| error(&err), |value| web::json(200, &value))
+}
+
+impl Platform {
+    async fn answer(&self, mut incoming: Incoming) -> Response {
+        let path = incoming.path().trim_start_matches('/').to_owned();
+        let body = incoming.body().await.unwrap_or_default();
+        if let Some(rest) = path.strip_prefix("admin/") {
+            return admin::answer(&self.world, rest, &incoming, &body);
+        }
+        let faults = self.world.faults.get().platform;
+        let caller = incoming.header("x-caller").unwrap_or_default();
+        let cut = faults.cut_off.iter().any(|name| name == caller);
+        if faults.down || cut {
+            return web::json(503, &json!({ "error": "down" }));
+        }
+        if faults.slow_ms > 0 {
+            Timer::after(Duration::from_millis(faults.slow_ms)).await;
+        }
+        let (head, rest) = path.split_once('/').unwrap_or((&path, ""));
+        match (head, incoming.request.method()) {
+            ("objects", Method::Get) if rest.is_empty() => self.list(&incoming, faults.stale_list),
+            ("objects", Method::Get) => reply(self.world.objects.get(rest)),
+            ("objects", Method::Put | Method::Delete) => self.write(&incoming, rest, &body),
+            ("watch", Method::Get) if faults.expire_watches => error(&StoreError::Expired),
+            ("watch", Method::Get) => self.watch(&incoming).await,
+            ("instances", Method::Get) => web::json(200, &self.instances()),
+            ("ratings", Method::Post) => self.ratings(rest, &body, faults.rating_lag_ms),
+            ("weights", Method::Get) => {
+                web::json(200, &json!({ "version": rest, "size_bytes": 1_000_000 }))
+            }
+            _ => error(&StoreError::NotFound),
+        }
+    }
+
+    fn list(&self, incoming: &Incoming, stale: bool) -> Response {
+        let prefix = query(incoming, "prefix");
+        let objects = &self.world.objects;
+        let listing = if stale {
+            objects.stale_list(&prefix)
+        } else {
+            objects.list(&prefix)
+        };
+        web::json(200, &listing)
+    }
+
+    fn write(&self, incoming: &Incoming, path: &str, body: &[u8]) -> Response {
+        let expect = match query(incoming, "expect").as_str() {
+            "absent" => Expect::Absent,
+            "any" => Expect::Any,
+            number => Expect::Revision(number.parse().unwrap_or(0)),
+        };
+        let result = if incoming.request.method() == Method::Delete {
+            self.world.objects.delete(path, expect)
+        } else {
+            match serde_json::from_slice::<Value>(body) {
+                Ok(value) => self.world.objects.put(path, value, expect),
+                Err(err) => return web::json(400, &json!({ "error": err.to_string() })),
+            }
+        };
+        if result.is_ok() && self.world.faults.loses_answer() {
+            return web::json(500, &json!({ "error": "the answer is lost" }));
+        }
+        reply(result.map(|revision| json!({ "revision": revision })))
+    }
+
+    async fn watch(&self, incoming: &Incoming) -> Response {
+        let prefix = query(incoming, "prefix");
+        let from = query(incoming, "from").parse().unwrap_or(0);
+        let wait_ms: u64 = query(incoming, "wait_ms").parse().unwrap_or(0);
+        let end_ms = self.clock.mono_ms() + wait_ms;
+        loop {
+            let changes = self.world.objects.changes(&prefix, from);
+            let waits = changes
+                .as_ref()
+                .is_ok_and(|listing| listing.objects.is_empty());
+            let faults = self.world.faults.get().platform;
+            if !waits || self.clock.mono_ms() >= end_ms || faults.down {
+                return reply(changes);
+            }
+            Timer::after(WATCH_TICK).await;
+        }
+    }
+
+    fn instances(&self) -> Vec<ListedInstance> {
+        let leaving = self.world.faults.get().leaving;
+        let mut listed = self
+            .world
+            .instances
+            .lock()
+            .map(|list| list.clone())
+            .unwrap_or_default();
+        for instance in &mut listed {
+            if leaving.iter().any(|name| **name == *instance.name) {
+                instance.state = InstanceState::Leaving;
+            }
+        }
+        listed
+    }
+
+    fn ratings(&self, rest: &str, body: &[u8], lag_ms: u64) -> Response {
+        let now_ms = self.clock.wall_ms();
+        if rest == "poll" {
+            let ids: Vec<Arc<str>> = serde_json::from_slice(body).unwrap_or_default();
+            return web::json(200, &self.world.ratings.poll(&ids, lag_ms, now_ms));
+        }
+        let samples: Vec<Sample> = serde_json::from_slice(body).unwrap_or_default();
+        self.world.ratings.submit(&samples, now_ms);
+        web::json(200, &json!({}))
+    }
+}
--- /dev/null
+++ b/crates/receipt/src/statement.rs
@@ -0,0 +1,166 @@
+//! The settled account of one workspace.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kernel::Incarnation;
+use serde::{Deserialize, Serialize};
+
+use crate::intervals::Intervals;
+use crate::receipt::{Outcome, Receipt};
+
+/// The width of one bucket of the service-level record, in milliseconds.
+pub const BUCKET_MS: u64 = 60_000;
+
+/// How long buckets are kept, in milliseconds.
+const BUCKET_KEEP_MS: u64 = 6 * 3_600_000;
+
+/// How long the numbers of a silent incarnation are kept, in milliseconds.
+const HORIZON_MS: u64 = 24 * 3_600_000;
+
+/// The number of latency bins.
+pub const LATENCY_BINS: usize = 18;
+
+/// Returns the bin of a latency: bin `n` holds latencies below `2^n` milliseconds.
+pub fn latency_bin(latency_ms: u64) -> usize {
+    let bits = u64::BITS - latency_ms.leading_zeros();
+    (bits as usize).min(LATENCY_BINS - 1)
+}
+
+/// Sums over billed requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Totals {
+    /// Billed requests.
+    pub requests: u64,
+    /// The cost, in millionths of the currency unit.
+    pub cost_micros: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Generated tokens.
+    pub completion_tokens: u64,
+}
+
+impl Totals {
+    fn add(&mut self, receipt: &Receipt) {
+        self.requests += 1;
+        self.cost_micros += receipt.work.cost_micros;
+        self.prompt_tokens += receipt.work.prompt_tokens;
+        self.completion_tokens += receipt.work.completion_tokens;
+    }
+}
+
+/// The service-level record of one class over one stretch of time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Bucket {
+    /// The start, in milliseconds since the Unix epoch.
+    pub start_ms: u64,
+    /// The request class.
+    pub class: Arc<str>,
+    /// Requests.
+    pub requests: u64,
+    /// Requests that missed the objective or failed.
+    pub bad: u64,
+    /// Requests that an unproven version took part in.
+    pub unproven: u64,
+    /// The cost, in millionths of the currency unit.
+    pub cost_micros: u64,
+    /// First-token latencies by bin.
+    pub first_token_bins: Vec<u64>,
+    /// Whole-answer latencies by bin.
+    pub total_bins: Vec<u64>,
+}
+
+/// The numbers taken in from one incarnation.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Folded {
+    /// The numbers.
+    pub numbers: Intervals,
+    /// The latest end of a request, in milliseconds since the Unix epoch.
+    pub last_ms: u64,
+}
+
+/// The settled account of one workspace and shard.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Statement {
+    /// Sums over all requests.
+    pub totals: Totals,
+    /// Sums by version or service.
+    pub by_version: BTreeMap<Arc<str>, Totals>,
+    /// What was taken in, by incarnation.
+    pub folded: BTreeMap<Incarnation, Folded>,
+    /// The service-level record.
+    pub buckets: Vec<Bucket>,
+    /// Receipts that came after the horizon and were not billed.
+    pub too_late: u64,
+}
+
+impl Statement {
+    /// Takes in the receipts that it does not hold yet and returns how many those were.
+    pub fn fold(&mut self, receipts: &[Receipt], now_ms: u64) -> u64 {
+        let mut count = 0;
+        for receipt in receipts {
+            if receipt.ended_ms + HORIZON_MS < now_ms {
+                self.too_late += u64::from(!self.holds(receipt));
+                continue;
+            }
+            let folded = self.folded.entry(receipt.home).or_default();
+            if !folded.numbers.insert(receipt.number) {
+                continue;
+            }
+            folded.last_ms = folded.last_ms.max(receipt.ended_ms);
+            self.totals.add(receipt);
+            self.by_version
+                .entry(receipt.work.version.clone())
+                .or_default()
+                .add(receipt);
+            self.bucket(receipt);
+            count += 1;
+        }
+        self.forget(now_ms);
+        count
+    }
+
+    /// Returns whether a receipt was taken in.
+    pub fn holds(&self, receipt: &Receipt) -> bool {
+        self.folded
+            .get(&receipt.home)
+            .is_some_and(|folded| folded.numbers.contains(receipt.number))
+    }
+
+    fn bucket(&mut self, receipt: &Receipt) {
+        let start_ms = receipt.ended_ms - receipt.ended_ms % BUCKET_MS;
+        let class = &receipt.work.class;
+        let found = self
+            .buckets
+            .iter()
+            .rposition(|bucket| bucket.start_ms == start_ms && bucket.class == *class);
+        let index = found.unwrap_or_else(|| {
+            self.buckets.push(Bucket {
+                start_ms,
+                class: class.clone(),
+                requests: 0,
+                bad: 0,
+                unproven: 0,
+                cost_micros: 0,
+                first_token_bins: vec![0; LATENCY_BINS],
+                total_bins: vec![0; LATENCY_BINS],
+            });
+            self.buckets.len() - 1
+        });
+        let bucket = &mut self.buckets[index];
+        let good = receipt.work.in_objective && receipt.work.outcome != Outcome::Failed;
+        bucket.requests += 1;
+        bucket.bad += u64::from(!good);
+        bucket.unproven += u64::from(receipt.work.unproven);
+        bucket.cost_micros += receipt.work.cost_micros;
+        bucket.first_token_bins[latency_bin(receipt.work.first_token_ms)] += 1;
+        bucket.total_bins[latency_bin(receipt.work.total_ms)] += 1;
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        self.buckets
+            .retain(|bucket| bucket.start_ms + BUCKET_KEEP_MS > now_ms);
+        self.folded
+            .retain(|_, folded| folded.last_ms + 2 * HORIZON_MS > now_ms);
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/controller.rs
@@ -0,0 +1,67 @@
+//! The steps of a roll-out.
+
+use crate::monitor::{Judgement, Monitor, TestSettings};
+
+/// The state of a roll-out as its status records it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// The index of the step in force.
+    pub index: usize,
+    /// The number of steps.
+    pub count: usize,
+    /// When the step began, in milliseconds.
+    pub since_ms: u64,
+    /// Whether an operator holds the step.
+    pub paused: bool,
+}
+
+/// What the controller does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing.
+    Wait,
+    /// Begin the step with this index.
+    Advance(usize),
+    /// End: the version is good.
+    Finish,
+    /// Stop: the version is bad, for this reason.
+    Stop(String),
+}
+
+/// The shortest time of one step, in milliseconds.
+const MIN_STEP_MS: u64 = 1_000;
+
+/// Moves one roll-out along.
+#[derive(Debug)]
+pub struct Controller {
+    /// The tests.
+    pub monitor: Monitor,
+}
+
+impl Controller {
+    /// Starts with no evidence.
+    pub fn new(settings: TestSettings) -> Controller {
+        Controller {
+            monitor: Monitor::new(settings),
+        }
+    }
+
+    /// Decides what to do next. A bad version stops even while the roll-out is paused.
+    pub fn next(&mut self, step: Step, now_ms: u64) -> Next {
+        match self.monitor.judge() {
+            Judgement::Bad(symptom, class) => {
+                Next::Stop(format!("{} in class '{class}'", symptom.as_str()))
+            }
+            Judgement::Undecided => Next::Wait,
+            Judgement::Good if step.paused || now_ms < step.since_ms + MIN_STEP_MS => Next::Wait,
+            Judgement::Good => {
+                self.monitor.begin_step();
+                if step.index + 1 < step.count {
+                    Next::Advance(step.index + 1)
+                } else {
+                    Next::Finish
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/monitor.rs
@@ -0,0 +1,194 @@
+//! The sequential tests of one roll-out.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kernel::Incarnation;
+
+use crate::cusum::{Cusum, CusumSettings};
+use crate::evidence::{Counts, Evidence};
+
+/// What went wrong with a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Symptom {
+    /// Too many answers were rated bad.
+    Quality,
+    /// Too many calls failed.
+    Failures,
+    /// Too many answers were slow.
+    Slowness,
+}
+
+impl Symptom {
+    /// All symptoms.
+    pub const ALL: [Symptom; 3] = [Symptom::Quality, Symptom::Failures, Symptom::Slowness];
+
+    /// Returns a phrase for people.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Symptom::Quality => "too many answers rated bad",
+            Symptom::Failures => "too many failed calls",
+            Symptom::Slowness => "too many slow answers",
+        }
+    }
+
+    /// Returns how often the symptom showed and how often it did not.
+    fn split(self, counts: &Counts) -> (u64, u64) {
+        match self {
+            Symptom::Quality => (counts.bad, counts.good),
+            Symptom::Failures => (counts.failed, counts.answered),
+            Symptom::Slowness => (counts.slow, counts.answered.saturating_sub(counts.slow)),
+        }
+    }
+}
+
+/// What the tests take for normal and for bad.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TestSettings {
+    /// The share of bad answers of the proven version.
+    pub bad_share: f64,
+    /// The rise in bad answers that must be found.
+    pub quality_rise: f64,
+    /// The share of failed calls that is normal.
+    pub failed_share: f64,
+    /// The rise in failed calls that must be found.
+    pub failure_rise: f64,
+    /// The share of slow answers that is normal.
+    pub slow_share: f64,
+    /// The rise in slow answers that must be found.
+    pub slow_rise: f64,
+    /// The evidence, in nats, at which one test stops the version.
+    pub stop_nats: f64,
+    /// The evidence, in nats, at which a step passes.
+    pub pass_nats: f64,
+}
+
+impl Default for TestSettings {
+    fn default() -> TestSettings {
+        TestSettings {
+            bad_share: 0.1,
+            quality_rise: 0.15,
+            failed_share: 0.005,
+            failure_rise: 0.08,
+            slow_share: 0.05,
+            slow_rise: 0.25,
+            stop_nats: 7.0,
+            pass_nats: 3.0,
+        }
+    }
+}
+
+impl TestSettings {
+    fn cusum(&self, symptom: Symptom) -> CusumSettings {
+        let (normal, rise) = match symptom {
+            Symptom::Quality => (self.bad_share, self.quality_rise),
+            Symptom::Failures => (self.failed_share, self.failure_rise),
+            Symptom::Slowness => (self.slow_share, self.slow_rise),
+        };
+        CusumSettings {
+            normal,
+            bad: normal + rise,
+            threshold: self.stop_nats,
+        }
+    }
+}
+
+/// What the tests say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Judgement {
+    /// Neither is sure yet.
+    Undecided,
+    /// The step may pass.
+    Good,
+    /// The version must stop, for the symptom in the class.
+    Bad(Symptom, Arc<str>),
+}
+
+/// The class name under which all classes are tested together.
+const ALL_CLASSES: &str = "all";
+
+/// The tests of one roll-out, by symptom and class.
+#[derive(Debug)]
+pub struct Monitor {
+    settings: TestSettings,
+    tests: BTreeMap<(Symptom, Arc<str>), Cusum>,
+    seen: BTreeMap<Incarnation, Evidence>,
+}
+
+impl Monitor {
+    /// Starts the tests.
+    pub fn new(settings: TestSettings) -> Monitor {
+        let mut monitor = Monitor {
+            settings,
+            tests: BTreeMap::new(),
+            seen: BTreeMap::new(),
+        };
+        let all: Arc<str> = ALL_CLASSES.into();
+        for symptom in Symptom::ALL {
+            monitor.test(symptom, &all);
+        }
+        monitor
+    }
+
+    /// Takes in an instance's counts, which are sums since its start.
+    pub fn note(&mut self, instance: Incarnation, evidence: &Evidence) {
+        let all: Arc<str> = ALL_CLASSES.into();
+        let mut held = self.seen.remove(&instance).unwrap_or_default();
+        for (class, counts) in &evidence.classes {
+            let since = counts.since(held.class(class));
+            for symptom in Symptom::ALL {
+                let (happened, absent) = symptom.split(&since);
+                if happened + absent == 0 {
+                    continue;
+                }
+                self.test(symptom, class).note(happened, absent);
+                self.test(symptom, &all).note(happened, absent);
+            }
+        }
+        held.merge(evidence);
+        self.seen.insert(instance, held);
+    }
+
+    /// Returns what the tests say now.
+    pub fn judge(&self) -> Judgement {
+        for ((symptom, class), test) in &self.tests {
+            if test.is_bad() {
+                return Judgement::Bad(*symptom, class.clone());
+            }
+        }
+        let enough = |test: &Cusum| test.normal_evidence() >= self.settings.pass_nats;
+        let overall =
+            |(key, test): (&(Symptom, Arc<str>), &Cusum)| &*key.1 != ALL_CLASSES || enough(test);
+        if self.tests.iter().all(overall) {
+            Judgement::Good
+        } else {
+            Judgement::Undecided
+        }
+    }
+
+    /// Asks for new evidence before the next step passes.
+    pub fn begin_step(&mut self) {
+        self.tests.values_mut().for_each(Cusum::begin_step);
+    }
+
+    /// Returns the sums over all instances.
+    pub fn total(&self) -> Counts {
+        let mut sum = Counts::default();
+        for evidence in self.seen.values() {
+            let total = evidence.total();
+            sum.good += total.good;
+            sum.bad += total.bad;
+            sum.answered += total.answered;
+            sum.failed += total.failed;
+            sum.slow += total.slow;
+        }
+        sum
+    }
+
+    fn test(&mut self, symptom: Symptom, class: &Arc<str>) -> &mut Cusum {
+        let settings = self.settings.cusum(symptom);
+        self.tests
+            .entry((symptom, class.clone()))
+            .or_insert_with(|| Cusum::new(settings))
+    }
+}
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,22 @@
+//! Signed session tokens, which any instance honours without state.
+//!
+//! # Examples
+//!
+//! ```
+//! use catalog::{KeyRing, SigningKey};
+//! use session::Session;
+//!
+//! let ring = KeyRing { keys: vec![SigningKey { id: "k1".into(), secret_hex: "00ff".into() }] };
+//! let session = Session {
+//!     workspace: "gate".into(),
+//!     model: "summary".into(),
+//!     version: "summary-s1".into(),
+//!     expires_ms: 1_000,
+//! };
+//! let token = session.sign(&ring).unwrap();
+//! assert_eq!(Session::verify(&token, &ring, 999).unwrap(), session);
+//! ```
+
+mod token;
+
+pub use token::{Session, SessionError};
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,253 @@
+//! The HTTP client of all platform services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalog::Object;
+use futures_lite::FutureExt;
+use http_types::{Method, Request, Url};
+use kernel::{Clock, SystemClock, Verdict};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use smol::Timer;
+use web::{BoxFuture, Client, Reuse};
+
+use crate::api::{
+    Expect, InstanceList, ListedInstance, Listing, ObjectApi, Rated, RatingService, Sample,
+    WeightStore, Weights,
+};
+use crate::error::StoreError;
+use crate::meter::{Budget, Meter};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// How long connecting may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1000;
+
+/// The HTTP client of the platform.
+pub struct HttpPlatform {
+    addr: SocketAddr,
+    client: Client,
+    timeout_ms: u64,
+    caller: String,
+    clock: SystemClock,
+    meter: Meter,
+}
+
+/// The answer to a write.
+#[derive(Debug, Serialize, Deserialize)]
+struct Written {
+    revision: u64,
+}
+
+/// What a call does to the budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    Read,
+    Write,
+    /// None: the call goes to another service than the object API.
+    Free,
+}
+
+impl HttpPlatform {
+    /// Makes a client of the platform at an address.
+    pub fn new(addr: SocketAddr, timeout_ms: u64, budget: Budget) -> HttpPlatform {
+        let client = Client::new(CONNECT_TIMEOUT_MS);
+        let caller = String::new();
+        HttpPlatform {
+            addr,
+            client,
+            timeout_ms,
+            caller,
+            clock: SystemClock::new(),
+            meter: Meter::new(budget),
+        }
+    }
+
+    /// Names the caller in each call, for the platform's logs.
+    pub fn caller(mut self, name: &str) -> HttpPlatform {
+        self.caller = name.to_owned();
+        self
+    }
+
+    /// Returns the meter of calls.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    fn url(&self, path: &str, query: &[(&str, &str)]) -> Result<Url, StoreError> {
+        let base = format!("http://{}/{path}", self.addr);
+        let url = if query.is_empty() {
+            Url::parse(&base)
+        } else {
+            Url::parse_with_params(&base, query)
+        };
+        url.map_err(|err| unavailable(Verdict::NotRun, err.to_string()))
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        effect: Effect,
+        method: Method,
+        url: Url,
+        body: Option<Vec<u8>>,
+        extra_wait_ms: u64,
+    ) -> Result<T, StoreError> {
+        let now_ms = self.clock.mono_ms();
+        match effect {
+            Effect::Read => self.meter.take_read(now_ms)?,
+            Effect::Write => self.meter.take_write(now_ms)?,
+            Effect::Free => {}
+        }
+        let mut request = Request::new(method, url);
+        request.insert_header("x-caller", &*self.caller);
+        if let Some(body) = body {
+            request.set_body(body);
+        }
+        let limit = Duration::from_millis(self.timeout_ms + extra_wait_ms);
+        let expire = async {
+            Timer::after(limit).await;
+            Err(unavailable(
+                Verdict::MayHaveRun,
+                "no answer in time".to_owned(),
+            ))
+        };
+        self.exchange(request).or(expire).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, request: Request) -> Result<T, StoreError> {
+        let sent = self.client.send(self.addr, request, Reuse::Allowed).await;
+        let mut reply = sent.map_err(|err| unavailable(err.verdict, err.message))?;
+        let bytes = reply.bytes(MAX_ANSWER_BYTES).await;
+        let bytes = bytes.map_err(|err| unavailable(Verdict::MayHaveRun, err.to_string()))?;
+        let status = reply.status();
+        reply.recycle();
+        match status {
+            200 => {}
+            404 => return Err(StoreError::NotFound),
+            409 => return Err(StoreError::Conflict),
+            410 => return Err(StoreError::Expired),
+            429 => return Err(unavailable(Verdict::NotRun, "rate limited".to_owned())),
+            other => return Err(unavailable(Verdict::MayHaveRun, format!("status {other}"))),
+        }
+        serde_json::from_slice(&bytes)
+            .map_err(|err| unavailable(Verdict::MayHaveRun, err.to_string()))
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        expect: Expect,
+    ) -> Result<u64, StoreError> {
+        let expect = match expect {
+            Expect::Any => "any".to_owned(),
+            Expect::Absent => "absent".to_owned(),
+            Expect::Revision(revision) => revision.to_string(),
+        };
+        let url = self.url(&format!("objects/{path}"), &[("expect", &expect)])?;
+        let written: Written = self.call(Effect::Write, method, url, body, 0).await?;
+        Ok(written.revision)
+    }
+}
+
+fn unavailable(verdict: Verdict, message: String) -> StoreError {
+    StoreError::Unavailable { verdict, message }
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+impl ObjectApi for HttpPlatform {
+    fn get<'a>(&'a self, path: &'a str) -> BoxFuture<'a, Result<Object, StoreError>> {
+        Box::pin(async move {
+            let url = self.url(&format!("objects/{path}"), &[])?;
+            self.call(Effect::Read, Method::Get, url, None, 0).await
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, StoreError>> {
+        Box::pin(async move {
+            let url = self.url("objects", &[("prefix", prefix)])?;
+            self.call(Effect::Read, Method::Get, url, None, 0).await
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        path: &'a str,
+        value: &'a Value,
+        expect: Expect,
+    ) -> BoxFuture<'a, Result<u64, StoreError>> {
+        Box::pin(self.write(Method::Put, path, Some(encode(value)), expect))
+    }
+
+    fn delete<'a>(
+        &'a self,
+        path: &'a str,
+        expect: Expect,
+    ) -> BoxFuture<'a, Result<u64, StoreError>> {
+        Box::pin(self.write(Method::Delete, path, None, expect))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        from_revision: u64,
+        wait_ms: u64,
+    ) -> BoxFuture<'a, Result<Listing, StoreError>> {
+        Box::pin(async move {
+            let from = from_revision.to_string();
+            let wait = wait_ms.to_string();
+            let url = self.url(
+                "watch",
+                &[("prefix", prefix), ("from", &from), ("wait_ms", &wait)],
+            )?;
+            self.call(Effect::Read, Method::Get, url, None, wait_ms)
+                .await
+        })
+    }
+}
+
+impl InstanceList for HttpPlatform {
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, StoreError>> {
+        Box::pin(async move {
+            let url = self.url("instances", &[])?;
+            self.call(Effect::Read, Method::Get, url, None, 0).await
+        })
+    }
+}
+
+impl RatingService for HttpPlatform {
+    fn submit<'a>(&'a self, samples: &'a [Sample]) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            let url = self.url("ratings", &[])?;
+            let _: Value = self
+                .call(Effect::Free, Method::Post, url, Some(encode(&samples)), 0)
+                .await?;
+            Ok(())
+        })
+    }
+
+    fn ratings<'a>(&'a self, ids: &'a [Arc<str>]) -> BoxFuture<'a, Result<Vec<Rated>, StoreError>> {
+        Box::pin(async move {
+            let url = self.url("ratings/poll", &[])?;
+            self.call(Effect::Free, Method::Post, url, Some(encode(&ids)), 0)
+                .await
+        })
+    }
+}
+
+impl WeightStore for HttpPlatform {
+    fn weights<'a>(&'a self, version: &'a str) -> BoxFuture<'a, Result<Weights, StoreError>> {
+        Box::pin(async move {
+            let url = self.url(&format!("weights/{version}"), &[])?;
+            self.call(Effect::Free, Method::Get, url, None, 0).await
+        })
+    }
+}
--- /dev/null
+++ b/crates/trial/src/audit.rs
@@ -0,0 +1,181 @@
+//! The independent check: what callers received, what endpoints ran, what was billed.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use fakes::{ObjectStore, Run};
+use kernel::Verdict;
+use receipt::{Receipt, Segment, Statement, Totals};
+
+use crate::record::{CallRecord, Ending};
+
+/// The receipts and statements in the object API.
+#[derive(Debug, Default)]
+pub struct Books {
+    /// The receipts, each once.
+    pub receipts: Vec<Receipt>,
+    /// Sums of the statements by workspace.
+    pub totals: BTreeMap<String, Totals>,
+}
+
+impl Books {
+    /// Reads the books from an object API.
+    pub fn read(objects: &ObjectStore) -> Books {
+        let mut books = Books::default();
+        let mut seen = HashSet::new();
+        for object in objects.list("receipts/").objects {
+            let segment: Option<Segment> = object
+                .value
+                .and_then(|value| serde_json::from_value(value).ok());
+            for receipt in segment.into_iter().flat_map(|segment| segment.receipts) {
+                if seen.insert((receipt.home, receipt.workspace.clone(), receipt.number)) {
+                    books.receipts.push(receipt);
+                }
+            }
+        }
+        for object in objects.list("statements/").objects {
+            let workspace = object.path.split('/').nth(1).unwrap_or_default().to_owned();
+            let statement: Option<Statement> = object
+                .value
+                .and_then(|value| serde_json::from_value(value).ok());
+            let totals = statement
+                .map(|statement| statement.totals)
+                .unwrap_or_default();
+            let sum = books.totals.entry(workspace).or_default();
+            sum.requests += totals.requests;
+            sum.cost_micros += totals.cost_micros;
+        }
+        books
+    }
+
+    /// Returns whether the statements hold just what the receipts say.
+    pub fn balance(&self) -> bool {
+        let mut sums: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        for receipt in &self.receipts {
+            let sum = sums.entry(receipt.workspace.to_string()).or_default();
+            sum.0 += 1;
+            sum.1 += receipt.work.cost_micros;
+        }
+        let settled = self
+            .totals
+            .iter()
+            .map(|(name, totals)| (name.clone(), (totals.requests, totals.cost_micros)));
+        sums == settled.filter(|(_, sum)| sum.0 > 0).collect()
+    }
+}
+
+/// The outcome of the check.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Audit {
+    /// Calls.
+    pub calls: usize,
+    /// Calls that got their whole own answer.
+    pub answered: usize,
+    /// Calls refused as not run.
+    pub refused_not_run: usize,
+    /// Calls that may have run.
+    pub may_have_run: usize,
+    /// Calls without a final answer.
+    pub lost: usize,
+    /// Calls that got a wrong or cut answer as if it were whole.
+    pub wrong: usize,
+    /// Non-idempotent calls that ran more than once.
+    pub doubled: usize,
+    /// Calls refused as not run that ran.
+    pub refused_but_ran: usize,
+    /// Answered calls without just one receipt, and others with more than one.
+    pub billed_other_than_once: usize,
+    /// Whether the statements hold just what the receipts say.
+    pub balanced: bool,
+    /// The billed cost, in millionths of the currency unit.
+    pub cost_micros: u64,
+    /// The faults, in words.
+    pub faults: Vec<String>,
+}
+
+impl Audit {
+    /// Checks calls against runs and books.
+    pub fn check(records: &[CallRecord], runs: &[Run], books: &Books) -> Audit {
+        let mut ran: HashMap<&str, usize> = HashMap::new();
+        for run in runs {
+            *ran.entry(run.request.split('/').next().unwrap_or_default())
+                .or_default() += 1;
+        }
+        let mut billed: HashMap<&str, usize> = HashMap::new();
+        for receipt in &books.receipts {
+            *billed.entry(&receipt.request).or_default() += 1;
+        }
+        let mut audit = Audit {
+            calls: records.len(),
+            balanced: books.balance(),
+            ..Audit::default()
+        };
+        audit.cost_micros = books.totals.values().map(|totals| totals.cost_micros).sum();
+        for record in records {
+            audit.check_call(record, &ran, &billed);
+        }
+        if !audit.balanced {
+            audit
+                .faults
+                .push("the statements do not hold just what the receipts say".to_owned());
+        }
+        audit
+    }
+
+    /// Returns whether nothing was lost, doubled, mixed up or billed other than once.
+    pub fn is_clean(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    fn check_call(
+        &mut self,
+        record: &CallRecord,
+        ran: &HashMap<&str, usize>,
+        billed: &HashMap<&str, usize>,
+    ) {
+        let sum = |counts: &HashMap<&str, usize>| -> usize {
+            record
+                .ids
+                .iter()
+                .map(|id| counts.get(id.as_str()).copied().unwrap_or(0))
+                .sum()
+        };
+        let (runs, bills) = (sum(ran), sum(billed));
+        match &record.ending {
+            Ending::Answered => self.answered += 1,
+            Ending::Failed(Verdict::NotRun, _) => self.refused_not_run += 1,
+            Ending::Failed(..) => self.may_have_run += 1,
+            Ending::Wrong(detail) => {
+                self.wrong += 1;
+                self.fault(record, detail);
+            }
+            Ending::Lost(detail) => {
+                self.lost += 1;
+                self.fault(record, &format!("lost, {detail}"));
+            }
+        }
+        if record.spec.non_idempotent() && runs > 1 {
+            self.doubled += 1;
+            self.fault(record, &format!("ran {runs} times"));
+        }
+        if !record.spec.keyed {
+            return;
+        }
+        if matches!(record.ending, Ending::Failed(Verdict::NotRun, _)) && runs > 0 {
+            self.refused_but_ran += 1;
+            self.fault(record, "refused as not run, but ran");
+        }
+        let answered = record.ending == Ending::Answered;
+        if bills > 1 || (answered && bills != 1) {
+            self.billed_other_than_once += 1;
+            self.fault(record, &format!("billed {bills} times"));
+        }
+    }
+
+    fn fault(&mut self, record: &CallRecord, detail: &str) {
+        let id = record.ids.last().map_or("-", String::as_str);
+        self.faults.push(format!(
+            "{:?} {} {id}: {detail}",
+            record.spec.kind, record.spec.workspace
+        ));
+    }
+}
--- /dev/null
+++ b/crates/trial/src/cli.rs
@@ -0,0 +1,181 @@
+//! The command line of `rosemary-try`.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use smol::Executor;
+
+use crate::audit::Audit;
+use crate::deployment::Deployment;
+use crate::load::{Mix, call_of};
+use crate::record::{CallRecord, Ending};
+use crate::scene::Scene;
+
+/// Entry instances in the trial.
+const INSTANCES: usize = 3;
+
+/// Calls under way at a time.
+const CALLERS: usize = 16;
+
+/// Millionths of the currency unit in one unit.
+const MICROS: f64 = 1e6;
+
+/// Try the whole path: stand-ins, three entry instances, a stream of calls and an independent check.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub struct Args {
+    /// The sample deployment: shrestha or authority.
+    #[bpaf(argument("NAME"), fallback(Deployment::Shrestha))]
+    pub deployment: Deployment,
+    /// How many calls to make.
+    #[bpaf(argument("N"), fallback(300), display_fallback)]
+    pub calls: usize,
+    /// The seed of the stream of calls.
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// How long a token or service call takes, in milliseconds.
+    #[bpaf(argument("MS"), fallback(2), display_fallback)]
+    pub token_ms: u64,
+    /// End with one JSON object, and print nothing else.
+    pub json: bool,
+}
+
+/// Runs the trial, prints the report and returns whether the check was clean.
+///
+/// # Errors
+///
+/// Fails when something cannot start.
+pub fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let scene = Scene::start(args.deployment, INSTANCES, args.token_ms)?;
+    let records = smol::block_on(make_calls(&scene, args));
+    let answered = records
+        .iter()
+        .filter(|record| record.ending == Ending::Answered)
+        .count();
+    let books = scene.settled_books(answered);
+    let audit = Audit::check(&records, &scene.runs().all(), &books);
+    if args.json {
+        println!("{}", summary(&audit, &records));
+    } else {
+        print_report(args, &records, &audit);
+        println!("{}", summary(&audit, &records));
+    }
+    for fault in &audit.faults {
+        eprintln!("fault: {fault}");
+    }
+    Ok(if audit.is_clean() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn make_calls(scene: &Scene, args: &Args) -> Vec<CallRecord> {
+    let zones = args.deployment.zones();
+    let callers: Vec<_> = zones
+        .iter()
+        .map(|zone| Arc::new(scene.caller(zone)))
+        .collect();
+    let mut random = fastrand::Rng::with_seed(args.seed);
+    let executor = Executor::new();
+    let (sender, receiver) = smol::channel::bounded(CALLERS);
+    let mut tasks = Vec::new();
+    for index in 0..CALLERS {
+        let caller = callers[index % callers.len()].clone();
+        let receiver = receiver.clone();
+        tasks.push(executor.spawn(async move {
+            let mut records = Vec::new();
+            while let Ok(spec) = receiver.recv().await {
+                records.push(caller.call(spec).await);
+            }
+            records
+        }));
+    }
+    let feed = async {
+        for _ in 0..args.calls {
+            let _ = sender
+                .send(call_of(args.deployment, Mix::default(), &mut random))
+                .await;
+        }
+        sender.close();
+        let mut records = Vec::new();
+        for task in tasks {
+            records.extend(task.await);
+        }
+        records
+    };
+    executor.run(feed).await
+}
+
+fn quantile_ms(records: &[CallRecord], quantile: f64) -> f64 {
+    let mut histogram =
+        Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("3 digits are allowed"));
+    for record in records {
+        let _ = histogram.record((record.elapsed_ms * 1000.0) as u64);
+    }
+    histogram.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+fn summary(audit: &Audit, records: &[CallRecord]) -> serde_json::Value {
+    json!({
+        "calls": audit.calls,
+        "answered": audit.answered,
+        "refused_not_run": audit.refused_not_run,
+        "may_have_run": audit.may_have_run,
+        "lost": audit.lost,
+        "wrong": audit.wrong,
+        "doubled": audit.doubled,
+        "refused_but_ran": audit.refused_but_ran,
+        "billed_other_than_once": audit.billed_other_than_once,
+        "cost": audit.cost_micros as f64 / MICROS,
+        "p50_ms": quantile_ms(records, 0.5),
+        "p99_ms": quantile_ms(records, 0.99),
+    })
+}
+
+fn print_report(args: &Args, records: &[CallRecord], audit: &Audit) {
+    println!(
+        "{:?}: {} calls over {INSTANCES} entry instances, seed {}\n",
+        args.deployment, args.calls, args.seed
+    );
+    let mut rows: BTreeMap<(String, String), Vec<&CallRecord>> = BTreeMap::new();
+    for record in records {
+        let row = (record.version.clone(), record.instance.clone());
+        rows.entry(row).or_default().push(record);
+    }
+    println!(
+        "{:<16} {:<18} {:>6} {:>9} {:>9}",
+        "version", "instance", "calls", "p50 ms", "p99 ms"
+    );
+    for ((version, instance), records) in rows {
+        let records: Vec<CallRecord> = records.into_iter().cloned().collect();
+        let (p50, p99) = (quantile_ms(&records, 0.5), quantile_ms(&records, 0.99));
+        let version = if version.is_empty() {
+            "(refused)"
+        } else {
+            &version
+        };
+        println!(
+            "{version:<16} {instance:<18} {:>6} {p50:>9.2} {p99:>9.2}",
+            records.len()
+        );
+    }
+    println!();
+    println!(
+        "answered {}, refused as not run {}, in doubt {}",
+        audit.answered, audit.refused_not_run, audit.may_have_run
+    );
+    println!(
+        "lost {}, doubled {}, billed other than once {}",
+        audit.lost, audit.doubled, audit.billed_other_than_once
+    );
+    println!(
+        "cost {:.6}, statements and receipts agree: {}\n",
+        audit.cost_micros as f64 / MICROS,
+        audit.balanced
+    );
+}
--- /dev/null
+++ b/crates/trial/src/load.rs
@@ -0,0 +1,59 @@
+//! The stream of calls of a deployment.
+
+use kernel::Priority;
+
+use crate::deployment::Deployment;
+use crate::record::{CallKind, CallSpec};
+
+/// The shares of the kinds of call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Mix {
+    /// Service calls that may not be repeated.
+    pub service: f64,
+    /// Streamed chat completions.
+    pub stream: f64,
+    /// Chat completions that carry a key.
+    pub keyed: f64,
+}
+
+impl Default for Mix {
+    fn default() -> Mix {
+        Mix {
+            service: 0.3,
+            stream: 0.4,
+            keyed: 0.5,
+        }
+    }
+}
+
+/// Draws one call.
+pub fn call_of(deployment: Deployment, mix: Mix, random: &mut fastrand::Rng) -> CallSpec {
+    let workspaces = deployment.workspaces();
+    let workspace = workspaces[random.usize(..workspaces.len())].into();
+    let kind = match random.f64() {
+        point if point < mix.service => CallKind::Service,
+        point if point < mix.service + mix.stream => CallKind::Stream,
+        _ => CallKind::Chat,
+    };
+    let (service, call) = deployment.service();
+    let target = match kind {
+        CallKind::Service => format!("{service}/{call}"),
+        _ => deployment.model().to_owned(),
+    };
+    let priority = match kind {
+        CallKind::Service => Priority::Urgent,
+        _ if random.f64() < 0.2 => Priority::Batch,
+        _ => Priority::Normal,
+    };
+    let class = ["default", "summary", "notice"][random.usize(..3)];
+    let keyed = kind == CallKind::Service || random.f64() < mix.keyed;
+    CallSpec {
+        kind,
+        workspace,
+        target,
+        priority,
+        class,
+        keyed,
+        session: None,
+    }
+}
--- /dev/null
+++ b/crates/web/src/incoming.rs
@@ -0,0 +1,111 @@
+//! One received request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Request, Url};
+use kernel::{Failure, Reason};
+
+use crate::conn::Conn;
+use crate::limits::Limits;
+
+/// A received request, whose body is read on demand.
+pub struct Incoming {
+    /// The head, and the body as the library hands it over.
+    pub request: Request,
+    /// The caller's address.
+    pub peer: SocketAddr,
+    conn: Conn,
+    max_body_bytes: u64,
+    body_timeout_ms: u64,
+}
+
+impl Incoming {
+    pub(crate) fn new(request: Request, peer: SocketAddr, conn: Conn, limits: &Limits) -> Incoming {
+        let max_body_bytes = limits.max_body_bytes;
+        let body_timeout_ms = limits.body_timeout_ms;
+        Incoming {
+            request,
+            peer,
+            conn,
+            max_body_bytes,
+            body_timeout_ms,
+        }
+    }
+
+    /// Returns the path.
+    pub fn path(&self) -> &str {
+        self.request.url().path()
+    }
+
+    /// Returns the URL.
+    pub fn url(&self) -> &Url {
+        self.request.url()
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.request
+            .header(name)
+            .map(|values| values.last().as_str())
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is too large, too slow or cut short.
+    pub async fn body(&mut self) -> Result<Vec<u8>, Failure> {
+        let declared = self.request.len().map(|length| length as u64);
+        let chunked = self.header("transfer-encoding").is_some();
+        if declared.is_some_and(|length| length > self.max_body_bytes) {
+            self.conn.skip_body();
+            return Err(self.too_large());
+        }
+        if declared.is_none() && !chunked {
+            return Ok(Vec::new());
+        }
+        self.conn.begin_body(if chunked { None } else { declared });
+        let body = self.request.take_body();
+        let mut bytes = Vec::with_capacity(declared.unwrap_or(0) as usize);
+        let mut reader = body.take(self.max_body_bytes + 1);
+        let timeout_ms = self.body_timeout_ms;
+        let read = async { reader.read_to_end(&mut bytes).await.map(|_| true) };
+        let expire = async {
+            Timer::after(Duration::from_millis(timeout_ms)).await;
+            Ok(false)
+        };
+        match read.or(expire).await {
+            Ok(true) => {}
+            Ok(false) => {
+                return Err(Failure::not_run(
+                    Reason::BadRequest,
+                    "the body took too long",
+                ));
+            }
+            Err(err) => {
+                return Err(Failure::not_run(
+                    Reason::BadRequest,
+                    format!("the body cannot be read: {err}"),
+                ));
+            }
+        }
+        if bytes.len() as u64 > self.max_body_bytes {
+            return Err(self.too_large());
+        }
+        if declared.is_some_and(|length| length != bytes.len() as u64) {
+            return Err(Failure::not_run(
+                Reason::BadRequest,
+                "the body is shorter than its declared length",
+            ));
+        }
+        Ok(bytes)
+    }
+
+    fn too_large(&self) -> Failure {
+        let detail = format!("the body is larger than {} bytes", self.max_body_bytes);
+        Failure::not_run(Reason::TooLarge, detail)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages between entry instances, and their framing.
+//!
+//! Messages are `prost` types with derived codecs, so that the build needs no generator. Each frame
+//! holds one [`Envelope`] behind its length.
+//!
+//! # Examples
+//!
+//! ```
+//! use wire::{Body, Envelope, Fetch};
+//!
+//! let envelope = Envelope::new(7, Body::Fetch(Fetch { since: 3 }));
+//! let bytes = envelope.encode_frame();
+//! assert_eq!(Envelope::decode_frame(&bytes).unwrap(), envelope);
+//! ```
+
+mod link;
+mod message;
+
+pub use link::{Link, LinkError, MAX_FRAME_BYTES};
+pub use message::{
+    Ack, Body, ConfigDigest, Demand, EndpointNews, Envelope, EvidenceCounts, EvidenceReport, Fetch,
+    Held, Hold, MemberInfo, ObjectEntry, Objects, Offer, Ping, ReceiptEntry,
+};
