--- /dev/null
+++ b/crates/burn/src/main.rs
@@ -0,0 +1,5 @@
+//! The report on service-level burn.
+
+fn main() -> anyhow::Result<()> {
+    burn::run(&burn::args().run())
+}
--- a/crates/catalog/src/resource.rs
+++ b/crates/catalog/src/resource.rs
@@ -87,6 +87,9 @@
     pub zone: Arc<str>,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 /// A group of endpoints.
--- /dev/null
+++ b/crates/ctl/src/ask.rs
@@ -0,0 +1,56 @@
+//! Asks to entry instances.
+
+use std::net::SocketAddr;
+
+use http_types::{Method, Request, Url};
+use serde_json::Value;
+use web::{Client, Reuse};
+
+use crate::code::{Code, Stop};
+
+/// How long connecting may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// The largest answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
+/// Gets a path as JSON.
+pub(crate) async fn get_json(addr: SocketAddr, path: &str) -> Result<Value, Stop> {
+    send(addr, Method::Get, path, None, Vec::new()).await
+}
+
+/// Sends a request and reads the answer as JSON.
+pub(crate) async fn send(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    bearer: Option<&str>,
+    body: Vec<u8>,
+) -> Result<Value, Stop> {
+    let failed =
+        |message: String| Stop::new(Code::Failed, format!("http://{addr}{path}: {message}"));
+    let url = Url::parse(&format!("http://{addr}{path}")).map_err(|err| failed(err.to_string()))?;
+    let mut request = Request::new(method, url);
+    request.set_body(body);
+    if let Some(bearer) = bearer {
+        request.insert_header("authorization", format!("Bearer {bearer}"));
+    }
+    let client = Client::new(CONNECT_TIMEOUT_MS);
+    let mut reply = client
+        .send(addr, request, Reuse::Never)
+        .await
+        .map_err(|err| failed(err.to_string()))?;
+    let bytes = reply
+        .bytes(MAX_ANSWER_BYTES)
+        .await
+        .map_err(|err| failed(err.to_string()))?;
+    let value: Value = serde_json::from_slice(&bytes).map_err(|err| failed(err.to_string()))?;
+    if reply.status() != 200 {
+        return Err(failed(format!(
+            "status {}, {}",
+            reply.status(),
+            value["error"]["message"]
+        )));
+    }
+    Ok(value)
+}
--- /dev/null
+++ b/crates/ctl/src/change.rs
@@ -0,0 +1,158 @@
+//! What applying declarations would change.
+
+use std::path::Path;
+
+use catalog::{Declarations, Object, SPEC_PREFIX};
+use serde_json::Value;
+use store::{HttpPlatform, ObjectApi};
+
+use crate::code::{Code, Stop};
+use crate::platform;
+
+/// What happens to one resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Create,
+    Update,
+    Delete,
+}
+
+impl Kind {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Kind::Create => "create",
+            Kind::Update => "update",
+            Kind::Delete => "delete",
+        }
+    }
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Change {
+    pub(crate) kind: Kind,
+    pub(crate) path: String,
+    pub(crate) revision: u64,
+    pub(crate) old: Value,
+    pub(crate) new: Value,
+}
+
+impl Change {
+    /// Returns the fields that differ, as `name: old -> new`.
+    pub(crate) fn fields(&self) -> Vec<String> {
+        differences(&self.old, &self.new)
+    }
+}
+
+/// Returns the fields in which two objects differ.
+pub(crate) fn differences(old: &Value, new: &Value) -> Vec<String> {
+    let empty = serde_json::Map::new();
+    let (old, new) = (
+        old.as_object().unwrap_or(&empty),
+        new.as_object().unwrap_or(&empty),
+    );
+    let mut lines = Vec::new();
+    for key in old
+        .keys()
+        .chain(new.keys().filter(|key| !old.contains_key(*key)))
+    {
+        let (before, after) = (old.get(key), new.get(key));
+        if before == after {
+            continue;
+        }
+        let show =
+            |value: Option<&Value>| value.map_or_else(|| "none".to_owned(), Value::to_string);
+        lines.push(format!("{key}: {} -> {}", show(before), show(after)));
+    }
+    lines
+}
+
+/// Reads and checks a directory of declarations.
+pub(crate) fn read(dir: &Path) -> Result<Declarations, Stop> {
+    let declared = Declarations::read_dir(dir);
+    let declared = declared.map_err(|problems| invalid(&problems))?;
+    let problems = declared.validate();
+    if problems.is_empty() {
+        Ok(declared)
+    } else {
+        Err(invalid(&problems))
+    }
+}
+
+fn invalid(problems: &[catalog::Problem]) -> Stop {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    Stop::new(Code::Invalid, lines.join("\n"))
+}
+
+/// Compares declarations with what the platform holds.
+pub(crate) async fn plan(
+    platform: &HttpPlatform,
+    declared: &Declarations,
+    prune: bool,
+) -> Result<Vec<Change>, Stop> {
+    let listing = platform.list(SPEC_PREFIX).await;
+    let listing = listing.map_err(|err| platform::stop("cannot read the resources", &err))?;
+    let find = |path: &str| listing.objects.iter().find(|object| &*object.path == path);
+    let mut changes = Vec::new();
+    for item in &declared.items {
+        let path = item.path();
+        let held = find(&path);
+        let old = held
+            .and_then(|object| object.value.clone())
+            .unwrap_or(Value::Null);
+        if old == item.value {
+            continue;
+        }
+        refuse_return(&path, &old, &item.value)?;
+        let kind = if held.is_some() {
+            Kind::Update
+        } else {
+            Kind::Create
+        };
+        let revision = held.map_or(0, |object| object.revision);
+        changes.push(Change {
+            kind,
+            path,
+            revision,
+            old,
+            new: item.value.clone(),
+        });
+    }
+    if prune {
+        changes.extend(deletions(declared, &listing.objects));
+    }
+    Ok(changes)
+}
+
+fn deletions(declared: &Declarations, objects: &[Object]) -> Vec<Change> {
+    let wanted: Vec<String> = declared
+        .items
+        .iter()
+        .map(catalog::Declaration::path)
+        .collect();
+    let mut changes = Vec::new();
+    for object in objects.iter().rev() {
+        if wanted.iter().any(|path| **path == *object.path) {
+            continue;
+        }
+        changes.push(Change {
+            kind: Kind::Delete,
+            path: object.path.to_string(),
+            revision: object.revision,
+            old: object.value.clone().unwrap_or(Value::Null),
+            new: Value::Null,
+        });
+    }
+    changes
+}
+
+/// Refuses to bring a withdrawn version back.
+fn refuse_return(path: &str, old: &Value, new: &Value) -> Result<(), Stop> {
+    if old["state"] == "withdrawn" && new["state"] != "withdrawn" {
+        let message = format!(
+            "{path}: field 'state': a withdrawn version stays withdrawn; declare a new version name"
+        );
+        return Err(Stop::new(Code::Invalid, message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,229 @@
+//! The command line of `rosemaryctl`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use http_types::Method;
+use serde_json::json;
+
+use crate::code::{Code, Stop};
+use crate::output::Output;
+use crate::{apply, ask, force, platform, receipts, resource};
+
+/// Declare and watch the router's resources.
+///
+/// Exit codes: 0 all went well, 1 something cannot be reached or read, 2 declarations or arguments
+/// are faulty, 3 someone else changed the same resource, 4 not in force everywhere in time.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub struct Args {
+    /// The platform's services.
+    #[bpaf(argument("ADDR"), fallback(SocketAddr::from(([127, 0, 0, 1], 7100))), display_fallback)]
+    platform: SocketAddr,
+    /// An entry instance.
+    #[bpaf(argument("ADDR"), fallback(SocketAddr::from(([127, 0, 0, 1], 7001))), display_fallback)]
+    entry: SocketAddr,
+    /// The form of the output: table or json.
+    #[bpaf(short, long, argument("FORM"), fallback(Output::Table))]
+    output: Output,
+    #[bpaf(external)]
+    command: Command,
+}
+
+/// Commands:
+#[derive(Debug, Clone, Bpaf)]
+pub enum Command {
+    /// Check declarations.
+    #[bpaf(command)]
+    Validate {
+        /// The directory of declarations.
+        #[bpaf(short('f'), long("files"), argument("DIR"))]
+        files: PathBuf,
+    },
+    /// Show what apply would change.
+    #[bpaf(command)]
+    Diff {
+        /// The directory of declarations.
+        #[bpaf(short('f'), long("files"), argument("DIR"))]
+        files: PathBuf,
+        /// Also delete what is not declared.
+        prune: bool,
+    },
+    /// Write what differs. Applying the same files again changes nothing.
+    #[bpaf(command)]
+    Apply {
+        /// The directory of declarations.
+        #[bpaf(short('f'), long("files"), argument("DIR"))]
+        files: PathBuf,
+        /// Also delete what is not declared.
+        prune: bool,
+        /// Wait until the change is in force on every instance.
+        wait: bool,
+        /// How long to wait, in milliseconds.
+        #[bpaf(argument("MS"), fallback(19_000), display_fallback)]
+        timeout_ms: u64,
+    },
+    /// Show resources with their status.
+    #[bpaf(command)]
+    Get {
+        /// The kind: model, pool, version, policy, workspace, experiment or rollout.
+        #[bpaf(positional("KIND"))]
+        kind: String,
+        /// The name.
+        #[bpaf(positional("NAME"))]
+        name: Option<String>,
+    },
+    /// Print configuration and status as they change.
+    #[bpaf(command)]
+    Watch {
+        /// End after this many changes.
+        #[bpaf(argument("N"))]
+        count: Option<usize>,
+    },
+    /// Pause, resume or withdraw a roll-out.
+    #[bpaf(command)]
+    Rollout {
+        /// What to do: pause, resume or withdraw.
+        #[bpaf(positional("ACTION"))]
+        action: String,
+        /// The roll-out.
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Withdraw a version, for good.
+    #[bpaf(command)]
+    Withdraw {
+        /// The version.
+        #[bpaf(positional("VERSION"))]
+        version: String,
+    },
+    /// Take an endpoint out of its pool's new work.
+    #[bpaf(command)]
+    Drain {
+        /// The endpoint, as POOL/NAME.
+        #[bpaf(positional("POOL/NAME"))]
+        endpoint: String,
+    },
+    /// Put a new signing key for sessions in force; the one before it stays valid.
+    #[bpaf(command("rotate-keys"))]
+    RotateKeys,
+    /// Show every instance and what is in force there.
+    #[bpaf(command)]
+    Instances,
+    /// Ask which addresses callers should use.
+    #[bpaf(command)]
+    Address,
+    /// Open a session.
+    #[bpaf(command)]
+    Session {
+        /// A file that holds the workspace's bearer key.
+        #[bpaf(argument("FILE"))]
+        key_file: PathBuf,
+        /// The model.
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
+    /// Show the receipts that are still kept.
+    #[bpaf(command)]
+    Receipts {
+        /// The workspace.
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: Option<String>,
+    },
+    /// Show the settled sums of each workspace.
+    #[bpaf(command)]
+    Statements,
+}
+
+/// Runs a command and returns its exit code.
+pub fn run(args: Args) -> ExitCode {
+    match smol::block_on(execute(args)) {
+        Ok(()) => ExitCode::from(Code::Good as u8),
+        Err(stop) => {
+            eprintln!("rosemaryctl: {stop}");
+            ExitCode::from(stop.code as u8)
+        }
+    }
+}
+
+async fn execute(args: Args) -> Result<(), Stop> {
+    let platform = platform::connect(args.platform);
+    let output = args.output;
+    match args.command {
+        Command::Validate { files } => apply::validate(&files, output),
+        Command::Diff { files, prune } => apply::diff(&platform, &files, prune, output).await,
+        Command::Apply {
+            files,
+            prune,
+            wait,
+            timeout_ms,
+        } => {
+            let wait = wait.then_some(force::Wait {
+                entry: args.entry,
+                timeout_ms,
+            });
+            apply::apply(&platform, &files, prune, wait, output).await
+        }
+        Command::Get { kind, name } => {
+            resource::get(&platform, &kind, name.as_deref(), output).await
+        }
+        Command::Watch { count } => resource::watch(&platform, count, output).await,
+        Command::Rollout { action, name } => match action.as_str() {
+            "pause" => resource::set_paused(&platform, &name, true).await,
+            "resume" => resource::set_paused(&platform, &name, false).await,
+            "withdraw" => resource::withdraw(&platform, &name).await,
+            other => {
+                let message =
+                    format!("unknown action '{other}', expected pause, resume or withdraw");
+                Err(Stop::new(Code::Invalid, message))
+            }
+        },
+        Command::Withdraw { version } => resource::withdraw_version(&platform, &version).await,
+        Command::Drain { endpoint } => match endpoint.split_once('/') {
+            Some((pool, name)) => resource::drain_endpoint(&platform, pool, name).await,
+            None => Err(Stop::new(
+                Code::Invalid,
+                "expected an endpoint as POOL/NAME",
+            )),
+        },
+        Command::RotateKeys => resource::rotate_keys(&platform).await,
+        Command::Instances => {
+            let rows = force::survey(args.entry).await?;
+            output.print(
+                &["name", "zone", "address", "revision", "serving", "rejected"],
+                &rows,
+            );
+            Ok(())
+        }
+        Command::Address => {
+            let answer = ask::get_json(args.entry, "/v1/addresses").await?;
+            let rows = answer["addresses"].as_array().cloned().unwrap_or_default();
+            output.print(&["address", "zone", "id_prefix"], &rows);
+            Ok(())
+        }
+        Command::Session { key_file, model } => {
+            session(args.entry, &key_file, &model, output).await
+        }
+        Command::Receipts { workspace } => {
+            receipts::receipts(&platform, workspace.as_deref(), output).await
+        }
+        Command::Statements => receipts::statements(&platform, output).await,
+    }
+}
+
+async fn session(
+    entry: SocketAddr,
+    key_file: &Path,
+    model: &str,
+    output: Output,
+) -> Result<(), Stop> {
+    let key = std::fs::read_to_string(key_file);
+    let key =
+        key.map_err(|err| Stop::new(Code::Failed, format!("{}: {err}", key_file.display())))?;
+    let body = json!({ "model": model }).to_string().into_bytes();
+    let answer = ask::send(entry, Method::Post, "/v1/sessions", Some(key.trim()), body).await?;
+    output.print(&["version", "expires_ms", "session"], &[answer]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/platform.rs
@@ -0,0 +1,31 @@
+//! The platform as operators reach it.
+
+use std::net::SocketAddr;
+
+use store::{Budget, HttpPlatform, StoreError};
+
+use crate::code::{Code, Stop};
+
+/// How long a platform call may take, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+
+/// The budget of calls of one command.
+const BUDGET: Budget = Budget {
+    reads_per_s: 200.0,
+    writes_per_s: 100.0,
+};
+
+/// Makes a client.
+pub(crate) fn connect(addr: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(addr, TIMEOUT_MS, BUDGET).caller("rosemaryctl")
+}
+
+/// Makes the end of a command out of a failed call.
+pub(crate) fn stop(what: &str, err: &StoreError) -> Stop {
+    let code = if *err == StoreError::Conflict {
+        Code::Conflict
+    } else {
+        Code::Failed
+    };
+    Stop::new(code, format!("{what}: {err}"))
+}
--- /dev/null
+++ b/crates/ctl/src/resource.rs
@@ -0,0 +1,304 @@
+//! `get`, `watch`, `rollout`, `drain` and `keys`.
+
+use catalog::{
+    CONFIG_PREFIX, KEY_RING_PATH, KeyRing, Kind, ROLLOUT_STATUS_PREFIX, SPEC_PREFIX, SigningKey,
+};
+use serde_json::{Value, json};
+use store::{Expect, HttpPlatform, ObjectApi, StoreError};
+
+use crate::code::{Code, Stop};
+use crate::output::Output;
+use crate::platform;
+
+/// How long one watch waits, in milliseconds.
+const WATCH_MS: u64 = 10_000;
+
+/// How many signing keys are live at a time.
+const LIVE_KEYS: usize = 2;
+
+/// How often a changed object is read again.
+const MAX_TRIES: u32 = 4;
+
+/// Shows resources with their status.
+pub(crate) async fn get(
+    platform: &HttpPlatform,
+    kind: &str,
+    name: Option<&str>,
+    output: Output,
+) -> Result<(), Stop> {
+    let known: Vec<&str> = Kind::ALL.into_iter().map(Kind::as_str).collect();
+    let kind = Kind::parse(kind).ok_or_else(|| {
+        Stop::new(
+            Code::Invalid,
+            format!(
+                "unknown kind '{kind}', expected one of {}",
+                known.join(", ")
+            ),
+        )
+    })?;
+    let prefix = format!("{SPEC_PREFIX}{}/", kind.as_str());
+    let listing = platform
+        .list(&prefix)
+        .await
+        .map_err(|err| platform::stop("cannot read the resources", &err))?;
+    let statuses = platform.list(ROLLOUT_STATUS_PREFIX).await;
+    let statuses = statuses.map_err(|err| platform::stop("cannot read the statuses", &err))?;
+    let mut rows = Vec::new();
+    for object in &listing.objects {
+        let found = object.path.trim_start_matches(&prefix);
+        if name.is_some_and(|name| name != found) {
+            continue;
+        }
+        let path = format!("{ROLLOUT_STATUS_PREFIX}{found}");
+        let status = statuses
+            .objects
+            .iter()
+            .find(|status| *status.path == *path && kind == Kind::Rollout);
+        let status = status
+            .and_then(|status| status.value.clone())
+            .unwrap_or(Value::Null);
+        rows.push(json!({
+            "name": found,
+            "revision": object.revision,
+            "spec": object.value,
+            "status": status,
+            "summary": summary(kind, object.value.as_ref().unwrap_or(&Value::Null), &status),
+        }));
+    }
+    if rows.is_empty() && name.is_some() {
+        return Err(Stop::new(
+            Code::Failed,
+            format!(
+                "there is no {} '{}'",
+                kind.as_str(),
+                name.unwrap_or_default()
+            ),
+        ));
+    }
+    output.print(&["name", "revision", "summary"], &rows);
+    Ok(())
+}
+
+fn summary(kind: Kind, spec: &Value, status: &Value) -> String {
+    let text = |value: &Value| {
+        value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned)
+    };
+    match kind {
+        Kind::Version => format!(
+            "{} of {} on {}",
+            text(&spec["state"]),
+            text(&spec["model"]),
+            text(&spec["pool"])
+        ),
+        Kind::Pool => format!(
+            "{}, {} endpoints",
+            text(&spec["kind"]),
+            spec["endpoints"].as_array().map_or(0, Vec::len)
+        ),
+        Kind::Workspace => format!(
+            "quota {}/s, policy {}",
+            spec["quota_per_s"],
+            text(&spec["policy"])
+        ),
+        Kind::Rollout if status.is_null() => "not begun".to_owned(),
+        Kind::Rollout => format!(
+            "{} at step {}: {}",
+            text(&status["phase"]),
+            status["step"],
+            text(&status["reason"])
+        ),
+        Kind::Policy => format!("plug-in {}", text(&spec["plugin"])),
+        Kind::Model | Kind::Experiment => String::new(),
+    }
+}
+
+/// Prints configuration and status as they change, until the process ends or `count` changes came.
+pub(crate) async fn watch(
+    platform: &HttpPlatform,
+    count: Option<usize>,
+    output: Output,
+) -> Result<(), Stop> {
+    let listing = platform.list(CONFIG_PREFIX).await;
+    let mut revision = listing
+        .map_err(|err| platform::stop("cannot read the configuration", &err))?
+        .revision;
+    let mut seen = 0;
+    while count.is_none_or(|count| seen < count) {
+        let changes = match platform.watch(CONFIG_PREFIX, revision, WATCH_MS).await {
+            Ok(changes) => changes,
+            Err(StoreError::Expired) => {
+                eprintln!("watch: changes were missed; going on from now");
+                let listing = platform.list(CONFIG_PREFIX).await;
+                revision = listing
+                    .map_err(|err| platform::stop("cannot read the configuration", &err))?
+                    .revision;
+                continue;
+            }
+            Err(err) => return Err(platform::stop("the watch broke", &err)),
+        };
+        revision = changes.revision;
+        for object in changes.objects {
+            seen += 1;
+            match output {
+                Output::Json => println!("{}", json!(object)),
+                Output::Table => {
+                    let value = object
+                        .value
+                        .map_or_else(|| "deleted".to_owned(), |value| value.to_string());
+                    println!("{} {} {value}", object.revision, object.path);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Changes one object by a conditional update.
+async fn change(
+    platform: &HttpPlatform,
+    path: &str,
+    mut edit: impl FnMut(Value) -> Result<Value, Stop>,
+) -> Result<u64, Stop> {
+    let mut last = StoreError::Conflict;
+    for _ in 0..MAX_TRIES {
+        let (old, expect) = match platform.get(path).await {
+            Ok(object) => (
+                object.value.unwrap_or(Value::Null),
+                Expect::Revision(object.revision),
+            ),
+            Err(StoreError::NotFound) => (Value::Null, Expect::Absent),
+            Err(err) => return Err(platform::stop(&format!("cannot read {path}"), &err)),
+        };
+        let new = edit(old.clone())?;
+        if new == old {
+            println!("nothing to change");
+            return Ok(0);
+        }
+        match platform.put(path, &new, expect).await {
+            Ok(revision) => return Ok(revision),
+            Err(err) => last = err,
+        }
+    }
+    Err(platform::stop(&format!("{path} was not written"), &last))
+}
+
+fn required(value: &Value, path: &str) -> Result<(), Stop> {
+    if value.is_null() {
+        Err(Stop::new(Code::Failed, format!("there is no {path}")))
+    } else {
+        Ok(())
+    }
+}
+
+/// Pauses or resumes a roll-out.
+pub(crate) async fn set_paused(
+    platform: &HttpPlatform,
+    name: &str,
+    paused: bool,
+) -> Result<(), Stop> {
+    let path = format!("{SPEC_PREFIX}rollout/{name}");
+    let revision = change(platform, &path, |mut value| {
+        required(&value, &path)?;
+        value["paused"] = paused.into();
+        Ok(value)
+    });
+    println!(
+        "rollout {name} {} at revision {}",
+        if paused { "paused" } else { "resumed" },
+        revision.await?
+    );
+    Ok(())
+}
+
+/// Withdraws the version that a roll-out moves to.
+pub(crate) async fn withdraw(platform: &HttpPlatform, name: &str) -> Result<(), Stop> {
+    let path = format!("{SPEC_PREFIX}rollout/{name}");
+    let rollout = platform
+        .get(&path)
+        .await
+        .map_err(|err| platform::stop(&format!("cannot read {path}"), &err))?;
+    let version = rollout
+        .value
+        .as_ref()
+        .and_then(|value| value["to"].as_str())
+        .unwrap_or_default()
+        .to_owned();
+    withdraw_version(platform, &version).await
+}
+
+/// Withdraws a version, for good.
+pub(crate) async fn withdraw_version(platform: &HttpPlatform, version: &str) -> Result<(), Stop> {
+    let path = format!("{SPEC_PREFIX}version/{version}");
+    let revision = change(platform, &path, |mut value| {
+        required(&value, &path)?;
+        value["state"] = "withdrawn".into();
+        Ok(value)
+    });
+    println!(
+        "version {version} withdrawn at revision {}",
+        revision.await?
+    );
+    Ok(())
+}
+
+/// Takes an endpoint out of its pool's new work.
+pub(crate) async fn drain_endpoint(
+    platform: &HttpPlatform,
+    pool: &str,
+    endpoint: &str,
+) -> Result<(), Stop> {
+    let path = format!("{SPEC_PREFIX}pool/{pool}");
+    let revision = change(platform, &path, |mut value| {
+        required(&value, &path)?;
+        let rows = value["endpoints"].as_array_mut();
+        let row = rows
+            .into_iter()
+            .flatten()
+            .find(|row| row["name"] == endpoint);
+        let row = row.ok_or_else(|| {
+            Stop::new(
+                Code::Failed,
+                format!("pool '{pool}' has no endpoint '{endpoint}'"),
+            )
+        })?;
+        row["draining"] = true.into();
+        Ok(value)
+    });
+    println!(
+        "endpoint {pool}/{endpoint} drains at revision {}",
+        revision.await?
+    );
+    Ok(())
+}
+
+/// Puts a new signing key first and keeps the one before it, for sessions that it signed.
+pub(crate) async fn rotate_keys(platform: &HttpPlatform) -> Result<(), Stop> {
+    let secret_hex = format!("{:032x}{:032x}", random_secret()?, random_secret()?);
+    let revision = change(platform, KEY_RING_PATH, |value| {
+        let mut ring: KeyRing = serde_json::from_value(value).unwrap_or_default();
+        let id = format!("k{:08x}", fastrand::u32(..)).into();
+        ring.keys.insert(
+            0,
+            SigningKey {
+                id,
+                secret_hex: secret_hex.as_str().into(),
+            },
+        );
+        ring.keys.truncate(LIVE_KEYS);
+        Ok(json!(ring))
+    });
+    println!("signing key rotated at revision {}", revision.await?);
+    Ok(())
+}
+
+/// Draws a secret from the operating system.
+fn random_secret() -> Result<u128, Stop> {
+    let failed =
+        |err: std::io::Error| Stop::new(Code::Failed, format!("cannot draw a secret: {err}"));
+    let mut bytes = [0; 16];
+    let mut source = std::fs::File::open("/dev/urandom").map_err(failed)?;
+    std::io::Read::read_exact(&mut source, &mut bytes).map_err(failed)?;
+    Ok(u128::from_le_bytes(bytes))
+}
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -8,7 +8,8 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
-        .with_target(false);
+        .with_target(false)
+        .with_ansi(false);
     let started = if format == "json" {
         builder.json().try_init()
     } else {
--- a/crates/receipt/src/statement.rs
+++ b/crates/receipt/src/statement.rs
@@ -15,6 +15,9 @@
 /// How long buckets are kept, in milliseconds.
 const BUCKET_KEEP_MS: u64 = 6 * 3_600_000;
 
+/// The most buckets, which keeps a statement below the platform's largest value.
+const MAX_BUCKETS: usize = 2_400;
+
 /// How long the numbers of a silent incarnation are kept, in milliseconds.
 const HORIZON_MS: u64 = 24 * 3_600_000;
 
@@ -160,6 +163,8 @@
     fn forget(&mut self, now_ms: u64) {
         self.buckets
             .retain(|bucket| bucket.start_ms + BUCKET_KEEP_MS > now_ms);
+        let excess = self.buckets.len().saturating_sub(MAX_BUCKETS);
+        self.buckets.drain(..excess);
         self.folded
             .retain(|_, folded| folded.last_ms + 2 * HORIZON_MS > now_ms);
     }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -139,7 +139,11 @@
     instance: &str,
     subset: usize,
 ) -> PoolState {
-    let mut specs: Vec<_> = spec.endpoints.iter().collect();
+    let mut specs: Vec<_> = spec
+        .endpoints
+        .iter()
+        .filter(|endpoint| !endpoint.draining)
+        .collect();
     if subset > 0 && specs.len() > subset {
         let seed = xxh3_64_with_seed(instance.as_bytes(), 0);
         specs.sort_by_key(|endpoint| xxh3_64_with_seed(endpoint.name.as_bytes(), seed));
