--- /dev/null
+++ b/crates/entry/tests/processes.rs
@@ -0,0 +1,238 @@
+//! Six processes under kills, pauses, planned stops and store outages.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Load, until};
+use kernel::{Priority, Verdict};
+use rustix::process::Signal;
+use trial::{Audit, CallKind, CallRecord, CallSpec, Deployment, Ending, Mix};
+
+fn load(seed: u64, calls: usize) -> Load {
+    Load {
+        seed,
+        calls,
+        pause_ms: 8,
+        mix: Mix::default(),
+    }
+}
+
+/// Checks the whole record of a run.
+fn audit(fleet: &Fleet, records: &[CallRecord]) -> Audit {
+    let answered = records
+        .iter()
+        .filter(|record| record.ending == Ending::Answered)
+        .count();
+    let books = fleet.settled_books(answered);
+    let audit = Audit::check(records, &fleet.farm.world.runs.all(), &books);
+    assert!(audit.is_clean(), "{audit:#?}");
+    audit
+}
+
+#[test]
+fn six_processes_serve_both_deployments() {
+    for deployment in [Deployment::Shrestha, Deployment::Authority] {
+        let mut fleet = Fleet::start(deployment, 6, 1);
+        let records = fleet.calls_during(load(1, 150), |_| {});
+        let audit = audit(&fleet, &records);
+        assert_eq!(audit.answered, 150, "{audit:#?}");
+    }
+}
+
+#[test]
+fn killed_instances_lose_and_double_nothing() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 6, 3);
+    let records = fleet.calls_during(load(2, 250), |fleet| {
+        for index in [1, 3] {
+            std::thread::sleep(Duration::from_millis(500));
+            fleet.entries[index].kill();
+        }
+    });
+    fleet.entries.remove(3);
+    fleet.entries.remove(1);
+    audit(&fleet, &records);
+}
+
+#[test]
+fn a_paused_instance_that_resumes_doubles_nothing() {
+    let mut fleet = Fleet::start(Deployment::Authority, 6, 3);
+    let records = fleet.calls_during(load(3, 250), |fleet| {
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.entries[0].signal(Signal::STOP);
+        fleet.entries[2].signal(Signal::STOP);
+        std::thread::sleep(Duration::from_millis(2_500));
+        fleet.entries[0].signal(Signal::CONT);
+        fleet.entries[2].signal(Signal::CONT);
+    });
+    fleet.wait_converged();
+    audit(&fleet, &records);
+}
+
+#[test]
+fn replacing_all_six_in_turn_cuts_nothing() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 6, 5);
+    let records = fleet.calls_during(load(4, 900), |fleet| {
+        for _ in 0..6 {
+            fleet.add();
+            let mut old = fleet.entries.remove(0);
+            old.signal(Signal::TERM);
+            assert!(old.wait(), "a planned stop did not end well");
+            fleet.list();
+        }
+    });
+    let audit = audit(&fleet, &records);
+    assert_eq!((audit.answered, audit.may_have_run), (900, 0), "{audit:#?}");
+}
+
+#[test]
+fn urgent_work_goes_on_while_the_store_is_out() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 6, 1);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = true);
+    let mix = Mix {
+        service: 1.0,
+        stream: 0.0,
+        keyed: 1.0,
+    };
+    let records = fleet.calls_during(
+        Load {
+            mix,
+            ..load(5, 200)
+        },
+        |_| {},
+    );
+    let answered = records
+        .iter()
+        .filter(|record| record.ending == Ending::Answered)
+        .count();
+    println!(
+        "urgent share served with the store out: {answered} of {}",
+        records.len()
+    );
+    assert_eq!(answered, records.len());
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = false);
+    audit(&fleet, &records);
+}
+
+#[test]
+fn receipts_survive_their_home_in_a_store_outage() {
+    let mut fleet = Fleet::start(Deployment::Authority, 6, 1);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = true);
+    let records = fleet.calls_during(load(6, 120), |_| {});
+    fleet.entries[0].kill();
+    fleet.entries.remove(0);
+    fleet.entries[2].kill();
+    fleet.entries.remove(2);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = false);
+    audit(&fleet, &records);
+}
+
+#[test]
+fn a_planned_stop_in_a_store_outage_loses_no_receipt() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 6, 1);
+    let records = fleet.calls_during(load(7, 150), |fleet| {
+        std::thread::sleep(Duration::from_millis(200));
+        fleet
+            .farm
+            .world
+            .faults
+            .change(|set| set.platform.down = true);
+        let mut old = fleet.entries.remove(0);
+        old.signal(Signal::TERM);
+        assert!(old.wait());
+    });
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = false);
+    audit(&fleet, &records);
+}
+
+#[test]
+fn lost_answers_to_writes_bill_nothing_twice() {
+    let mut fleet = Fleet::start(Deployment::Authority, 6, 1);
+    let records = fleet.calls_during(load(8, 200), |fleet| {
+        for _ in 0..8 {
+            fleet
+                .farm
+                .world
+                .faults
+                .change(|set| set.platform.lose_answers = 5);
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    });
+    audit(&fleet, &records);
+}
+
+#[test]
+fn a_settler_that_was_paused_settles_nothing_twice() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 6, 1);
+    let records = fleet.calls_during(load(9, 240), |fleet| {
+        // Whoever settles is among those paused in turn, in the middle of its work.
+        for index in 0..6 {
+            fleet.entries[index].signal(Signal::STOP);
+            std::thread::sleep(Duration::from_millis(1_400));
+            fleet.entries[index].signal(Signal::CONT);
+        }
+    });
+    fleet.wait_converged();
+    audit(&fleet, &records);
+}
+
+#[test]
+fn an_instance_that_starts_in_a_store_outage_learns_from_its_peers() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 3, 1);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = true);
+    fleet.add();
+    fleet.wait_converged();
+    let revision = fleet.entries[0].status()["revision"].clone();
+    until("the new instance has the configuration", || {
+        fleet.entries[3].status()["revision"] == revision
+    });
+    // One that reaches neither the store nor a peer never serves.
+    let mut lone = Fleet::start(Deployment::Shrestha, 0, 1);
+    lone.farm
+        .world
+        .faults
+        .change(|set| set.platform.down = true);
+    lone.add();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(lone.entries[0].status()["serving"], false);
+    let spec = CallSpec {
+        kind: CallKind::Chat,
+        workspace: "hotel-1".into(),
+        target: "visitor".to_owned(),
+        priority: Priority::Normal,
+        class: "default",
+        keyed: false,
+        session: None,
+    };
+    let record = smol::block_on(lone.caller(0).call(spec));
+    let refused = matches!(
+        record.ending,
+        Ending::Failed(Verdict::NotRun, _) | Ending::Lost(_)
+    );
+    assert!(refused, "{record:?}");
+    assert!(lone.farm.world.runs.all().is_empty());
+}
