--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -107,7 +107,7 @@
             "name = \"{name}\"\nzone = \"{zone}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
              platform = \"{}\"\npeers = [{}]\ngossip_interval_ms = 150\ngossip_timeout_ms = 300\nsuspect_ms = 1000\n\
              receipt_flush_ms = 150\nsettle_interval_ms = 200\naddress_lifetime_ms = 700\nplatform_timeout_ms = 1000\n\
-             list_interval_ms = 300\nplatform_reads_per_s = 200.0\nplatform_writes_per_s = 200.0\n",
+             list_interval_ms = 300\ncut_off_ms = 2500\nplatform_reads_per_s = 200.0\nplatform_writes_per_s = 200.0\n",
             self.farm.platform_addr,
             peers.join(", "),
         );
--- /dev/null
+++ b/crates/entry/tests/endpoint_faults.rs
@@ -0,0 +1,175 @@
+//! Endpoints that refuse, break, mix up, repeat or never answer.
+
+use fakes::{EndpointFault, EndpointFaults};
+use http_types::Method;
+use kernel::Verdict;
+use serde::Deserialize;
+use serde_json::json;
+use trial::{Books, Deployment, Http, HttpReply, Scene};
+
+const CASES: &str = include_str!("data/endpoint_faults.toml");
+
+#[derive(Debug, Deserialize)]
+struct Cases {
+    case: Vec<Case>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    fault: EndpointFault,
+    kind: String,
+    #[serde(default)]
+    everywhere: bool,
+    #[serde(default)]
+    deadline_ms: u64,
+    ending: String,
+    runs: usize,
+}
+
+fn pool(kind: &str) -> (&'static str, usize) {
+    if kind == "service" {
+        ("gate", 3)
+    } else {
+        ("runners-small", 6)
+    }
+}
+
+/// Asks once; only the router retries.
+fn ask(scene: &Scene, kind: &str, deadline_ms: u64) -> (String, HttpReply) {
+    let http = Http::default();
+    let addr = scene.instances[0].http_addr();
+    let get = smol::block_on(http.call(
+        addr,
+        Method::Get,
+        "/v1/addresses?zone=thamel",
+        &[],
+        Vec::new(),
+    ));
+    let row = &get.unwrap().json()["addresses"][0];
+    let addr = row["address"].as_str().unwrap().parse().unwrap();
+    let id = format!(
+        "{}{:x}",
+        row["id_prefix"].as_str().unwrap(),
+        fastrand::u64(..)
+    );
+    let deadline = deadline_ms.to_string();
+    let mut headers = vec![
+        ("authorization", "Bearer key-bir-hospital"),
+        ("idempotency-key", &id),
+    ];
+    if deadline_ms > 0 {
+        headers.push(("x-rosemary-deadline-ms", &deadline));
+    }
+    let chat = json!({
+        "model": "visitor-s1",
+        "stream": kind == "stream",
+        "messages": [{ "role": "user", "content": "x" }],
+    });
+    let (path, body) = match kind {
+        "service" => ("/v1/services/gate/clearance", json!({})),
+        _ => ("/v1/chat/completions", chat),
+    };
+    let body = body.to_string().into_bytes();
+    let reply = smol::block_on(http.call(addr, Method::Post, path, &headers, body)).unwrap();
+    (id, reply)
+}
+
+fn ending(reply: &HttpReply) -> String {
+    let text = String::from_utf8_lossy(&reply.body);
+    match (reply.status, reply.verdict) {
+        (200, _) if text.contains("\"verdict\":\"may-have-run\"") && !text.contains("[DONE]") => {
+            "cut".to_owned()
+        }
+        (200, _) => "answered".to_owned(),
+        (_, Some(verdict)) => verdict.as_str().to_owned(),
+        (_, None) => "no verdict".to_owned(),
+    }
+}
+
+#[test]
+fn each_fault_ends_as_it_must() {
+    let cases: Cases = toml::from_str(CASES).unwrap();
+    for case in cases.case {
+        let scene = Scene::start(Deployment::Shrestha, 2, 0).unwrap();
+        let (pool, count) = pool(&case.kind);
+        // One of the pool's endpoints shows the fault once; so that the call meets it, all are armed
+        // until one has shown it.
+        scene.farm.world.faults.change(|set| {
+            for index in 1..=count {
+                let faults = EndpointFaults {
+                    fault: case.fault,
+                    calls: 0,
+                    slow_ms: 0,
+                };
+                set.endpoints.insert(format!("{pool}-{index}"), faults);
+            }
+        });
+        let (_, reply) = if case.everywhere {
+            ask(&scene, &case.kind, case.deadline_ms)
+        } else {
+            let world = scene.farm.world.clone();
+            world.faults.arm_once();
+            ask(&scene, &case.kind, case.deadline_ms)
+        };
+        let name = format!("{:?} at {}", case.fault, case.kind);
+        assert_eq!(
+            ending(&reply),
+            case.ending,
+            "{name}: {}",
+            String::from_utf8_lossy(&reply.body)
+        );
+        let runs = scene.runs().all();
+        assert_eq!(runs.len(), case.runs, "{name}: {runs:?}");
+        if reply.verdict == Some(Verdict::NotRun) {
+            assert!(runs.is_empty(), "{name}: refused as not run, but ran");
+            assert!(
+                reply.json()["error"]["retry_after_ms"].as_u64().is_some(),
+                "{name}: no moment to come back"
+            );
+        }
+        if reply.status == 200 {
+            let books = scene.settled_books(1);
+            assert_eq!(books.receipts.len(), 1, "{name}: billed other than once");
+        }
+    }
+}
+
+#[test]
+fn a_connection_after_an_unfinished_answer_is_never_reused() {
+    let scene = Scene::start(Deployment::Shrestha, 2, 0).unwrap();
+    for round in 0..40 {
+        let fault = match round % 4 {
+            0 => EndpointFault::Twice,
+            1 => EndpointFault::CutHalf,
+            2 => EndpointFault::WrongId,
+            _ => EndpointFault::None,
+        };
+        scene.farm.world.faults.change(|set| {
+            for index in 1..=6 {
+                let faults = EndpointFaults {
+                    fault,
+                    calls: 1,
+                    slow_ms: 0,
+                };
+                set.endpoints
+                    .insert(format!("runners-small-{index}"), faults);
+            }
+        });
+        for kind in ["chat", "stream"] {
+            let (id, reply) = ask(&scene, kind, 0);
+            if reply.status != 200 || ending(&reply) == "cut" {
+                continue;
+            }
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            let answered = text.matches("chatcmpl-").count();
+            let own = text.matches(&format!("chatcmpl-{id}/")).count();
+            assert!(
+                own > 0 && own == answered,
+                "not the own answer to {id}: {text}"
+            );
+        }
+    }
+    let books: Books = scene.settled_books(1);
+    assert!(books.balance());
+}
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -236,3 +236,43 @@
     assert!(refused, "{record:?}");
     assert!(lone.farm.world.runs.all().is_empty());
 }
+
+#[test]
+fn an_instance_that_hears_nobody_takes_no_new_work_until_it_does() {
+    let fleet = Fleet::start(Deployment::Shrestha, 3, 1);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.down = true);
+    for entry in &fleet.entries[1..] {
+        entry.signal(Signal::STOP);
+    }
+    let alone = &fleet.entries[0];
+    until("the instance notices", || {
+        alone.status()["serving"] == false
+    });
+    let caller = trial::Caller::new(vec![alone.http_addr], "thamel");
+    let spec = CallSpec {
+        kind: CallKind::Chat,
+        workspace: "hotel-1".into(),
+        target: "visitor".to_owned(),
+        priority: Priority::Normal,
+        class: "default",
+        keyed: false,
+        session: None,
+    };
+    let record = smol::block_on(caller.call(spec.clone()));
+    let refused = matches!(
+        record.ending,
+        Ending::Failed(Verdict::NotRun, _) | Ending::Lost(_)
+    );
+    assert!(refused, "{record:?}");
+    assert!(fleet.farm.world.runs.all().is_empty());
+    for entry in &fleet.entries[1..] {
+        entry.signal(Signal::CONT);
+    }
+    fleet.wait_converged();
+    let record = smol::block_on(fleet.caller(0).call(spec));
+    assert_eq!(record.ending, Ending::Answered);
+}
--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -1,6 +1,7 @@
 //! The switches for faults.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
@@ -85,6 +86,7 @@
 #[derive(Debug, Default)]
 pub struct Faults {
     set: Mutex<FaultSet>,
+    once: AtomicBool,
 }
 
 impl Faults {
@@ -108,6 +110,10 @@
             return EndpointFaults::default();
         };
         let taken = faults.clone();
+        if self.once.swap(false, Ordering::SeqCst) {
+            set.endpoints.clear();
+            return taken;
+        }
         if faults.calls == 1 {
             faults.fault = EndpointFault::None;
         }
@@ -115,6 +121,11 @@
         taken
     }
 
+    /// Lets the endpoints' faults show once over all of them.
+    pub fn arm_once(&self) {
+        self.once.store(true, Ordering::SeqCst);
+    }
+
     /// Returns whether a write's answer is to be lost, and uses up one.
     pub fn loses_answer(&self) -> bool {
         let mut set = self.set.lock().unwrap_or_else(PoisonError::into_inner);
