--- /dev/null
+++ b/crates/entry/benches/path/main.rs
@@ -0,0 +1,114 @@
+//! The speed of the path against the endpoint itself and a bare pass-through.
+//!
+//! Entry instances run as processes with one traffic thread; a second one holds receipts.
+
+mod endpoint;
+mod load;
+mod passthrough;
+mod rig;
+
+use std::time::Duration;
+
+use load::{Shape, Summary};
+use rig::Rig;
+use serde_json::json;
+
+/// How long one measurement lasts.
+const SLICE: Duration = Duration::from_millis(1_000);
+
+/// How often the targets are measured in turn.
+const ROUNDS: usize = 5;
+
+/// How many streams are open for the memory figure.
+const OPEN_STREAMS: usize = 1_000;
+
+/// The figures of one target in one round.
+struct Round {
+    direct: Summary,
+    passthrough: Summary,
+    entry: Summary,
+}
+
+fn main() {
+    let json_only = std::env::args().any(|arg| arg == "--json");
+    let rig = Rig::start();
+    let plain = [
+        rounds(&rig, Shape::Plain, 2),
+        rounds(&rig, Shape::Plain, 64),
+    ];
+    let single = rounds(&rig, Shape::Plain, 1);
+    let streams = rounds(&rig, Shape::Stream, 1);
+    let stream_kb = rig.stream_kb(OPEN_STREAMS);
+    if !json_only {
+        for (name, rounds) in [
+            ("plain, 2 connections", &plain[0]),
+            ("plain, 64", &plain[1]),
+        ] {
+            print_rounds(name, rounds);
+        }
+        print_rounds("plain, 1 connection", &single);
+        print_rounds("first token, 1 connection", &streams);
+    }
+    let share = |rounds: &[Round]| {
+        median(
+            rounds
+                .iter()
+                .map(|round| round.entry.per_s / round.passthrough.per_s),
+        )
+    };
+    let added = |rounds: &[Round], quantile: fn(&Summary) -> f64| {
+        median(rounds.iter().map(|round| {
+            let base = quantile(&round.direct);
+            (quantile(&round.entry) - base) / (quantile(&round.passthrough) - base).max(0.001)
+        }))
+    };
+    let p50 = |summary: &Summary| summary.p50_ms;
+    let p99 = |summary: &Summary| summary.p99_ms;
+    let figures = json!({
+        "throughput_share": share(&plain[1]),
+        "throughput_share_2": share(&plain[0]),
+        "added_p50_ratio": added(&single, p50),
+        "added_p99_ratio": added(&single, p99),
+        "added_first_token_p50_ratio": added(&streams, p50),
+        "added_first_token_p99_ratio": added(&streams, p99),
+        "entry_per_s": median(plain[1].iter().map(|round| round.entry.per_s)),
+        "passthrough_per_s": median(plain[1].iter().map(|round| round.passthrough.per_s)),
+        "added_p50_ms": median(single.iter().map(|round| round.entry.p50_ms - round.direct.p50_ms)),
+        "stream_kb": stream_kb,
+    });
+    println!("{figures}");
+}
+
+fn rounds(rig: &Rig, shape: Shape, connections: usize) -> Vec<Round> {
+    let mut rounds = Vec::new();
+    for _ in 0..ROUNDS {
+        rounds.push(Round {
+            direct: load::run(rig.endpoint, shape, connections, SLICE),
+            passthrough: load::run(rig.passthrough, shape, connections, SLICE),
+            entry: load::run(rig.entry, shape, connections, SLICE),
+        });
+    }
+    rounds
+}
+
+fn print_rounds(name: &str, rounds: &[Round]) {
+    println!("{name}");
+    for (label, pick) in [
+        ("direct", (|round| &round.direct) as fn(&Round) -> &Summary),
+        ("pass-through", |round| &round.passthrough),
+        ("entry", |round| &round.entry),
+    ] {
+        println!(
+            "  {label:<13} {:>8.0}/s  p50 {:>7.3} ms  p99 {:>7.3} ms",
+            median(rounds.iter().map(|round| pick(round).per_s)),
+            median(rounds.iter().map(|round| pick(round).p50_ms)),
+            median(rounds.iter().map(|round| pick(round).p99_ms)),
+        );
+    }
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -163,7 +163,7 @@
 fn nothing_in_force_reverts() {
     let fleet = Fleet::start(Deployment::Authority, 3, 1);
     let world = &fleet.farm.world;
-    let mut seen = vec![0; 3];
+    let mut seen = [0; 3];
     world.objects.remember_stale();
     for round in 0..12 {
         let revision = edit(&fleet, "config/spec/policy/target", |value| {
