Learn priors at the query, cascades by confidence, and price by the last answer

(1) Learned knew no prior and started each version at 0.5, so that the strong version was never seen as strong. (2) The correction of the price took the first answer of a cascade for the caller's answer. (3) One estimate stood for what the second version does at every threshold. (4) The price moved by absolute steps and wound up.

--- a/crates/entry/src/control/learn.rs
+++ b/crates/entry/src/control/learn.rs
@@ -209,7 +209,7 @@
     };
     brain.note(&observation);
     if let Some(planned) = waiting.planned {
-        brain.price.rated(good, planned.quality);
+        brain.price.rated(good, planned.target);
     }
     control.touch();
 }
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -8,7 +8,7 @@
 use futures_lite::FutureExt;
 use http_types::{Response, StatusCode};
 use kernel::{Failure, Reason, Verdict};
-use policy::Observation;
+use policy::{Observation, Unsure};
 use smol::Timer;
 use store::Sample;
 use upstream::{Call, Completion, PoolState, Started};
@@ -213,15 +213,7 @@
             Ok(Answer::Stream(Box::new(pump)))
         }
         Err(failure) => {
-            teacher.teach(
-                shared,
-                context,
-                leg,
-                None,
-                None,
-                String::new(),
-                Ending::Failed,
-            );
+            teacher.teach(shared, context, CallEnd::failed(leg));
             Err(settle_failure(billing, failure))
         }
     }
@@ -295,62 +287,37 @@
     let completion = match first {
         Ok(completion) => completion,
         Err(failure) => {
-            teacher.teach(
-                shared,
-                context,
-                path.first,
-                None,
-                None,
-                String::new(),
-                Ending::Failed,
-            );
+            teacher.teach(shared, context, CallEnd::failed(path.first));
             return Err(settle_failure(billing, failure));
         }
     };
     let first_name = path.first.version.name.clone();
-    let text = completion.text().to_owned();
-    teacher.teach(
-        shared,
-        context,
-        path.first,
-        None,
-        completion.confidence,
-        text,
-        ending(context, &billing),
-    );
-    let Some((then, threshold)) = path.then else {
+    let first = CallEnd::answered(path.first, &completion, ending(context, &billing));
+    let sure = |threshold: f64| completion.confidence.unwrap_or(0.0) >= threshold;
+    let Some((then, _)) = path.then.filter(|(_, threshold)| !sure(*threshold)) else {
+        teacher.teach(shared, context, first);
         return finish(billing, completion, first_name, chat.stream).await;
     };
-    if completion.confidence.unwrap_or(0.0) >= threshold {
-        return finish(billing, completion, first_name, chat.stream).await;
-    }
+    teacher.teach(shared, context, first.not_last());
     match complete(shared, context, &chat, &then, 1, false, &mut billing).await {
         Ok(better) => {
             let name = then.version.name.clone();
-            let text = better.text().to_owned();
-            let end = ending(context, &billing);
+            let confidence = completion.confidence.unwrap_or(0.0);
+            let end = CallEnd::answered(then, &better, ending(context, &billing));
             teacher.teach(
                 shared,
                 context,
-                then,
-                Some(first_name),
-                better.confidence,
-                text,
-                end,
+                end.after(Unsure {
+                    version: first_name,
+                    confidence,
+                }),
             );
             finish(billing, better, name, chat.stream).await
         }
         Err(failure) => {
-            tracing::info!(request = %context.request, verdict = failure.verdict.as_str(), "cascade: second call failed, the first answer is kept");
-            teacher.teach(
-                shared,
-                context,
-                then,
-                Some(first_name.clone()),
-                None,
-                String::new(),
-                Ending::Failed,
-            );
+            let verdict = failure.verdict.as_str();
+            tracing::info!(request = %context.request, verdict, "cascade: second call failed, the first answer is kept");
+            teacher.teach(shared, context, CallEnd::failed(then).not_last());
             finish(billing, completion, first_name, chat.stream).await
         }
     }
@@ -433,7 +400,56 @@
     Ok(Answer::Whole { bytes, version })
 }
 
-/// Hands what a call taught to the control thread.
+/// How one call on a version ended.
+pub(crate) struct CallEnd {
+    leg: Leg,
+    unsure: Option<Unsure>,
+    confidence: Option<f64>,
+    text: String,
+    ending: Ending,
+    last: bool,
+}
+
+impl CallEnd {
+    /// Makes the end of a call without an answer.
+    pub(crate) fn failed(leg: Leg) -> CallEnd {
+        CallEnd::streamed(leg, String::new(), Ending::Failed)
+    }
+
+    /// Makes the end of a streamed call.
+    pub(crate) fn streamed(leg: Leg, text: String, ending: Ending) -> CallEnd {
+        CallEnd {
+            leg,
+            unsure: None,
+            confidence: None,
+            text,
+            ending,
+            last: true,
+        }
+    }
+
+    fn answered(leg: Leg, completion: &Completion, ending: Ending) -> CallEnd {
+        let confidence = completion.confidence;
+        CallEnd {
+            confidence,
+            ..CallEnd::streamed(leg, completion.text().to_owned(), ending)
+        }
+    }
+
+    /// Notes that the caller got another answer than this one.
+    fn not_last(mut self) -> CallEnd {
+        self.last = false;
+        self
+    }
+
+    /// Notes the answer that was not kept before.
+    fn after(mut self, unsure: Unsure) -> CallEnd {
+        self.unsure = Some(unsure);
+        self
+    }
+}
+
+/// Hands what calls taught to the control thread.
 pub(crate) struct Teacher {
     pub(crate) policy: Arc<str>,
     pub(crate) sample_share: f64,
@@ -442,46 +458,29 @@
 
 impl Teacher {
     /// Hands on one call. Every answer of an unproven version is rated, of others a sample.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one call has this many facets, used at two places"
-    )]
-    pub(crate) fn teach(
-        &self,
-        shared: &Shared,
-        context: &Context,
-        leg: Leg,
-        escalated_from: Option<Arc<str>>,
-        confidence: Option<f64>,
-        text: String,
-        ending: Ending,
-    ) {
-        let wanted = leg.exposed.is_some() || fastrand::f64() < self.sample_share;
-        let sample = (wanted && ending != Ending::Failed).then(|| Sample {
-            id: format!("{}/{}", context.request, leg.version.name).into(),
-            version: leg.version.name.clone(),
+    pub(crate) fn teach(&self, shared: &Shared, context: &Context, end: CallEnd) {
+        let version = end.leg.version.name.clone();
+        let wanted = end.leg.exposed.is_some() || fastrand::f64() < self.sample_share;
+        let sample = (wanted && end.ending != Ending::Failed).then(|| Sample {
+            id: format!("{}/{version}", context.request).into(),
+            version: version.clone(),
             class: context.class.clone(),
-            answer: text,
+            answer: end.text,
         });
-        let observation = Observation {
-            class: context.class.clone(),
-            version: leg.version.name.clone(),
-            escalated_from: escalated_from.clone(),
-            confidence,
-            good: None,
-        };
         let lesson = Lesson {
             workspace: context.workspace.name.clone(),
             policy: self.policy.clone(),
-            observation,
-            planned: if escalated_from.is_none() {
-                self.planned
-            } else {
-                None
+            observation: Observation {
+                class: context.class.clone(),
+                version,
+                escalated_from: end.unsure,
+                confidence: end.confidence,
+                good: None,
             },
+            planned: self.planned.filter(|_| end.last),
             sample,
-            exposed: leg.exposed,
-            ending,
+            exposed: end.leg.exposed,
+            ending: end.ending,
         };
         // A lesson that finds no room is dropped; the allowance that it carries is given back.
         drop(shared.lessons.try_send(lesson));
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -10,7 +10,7 @@
 use crate::billing::Billing;
 use crate::body::Sink;
 use crate::context::Context;
-use crate::execute::{Teacher, within};
+use crate::execute::{CallEnd, Teacher, within};
 use crate::plan::Leg;
 use crate::shared::{Ending, Shared};
 
@@ -188,15 +188,7 @@
             },
         );
         billing.failed();
-        teacher.teach(
-            &shared,
-            &context,
-            leg,
-            None,
-            None,
-            String::new(),
-            Ending::Failed,
-        );
+        teacher.teach(&shared, &context, CallEnd::failed(leg));
     }
 
     /// Ends the call, and waits until the receipt is durable.
@@ -230,7 +222,7 @@
         } else {
             Ending::Slow
         };
-        teacher.teach(&shared, &context, leg, None, None, text, ending);
+        teacher.teach(&shared, &context, CallEnd::streamed(leg, text, ending));
     }
 }
 
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use common::{Fleet, Load, until};
@@ -196,6 +197,44 @@
     }
 }
 
+#[test]
+fn an_old_read_after_a_newer_one_gives_no_quota_back() {
+    let fleet = Fleet::start(Deployment::Shrestha, 3, 1);
+    fleet.farm.world.objects.remember_stale();
+    let path = "config/spec/workspace/bir-hospital";
+    fleet.wait_revision(edit(&fleet, path, |value| {
+        value["quota_per_s"] = json!(0.0)
+    }));
+    fleet.farm.world.faults.change(|set| {
+        set.platform.stale_list = true;
+        set.platform.expire_watches = true;
+    });
+    fleet.farm.world.objects.expire();
+    let end = Instant::now() + Duration::from_millis(1_500);
+    while Instant::now() < end {
+        for entry in &fleet.entries {
+            let reply = ask_plain(entry.http_addr);
+            assert_eq!(
+                reply,
+                (429, Some(Verdict::NotRun)),
+                "{} reverted",
+                entry.name
+            );
+        }
+    }
+}
+
+/// Asks one instance once and returns the status and the verdict.
+fn ask_plain(addr: SocketAddr) -> (u16, Option<Verdict>) {
+    let body = json!({ "model": "visitor", "messages": [{ "role": "user", "content": "x" }] });
+    let headers = [("authorization", "Bearer key-bir-hospital")];
+    let http = trial::Http::default();
+    let body = body.to_string().into_bytes();
+    let asked = http.call(addr, Method::Post, "/v1/chat/completions", &headers, body);
+    let reply = smol::block_on(asked).unwrap();
+    (reply.status, reply.verdict)
+}
+
 #[test]
 fn two_operators_at_once_both_see_what_happened() {
     let fleet = Fleet::start(Deployment::Authority, 3, 1);
@@ -404,23 +443,7 @@
             .all(|entry| entry.status()["revision"].as_u64() >= Some(revision))
     });
     for entry in &fleet.entries {
-        let caller = trial::Http::default();
-        let body = json!({ "model": "visitor", "messages": [{ "role": "user", "content": "x" }] })
-            .to_string();
-        let headers = [("authorization", "Bearer key-bir-hospital")];
-        let asked = caller.call(
-            entry.http_addr,
-            Method::Post,
-            "/v1/chat/completions",
-            &headers,
-            body.into_bytes(),
-        );
-        let reply = smol::block_on(asked).unwrap();
-        assert_eq!(
-            (reply.status, reply.verdict),
-            (429, Some(Verdict::NotRun)),
-            "{}",
-            entry.name
-        );
+        let reply = ask_plain(entry.http_addr);
+        assert_eq!(reply, (429, Some(Verdict::NotRun)), "{}", entry.name);
     }
 }
--- a/crates/entry/tests/endpoint_faults.rs
+++ b/crates/entry/tests/endpoint_faults.rs
@@ -1,5 +1,7 @@
 //! Endpoints that refuse, break, mix up, repeat or never answer.
 
+use std::net::SocketAddr;
+
 use fakes::{EndpointFault, EndpointFaults};
 use http_types::Method;
 use kernel::Verdict;
@@ -35,28 +37,26 @@
     }
 }
 
-/// Asks once; only the router retries.
-fn ask(scene: &Scene, kind: &str, deadline_ms: u64) -> (String, HttpReply) {
-    let http = Http::default();
+/// Returns an address with a fresh identifier of its own.
+fn fresh(scene: &Scene) -> (SocketAddr, String) {
     let addr = scene.instances[0].http_addr();
-    let get = smol::block_on(http.call(
-        addr,
-        Method::Get,
-        "/v1/addresses?zone=thamel",
-        &[],
-        Vec::new(),
-    ));
+    let path = "/v1/addresses?zone=thamel";
+    let get = smol::block_on(Http::default().call(addr, Method::Get, path, &[], Vec::new()));
     let row = &get.unwrap().json()["addresses"][0];
-    let addr = row["address"].as_str().unwrap().parse().unwrap();
     let id = format!(
         "{}{:x}",
         row["id_prefix"].as_str().unwrap(),
         fastrand::u64(..)
     );
+    (row["address"].as_str().unwrap().parse().unwrap(), id)
+}
+
+/// Asks once; only the router retries.
+fn ask(addr: SocketAddr, id: &str, kind: &str, deadline_ms: u64) -> HttpReply {
     let deadline = deadline_ms.to_string();
     let mut headers = vec![
         ("authorization", "Bearer key-bir-hospital"),
-        ("idempotency-key", &id),
+        ("idempotency-key", id),
     ];
     if deadline_ms > 0 {
         headers.push(("x-rosemary-deadline-ms", &deadline));
@@ -71,8 +71,7 @@
         _ => ("/v1/chat/completions", chat),
     };
     let body = body.to_string().into_bytes();
-    let reply = smol::block_on(http.call(addr, Method::Post, path, &headers, body)).unwrap();
-    (id, reply)
+    smol::block_on(Http::default().call(addr, Method::Post, path, &headers, body)).unwrap()
 }
 
 fn ending(reply: &HttpReply) -> String {
@@ -105,13 +104,11 @@
                 set.endpoints.insert(format!("{pool}-{index}"), faults);
             }
         });
-        let (_, reply) = if case.everywhere {
-            ask(&scene, &case.kind, case.deadline_ms)
-        } else {
-            let world = scene.farm.world.clone();
-            world.faults.arm_once();
-            ask(&scene, &case.kind, case.deadline_ms)
-        };
+        if !case.everywhere {
+            scene.farm.world.faults.arm_once();
+        }
+        let (addr, id) = fresh(&scene);
+        let reply = ask(addr, &id, &case.kind, case.deadline_ms);
         let name = format!("{:?} at {}", case.fault, case.kind);
         assert_eq!(
             ending(&reply),
@@ -128,6 +125,16 @@
                 "{name}: no moment to come back"
             );
         }
+        if case.kind == "service" && reply.verdict == Some(Verdict::MayHaveRun) {
+            scene.farm.world.faults.change(|set| set.endpoints.clear());
+            let again = ask(addr, &id, &case.kind, 0);
+            assert_eq!(
+                again.verdict,
+                Some(Verdict::MayHaveRun),
+                "{name}, asked again"
+            );
+            assert_eq!(scene.runs().all().len(), case.runs, "{name}: ran again");
+        }
         if reply.status == 200 {
             let books = scene.settled_books(1);
             assert_eq!(books.receipts.len(), 1, "{name}: billed other than once");
@@ -157,7 +164,8 @@
             }
         });
         for kind in ["chat", "stream"] {
-            let (id, reply) = ask(&scene, kind, 0);
+            let (addr, id) = fresh(&scene);
+            let reply = ask(addr, &id, kind, 0);
             if reply.status != 200 || ending(&reply) == "cut" {
                 continue;
             }
--- a/crates/entry/tests/interface.rs
+++ b/crates/entry/tests/interface.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_types::Method;
 use kernel::Verdict;
@@ -278,9 +278,12 @@
     );
 }
 
+/// How long the engine is silent between tokens, in milliseconds.
+const TOKEN_MS: u64 = 6_000;
+
 #[test]
 fn a_vanished_caller_cancels_the_stream_of_a_silent_engine() {
-    let scene = Scene::start(Deployment::Shrestha, 2, 300).unwrap();
+    let scene = Scene::start(Deployment::Shrestha, 2, TOKEN_MS).unwrap();
     let addr = scene.instances[0].http_addr();
     let body = json!({
         "model": "visitor-s1",
@@ -295,11 +298,20 @@
     );
     let mut stream = TcpStream::connect(addr).unwrap();
     stream.write_all(head.as_bytes()).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_millis(TOKEN_MS * 3)))
+        .unwrap();
     let mut chunk = [0; 256];
     let count = stream.read(&mut chunk).unwrap();
     assert!(count > 0);
     drop(stream);
+    let gone = Instant::now();
     let receipts = scene.settled_books(1).receipts;
+    // The next token would be the first write that could notice.
+    assert!(
+        gone.elapsed() < Duration::from_millis(TOKEN_MS),
+        "noticed only by writing"
+    );
     assert_eq!(receipts.len(), 1, "a cut request is billed once");
     assert_eq!(json!(receipts[0].work.outcome), json!("cancelled"));
     let runs = scene.runs().all();
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -81,8 +81,12 @@
             fleet.list();
         }
     });
-    let audit = audit(&fleet, &records);
-    assert_eq!((audit.answered, audit.may_have_run), (900, 0), "{audit:#?}");
+    audit(&fleet, &records);
+    let cut: Vec<&CallRecord> = records
+        .iter()
+        .filter(|record| record.ending != Ending::Answered)
+        .collect();
+    assert!(cut.is_empty(), "{cut:#?}");
 }
 
 #[test]
--- a/crates/policy/benches/cost/trial.rs
+++ b/crates/policy/benches/cost/trial.rs
@@ -3,16 +3,16 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use policy::{Candidate, Learned, Observation, Plan, Price, Query, RoutingPolicy};
+use policy::{Candidate, Learned, Observation, Plan, Price, Query, RoutingPolicy, Unsure};
 
 use crate::bound::clairvoyant_cost;
 use crate::world::{CLASSES, Phase, VERSIONS, Workspace, draw_answers, draw_class, mix};
 
 /// Requests in one phase.
-const PHASE_REQUESTS: usize = 30_000;
+const PHASE_REQUESTS: usize = 60_000;
 
 /// Requests at the start of each phase that are not judged.
-const WARM_UP_REQUESTS: usize = 10_000;
+const WARM_UP_REQUESTS: usize = 15_000;
 
 /// The share of answers that are rated.
 const SAMPLE_SHARE: f64 = 0.1;
@@ -61,7 +61,8 @@
 struct Late {
     at: usize,
     observation: Observation,
-    expected: f64,
+    /// Whether this was the request's last answer.
+    last: bool,
 }
 
 /// One trial.
@@ -174,14 +175,15 @@
             Plan::Cascade { first, .. } => (first, None),
         };
         let rated = self.random.f64() < SAMPLE_SHARE;
-        self.observe(class, first, None, &answers, rated, decision.quality);
+        let last = then.is_none();
+        self.observe(class, first, None, &answers, rated, last);
         let mut step = Step {
             good: answers.good[first],
             cost: VERSIONS[first].cost,
             latency_ms: VERSIONS[first].latency_ms,
         };
         if let Some(then) = then {
-            self.observe(class, then, Some(first), &answers, rated, decision.quality);
+            self.observe(class, then, Some(first), &answers, rated, true);
             step.good = answers.good[then];
             step.cost += VERSIONS[then].cost;
             step.latency_ms += VERSIONS[then].latency_ms;
@@ -196,13 +198,16 @@
         first: std::option::Option<usize>,
         answers: &crate::world::Answers,
         rated: bool,
-        expected: f64,
+        last: bool,
     ) {
         let name = |version: usize| -> Arc<str> { VERSIONS[version].name.into() };
         let mut observation = Observation {
             class: CLASSES[class].into(),
             version: name(version),
-            escalated_from: first.map(name),
+            escalated_from: first.map(|first| Unsure {
+                version: name(first),
+                confidence: answers.confidence[first],
+            }),
             confidence: Some(answers.confidence[version]),
             good: None,
         };
@@ -212,7 +217,7 @@
             self.late.push_back(Late {
                 at: self.now + RATING_LAG,
                 observation,
-                expected,
+                last,
             });
         }
     }
@@ -223,9 +228,8 @@
                 return;
             };
             self.learned.note(&late.observation);
-            let final_answer = late.observation.escalated_from.is_some();
-            if let Some(good) = late.observation.good.filter(|_| !final_answer) {
-                self.price.rated(good, late.expected);
+            if let Some(good) = late.observation.good.filter(|_| late.last) {
+                self.price.rated(good, self.workspace.target);
             }
         }
     }
--- a/crates/policy/src/cheapest.rs
+++ b/crates/policy/src/cheapest.rs
@@ -1,17 +1,17 @@
 //! The policy that meets the quality target at the lowest cost.
 
-use crate::learned::{CONFIDENCE_BINS, Learned};
+use crate::learned::{CONFIDENCE_BINS, CascadePriors, Learned};
 use crate::plan::{Candidate, Decision, Plan, PolicyPlugin, Query, RoutingPolicy};
 
 /// The share of requests that go to a version whose rating is least certain.
 const EXPLORE_SHARE: f64 = 0.01;
 
+/// The standard error below which an estimate needs no more exploration.
+const ENOUGH_CERTAINTY: f64 = 0.03;
+
 /// How much worse the second version does on what the first is not sure of, before any rating.
 const HARD_DISCOUNT: f64 = 0.95;
 
-/// How many standard errors an uncertain version is given as a bonus.
-const OPTIMISM: f64 = 0.5;
-
 /// Takes the path with the lowest cost minus price times expected quality.
 struct CheapestToTarget;
 
@@ -27,8 +27,10 @@
         price: f64,
         random: &mut fastrand::Rng,
     ) -> Decision {
-        if random.f64() < EXPLORE_SHARE {
-            return explore(query, learned);
+        if random.f64() < EXPLORE_SHARE
+            && let Some(decision) = explore(query, learned)
+        {
+            return decision;
         }
         let mut best = direct(query, learned, 0);
         for index in 0..query.candidates.len() {
@@ -51,8 +53,9 @@
 }
 
 fn estimate(query: &Query<'_>, learned: &Learned, candidate: &Candidate) -> f64 {
-    let estimate = learned.quality(query.class, &candidate.version, candidate.prior);
-    (estimate.mean() + OPTIMISM * estimate.error()).min(1.0)
+    learned
+        .quality(query.class, &candidate.version)
+        .mean(candidate.prior)
 }
 
 fn direct(query: &Query<'_>, learned: &Learned, index: usize) -> Decision {
@@ -74,20 +77,17 @@
     mut best: Decision,
 ) -> Decision {
     let cheap = &query.candidates[first];
-    let Some(kept) = learned.kept(query.class, &cheap.version) else {
-        return best;
-    };
     for (then, strong) in query.candidates.iter().enumerate() {
         if then == first || strong.cost_micros <= cheap.cost_micros {
             continue;
         }
-        let escalated = learned.escalated_quality(query.class, &cheap.version, &strong.version);
-        let hard = escalated.map_or(estimate(query, learned, strong) * HARD_DISCOUNT, |found| {
-            found.mean()
-        });
-        for (bin, kept) in kept.iter().enumerate() {
-            let quality = kept.share * kept.quality + (1.0 - kept.share) * hard;
-            let cost_micros = cheap.cost_micros + (1.0 - kept.share) * strong.cost_micros;
+        let priors = CascadePriors {
+            first: cheap.prior,
+            then: estimate(query, learned, strong) * HARD_DISCOUNT,
+        };
+        let found = learned.cascades(query.class, &cheap.version, &strong.version, priors);
+        for (bin, cascade) in found.unwrap_or_default().into_iter().enumerate() {
+            let cost_micros = cheap.cost_micros + (1.0 - cascade.kept_share) * strong.cost_micros;
             let threshold = bin as f64 / CONFIDENCE_BINS as f64;
             let plan = Plan::Cascade {
                 first,
@@ -98,7 +98,7 @@
                 best,
                 Decision {
                     plan,
-                    quality,
+                    quality: cascade.quality,
                     cost_micros,
                 },
                 price,
@@ -108,15 +108,17 @@
     best
 }
 
-/// Runs directly on the candidate whose estimate is least certain.
-fn explore(query: &Query<'_>, learned: &Learned) -> Decision {
-    let error = |index: &usize| {
-        let candidate = &query.candidates[*index];
-        learned
-            .quality(query.class, &candidate.version, candidate.prior)
-            .error()
-    };
-    let least =
-        (0..query.candidates.len()).max_by(|left, right| error(left).total_cmp(&error(right)));
-    direct(query, learned, least.unwrap_or(0))
+/// Runs directly on the candidate whose estimate is least certain, if that is not certain enough.
+fn explore(query: &Query<'_>, learned: &Learned) -> Option<Decision> {
+    let mut widest = ENOUGH_CERTAINTY;
+    let mut chosen = None;
+    for (index, candidate) in query.candidates.iter().enumerate() {
+        let estimate = learned.quality(query.class, &candidate.version);
+        let error = estimate.error(candidate.prior);
+        if error > widest {
+            widest = error;
+            chosen = Some(index);
+        }
+    }
+    chosen.map(|index| direct(query, learned, index))
 }
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -4,26 +4,16 @@
 const PRIOR_WEIGHT: f64 = 8.0;
 
 /// The factor by which each observation ages the earlier ones.
-const AGING: f64 = 0.995;
+const AGING: f64 = 0.999;
 
-/// A learned share with a prior.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// A learned share, to be read beside a prior.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Estimate {
-    prior: f64,
     good: f64,
     bad: f64,
 }
 
 impl Estimate {
-    /// Starts from a prior share.
-    pub fn new(prior: f64) -> Estimate {
-        Estimate {
-            prior: prior.clamp(0.01, 0.99),
-            good: 0.0,
-            bad: 0.0,
-        }
-    }
-
     /// Notes an outcome.
     pub fn note(&mut self, good: bool) {
         self.good *= AGING;
@@ -41,13 +31,13 @@
     }
 
     /// Returns the mean.
-    pub fn mean(&self) -> f64 {
-        (self.good + self.prior * PRIOR_WEIGHT) / (self.weight() + PRIOR_WEIGHT)
+    pub fn mean(&self, prior: f64) -> f64 {
+        (self.good + prior * PRIOR_WEIGHT) / (self.weight() + PRIOR_WEIGHT)
     }
 
     /// Returns the standard error of the mean.
-    pub fn error(&self) -> f64 {
-        let mean = self.mean();
+    pub fn error(&self, prior: f64) -> f64 {
+        let mean = self.mean(prior);
         (mean * (1.0 - mean) / (self.weight() + PRIOR_WEIGHT)).sqrt()
     }
 }
--- a/crates/policy/src/learned.rs
+++ b/crates/policy/src/learned.rs
@@ -16,6 +16,15 @@
     ((confidence * CONFIDENCE_BINS as f64) as usize).min(CONFIDENCE_BINS - 1)
 }
 
+/// The answer that a cascade did not keep.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Unsure {
+    /// The version that gave it.
+    pub version: Arc<str>,
+    /// Its confidence.
+    pub confidence: f64,
+}
+
 /// What an answer and its rating say.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Observation {
@@ -23,8 +32,8 @@
     pub class: Arc<str>,
     /// The version that answered.
     pub version: Arc<str>,
-    /// The version that answered before and was not confident, if any.
-    pub escalated_from: Option<Arc<str>>,
+    /// The answer before, if that one was not confident.
+    pub escalated_from: Option<Unsure>,
     /// The answer's confidence, if it carried one.
     pub confidence: Option<f64>,
     /// The rating, or `None` for an answer that was not rated.
@@ -32,21 +41,11 @@
 }
 
 /// What is known of one version in one class.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Record {
     overall: Estimate,
-    rated: Vec<Estimate>,
-    seen: Vec<f64>,
-}
-
-impl Record {
-    fn new(prior: f64) -> Record {
-        Record {
-            overall: Estimate::new(prior),
-            rated: vec![Estimate::new(prior); CONFIDENCE_BINS],
-            seen: vec![0.0; CONFIDENCE_BINS],
-        }
-    }
+    rated: [Estimate; CONFIDENCE_BINS],
+    seen: [f64; CONFIDENCE_BINS],
 }
 
 /// A version in a class.
@@ -76,50 +75,44 @@
 #[derive(Debug, Clone, Default)]
 pub struct Learned {
     records: HashMap<Served, Record>,
-    escalated: HashMap<Escalation, Estimate>,
-    priors: HashMap<Arc<str>, f64>,
+    escalated: HashMap<Escalation, [Estimate; CONFIDENCE_BINS]>,
 }
 
-/// The prior of a version that is not in the catalogue.
-const UNKNOWN_PRIOR: f64 = 0.5;
-
-/// The share of answers that a cascade keeps, and how good those are.
+/// What a cascade is expected to do.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Kept {
-    /// The share of answers at or above the threshold.
-    pub(crate) share: f64,
-    /// The share of good answers among them.
+pub(crate) struct Cascade {
+    /// The share of first answers that it keeps.
+    pub(crate) kept_share: f64,
+    /// The share of good answers.
     pub(crate) quality: f64,
 }
 
-impl Learned {
-    /// Sets the prior of a version.
-    pub fn set_prior(&mut self, version: &Arc<str>, prior: f64) {
-        self.priors.insert(version.clone(), prior);
-    }
+/// The shares of good answers that are expected before any rating.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct CascadePriors {
+    /// Of the first version.
+    pub(crate) first: f64,
+    /// Of the second version where the first is not sure.
+    pub(crate) then: f64,
+}
 
+impl Learned {
     /// Takes in an observation.
     pub fn note(&mut self, observation: &Observation) {
-        let prior = self.prior(&observation.version);
         if let Some(first) = &observation.escalated_from {
-            let first = Served::new(&observation.class, first);
+            let bin = confidence_bin(first.confidence);
+            let first = Served::new(&observation.class, &first.version);
             let key = Escalation {
                 first,
                 then: observation.version.clone(),
             };
             if let Some(good) = observation.good {
-                self.escalated
-                    .entry(key)
-                    .or_insert_with(|| Estimate::new(prior))
-                    .note(good);
+                self.escalated.entry(key).or_default()[bin].note(good);
             }
             return;
         }
         let key = Served::new(&observation.class, &observation.version);
-        let record = self
-            .records
-            .entry(key)
-            .or_insert_with(|| Record::new(prior));
+        let record = self.records.entry(key).or_default();
         if let Some(good) = observation.good {
             record.overall.note(good);
         }
@@ -137,55 +130,51 @@
     }
 
     /// Returns the estimate of a version in a class.
-    pub fn quality(&self, class: &str, version: &Arc<str>, prior: f64) -> Estimate {
-        let key = Served::new(class, version);
-        self.records
-            .get(&key)
-            .map_or_else(|| Estimate::new(prior), |record| record.overall)
+    pub fn quality(&self, class: &str, version: &Arc<str>) -> Estimate {
+        let record = self.records.get(&Served::new(class, version));
+        record.map_or_else(Estimate::default, |record| record.overall)
     }
 
-    /// Returns the estimate of a version's answers after another was not confident.
-    pub(crate) fn escalated_quality(
+    /// Returns, for each threshold bin, what a cascade of two versions keeps and gets.
+    ///
+    /// The priors are those of the first version, and of the second where the first was not sure.
+    pub(crate) fn cascades(
         &self,
         class: &str,
         first: &Arc<str>,
         then: &Arc<str>,
-    ) -> Option<Estimate> {
-        self.escalated
-            .get(&Escalation {
-                first: Served::new(class, first),
-                then: then.clone(),
-            })
-            .copied()
-    }
-
-    /// Returns, for each threshold bin, what a cascade that starts with a version keeps.
-    pub(crate) fn kept(&self, class: &str, version: &Arc<str>) -> Option<Vec<Kept>> {
-        let record = self.records.get(&Served::new(class, version))?;
+        priors: CascadePriors,
+    ) -> Option<Vec<Cascade>> {
+        let served = Served::new(class, first);
+        let record = self.records.get(&served)?;
         let total: f64 = record.seen.iter().sum();
         if total < MIN_SEEN {
             return None;
         }
-        let mut kept = vec![
-            Kept {
-                share: 0.0,
-                quality: 1.0
+        let key = Escalation {
+            first: served,
+            then: then.clone(),
+        };
+        let escalated = self.escalated.get(&key).copied().unwrap_or_default();
+        let overall = record.overall.mean(priors.first);
+        let mut cascades = Vec::with_capacity(CONFIDENCE_BINS + 1);
+        for threshold in 0..=CONFIDENCE_BINS {
+            let mut cascade = Cascade {
+                kept_share: 0.0,
+                quality: 0.0,
             };
-            CONFIDENCE_BINS + 1
-        ];
-        let (mut share, mut good) = (0.0, 0.0);
-        for bin in (0..CONFIDENCE_BINS).rev() {
-            let weight = record.seen[bin] / total;
-            share += weight;
-            good += weight * record.rated[bin].mean();
-            let quality = if share > 0.0 { good / share } else { 1.0 };
-            kept[bin] = Kept { share, quality };
+            for bin in 0..CONFIDENCE_BINS {
+                let weight = record.seen[bin] / total;
+                if bin >= threshold {
+                    cascade.kept_share += weight;
+                    cascade.quality += weight * record.rated[bin].mean(overall);
+                } else {
+                    cascade.quality += weight * escalated[bin].mean(priors.then);
+                }
+            }
+            cascades.push(cascade);
         }
-        Some(kept)
-    }
-
-    fn prior(&self, version: &Arc<str>) -> f64 {
-        self.priors.get(version).copied().unwrap_or(UNKNOWN_PRIOR)
+        Some(cascades)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use assign::{arm, unit_hash};
 pub use estimate::Estimate;
-pub use learned::{CONFIDENCE_BINS, Learned, Observation, confidence_bin};
+pub use learned::{CONFIDENCE_BINS, Learned, Observation, Unsure, confidence_bin};
 pub use plan::{Candidate, Decision, Plan, PolicyPlugin, Query, RoutingPolicy, find};
 pub use price::Price;
--- a/crates/policy/src/price.rs
+++ b/crates/policy/src/price.rs
@@ -1,16 +1,22 @@
 //! The price at which quality is bought.
 
-/// The weight of one decision in the price.
+/// The lowest price, in millionths of the currency unit.
+const MIN_MICROS: f64 = 0.01;
+
+/// The highest price, in millionths of the currency unit.
+const MAX_MICROS: f64 = 1e9;
+
+/// The weight of one decision in the logarithm of the price.
 const STEP: f64 = 0.02;
 
 /// The weight of one rating in the correction.
-const CORRECTION_STEP: f64 = 0.002;
+const CORRECTION_STEP: f64 = 0.0008;
 
 /// The largest correction of the target.
-const MAX_CORRECTION: f64 = 0.05;
+const MAX_CORRECTION: f64 = 0.03;
 
 /// How far above the target quality is aimed, so that the target holds under sampling noise.
-const MARGIN: f64 = 0.004;
+const MARGIN: f64 = 0.005;
 
 /// The price of one good answer, raised while quality is short of the target and lowered while it
 /// is above.
@@ -21,17 +27,15 @@
 pub struct Price {
     micros: f64,
     correction: f64,
-    scale_micros: f64,
 }
 
 impl Price {
     /// Starts at a typical cost of one request, in millionths of the currency unit.
-    pub fn new(scale_micros: f64) -> Price {
-        let scale_micros = scale_micros.max(1.0);
+    pub fn new(start_micros: f64) -> Price {
+        let micros = start_micros.clamp(MIN_MICROS, MAX_MICROS);
         Price {
-            micros: scale_micros,
+            micros,
             correction: 0.0,
-            scale_micros,
         }
     }
 
@@ -42,15 +46,15 @@
 
     /// Notes a decision's expected quality.
     pub fn decided(&mut self, quality: f64, target: f64) {
-        let aim = (target + MARGIN + self.correction).min(1.0);
-        self.micros += STEP * self.scale_micros * (aim - quality) * 10.0;
-        self.micros = self.micros.clamp(0.0, self.scale_micros * 200.0);
+        let aim = target + MARGIN + self.correction;
+        self.micros *= (STEP * (aim - quality)).exp();
+        self.micros = self.micros.clamp(MIN_MICROS, MAX_MICROS);
     }
 
-    /// Notes a rating beside the quality that was expected of the decision.
-    pub fn rated(&mut self, good: bool, expected: f64) {
+    /// Notes the rating of a request's last answer.
+    pub fn rated(&mut self, good: bool, target: f64) {
         let outcome = if good { 1.0 } else { 0.0 };
-        self.correction += CORRECTION_STEP * (expected - outcome);
+        self.correction += CORRECTION_STEP * (target + MARGIN - outcome);
         self.correction = self.correction.clamp(-MAX_CORRECTION, MAX_CORRECTION);
     }
 }
--- /dev/null
+++ b/crates/web/tests/client.rs
@@ -0,0 +1,113 @@
+//! Connections to endpoints that answer late, twice or not whole.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use http_types::{Method, Request, Url};
+use kernel::Verdict;
+use web::{Client, Reuse};
+
+/// Answers every request on every connection with its number and whatever extra the test wants.
+fn serve(extra: &'static [u8], pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut number = 0;
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut chunk = [0; 4096];
+            while stream.read(&mut chunk).is_ok_and(|count| count > 0) {
+                number += 1;
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n#{number}");
+                stream.write_all(answer.as_bytes()).unwrap();
+                if extra.is_empty() {
+                    continue;
+                }
+                std::thread::sleep(pause);
+                if stream.write_all(extra).is_err() {
+                    break;
+                }
+                std::thread::sleep(pause);
+                // The caller must have let go of this connection.
+                break;
+            }
+        }
+    });
+    addr
+}
+
+fn call(client: &Client, addr: SocketAddr) -> Result<String, (Verdict, String)> {
+    smol::block_on(async {
+        let request = Request::new(Method::Get, Url::parse(&format!("http://{addr}/")).unwrap());
+        let sent = client.send(addr, request, Reuse::Allowed).await;
+        let mut reply = sent.map_err(|err| (err.verdict, err.message))?;
+        let bytes = reply
+            .bytes(100)
+            .await
+            .map_err(|err| (Verdict::MayHaveRun, err.to_string()))?;
+        reply.recycle();
+        Ok(String::from_utf8(bytes).unwrap())
+    })
+}
+
+#[test]
+fn a_second_answer_on_a_connection_is_never_taken_for_another_request() {
+    const AGAIN: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n#9";
+    for pause_ms in [0, 30] {
+        let addr = serve(AGAIN, Duration::from_millis(pause_ms));
+        let client = Client::new(1_000);
+        for number in 1..4 {
+            assert_eq!(
+                call(&client, addr),
+                Ok(format!("#{number}")),
+                "pause {pause_ms} ms"
+            );
+            std::thread::sleep(Duration::from_millis(pause_ms * 2));
+        }
+    }
+}
+
+#[test]
+fn whole_answers_leave_a_connection_for_reuse() {
+    let addr = serve(b"", Duration::ZERO);
+    let client = Client::new(1_000);
+    // The server takes one connection at a time: without reuse the second call would wait forever.
+    assert_eq!(call(&client, addr), Ok("#1".to_owned()));
+    assert_eq!(call(&client, addr), Ok("#2".to_owned()));
+}
+
+#[test]
+fn a_call_that_cannot_connect_did_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let failed = call(&Client::new(200), addr).unwrap_err();
+    assert_eq!(failed.0, Verdict::NotRun, "{}", failed.1);
+}
+
+#[test]
+fn a_connection_that_breaks_after_the_request_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 100]);
+    });
+    let failed = call(&Client::new(1_000), addr).unwrap_err();
+    assert_eq!(failed.0, Verdict::MayHaveRun, "{}", failed.1);
+}
+
+#[test]
+fn a_chunked_answer_that_is_cut_short_is_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1000]);
+        let half = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+        stream.write_all(half).unwrap();
+    });
+    let failed = call(&Client::new(1_000), addr).unwrap_err();
+    assert_eq!(failed.0, Verdict::MayHaveRun, "{}", failed.1);
+}
