--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -133,15 +133,11 @@
     let answer = link.call(&ping, timeout).await?;
     control.heard_peer();
     let from = Incarnation::from_u64(answer.from);
-    let Some(Body::Ack(Ack {
-        news: Some(news),
-        offers,
-    })) = answer.body
-    else {
+    let Some(Body::Ack(Ack { news: Some(news) })) = answer.body else {
         return Ok(from);
     };
     absorb(control, &news);
-    shares::accept(control, &offers);
+    shares::met(control, &news.demands);
     if let Some(since) = missing_since(control, &news) {
         fetch(control, &mut link, since, timeout).await?;
     }
@@ -152,12 +148,22 @@
 pub(super) fn answer(control: &Control, ping: &Ping) -> Ack {
     control.heard_peer();
     absorb(control, ping);
-    let offers = shares::give(control, &ping.demands);
+    let demands = shares::meet(control, &ping.demands);
     let differs = ping.table_digest != control.table.borrow().digest();
-    Ack {
-        news: Some(news(control, false).with_table(control, ping.wants_table && differs)),
-        offers,
+    let mut news = Ping {
+        demands,
+        ..news(control, false)
+    };
+    if ping.wants_table && differs {
+        news.members = control
+            .table
+            .borrow()
+            .snapshot()
+            .iter()
+            .map(member_to_wire)
+            .collect();
     }
+    Ack { news: Some(news) }
 }
 
 /// Fetches what a peer that probed has and this instance lacks.
@@ -234,26 +240,6 @@
     }
 }
 
-/// Adds the whole table to an answer.
-trait WithTable {
-    fn with_table(self, control: &Control, wanted: bool) -> Ping;
-}
-
-impl WithTable for Ping {
-    fn with_table(mut self, control: &Control, wanted: bool) -> Ping {
-        if wanted {
-            self.members = control
-                .table
-                .borrow()
-                .snapshot()
-                .iter()
-                .map(member_to_wire)
-                .collect();
-        }
-        self
-    }
-}
-
 fn absorb(control: &Control, news: &Ping) {
     let now_ms = control.now_ms();
     for info in &news.members {
--- a/crates/entry/src/control/shares.rs
+++ b/crates/entry/src/control/shares.rs
@@ -1,96 +1,113 @@
 //! The split of workspaces' quotas over the instances.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use limits::Share;
-use wire::{Demand, Offer};
+use wire::Demand;
 
 use crate::control::state::Control;
 
-/// How long one split lasts before it starts anew, in milliseconds.
-const EPOCH_MS: u64 = 20_000;
-
 /// The most workspaces whose demand one probe tells of.
 const DEMAND_COUNT: usize = 16;
 
-thread_local! {
-    /// The counts of requests asked for at the last refresh.
-    static LAST_ASKED: RefCell<HashMap<(u64, Arc<str>), u64>> = RefCell::default();
+/// The mean demand below which a workspace is not told of, in requests a second.
+const MIN_MEAN_PER_S: f64 = 0.001;
+
+const MS_PER_S: f64 = 1000.0;
+
+/// One workspace's share with the count that its demand is read from.
+pub(super) struct Split {
+    pub(super) share: Share,
+    asked: u64,
+    read_ms: u64,
 }
 
-/// Notes the demand since the last refresh and starts the split anew where it must.
+/// Notes the demand since the last refresh.
 pub(super) fn refresh(control: &Control) {
     let members = control.table.borrow().live().len();
-    let epoch = control.shared.clock.wall_ms() / EPOCH_MS * 1_000 + members as u64;
-    let interval_s = control.shared.settings.gossip_interval_ms as f64 / 1000.0;
+    let now_ms = control.now_ms();
     let asked: HashMap<Arc<str>, u64> = control.shared.quota.asked().into_iter().collect();
     let view = control.shared.view.load();
     let mut shares = control.shares.borrow_mut();
     shares.retain(|name, _| view.snapshot.workspaces.contains_key(name));
     for (name, workspace) in &view.snapshot.workspaces {
         let quota = workspace.quota_per_s;
-        let share = shares
-            .entry(name.clone())
-            .or_insert_with(|| Share::new(quota, members, epoch));
-        share.reset(quota, members, epoch);
+        let entry = shares.entry(name.clone()).or_insert_with(|| Split {
+            share: Share::new(quota, members),
+            asked: 0,
+            read_ms: now_ms,
+        });
+        entry.share.adjust(quota, members);
         let total = asked.get(name).copied().unwrap_or(0);
-        let last = LAST_ASKED
-            .with_borrow_mut(|last| last.insert((control.shared.me.as_u64(), name.clone()), total));
-        let since = total.saturating_sub(last.unwrap_or(0));
-        share.note_demand(since as f64 / interval_s);
+        let elapsed_s = now_ms.saturating_sub(entry.read_ms) as f64 / MS_PER_S;
+        if elapsed_s <= 0.0 {
+            continue;
+        }
+        entry
+            .share
+            .note_demand((total - entry.asked) as f64 / elapsed_s);
+        entry.asked = total;
+        entry.read_ms = now_ms;
     }
 }
 
-/// Returns the highest demands, to be told to a peer.
+/// Returns the highest mean demands, to be told to a peer.
 pub(super) fn demands(control: &Control) -> Vec<Demand> {
     let shares = control.shares.borrow();
     let mut demands = Vec::new();
-    for (name, share) in shares.iter() {
-        if share.demand_per_s() < 0.01 {
-            continue;
+    for (name, entry) in shares.iter() {
+        let mean_per_s = entry.share.mean_per_s();
+        if mean_per_s >= MIN_MEAN_PER_S {
+            demands.push(Demand {
+                workspace: name.to_string(),
+                mean_per_s,
+            });
         }
-        demands.push(Demand {
-            workspace: name.to_string(),
-            per_s: share.demand_per_s(),
-            epoch: share.epoch(),
-        });
     }
-    demands.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
+    demands.sort_by(|left, right| right.mean_per_s.total_cmp(&left.mean_per_s));
     demands.truncate(DEMAND_COUNT);
     demands
 }
 
-/// Takes off the shares what a peer with more demand should get.
-pub(super) fn give(control: &Control, demands: &[Demand]) -> Vec<Offer> {
+/// Averages with a peer that asks: what it tells of, and what it does not tell of as zero.
+pub(super) fn meet(control: &Control, theirs: &[Demand]) -> Vec<Demand> {
+    let now_ms = control.now_ms();
     let mut shares = control.shares.borrow_mut();
-    let mut offers = Vec::new();
-    for demand in demands {
-        let Some(share) = shares.get_mut(demand.workspace.as_str()) else {
+    let mut answers = Vec::new();
+    for (name, entry) in shares.iter_mut() {
+        let Some(told) = told_of(name, theirs) else {
             continue;
         };
-        let Some(offer) = share.give(demand.per_s, demand.epoch) else {
-            continue;
-        };
-        offers.push(Offer {
-            workspace: demand.workspace.clone(),
-            per_s: offer.rate_per_s,
-            epoch: offer.epoch,
-        });
+        let mean_per_s = entry.share.meet(told, now_ms);
+        if mean_per_s >= MIN_MEAN_PER_S {
+            answers.push(Demand {
+                workspace: name.to_string(),
+                mean_per_s,
+            });
+        }
     }
-    offers
+    answers
 }
 
-/// Adds what a peer gave.
-pub(super) fn accept(control: &Control, offers: &[Offer]) {
+/// Takes in the averages that a peer answered.
+pub(super) fn met(control: &Control, averages: &[Demand]) {
+    let now_ms = control.now_ms();
     let mut shares = control.shares.borrow_mut();
-    for offer in offers {
-        if let Some(share) = shares.get_mut(offer.workspace.as_str()) {
-            share.accept(limits::Offer {
-                epoch: offer.epoch,
-                rate_per_s: offer.per_s,
-            });
+    for (name, entry) in shares.iter_mut() {
+        if let Some(told) = told_of(name, averages) {
+            entry.share.met(told, now_ms);
         }
     }
 }
+
+/// Returns the mean that a peer told of, which is zero for one that it left out of a short list.
+fn told_of(name: &str, demands: &[Demand]) -> Option<f64> {
+    let found = demands.iter().find(|demand| demand.workspace == name);
+    let absent = if demands.len() < DEMAND_COUNT {
+        Some(0.0)
+    } else {
+        None
+    };
+    found.map(|demand| demand.mean_per_s).or(absent)
+}
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 
 use catalog::{Object, Replica, RolloutPhase, Snapshot};
-use limits::Share;
 use member::{Member, Table, TableSettings};
 use receipt::{Holder, Ledger};
 use rollout::{Controller, Evidence, Monitor, allowance, exposure_cap};
 use upstream::Pools;
 
 use crate::control::learn::BrainState;
+use crate::control::shares;
 use crate::shared::Shared;
 use crate::view::{Brain, BrainKey, RolloutView, View};
 
@@ -43,7 +43,7 @@
     pub(super) table: RefCell<Table>,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) holder: RefCell<Holder>,
-    pub(super) shares: RefCell<HashMap<Arc<str>, Share>>,
+    pub(super) shares: RefCell<HashMap<Arc<str>, shares::Split>>,
     pub(super) brains: RefCell<HashMap<BrainKey, BrainState>>,
     pub(super) rollouts: RefCell<Rollouts>,
     pub(super) leaving: RefCell<BTreeSet<LeavingEndpoint>>,
@@ -236,10 +236,12 @@
     }
 
     fn rate_views(&self) -> HashMap<Arc<str>, f64> {
+        let now_ms = self.now_ms();
         let shares = self.shares.borrow();
+        let rate = |entry: &shares::Split| entry.share.rate_per_s(now_ms);
         shares
             .iter()
-            .map(|(name, share)| (name.clone(), share.rate_per_s()))
+            .map(|(name, entry)| (name.clone(), rate(entry)))
             .collect()
     }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -27,4 +27,4 @@
 pub use comeback::Comeback;
 pub use outlier::{Health, Outlier};
 pub use retry::RetryBudget;
-pub use share::{Offer, Share};
+pub use share::Share;
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -1,128 +1,110 @@
 //! One instance's share of a workspace's quota.
 
-/// A part of a share on its way from one instance to another.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Offer {
-    /// The membership epoch in which the giver holds its share.
-    pub epoch: u64,
-    /// The rate given, in requests a second.
-    pub rate_per_s: f64,
-}
+/// The weight of the latest sample in the demand.
+const DEMAND_WEIGHT: f64 = 0.4;
+
+/// How fast the mean forgets what a lost message left wrong, per sample.
+const LEAK: f64 = 0.05;
+
+/// How often over the room that is left is handed out, since few instances use their part of it.
+const HEADROOM_FACTOR: f64 = 2.0;
 
-/// The weight of the latest second in the demand.
-const DEMAND_WEIGHT: f64 = 0.3;
+/// The part of an equal split that an instance keeps when others ask for all.
+const FLOOR_SHARE: f64 = 0.05;
 
-/// The least share of an equal split that an instance keeps when it has no demand.
-const FLOOR_SHARE: f64 = 0.1;
+/// How long an instance trusts the mean without hearing a peer, in milliseconds.
+const TRUST_MS: u64 = 5_000;
 
 /// One instance's share of a quota that all instances keep together.
 ///
-/// Shares start as an equal split and move in pairs: the giver takes the rate off its own share
-/// before it sends it, so that a lost message makes the sum smaller and never larger. A new
-/// membership epoch starts the split anew; an offer of another epoch is dropped.
+/// Instances average their demand in pairs, so that each knows the mean without a table of all.
+/// Above the quota each gets a part in proportion to its demand; below it each gets its demand and a
+/// part of the room that is left. The sum may exceed the quota by [`HEADROOM_FACTOR`] until the mean
+/// has followed a rise in demand. An instance that hears no peer keeps to an equal split.
 ///
 /// # Examples
 ///
 /// ```
 /// use limits::Share;
 ///
-/// let mut idle = Share::new(10.0, 2, 1);
-/// let mut busy = Share::new(10.0, 2, 1);
-/// busy.note_demand(9.0);
-/// let offer = idle.give(busy.demand_per_s(), 1).unwrap();
-/// busy.accept(offer);
-/// assert!(busy.rate_per_s() > idle.rate_per_s());
-/// assert!((busy.rate_per_s() + idle.rate_per_s() - 10.0).abs() < 1e-9);
+/// let mut busy = Share::new(10.0, 2);
+/// let mut idle = Share::new(10.0, 2);
+/// for _ in 0..20 {
+///     busy.note_demand(9.0);
+///     idle.note_demand(0.0);
+///     let mean = idle.meet(busy.mean_per_s(), 0);
+///     busy.met(mean, 0);
+/// }
+/// assert!(busy.rate_per_s(0) > 9.0);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Share {
     quota_per_s: f64,
-    members: usize,
-    epoch: u64,
-    rate_per_s: f64,
+    members: f64,
     demand_per_s: f64,
+    mean_per_s: f64,
+    heard_ms: Option<u64>,
 }
 
 impl Share {
-    /// Starts with an equal split among the members of an epoch.
-    pub fn new(quota_per_s: f64, members: usize, epoch: u64) -> Share {
-        let members = members.max(1);
-        let rate_per_s = quota_per_s / members as f64;
+    /// Starts with an equal split.
+    pub fn new(quota_per_s: f64, members: usize) -> Share {
+        let members = members.max(1) as f64;
         Share {
             quota_per_s,
             members,
-            epoch,
-            rate_per_s,
             demand_per_s: 0.0,
+            mean_per_s: 0.0,
+            heard_ms: None,
         }
     }
 
-    /// Starts anew if the quota, the members or the epoch changed.
-    pub fn reset(&mut self, quota_per_s: f64, members: usize, epoch: u64) {
-        let same = self.quota_per_s == quota_per_s
-            && self.members == members.max(1)
-            && self.epoch == epoch;
-        if same {
-            return;
-        }
-        let demand_per_s = self.demand_per_s;
-        *self = Share::new(quota_per_s, members, epoch);
-        self.demand_per_s = demand_per_s;
+    /// Takes in a changed quota or number of members.
+    pub fn adjust(&mut self, quota_per_s: f64, members: usize) {
+        self.quota_per_s = quota_per_s;
+        self.members = members.max(1) as f64;
     }
 
     /// Notes how many requests a second were asked for lately.
     pub fn note_demand(&mut self, asked_per_s: f64) {
+        let before = self.demand_per_s;
         self.demand_per_s += DEMAND_WEIGHT * (asked_per_s - self.demand_per_s);
+        self.mean_per_s += self.demand_per_s - before;
+        self.mean_per_s += LEAK * (self.demand_per_s - self.mean_per_s);
     }
 
-    /// Returns the smoothed demand, in requests a second.
-    pub fn demand_per_s(&self) -> f64 {
-        self.demand_per_s
-    }
-
-    /// Returns the rate in force, in requests a second.
-    pub fn rate_per_s(&self) -> f64 {
-        self.rate_per_s
+    /// Returns the own view of the mean demand, to be told to a peer.
+    pub fn mean_per_s(&self) -> f64 {
+        self.mean_per_s
     }
 
-    /// Returns the epoch in force.
-    pub fn epoch(&self) -> u64 {
-        self.epoch
+    /// Averages with a peer that asks, and returns the average for its answer.
+    pub fn meet(&mut self, their_mean_per_s: f64, now_ms: u64) -> f64 {
+        self.mean_per_s = (self.mean_per_s + their_mean_per_s) / 2.0;
+        self.heard_ms = Some(now_ms);
+        self.mean_per_s
     }
 
-    /// Takes off what a peer with more need should get, or returns `None` if there is nothing to give.
-    pub fn give(&mut self, peer_demand_per_s: f64, peer_epoch: u64) -> Option<Offer> {
-        if peer_epoch != self.epoch || peer_demand_per_s <= self.demand_per_s {
-            return None;
-        }
-        let floor = self.quota_per_s / self.members as f64 * FLOOR_SHARE;
-        let surplus =
-            self.rate_per_s - floor.max(self.demand_per_s * self.pressure(peer_demand_per_s));
-        let rate_per_s = surplus / 2.0;
-        if rate_per_s <= floor / 100.0 {
-            return None;
-        }
-        self.rate_per_s -= rate_per_s;
-        Some(Offer {
-            epoch: self.epoch,
-            rate_per_s,
-        })
+    /// Takes in the average that a peer answered.
+    pub fn met(&mut self, average_per_s: f64, now_ms: u64) {
+        self.mean_per_s = average_per_s;
+        self.heard_ms = Some(now_ms);
     }
 
-    /// Adds what a peer gave.
-    pub fn accept(&mut self, offer: Offer) {
-        if offer.epoch == self.epoch {
-            self.rate_per_s += offer.rate_per_s;
+    /// Returns the rate in force, in requests a second.
+    pub fn rate_per_s(&self, now_ms: u64) -> f64 {
+        let equal = self.quota_per_s / self.members;
+        let trusted = self
+            .heard_ms
+            .is_some_and(|heard_ms| now_ms < heard_ms + TRUST_MS);
+        if !trusted || self.members <= 1.0 {
+            return equal;
         }
-    }
-
-    /// Returns how much of its demand an instance keeps against a peer of higher demand.
-    fn pressure(&self, peer_demand_per_s: f64) -> f64 {
-        let both = self.demand_per_s + peer_demand_per_s;
-        if both <= 0.0 {
-            return 1.0;
+        let total = (self.mean_per_s * self.members).max(self.demand_per_s);
+        if total <= self.quota_per_s {
+            let room = (self.quota_per_s - total) / self.members * HEADROOM_FACTOR;
+            return (self.demand_per_s + room).min(self.quota_per_s);
         }
-        let fair = self.quota_per_s / (both * self.members as f64 / 2.0);
-        fair.clamp(0.5, 1.2)
+        (self.quota_per_s * self.demand_per_s / total).max(equal * FLOOR_SHARE)
     }
 }
--- a/crates/policy/src/learned.rs
+++ b/crates/policy/src/learned.rs
@@ -163,13 +163,13 @@
                 kept_share: 0.0,
                 quality: 0.0,
             };
-            for bin in 0..CONFIDENCE_BINS {
+            for (bin, unsure) in escalated.iter().enumerate() {
                 let weight = record.seen[bin] / total;
                 if bin >= threshold {
                     cascade.kept_share += weight;
                     cascade.quality += weight * record.rated[bin].mean(overall);
                 } else {
-                    cascade.quality += weight * escalated[bin].mean(priors.then);
+                    cascade.quality += weight * unsure.mean(priors.then);
                 }
             }
             cascades.push(cascade);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -85,32 +85,15 @@
     pub hash: u64,
 }
 
-/// The demand on a workspace's quota.
+/// The mean demand on a workspace's quota, as its sender sees it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Demand {
     /// The workspace.
     #[prost(string, tag = "1")]
     pub workspace: String,
-    /// Requests asked for, a second.
+    /// The mean over the instances, in requests a second.
     #[prost(double, tag = "2")]
-    pub per_s: f64,
-    /// The epoch of the split.
-    #[prost(uint64, tag = "3")]
-    pub epoch: u64,
-}
-
-/// A part of a quota given to the receiver.
-#[derive(Clone, PartialEq, Message)]
-pub struct Offer {
-    /// The workspace.
-    #[prost(string, tag = "1")]
-    pub workspace: String,
-    /// Requests a second.
-    #[prost(double, tag = "2")]
-    pub per_s: f64,
-    /// The epoch of the split.
-    #[prost(uint64, tag = "3")]
-    pub epoch: u64,
+    pub mean_per_s: f64,
 }
 
 /// An endpoint that is leaving.
@@ -139,7 +122,7 @@
     /// The sender's configuration.
     #[prost(message, optional, tag = "3")]
     pub config: Option<ConfigDigest>,
-    /// The sender's demand on quotas.
+    /// The mean demand on quotas; in an answer, averaged with that of the asker.
     #[prost(message, repeated, tag = "4")]
     pub demands: Vec<Demand>,
     /// Endpoints that are leaving.
@@ -159,9 +142,6 @@
     /// The answerer's news.
     #[prost(message, optional, tag = "1")]
     pub news: Option<Ping>,
-    /// What the answerer gives of its shares.
-    #[prost(message, repeated, tag = "2")]
-    pub offers: Vec<Offer>,
 }
 
 /// Asks for configuration objects newer than a revision.
