Serve requests one at a time over the library's codec, and record receipts beside them

A profile showed 16% in malloc and 4% in memmove; each request body and answer went through a JSON tree twice, each request registered a watch on its caller, the library's server kept an 8 KB read buffer and an 8 KB copy buffer for the life of a stream, and receipts went over the control thread and back. Change: requests are decoded and encoded with the library's codec by our own loop, which lets go of the read buffer; unknown fields pass as raw JSON; answers are read typed and handed on as bytes; callers are watched from 100 ms on; the recorder runs with the requests.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,10 +1,13 @@
 //! Chat completions: the request body and the path of a request.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use http_types::Response;
 use kernel::{Failure, Reason};
-use serde_json::{Map, Value};
+use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use web::Incoming;
 
 use crate::context::Context;
@@ -13,59 +16,68 @@
 use crate::plan;
 use crate::shared::Shared;
 
+/// How much of the messages decides on the engine whose cache may hold them, in bytes.
+const PREFIX_BYTES: usize = 256;
+
+/// The fields that the router sets itself, whatever the caller sends.
+const OWN_FIELDS: [&str; 5] = ["model", "priority", "stream", "stream_options", "logprobs"];
+
 /// The body of a chat completion, checked.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct ChatRequest {
     /// The model or version asked for.
     pub(crate) model: Arc<str>,
     /// Whether the answer is streamed.
     pub(crate) stream: bool,
-    /// All fields, as the caller sent them.
-    pub(crate) fields: Map<String, Value>,
+    logprobs: bool,
+    /// The fields that go to the engine as they came.
+    fields: BTreeMap<String, Box<RawValue>>,
+}
+
+/// The part of a message that is checked.
+#[derive(Debug, Deserialize)]
+struct MessageHead {
+    #[serde(default)]
+    role: Option<String>,
+    #[serde(default)]
+    content: Option<IgnoredAny>,
+}
+
+fn bad(detail: impl Into<String>) -> Failure {
+    Failure::not_run(Reason::BadRequest, detail)
 }
 
 impl ChatRequest {
     /// Reads a body.
     pub(crate) fn parse(body: &[u8]) -> Result<ChatRequest, Failure> {
-        let bad = |detail: String| Failure::not_run(Reason::BadRequest, detail);
-        let value: Value = serde_json::from_slice(body)
-            .map_err(|err| bad(format!("the body is not JSON: {err}")))?;
-        let Value::Object(fields) = value else {
-            return Err(bad("the body: expected an object".to_owned()));
-        };
-        let model = match fields.get("model") {
-            Some(Value::String(model)) if !model.is_empty() => model.as_str().into(),
-            _ => return Err(bad("field 'model': expected the name of a model".to_owned())),
-        };
-        let stream = match fields.get("stream") {
-            None | Some(Value::Null) => false,
-            Some(Value::Bool(stream)) => *stream,
-            Some(other) => {
-                return Err(bad(format!(
-                    "field 'stream': expected true or false, found {other}"
-                )));
-            }
-        };
-        match fields.get("messages") {
-            Some(Value::Array(messages)) if !messages.is_empty() => check_messages(messages)?,
-            _ => {
-                return Err(bad(
-                    "field 'messages': expected an array of one or more messages".to_owned(),
-                ));
-            }
+        let mut fields: BTreeMap<String, Box<RawValue>> =
+            serde_json::from_slice(body).map_err(|err| {
+                let what = if err.is_data() {
+                    "expected an object"
+                } else {
+                    "it is not JSON"
+                };
+                bad(format!("the body: {what}: {err}"))
+            })?;
+        let model: String = read(&fields, "model", "the name of a model")?.unwrap_or_default();
+        if model.is_empty() {
+            return Err(bad("field 'model': expected the name of a model"));
         }
-        match fields.get("max_tokens") {
-            None | Some(Value::Null) => {}
-            Some(count) if count.as_u64().is_some_and(|count| count > 0) => {}
-            Some(other) => {
-                return Err(bad(format!(
-                    "field 'max_tokens': expected a whole number above 0, found {other}"
-                )));
-            }
+        let stream = read(&fields, "stream", "true or false")?.unwrap_or(false);
+        let logprobs = read(&fields, "logprobs", "true or false")?.unwrap_or(false);
+        let messages: Option<Vec<MessageHead>> = read(&fields, "messages", "an array of messages")?;
+        check_messages(&messages.unwrap_or_default())?;
+        let tokens: Option<u64> = read(&fields, "max_tokens", "a whole number above 0")?;
+        if tokens == Some(0) {
+            return Err(bad(
+                "field 'max_tokens': expected a whole number above 0, found 0",
+            ));
         }
+        fields.retain(|name, _| !OWN_FIELDS.contains(&name.as_str()));
         Ok(ChatRequest {
-            model,
+            model: model.into(),
             stream,
+            logprobs,
             fields,
         })
     }
@@ -78,39 +90,81 @@
         stream: bool,
         confidence: bool,
     ) -> Vec<u8> {
-        let mut fields = self.fields.clone();
-        fields.insert("model".to_owned(), version.into());
-        fields.insert("priority".to_owned(), priority.into());
-        if stream {
-            fields.insert(
-                "stream_options".to_owned(),
-                serde_json::json!({ "include_usage": true }),
-            );
-        } else {
-            fields.remove("stream");
-        }
-        if confidence {
-            fields.insert("logprobs".to_owned(), true.into());
-        }
-        serde_json::to_vec(&fields).unwrap_or_default()
+        let body = EngineBody {
+            model: version,
+            priority,
+            stream: stream.then_some(true),
+            stream_options: stream.then_some(StreamOptions {
+                include_usage: true,
+            }),
+            logprobs: (confidence || self.logprobs).then_some(true),
+            fields: &self.fields,
+        };
+        serde_json::to_vec(&body).unwrap_or_default()
     }
 
-    /// Returns the text of the first message, whose prefix engines cache.
-    pub(crate) fn first_text(&self) -> String {
-        self.fields["messages"][0]["content"].to_string()
+    /// Returns the text of the messages, whose prefix engines cache.
+    pub(crate) fn prefix(&self) -> &str {
+        let text = self
+            .fields
+            .get("messages")
+            .map_or("", |messages| messages.get());
+        let end = (0..=text.len().min(PREFIX_BYTES))
+            .rev()
+            .find(|end| text.is_char_boundary(*end));
+        &text[..end.unwrap_or(0)]
     }
 }
 
-fn check_messages(messages: &[Value]) -> Result<(), Failure> {
+/// The body that an engine gets.
+#[derive(Debug, Serialize)]
+struct EngineBody<'a> {
+    model: &'a str,
+    priority: u8,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stream: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stream_options: Option<StreamOptions>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    logprobs: Option<bool>,
+    #[serde(flatten)]
+    fields: &'a BTreeMap<String, Box<RawValue>>,
+}
+
+#[derive(Debug, Serialize)]
+struct StreamOptions {
+    include_usage: bool,
+}
+
+/// Reads one field, which may be absent or null.
+fn read<T: DeserializeOwned>(
+    fields: &BTreeMap<String, Box<RawValue>>,
+    name: &str,
+    expected: &str,
+) -> Result<Option<T>, Failure> {
+    let Some(raw) = fields.get(name) else {
+        return Ok(None);
+    };
+    serde_json::from_str(raw.get())
+        .map_err(|err| bad(format!("field '{name}': expected {expected}: {err}")))
+}
+
+fn check_messages(messages: &[MessageHead]) -> Result<(), Failure> {
+    if messages.is_empty() {
+        return Err(bad(
+            "field 'messages': expected an array of one or more messages",
+        ));
+    }
     for (index, message) in messages.iter().enumerate() {
-        if message.get("role").and_then(Value::as_str).is_none() {
-            let detail = format!("field 'messages[{index}].role': expected a text");
-            return Err(Failure::not_run(Reason::BadRequest, detail));
+        if message.role.is_none() {
+            return Err(bad(format!(
+                "field 'messages[{index}].role': expected a text"
+            )));
         }
-        if message.get("content").is_none() {
-            let detail =
-                format!("field 'messages[{index}].content': expected the message's content");
-            return Err(Failure::not_run(Reason::BadRequest, detail));
+        if message.content.is_none() {
+            return Err(bad(format!(
+                "field 'messages[{index}].content': expected the message's content"
+            )));
         }
     }
     Ok(())
--- a/crates/entry/src/control/convert.rs
+++ b/crates/entry/src/control/convert.rs
@@ -72,7 +72,7 @@
     })
 }
 
-pub(super) fn receipt_to_wire(receipt: &Receipt) -> ReceiptEntry {
+pub(crate) fn receipt_to_wire(receipt: &Receipt) -> ReceiptEntry {
     ReceiptEntry {
         json: serde_json::to_vec(receipt).unwrap_or_default(),
     }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,4 +1,4 @@
-//! The control thread: configuration, membership, receipts, learning and roll-outs.
+//! The control thread: configuration, membership, settlement, learning and roll-outs.
 //!
 //! All of it runs on one thread, so that its state needs no lock. Requests see it through the
 //! immutable [`View`] that it publishes.
@@ -8,7 +8,6 @@
 mod gossip;
 mod learn;
 mod listing;
-mod record;
 mod rollouts;
 mod serve_peers;
 mod settle;
@@ -16,6 +15,8 @@
 mod state;
 mod watch;
 
+pub(crate) use convert::receipt_to_wire;
+
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,7 +28,7 @@
 use member::Member;
 use smol::{LocalExecutor, Timer};
 
-use crate::shared::{Bill, Lesson, Shared};
+use crate::shared::{Lesson, Shared};
 use state::Control;
 
 /// How often a changed state is published.
@@ -38,18 +39,16 @@
 
 /// What the control thread receives.
 pub(crate) struct Inbox {
-    pub(crate) bills: Receiver<Bill>,
     pub(crate) lessons: Receiver<Lesson>,
     pub(crate) stop: Receiver<()>,
     pub(crate) peers: Async<TcpListener>,
 }
 
-/// Runs the control thread until it is told to stop, and then until receipts are saved.
+/// Runs the control thread until it is told twice to stop: to leave, and to end.
 pub(crate) fn run(shared: Arc<Shared>, me: Member, inbox: Inbox) {
     let executor = Rc::new(LocalExecutor::new());
     let control = Rc::new(Control::new(shared, me));
     let Inbox {
-        bills,
         lessons,
         stop,
         peers,
@@ -60,8 +59,6 @@
     executor.spawn(watch::run(control.clone())).detach();
     executor.spawn(listing::run(control.clone())).detach();
     executor.spawn(gossip::run(control.clone())).detach();
-    executor.spawn(record::run(control.clone(), bills)).detach();
-    executor.spawn(record::flush(control.clone())).detach();
     executor.spawn(adopt::run(control.clone())).detach();
     executor.spawn(settle::run(control.clone())).detach();
     executor
@@ -74,7 +71,6 @@
         let _ = stop.recv().await;
         gossip::leave(&control).await;
         let _ = stop.recv().await;
-        record::flush_all(&control).await;
     }));
 }
 
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -6,7 +6,7 @@
 
 use catalog::{Object, Replica, RolloutPhase, Snapshot};
 use member::{Member, Table, TableSettings};
-use receipt::{Holder, Ledger};
+use receipt::Holder;
 use rollout::{Controller, Evidence, Monitor, allowance, exposure_cap};
 use upstream::Pools;
 
@@ -41,7 +41,6 @@
     pub(super) shared: Arc<Shared>,
     pub(super) replica: RefCell<Replica>,
     pub(super) table: RefCell<Table>,
-    pub(super) ledger: RefCell<Ledger>,
     pub(super) holder: RefCell<Holder>,
     pub(super) shares: RefCell<HashMap<Arc<str>, shares::Split>>,
     pub(super) brains: RefCell<HashMap<BrainKey, BrainState>>,
@@ -52,8 +51,6 @@
     /// When the store was heard last, on the monotonic clock.
     pub(super) store_heard_ms: Cell<u64>,
     pub(super) configured: Cell<bool>,
-    pub(super) saved_batch: Cell<u64>,
-    pub(super) flushing: Cell<bool>,
     cut_off: Cell<bool>,
     changed: Cell<bool>,
     rebuild: Cell<bool>,
@@ -71,7 +68,6 @@
         Control {
             replica: RefCell::default(),
             table: RefCell::new(Table::new(me, table)),
-            ledger: RefCell::new(Ledger::new(shared.me)),
             holder: RefCell::new(Holder::new(shared.me, max_held)),
             shares: RefCell::default(),
             brains: RefCell::default(),
@@ -80,8 +76,6 @@
             heard_ms: Cell::new(now_ms),
             store_heard_ms: Cell::new(0),
             configured: Cell::new(false),
-            saved_batch: Cell::new(0),
-            flushing: Cell::new(false),
             cut_off: Cell::new(false),
             changed: Cell::new(true),
             rebuild: Cell::new(true),
@@ -274,7 +268,7 @@
     pub(super) fn send_levels(&self) {
         let metrics = &self.shared.metrics;
         let usage = self.shared.platform.meter().usage();
-        metrics.level("receipt.unsaved", self.ledger.borrow().unsaved() as u64);
+        metrics.level("receipt.unsaved", self.shared.recorder.unsaved() as u64);
         metrics.level("receipt.held", self.holder.borrow().held() as u64);
         metrics.level(
             "config.revision",
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -59,6 +59,12 @@
     Stream(Box<Pump>),
 }
 
+/// The whole answer of one call.
+struct WholeAnswer {
+    bytes: Vec<u8>,
+    completion: Completion,
+}
+
 /// Runs a request for the one caller that waits for it; a vanished caller cancels it.
 pub(crate) async fn respond(
     shared: Arc<Shared>,
@@ -163,7 +169,7 @@
     let body = chat.engine_body(&version.name, context.priority.rank(), stream, confidence);
     let affinity = match &context.session {
         Some(session) => format!("{}/{}", session.workspace, session.expires_ms),
-        None => chat.first_text(),
+        None => chat.prefix().to_owned(),
     };
     Call::builder("/v1/chat/completions", body, context.request.clone())
         .priority(context.priority)
@@ -284,26 +290,26 @@
         &mut billing,
     )
     .await;
-    let completion = match first {
-        Ok(completion) => completion,
+    let answer = match first {
+        Ok(answer) => answer,
         Err(failure) => {
             teacher.teach(shared, context, CallEnd::failed(path.first));
             return Err(settle_failure(billing, failure));
         }
     };
     let first_name = path.first.version.name.clone();
-    let first = CallEnd::answered(path.first, &completion, ending(context, &billing));
-    let sure = |threshold: f64| completion.confidence.unwrap_or(0.0) >= threshold;
+    let first = CallEnd::answered(path.first, &answer.completion, ending(context, &billing));
+    let sure = |threshold: f64| answer.completion.confidence.unwrap_or(0.0) >= threshold;
     let Some((then, _)) = path.then.filter(|(_, threshold)| !sure(*threshold)) else {
         teacher.teach(shared, context, first);
-        return finish(billing, completion, first_name, chat.stream).await;
+        return finish(billing, answer, first_name, chat.stream).await;
     };
     teacher.teach(shared, context, first.not_last());
     match complete(shared, context, &chat, &then, 1, false, &mut billing).await {
         Ok(better) => {
             let name = then.version.name.clone();
-            let confidence = completion.confidence.unwrap_or(0.0);
-            let end = CallEnd::answered(then, &better, ending(context, &billing));
+            let confidence = answer.completion.confidence.unwrap_or(0.0);
+            let end = CallEnd::answered(then, &better.completion, ending(context, &billing));
             teacher.teach(
                 shared,
                 context,
@@ -318,7 +324,7 @@
             let verdict = failure.verdict.as_str();
             tracing::info!(request = %context.request, verdict, "cascade: second call failed, the first answer is kept");
             teacher.teach(shared, context, CallEnd::failed(then).not_last());
-            finish(billing, completion, first_name, chat.stream).await
+            finish(billing, answer, first_name, chat.stream).await
         }
     }
 }
@@ -332,7 +338,7 @@
     stage: u32,
     confidence: bool,
     billing: &mut Billing,
-) -> Result<Completion, Failure> {
+) -> Result<WholeAnswer, Failure> {
     let call = call(context, chat, &leg.version, false, stage, confidence);
     let pool = pool_of(context, &leg.version)?;
     let had_run = stage > 0;
@@ -351,8 +357,8 @@
     let completion = completion.map_err(|err| {
         Failure::may_have_run(Reason::Endpoint, format!("the answer is faulty: {err}"))
     })?;
-    billing.add(&leg.version, completion.usage);
-    Ok(completion)
+    billing.add(&leg.version, completion.usage.unwrap_or_default());
+    Ok(WholeAnswer { bytes, completion })
 }
 
 /// Starts a call and reads its whole answer, trying again while that is safe.
@@ -387,17 +393,19 @@
 
 async fn finish(
     billing: Billing,
-    completion: Completion,
+    answer: WholeAnswer,
     version: Arc<str>,
     as_stream: bool,
 ) -> Result<Answer, Failure> {
     billing.answered().await;
     if as_stream {
-        let bytes = crate::pump::as_events(&completion);
+        let bytes = crate::pump::as_events(&answer.bytes);
         return Ok(Answer::Stream(Box::new(Pump::ready(bytes, version))));
     }
-    let bytes = serde_json::to_vec(&completion.value).unwrap_or_default();
-    Ok(Answer::Whole { bytes, version })
+    Ok(Answer::Whole {
+        bytes: answer.bytes,
+        version,
+    })
 }
 
 /// How one call on a version ended.
@@ -432,7 +440,7 @@
         let confidence = completion.confidence;
         CallEnd {
             confidence,
-            ..CallEnd::streamed(leg, completion.text().to_owned(), ending)
+            ..CallEnd::streamed(leg, completion.text.clone(), ending)
         }
     }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -22,12 +22,13 @@
 use crate::keyed::Keyed;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
+use crate::record::{self, Recorder};
 use crate::routes::Router;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::view::View;
 
-/// The most receipts that wait for the control thread.
+/// The most receipts that wait for the recorder.
 const BILL_QUEUE: usize = 4096;
 
 /// The most lessons that wait for the control thread.
@@ -75,6 +76,7 @@
             quota: Quota::default(),
             exposure: Exposure::default(),
             metrics: Metrics::new(&settings.metrics_addr),
+            recorder: Recorder::new(me),
             bills,
             lessons,
             stopping: AtomicBool::new(false),
@@ -97,9 +99,12 @@
             .started_ms(shared.started_ms);
         let drain = server.drain();
         executor.spawn(server.run(executor.clone())).detach();
+        executor
+            .spawn(record::run(shared.clone(), bill_inbox))
+            .detach();
+        executor.spawn(record::flush(shared.clone())).detach();
         let (stop_control, stop) = bounded(2);
         let inbox = Inbox {
-            bills: bill_inbox,
             lessons: lesson_inbox,
             stop,
             peers,
@@ -172,6 +177,7 @@
         while self.drain.open_requests() > 0 {
             std::thread::sleep(STOP_TICK);
         }
+        smol::block_on(record::flush_all(&self.shared));
         let _ = self.stop_control.send_blocking(());
         drop(self.control.join());
         drop(self.stop_traffic);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod plan;
 mod pump;
 mod quota;
+mod record;
 mod routes;
 mod service;
 mod sessions;
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -158,14 +158,12 @@
         if !may_hold_usage && !keeps_text {
             return;
         }
-        let Ok(value) = serde_json::from_slice::<Value>(data) else {
+        let Ok(read) = Completion::parse_event(data) else {
             return;
         };
-        if let Some(usage) = Usage::read(&value) {
-            self.usage = Some(usage);
-        }
-        if keeps_text && let Some(text) = value["choices"][0]["delta"]["content"].as_str() {
-            self.text.push_str(text);
+        self.usage = read.usage.or(self.usage);
+        if keeps_text {
+            self.text.push_str(&read.text);
         }
     }
 
@@ -241,9 +239,10 @@
 }
 
 /// Writes a whole answer as the events of a stream.
-pub(crate) fn as_events(completion: &Completion) -> Vec<u8> {
-    let value = &completion.value;
-    let delta = json!({ "role": "assistant", "content": completion.text() });
+pub(crate) fn as_events(answer: &[u8]) -> Vec<u8> {
+    let value: Value = serde_json::from_slice(answer).unwrap_or_default();
+    let content = &value["choices"][0]["message"]["content"];
+    let delta = json!({ "role": "assistant", "content": content });
     let mut chunk = json!({
         "id": value["id"],
         "object": "chat.completion.chunk",
--- a/crates/entry/src/control/record.rs
+++ b/crates/entry/src/record.rs
@@ -1,20 +1,23 @@
 //! Receipts: first to a peer that holds them, then to the object API.
+//!
+//! The recorder runs with the requests, whose last byte waits for it.
 
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use kernel::Incarnation;
-use member::holders;
-use receipt::Receipt;
+use member::{Member, holders};
+use receipt::{Ledger, Receipt};
 use smol::Timer;
 use store::{Expect, ObjectApi};
 use wire::{Body, Envelope, Hold, Link};
 
-use crate::control::convert::receipt_to_wire;
-use crate::control::state::Control;
-use crate::shared::Bill;
+use crate::control::receipt_to_wire;
+use crate::shared::{Bill, Shared};
 
 /// The most receipts that go to a peer at once.
 const MAX_BATCH: usize = 512;
@@ -42,8 +45,35 @@
     link: Link,
 }
 
-/// Takes receipts from the traffic threads until the channel closes.
-pub(super) async fn run(control: Rc<Control>, bills: Receiver<Bill>) {
+/// The receipts that are not saved yet.
+pub(crate) struct Recorder {
+    ledger: Mutex<Ledger>,
+    saved_batch: AtomicU64,
+    saving: AtomicBool,
+}
+
+impl Recorder {
+    /// Starts with none.
+    pub(crate) fn new(home: Incarnation) -> Recorder {
+        Recorder {
+            ledger: Mutex::new(Ledger::new(home)),
+            saved_batch: AtomicU64::new(0),
+            saving: AtomicBool::new(false),
+        }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many receipts are not saved.
+    pub(crate) fn unsaved(&self) -> usize {
+        self.ledger().unsaved()
+    }
+}
+
+/// Takes receipts until the channel closes.
+pub(crate) async fn run(shared: Arc<Shared>, bills: Receiver<Bill>) {
     let mut batches = Batches::default();
     let mut held_by = None;
     while let Ok(first) = bills.recv().await {
@@ -51,7 +81,7 @@
         let mut receipts = Vec::new();
         let mut next = Some(first);
         while let Some(bill) = next {
-            receipts.push(control.ledger.borrow_mut().add(bill.draft));
+            receipts.push(shared.recorder.ledger().add(bill.draft));
             waiting.extend(bill.durable);
             next = if receipts.len() < MAX_BATCH {
                 bills.try_recv().ok()
@@ -59,9 +89,9 @@
                 None
             };
         }
-        let number = batches.open(&control, receipts.len());
-        let held = hold(&control, &mut held_by, number, &receipts).await;
-        let durable = held || save(&control).await;
+        let number = batches.open(&shared.recorder, receipts.len());
+        let held = hold(&shared, &mut held_by, number, &receipts).await;
+        let durable = held || save(&shared).await;
         confirm(waiting, durable);
     }
 }
@@ -77,16 +107,16 @@
 
 impl Batches {
     /// Opens a batch and notes which earlier ones are saved.
-    fn open(&mut self, control: &Control, count: usize) -> u64 {
+    fn open(&mut self, recorder: &Recorder, count: usize) -> u64 {
         self.next += 1;
         self.added += count as u64;
         self.open.push_back((self.next, self.added));
-        let saved = self.added - control.ledger.borrow().unsaved() as u64;
+        let saved = self.added - recorder.unsaved() as u64;
         while let Some((number, sum)) = self.open.front() {
             if *sum > saved {
                 break;
             }
-            control.saved_batch.set(*number);
+            recorder.saved_batch.store(*number, Ordering::Relaxed);
             self.open.pop_front();
         }
         self.next
@@ -95,19 +125,19 @@
 
 /// Asks peers, those of other availability zones first, to hold a batch.
 async fn hold(
-    control: &Control,
+    shared: &Shared,
     held_by: &mut Option<HolderLink>,
     batch: u64,
     receipts: &[Receipt],
 ) -> bool {
     let message = Hold {
         batch,
-        saved_batch: control.saved_batch.get(),
+        saved_batch: shared.recorder.saved_batch.load(Ordering::Relaxed),
         receipts: receipts.iter().map(receipt_to_wire).collect(),
     };
-    let envelope = Envelope::new(control.shared.me.as_u64(), Body::Hold(message));
-    let timeout = Duration::from_millis(control.shared.settings.receipt_hold_timeout_ms);
-    for (peer, addr) in candidates(control) {
+    let envelope = Envelope::new(shared.me.as_u64(), Body::Hold(message));
+    let timeout = Duration::from_millis(shared.settings.receipt_hold_timeout_ms);
+    for (peer, addr) in candidates(shared) {
         let held = match held_by.take() {
             Some(held) if held.peer == peer => Some(held),
             _ => match Link::connect(addr, timeout).await {
@@ -132,11 +162,14 @@
     false
 }
 
-fn candidates(control: &Control) -> Vec<(Incarnation, std::net::SocketAddr)> {
-    let table = control.table.borrow();
-    let live = table.live();
+fn candidates(shared: &Shared) -> Vec<(Incarnation, SocketAddr)> {
+    let view = shared.view.load();
+    let members: Vec<&Member> = view.members.iter().collect();
+    let Some(me) = view.member(shared.me) else {
+        return Vec::new();
+    };
     let mut found = Vec::new();
-    for peer in holders(table.me(), &live).into_iter().take(MAX_HOLDERS) {
+    for peer in holders(me, &members).into_iter().take(MAX_HOLDERS) {
         if let Ok(addr) = peer.peer_addr.parse() {
             found.push((peer.incarnation, addr));
         }
@@ -145,54 +178,50 @@
 }
 
 /// Saves receipts at the set interval.
-pub(super) async fn flush(control: Rc<Control>) {
-    let interval = Duration::from_millis(control.shared.settings.receipt_flush_ms);
+pub(crate) async fn flush(shared: Arc<Shared>) {
+    let interval = Duration::from_millis(shared.settings.receipt_flush_ms);
     loop {
         Timer::after(interval).await;
-        save(&control).await;
+        save(&shared).await;
     }
 }
 
 /// Saves all receipts before a planned stop ends, as far as the store lets it.
-pub(super) async fn flush_all(control: &Control) {
-    let end_ms = control.now_ms() + STOP_FLUSH_MS;
-    while control.now_ms() < end_ms {
-        if save(control).await && control.ledger.borrow().unsaved() == 0 {
+pub(crate) async fn flush_all(shared: &Shared) {
+    let end_ms = shared.clock.mono_ms() + STOP_FLUSH_MS;
+    while shared.clock.mono_ms() < end_ms {
+        if save(shared).await && shared.recorder.unsaved() == 0 {
             return;
         }
         Timer::after(STOP_PAUSE).await;
     }
-    let unsaved = control.ledger.borrow().unsaved();
+    let unsaved = shared.recorder.unsaved();
     tracing::warn!(unsaved, "receipt: left to the peer that holds them");
 }
 
 /// Saves what is not saved yet, and returns whether all of that is.
 ///
 /// A write whose answer is lost is repeated under the same path.
-async fn save(control: &Control) -> bool {
-    if control.flushing.replace(true) {
+async fn save(shared: &Shared) -> bool {
+    if shared.recorder.saving.swap(true, Ordering::SeqCst) {
         return false;
     }
     let mut saved = true;
     while saved {
-        let Some(segment) = control.ledger.borrow().next_segment() else {
+        let segment = shared.recorder.ledger().next_segment();
+        let Some(segment) = segment else {
             break;
         };
         let value = serde_json::to_value(&segment).unwrap_or_default();
-        let path = segment.path(control.shared.settings.settle_shards);
-        match control
-            .shared
-            .platform
-            .put(&path, &value, Expect::Any)
-            .await
-        {
-            Ok(_) => control.ledger.borrow_mut().saved(&segment),
+        let path = segment.path(shared.settings.settle_shards);
+        match shared.platform.put(&path, &value, Expect::Any).await {
+            Ok(_) => shared.recorder.ledger().saved(&segment),
             Err(err) => {
                 tracing::debug!("receipt: not saved, {err}");
                 saved = false;
             }
         }
     }
-    control.flushing.set(false);
+    shared.recorder.saving.store(false, Ordering::SeqCst);
     saved
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -17,10 +17,11 @@
 use crate::keyed::Keyed;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
+use crate::record::Recorder;
 use crate::settings::Settings;
 use crate::view::View;
 
-/// A receipt on its way to the control thread.
+/// A receipt on its way to the recorder.
 pub(crate) struct Bill {
     /// What is billed.
     pub(crate) draft: Draft,
@@ -80,6 +81,7 @@
     pub(crate) quota: Quota,
     pub(crate) exposure: Exposure,
     pub(crate) metrics: Metrics,
+    pub(crate) recorder: Recorder,
     pub(crate) bills: Sender<Bill>,
     pub(crate) lessons: Sender<Lesson>,
     pub(crate) stopping: AtomicBool,
--- a/crates/web/src/conn.rs
+++ b/crates/web/src/conn.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
@@ -13,6 +13,9 @@
 /// How many bytes are read ahead while a head is awaited.
 const READ_AHEAD_BYTES: usize = 2048;
 
+/// The age from which on a request's caller is watched.
+const WATCH_AFTER: Duration = Duration::from_millis(100);
+
 /// The bytes that end a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -37,6 +40,7 @@
     responded: bool,
     pipelined: bool,
     heads: u64,
+    asked: Instant,
     skipped: bool,
     write_timer: Option<Timer>,
 }
@@ -65,6 +69,7 @@
             responded: false,
             pipelined: false,
             heads: 0,
+            asked: Instant::now(),
             skipped: false,
             write_timer: None,
         };
@@ -142,7 +147,9 @@
     pub(crate) fn poll_vanished(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut gate = self.gate();
         let body_read = matches!(gate.phase, Phase::Gap | Phase::Body(0));
-        if !body_read || gate.pipelined || !gate.held.is_empty() {
+        // Short requests are not worth the system calls; the supervisor's tick polls again later.
+        let young = gate.asked.elapsed() < WATCH_AFTER;
+        if young || !body_read || gate.pipelined || !gate.held.is_empty() {
             return Poll::Pending;
         }
         loop {
@@ -188,6 +195,7 @@
         if self.matched == HEAD_END.len() {
             self.matched = 0;
             self.phase = Phase::Gap;
+            self.asked = Instant::now();
         }
         self.serve(buf, count)
     }
--- a/crates/web/src/serve.rs
+++ b/crates/web/src/serve.rs
@@ -8,9 +8,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use async_h1::server::{ConnectionStatus, Encoder, Server as H1};
+use async_h1::server::{Encoder, decode};
 use async_io::{Async, Timer};
-use futures_lite::{FutureExt, io as async_io_util};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use http_types::headers::{CONNECTION, HeaderValues};
 use http_types::{Method, Response};
 use kernel::{Failure, Reason};
 use smol::Executor;
@@ -30,6 +31,9 @@
 /// How often a connection looks at its idle time and at the end of the server.
 const SUPERVISE_TICK: Duration = Duration::from_millis(250);
 
+/// How much of a response is written at a time, in bytes.
+const WRITE_CHUNK_BYTES: usize = 2048;
+
 /// How long accepting pauses after an error such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -128,6 +132,27 @@
 /// Counts a request as open while it lives.
 struct OpenRequest(Arc<Drain>);
 
+impl OpenRequest {
+    fn new(drain: &Arc<Drain>) -> OpenRequest {
+        drain.enter();
+        OpenRequest(drain.clone())
+    }
+}
+
+/// What comes after a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// Another request on the same connection.
+    Request,
+    /// The end of the connection.
+    Close,
+}
+
+/// Returns whether a header asks to close the connection.
+fn closes(header: Option<&HeaderValues>) -> bool {
+    header.is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"))
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.leave();
@@ -136,32 +161,19 @@
 
 impl Session {
     async fn run(self) {
-        let open = Arc::new(std::sync::Mutex::new(None));
-        let mut server = H1::new(self.conn.clone(), |request| {
-            if let Ok(mut slot) = open.lock() {
-                self.drain.enter();
-                *slot = Some(OpenRequest(self.drain.clone()));
-            }
-            let incoming = Incoming::new(request, self.peer, self.conn.clone(), &self.limits);
-            self.answer(incoming)
-        });
         let mut supervised = pin!(self.supervise());
         loop {
             self.conn.next_request();
             let vanished = async {
                 poll_fn(|cx| self.conn.poll_vanished(cx)).await;
-                Ok(ConnectionStatus::Close)
+                Ok(Next::Close)
             };
             let supervised = async {
                 supervised.as_mut().await;
-                Ok(ConnectionStatus::Close)
+                Ok(Next::Close)
             };
-            let result = server.accept_one().or(vanished).or(supervised).await;
-            if let Ok(mut slot) = open.lock() {
-                slot.take();
-            }
-            match result {
-                Ok(ConnectionStatus::KeepAlive) if !self.drain.is_closing() => {}
+            match self.serve_one().or(vanished).or(supervised).await {
+                Ok(Next::Request) if !self.drain.is_closing() => {}
                 Ok(_) => break,
                 Err(err) => {
                     self.reject(&err).await;
@@ -172,6 +184,37 @@
         self.conn.close();
     }
 
+    /// Reads one request, answers it, and says what comes next.
+    async fn serve_one(&self) -> http_types::Result<Next> {
+        let Some((request, body)) = decode(self.conn.clone()).await? else {
+            return Ok(Next::Close);
+        };
+        // The request holds the body too; this handle would only keep its buffer alive.
+        drop(body);
+        let _open = OpenRequest::new(&self.drain);
+        let method = request.method();
+        let asks_close = closes(request.header(CONNECTION));
+        let incoming = Incoming::new(request, self.peer, self.conn.clone(), &self.limits);
+        let response = self.answer(incoming).await;
+        let close = asks_close || closes(response.header(CONNECTION));
+        self.write(response, method).await?;
+        Ok(if close { Next::Close } else { Next::Request })
+    }
+
+    /// Writes a response as it is made.
+    async fn write(&self, response: Response, method: Method) -> http_types::Result<()> {
+        let mut encoder = Encoder::new(response, method);
+        let mut conn = self.conn.clone();
+        let mut chunk = [0; WRITE_CHUNK_BYTES];
+        loop {
+            let count = encoder.read(&mut chunk).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            conn.write_all(&chunk[..count]).await?;
+        }
+    }
+
     /// Is ready when the connection waited too long for a head, or is idle when the server ended.
     async fn supervise(&self) {
         let mut waited_ms = 0;
@@ -194,14 +237,14 @@
         }
     }
 
-    async fn answer(&self, incoming: Incoming) -> http_types::Result<Response> {
+    async fn answer(&self, incoming: Incoming) -> Response {
         let chunked = incoming.header("transfer-encoding").is_some();
         let has_body = chunked || incoming.request.len().is_some_and(|length| length > 0);
         let mut response = self.handler.handle(incoming).await;
         if chunked || self.drain.is_closing() || self.conn.has_unread_body(has_body) {
-            response.insert_header("connection", "close");
+            response.insert_header(CONNECTION, "close");
         }
-        Ok(response)
+        response
     }
 
     /// Answers a request that the library could not read.
@@ -214,8 +257,7 @@
             format!("the request cannot be read: {err}"),
         );
         let mut response = fail(&failure);
-        response.insert_header("connection", "close");
-        let mut encoder = Encoder::new(response, Method::Get);
-        drop(async_io_util::copy(&mut encoder, &mut self.conn.clone()).await);
+        response.insert_header(CONNECTION, "close");
+        drop(self.write(response, Method::Get).await);
     }
 }
