Watch versions after the last step, and run seeded faults together

Before that, a version that turned bad after its last step was not watched at all. Change: the threshold is 13 nats, a version is watched for 30 minutes after the last step, a step lasts at least min_step_ms (180 s by default); a seeded test strikes six processes with nine of twelve kinds of fault, about half of them lasting into the next, and audits the whole record.

--- a/crates/catalog/src/resource.rs
+++ b/crates/catalog/src/resource.rs
@@ -244,11 +244,20 @@
     pub steps: Vec<f64>,
     /// The most requests at one time that ran on the unproven version and are not rated yet.
     pub max_unrated: u32,
+    /// How long each step lasts at least, in milliseconds.
+    #[serde(default = "default_min_step_ms")]
+    pub min_step_ms: u64,
     /// Whether the roll-out holds its step.
     #[serde(default)]
     pub paused: bool,
 }
 
+const DEFAULT_MIN_STEP_MS: u64 = 180_000;
+
+fn default_min_step_ms() -> u64 {
+    DEFAULT_MIN_STEP_MS
+}
+
 /// The phase of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/entry/src/control/rollouts.rs
+++ b/crates/entry/src/control/rollouts.rs
@@ -29,7 +29,7 @@
         Timer::after(interval).await;
         let snapshot = control.shared.view.load().snapshot.clone();
         for rollout in snapshot.rollouts.values() {
-            if !is_open(&snapshot, rollout) {
+            if !is_open(&snapshot, rollout, control.shared.clock.wall_ms()) {
                 continue;
             }
             judge_here(&control, &snapshot, rollout);
@@ -53,18 +53,23 @@
     }
 }
 
-/// Returns whether a roll-out is still to be moved along.
-fn is_open(snapshot: &Snapshot, rollout: &Rollout) -> bool {
-    let ended = |status: &RolloutStatus| status.phase != RolloutPhase::Running;
-    let usable = |version: &Arc<str>| {
-        let found = snapshot.versions.get(version);
-        found.is_some_and(|version| version.state != VersionState::Withdrawn)
+/// How long a version is watched after the last step, in milliseconds.
+const DONE_WATCH_MS: u64 = 1_800_000;
+
+/// Returns whether a roll-out is still to be moved along, or watched after its last step.
+fn is_open(snapshot: &Snapshot, rollout: &Rollout, now_ms: u64) -> bool {
+    let open = |status: &RolloutStatus| match status.phase {
+        RolloutPhase::Running => true,
+        RolloutPhase::Done => now_ms < status.changed_ms + DONE_WATCH_MS,
+        RolloutPhase::Stopped => false,
     };
-    !snapshot
-        .rollout_statuses
-        .get(&rollout.name)
-        .is_some_and(ended)
-        && usable(&rollout.to)
+    let version = snapshot.versions.get(&rollout.to);
+    let usable = version.is_some_and(|version| version.state != VersionState::Withdrawn);
+    usable
+        && snapshot
+            .rollout_statuses
+            .get(&rollout.name)
+            .is_none_or(open)
 }
 
 /// Sets the tests by what the proven version is known to do.
@@ -201,7 +206,9 @@
         index: status.step,
         count: rollout.steps.len(),
         since_ms: status.changed_ms,
+        min_ms: rollout.min_step_ms,
         paused: rollout.paused,
+        done: status.phase == RolloutPhase::Done,
     };
     match controller.next(step, control.shared.clock.wall_ms()) {
         Next::Wait => None,
--- /dev/null
+++ b/crates/entry/tests/chaos.rs
@@ -0,0 +1,222 @@
+//! Seeded runs of six processes with several faults at a time, and a check of the whole record.
+//!
+//! `ROSEMARY_CHAOS_SEEDS=1,2,3 cargo test -p entry --test chaos -- --nocapture` runs other seeds.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Load, until};
+use fakes::{EndpointFault, EndpointFaults};
+use kernel::Clock;
+use rustix::process::Signal;
+use serde_json::json;
+use store::Expect;
+use trial::{Audit, Deployment, Ending, Mix};
+
+/// The seeds of the run in CI.
+const CI_SEEDS: [u64; 3] = [1, 2, 3];
+
+/// The faults of one run.
+const FAULTS: usize = 9;
+
+/// The time in which a withdrawal must be in force, by the users' target.
+const IN_FORCE_MS: u64 = 19_000;
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("ROSEMARY_CHAOS_SEEDS") {
+        Ok(text) => text.split(',').map(|seed| seed.parse().unwrap()).collect(),
+        Err(_) => CI_SEEDS.to_vec(),
+    }
+}
+
+/// One fault; each is drawn with where it strikes.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Kill,
+    Pause,
+    Replace,
+    StoreDown,
+    StoreSlow,
+    LoseAnswers,
+    StaleStore,
+    CutOff(usize),
+    Endpoint(EndpointFault, usize),
+    Leaving(usize),
+    Withdraw,
+    Edit,
+}
+
+fn draw(random: &mut fastrand::Rng) -> Fault {
+    let endpoint = random.usize(1..=3);
+    match random.usize(..12) {
+        0 => Fault::Kill,
+        1 => Fault::Pause,
+        2 => Fault::Replace,
+        3 => Fault::StoreDown,
+        4 => Fault::StoreSlow,
+        5 => Fault::LoseAnswers,
+        6 => Fault::StaleStore,
+        7 => Fault::CutOff(random.usize(1..=6)),
+        8 => {
+            let faults = [
+                EndpointFault::Refuse,
+                EndpointFault::ResetAfterRun,
+                EndpointFault::ErrorAfterRun,
+                EndpointFault::CutHalf,
+                EndpointFault::WrongId,
+            ];
+            Fault::Endpoint(faults[random.usize(..faults.len())], endpoint)
+        }
+        9 => Fault::Leaving(endpoint),
+        10 => Fault::Withdraw,
+        _ => Fault::Edit,
+    }
+}
+
+/// What the faults did, for the check.
+#[derive(Default)]
+struct Record {
+    withdrawn_ms: Option<u64>,
+}
+
+fn now_ms() -> u64 {
+    kernel::SystemClock::new().wall_ms()
+}
+
+fn strike(fleet: &mut Fleet, fault: Fault, random: &mut fastrand::Rng, record: &mut Record) {
+    let world = fleet.farm.world.clone();
+    match fault {
+        Fault::Kill if fleet.entries.len() > 4 => {
+            let index = random.usize(..fleet.entries.len());
+            fleet.entries.remove(index).kill();
+            fleet.list();
+            if !world.faults.get().platform.down {
+                fleet.add();
+            }
+        }
+        Fault::Pause => {
+            let index = random.usize(..fleet.entries.len());
+            fleet.entries[index].signal(Signal::STOP);
+            std::thread::sleep(Duration::from_millis(random.u64(200..1_800)));
+            fleet.entries[index].signal(Signal::CONT);
+        }
+        Fault::Replace => {
+            fleet.add();
+            let mut old = fleet.entries.remove(0);
+            old.signal(Signal::TERM);
+            assert!(old.wait(), "a planned stop did not end well");
+            fleet.list();
+        }
+        Fault::StoreDown => world.faults.change(|set| set.platform.down = true),
+        Fault::StoreSlow => world.faults.change(|set| set.platform.slow_ms = 300),
+        Fault::LoseAnswers => world.faults.change(|set| set.platform.lose_answers = 10),
+        Fault::StaleStore => {
+            world.objects.remember_stale();
+            world.objects.expire();
+            world.faults.change(|set| set.platform.stale_list = true);
+        }
+        Fault::CutOff(index) => {
+            world
+                .faults
+                .change(|set| set.platform.cut_off = vec![format!("entry-{index}")]);
+        }
+        Fault::Endpoint(fault, index) => world.faults.change(|set| {
+            let faults = EndpointFaults {
+                fault,
+                calls: 6,
+                slow_ms: 0,
+            };
+            set.endpoints
+                .insert(format!("gate-{index}"), faults.clone());
+            set.endpoints
+                .insert(format!("runners-small-{index}"), faults);
+        }),
+        Fault::Leaving(index) => world.faults.change(|set| {
+            set.leaving
+                .push(format!("runners-large/runners-large-{index}"))
+        }),
+        Fault::Withdraw => {
+            let path = "config/spec/version/visitor-s2";
+            let mut value = world.objects.get(path).unwrap().value.unwrap();
+            value["state"] = json!("withdrawn");
+            world.objects.put(path, value, Expect::Any).unwrap();
+            record.withdrawn_ms.get_or_insert_with(now_ms);
+        }
+        Fault::Kill | Fault::Edit => {
+            let path = "config/spec/policy/target";
+            let mut value = world.objects.get(path).unwrap().value.unwrap();
+            value["sample_share"] = json!(random.f64());
+            world.objects.put(path, value, Expect::Any).unwrap();
+        }
+    }
+    std::thread::sleep(Duration::from_millis(random.u64(100..700)));
+    // About every second fault lasts on into the next ones.
+    if random.bool() {
+        world
+            .faults
+            .change(|set| set.platform = fakes::PlatformFaults::default());
+    }
+}
+
+#[test]
+fn the_promises_hold_under_several_faults_at_once() {
+    for seed in seeds() {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let schedule: Vec<Fault> = (0..FAULTS).map(|_| draw(&mut random)).collect();
+        println!("seed {seed}: {schedule:?}");
+        let mut fleet = Fleet::start(Deployment::Shrestha, 6, 3);
+        let mut record = Record::default();
+        let load = Load {
+            seed,
+            calls: 700,
+            pause_ms: 10,
+            mix: Mix::default(),
+        };
+        let records = fleet.calls_during(load, |fleet| {
+            for fault in &schedule {
+                strike(fleet, *fault, &mut random, &mut record);
+            }
+            fleet
+                .farm
+                .world
+                .faults
+                .change(|set| set.platform = fakes::PlatformFaults::default());
+        });
+        until("the configuration is the same everywhere", || {
+            let revisions: Vec<_> = fleet
+                .entries
+                .iter()
+                .map(|entry| entry.status()["revision"].clone())
+                .collect();
+            revisions.windows(2).all(|pair| pair[0] == pair[1])
+        });
+        let answered = records
+            .iter()
+            .filter(|record| record.ending == Ending::Answered)
+            .count();
+        let books = fleet.settled_books(answered);
+        let runs = fleet.farm.world.runs.all();
+        let audit = Audit::check(&records, &runs, &books);
+        println!(
+            "seed {seed}: {} answered, {} not run, {} in doubt",
+            audit.answered, audit.refused_not_run, audit.may_have_run
+        );
+        assert!(audit.is_clean(), "seed {seed} {schedule:?}: {audit:#?}");
+        assert!(
+            audit.answered * 10 > records.len() * 9,
+            "seed {seed}: most calls are answered: {audit:#?}"
+        );
+        if let Some(withdrawn_ms) = record.withdrawn_ms {
+            let late = runs
+                .iter()
+                .filter(|run| run.target == "visitor-s2")
+                .map(|run| run.started_ms)
+                .max();
+            assert!(
+                late.unwrap_or(0) < withdrawn_ms + IN_FORCE_MS,
+                "seed {seed}: withdrawn version ran late"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/rollouts.rs
@@ -0,0 +1,220 @@
+//! Roll-outs over real processes: good versions go on, bad ones stop, withdrawn ones stay so.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Load, until};
+use fakes::EndpointFaults;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use store::Expect;
+use trial::{Deployment, Mix};
+
+const STATUS: &str = "config/status/rollout/visitor-s2";
+
+const SPEC: &str = "config/spec/rollout/visitor-s2";
+
+/// The cap of the sample's roll-out on unrated requests of its first step.
+const MAX_UNRATED: usize = 24;
+
+fn status(fleet: &Fleet) -> Value {
+    let object = fleet.farm.world.objects.get(STATUS);
+    object
+        .ok()
+        .and_then(|object| object.value)
+        .unwrap_or(Value::Null)
+}
+
+fn edit(fleet: &Fleet, change: impl FnOnce(&mut Value)) {
+    let object = fleet.farm.world.objects.get(SPEC).unwrap();
+    let mut value = object.value.unwrap();
+    change(&mut value);
+    let revision = fleet
+        .farm
+        .world
+        .objects
+        .put(SPEC, value, Expect::Any)
+        .unwrap();
+    fleet.wait_revision(revision);
+}
+
+fn load(seed: u64, calls: usize) -> Load {
+    Load {
+        seed,
+        calls,
+        pause_ms: 3,
+        mix: Mix {
+            service: 0.0,
+            stream: 0.3,
+            keyed: 0.3,
+        },
+    }
+}
+
+fn runs_of(fleet: &Fleet, version: &str) -> usize {
+    fleet
+        .farm
+        .world
+        .runs
+        .all()
+        .iter()
+        .filter(|run| run.target == version)
+        .count()
+}
+
+fn start(steps: &Value) -> Fleet {
+    let fleet = Fleet::start(Deployment::Shrestha, 3, 0);
+    edit(&fleet, |value| {
+        value["min_step_ms"] = json!(200);
+        value["steps"] = steps.clone();
+    });
+    until("the roll-out begins", || {
+        status(&fleet)["phase"] == "running"
+    });
+    fleet
+}
+
+#[test]
+fn a_good_version_goes_through_all_steps_unless_paused() {
+    let mut fleet = start(&json!([0.3, 0.6, 1.0]));
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.set_quality("visitor-s2", 1.0));
+    edit(&fleet, |value| value["paused"] = json!(true));
+    fleet.calls_during(load(21, 300), |_| {});
+    assert_eq!(status(&fleet)["step"], 0, "a paused roll-out went on");
+    edit(&fleet, |value| value["paused"] = json!(false));
+    for seed in 22..40 {
+        fleet.calls_during(load(seed, 250), |_| {});
+        if status(&fleet)["phase"] == "done" {
+            return;
+        }
+    }
+    panic!("not done: {}", status(&fleet));
+}
+
+#[test]
+fn a_bad_version_stops_for_what_is_wrong_with_it() {
+    for (what, says) in [("quality", "rated bad"), ("failures", "failed calls")] {
+        let mut fleet = start(&json!([0.5]));
+        fleet.farm.world.faults.change(|set| match what {
+            "quality" => set.set_quality("visitor-s2", 0.1),
+            _ => set.set_quality("visitor-s2", 1.0),
+        });
+        // Only the new version's engines fail: it moves to engines of its own.
+        if what == "failures" {
+            move_to_failing_engines(&fleet);
+        }
+        let mut seed = 40;
+        while status(&fleet)["phase"] != "stopped" {
+            fleet.calls_during(load(seed, 150), |_| {});
+            seed += 1;
+            assert!(seed < 60, "{what}: not stopped: {}", status(&fleet));
+        }
+        assert!(
+            status(&fleet)["reason"].as_str().unwrap().contains(says),
+            "{what}: {}",
+            status(&fleet)
+        );
+        let reached = runs_of(&fleet, "visitor-s2");
+        println!("{what}: {reached} calls reached the version");
+        let revision = fleet.farm.world.objects.get(STATUS).unwrap().revision;
+        fleet.wait_revision(revision);
+        let before = runs_of(&fleet, "visitor-s2");
+        fleet.calls_during(load(90, 100), |_| {});
+        assert_eq!(
+            runs_of(&fleet, "visitor-s2"),
+            before,
+            "{what}: new work after the stop"
+        );
+    }
+}
+
+/// Gives the new version a pool whose endpoint answers with errors.
+fn move_to_failing_engines(fleet: &Fleet) {
+    let objects = &fleet.farm.world.objects;
+    let mut pool = objects
+        .get("config/spec/pool/runners-small")
+        .unwrap()
+        .value
+        .unwrap();
+    pool["name"] = "runners-new".into();
+    let last = pool["endpoints"]
+        .as_array()
+        .unwrap()
+        .last()
+        .unwrap()
+        .clone();
+    pool["endpoints"] = json!([last]);
+    objects
+        .put("config/spec/pool/runners-new", pool, Expect::Absent)
+        .unwrap();
+    let old = "config/spec/pool/runners-small";
+    let mut pool = objects.get(old).unwrap().value.unwrap();
+    pool["endpoints"].as_array_mut().unwrap().pop();
+    objects.put(old, pool, Expect::Any).unwrap();
+    let path = "config/spec/version/visitor-s2";
+    let mut version = objects.get(path).unwrap().value.unwrap();
+    version["pool"] = "runners-new".into();
+    let revision = objects.put(path, version, Expect::Any).unwrap();
+    fleet.wait_revision(revision);
+    fleet.farm.world.faults.change(|set| {
+        let faults = EndpointFaults {
+            fault: fakes::EndpointFault::ErrorAfterRun,
+            calls: 0,
+            slow_ms: 0,
+        };
+        set.endpoints.insert("runners-small-6".to_owned(), faults);
+    });
+}
+
+#[test]
+fn unrated_requests_on_an_unproven_version_stay_within_the_cap() {
+    let mut fleet = start(&json!([1.0]));
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.rating_lag_ms = 600_000);
+    fleet.calls_during(load(70, 400), |_| {});
+    let reached = runs_of(&fleet, "visitor-s2");
+    assert!(
+        reached > 0 && reached <= MAX_UNRATED,
+        "{reached} unrated requests"
+    );
+}
+
+#[test]
+fn a_paused_controller_that_resumes_changes_nothing() {
+    let mut fleet = start(&json!([0.5]));
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.set_quality("visitor-s2", 0.0));
+    // Whichever instance controls the roll-out, it is among those paused in turn while another decides.
+    for index in 0..3 {
+        fleet.calls_during(load(80 + index as u64, 20), |_| {});
+        fleet.entries[index].signal(Signal::STOP);
+        std::thread::sleep(Duration::from_millis(1_600));
+        fleet.entries[index].signal(Signal::CONT);
+        fleet.wait_converged();
+    }
+    let mut seed = 85;
+    while status(&fleet)["phase"] != "stopped" {
+        fleet.calls_during(load(seed, 150), |_| {});
+        seed += 1;
+        assert!(seed < 100, "not stopped: {}", status(&fleet));
+    }
+    let stopped = fleet.farm.world.objects.get(STATUS).unwrap();
+    fleet.calls_during(load(101, 150), |_| {});
+    std::thread::sleep(Duration::from_millis(600));
+    assert_eq!(
+        fleet.farm.world.objects.get(STATUS).unwrap(),
+        stopped,
+        "a stopped roll-out was written again"
+    );
+}
--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -82,6 +82,13 @@
     pub leaving: Vec<String>,
 }
 
+impl FaultSet {
+    /// Sets the share of good answers of a version.
+    pub fn set_quality(&mut self, version: &str, share: f64) {
+        self.quality.insert(version.to_owned(), share);
+    }
+}
+
 /// The switches in force.
 #[derive(Debug, Default)]
 pub struct Faults {
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -11,8 +11,19 @@
     pub count: usize,
     /// When the step began, in milliseconds.
     pub since_ms: u64,
+    /// How long the step lasts at least, in milliseconds.
+    pub min_ms: u64,
     /// Whether an operator holds the step.
     pub paused: bool,
+    /// Whether all steps passed; the version is still watched.
+    pub done: bool,
+}
+
+impl Step {
+    /// Returns whether the step may not end now.
+    fn holds(&self, now_ms: u64) -> bool {
+        self.paused || self.done || now_ms < self.since_ms + self.min_ms
+    }
 }
 
 /// What the controller does next.
@@ -28,9 +39,6 @@
     Stop(String),
 }
 
-/// The shortest time of one step, in milliseconds.
-const MIN_STEP_MS: u64 = 1_000;
-
 /// Moves one roll-out along.
 #[derive(Debug)]
 pub struct Controller {
@@ -53,7 +61,7 @@
                 Next::Stop(format!("{} in class '{class}'", symptom.as_str()))
             }
             Judgement::Undecided => Next::Wait,
-            Judgement::Good if step.paused || now_ms < step.since_ms + MIN_STEP_MS => Next::Wait,
+            Judgement::Good if step.holds(now_ms) => Next::Wait,
             Judgement::Good => {
                 self.monitor.begin_step();
                 if step.index + 1 < step.count {
--- a/crates/rollout/src/monitor.rs
+++ b/crates/rollout/src/monitor.rs
@@ -72,7 +72,7 @@
             failure_rise: 0.08,
             slow_share: 0.05,
             slow_rise: 0.25,
-            stop_nats: 7.0,
+            stop_nats: 13.0,
             pass_nats: 3.0,
         }
     }
