--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -125,7 +125,9 @@
     wants_table: bool,
 ) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout).await?;
+    let mut link = Link::connect(addr, timeout)
+        .await?
+        .metered(&control.shared.peer_bytes);
     let ping = Envelope::new(
         control.shared.me.as_u64(),
         Body::Ping(news(control, wants_table)),
@@ -175,7 +177,9 @@
         return Ok(());
     };
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout).await?;
+    let mut link = Link::connect(addr, timeout)
+        .await?
+        .metered(&control.shared.peer_bytes);
     fetch(control, &mut link, since, timeout).await
 }
 
--- a/crates/entry/src/control/rollouts.rs
+++ b/crates/entry/src/control/rollouts.rs
@@ -135,9 +135,10 @@
     };
     let envelope = Envelope::new(control.shared.me.as_u64(), Body::Evidence(body));
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let Ok(mut link) = Link::connect(addr, timeout).await else {
+    let Ok(link) = Link::connect(addr, timeout).await else {
         return;
     };
+    let mut link = link.metered(&control.shared.peer_bytes);
     let answer = link.call(&envelope, timeout).await;
     if let Ok(Envelope {
         body: Some(Body::Held(held)),
--- a/crates/entry/src/control/serve_peers.rs
+++ b/crates/entry/src/control/serve_peers.rs
@@ -35,7 +35,8 @@
     }
 }
 
-async fn serve(control: Rc<Control>, mut link: Link, executor: Rc<LocalExecutor<'static>>) {
+async fn serve(control: Rc<Control>, link: Link, executor: Rc<LocalExecutor<'static>>) {
+    let mut link = link.metered(&control.shared.peer_bytes);
     while let Ok(envelope) = link.receive().await {
         let from = Incarnation::from_u64(envelope.from);
         let Some(body) = envelope.body else {
--- a/crates/entry/src/info.rs
+++ b/crates/entry/src/info.rs
@@ -137,6 +137,7 @@
         "stopping": shared.stopping.load(Ordering::Relaxed),
         "rejected": rejected,
         "members": members,
+        "peer_bytes": shared.peer_bytes.load(Ordering::Relaxed),
         "platform": { "reads": usage.reads, "writes": usage.writes, "refused": usage.refused },
     });
     Ok(web::json(200, &body))
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -79,6 +79,7 @@
             recorder: Recorder::new(me),
             bills,
             lessons,
+            peer_bytes: Arc::default(),
             stopping: AtomicBool::new(false),
             executor: executor.clone(),
             clock,
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -141,7 +141,10 @@
         let held = match held_by.take() {
             Some(held) if held.peer == peer => Some(held),
             _ => match Link::connect(addr, timeout).await {
-                Ok(link) => Some(HolderLink { peer, link }),
+                Ok(link) => {
+                    let link = link.metered(&shared.peer_bytes);
+                    Some(HolderLink { peer, link })
+                }
                 Err(_) => None,
             },
         };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the traffic threads share.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -84,6 +84,8 @@
     pub(crate) recorder: Recorder,
     pub(crate) bills: Sender<Bill>,
     pub(crate) lessons: Sender<Lesson>,
+    /// Bytes sent to and received from peers.
+    pub(crate) peer_bytes: Arc<AtomicU64>,
     pub(crate) stopping: AtomicBool,
     pub(crate) executor: Arc<Executor<'static>>,
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -52,8 +54,7 @@
     stream: Async<TcpStream>,
     codec: LengthDelimitedCodec,
     held: BytesMut,
-    /// Bytes sent and received so far.
-    pub traffic_bytes: u64,
+    meter: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -67,10 +68,16 @@
             stream,
             codec,
             held: BytesMut::new(),
-            traffic_bytes: 0,
+            meter: Arc::default(),
         }
     }
 
+    /// Adds the bytes sent and received to a count.
+    pub fn metered(mut self, meter: &Arc<AtomicU64>) -> Link {
+        self.meter = meter.clone();
+        self
+    }
+
     /// Connects to a peer.
     ///
     /// # Errors
@@ -90,7 +97,7 @@
         let mut frame = BytesMut::new();
         let bytes = Bytes::from(envelope.encode_frame());
         self.codec.encode(bytes, &mut frame)?;
-        self.traffic_bytes += frame.len() as u64;
+        self.meter.fetch_add(frame.len() as u64, Ordering::Relaxed);
         self.stream.write_all(&frame).await?;
         Ok(())
     }
@@ -110,7 +117,7 @@
             if count == 0 {
                 return Err(LinkError::Closed);
             }
-            self.traffic_bytes += count as u64;
+            self.meter.fetch_add(count as u64, Ordering::Relaxed);
             self.held.extend_from_slice(&chunk[..count]);
         }
     }
