--- a/crates/catalog/src/declarations.rs
+++ b/crates/catalog/src/declarations.rs
@@ -212,6 +212,6 @@
 
 fn syntax_problem(file: &Arc<str>, text: &str, err: &toml::de::Error) -> Problem {
     let start = err.span().map_or(0, |span| span.start);
-    let line = text[..start.min(text.len())].lines().count().max(1);
+    let line = text[..start.min(text.len())].matches('\n').count() + 1;
     problem(file, &format!("line {line}"), "-", err.message())
 }
