Compare the arms of experiments in the burn report

Change: receipts carry the arm, statements keep sums and squares by arm, rosemary-burn prints the differences from the first arm with 95% intervals. Ruled out: a table of single requests in the statement, which would not stay bounded. Quality by arm is not in the report, since ratings come after the receipt.

--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -10,12 +10,14 @@
 //! ```
 
 mod cli;
+mod experiment;
 mod picture;
 mod read;
 mod report;
 mod window;
 
 pub use cli::{Args, args, run};
+pub use experiment::{ArmRow, Difference, compare};
 pub use picture::draw;
 pub use read::{Account, read_accounts};
 pub use report::{Report, Row, VersionRow};
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -7,6 +7,7 @@
 use receipt::{Bucket, Totals};
 use serde::Serialize;
 
+use crate::experiment::{ArmRow, Difference, compare};
 use crate::read::Account;
 use crate::window::{WINDOWS, WindowSum, quantile_ms};
 
@@ -60,6 +61,8 @@
     pub rows: Vec<Row>,
     /// Exposure by workspace and version.
     pub versions: Vec<VersionRow>,
+    /// The arms of experiments.
+    pub arms: Vec<ArmRow>,
 }
 
 impl Report {
@@ -70,6 +73,7 @@
             windows,
             rows: Vec::new(),
             versions: Vec::new(),
+            arms: compare(accounts),
         };
         for account in accounts {
             report.add_rows(account, now_ms);
@@ -190,6 +194,41 @@
                 row.workspace, row.version, row.requests, row.cost
             )?;
         }
-        Ok(())
+        if self.arms.is_empty() {
+            return Ok(());
+        }
+        let head = [
+            "experiment",
+            "policy",
+            "requests",
+            "cost micros",
+            "total ms",
+            "bad share",
+        ];
+        writeln!(
+            f,
+            "\n{:<18} {:<14} {:>9} {:>22} {:>22} {:>20}",
+            head[0], head[1], head[2], head[3], head[4], head[5]
+        )?;
+        for row in &self.arms {
+            let show = |difference: Difference, digits: usize| {
+                let clear = if difference.is_clear() { "*" } else { " " };
+                format!(
+                    "{:+.digits$} ±{:.digits$}{clear}",
+                    difference.mean, difference.half_width
+                )
+            };
+            let (cost, total) = (show(row.cost_micros, 2), show(row.total_ms, 1));
+            let bad = show(row.bad_share, 4);
+            writeln!(
+                f,
+                "{:<18} {:<14} {:>9} {cost:>22} {total:>22} {bad:>20}",
+                row.experiment, row.policy, row.requests
+            )?;
+        }
+        writeln!(
+            f,
+            "differences from the first arm, with 95% intervals; * leaves zero out"
+        )
     }
 }
--- a/crates/entry/benches/scale/parts.rs
+++ b/crates/entry/benches/scale/parts.rs
@@ -173,6 +173,7 @@
         total_ms: 3_000,
         unproven: false,
         in_objective: true,
+        arm: None,
     };
     let request = format!("rl1-ff471821b9728853-1a23da95028-{index:016x}");
     Draft {
--- a/crates/entry/src/billing.rs
+++ b/crates/entry/src/billing.rs
@@ -39,6 +39,7 @@
             total_ms: 0,
             unproven: false,
             in_objective: false,
+            arm: None,
         };
         Billing {
             shared,
@@ -61,6 +62,11 @@
         self.ran = true;
     }
 
+    /// Notes the arm of an experiment.
+    pub(crate) fn in_arm(&mut self, arm: Option<Arc<str>>) {
+        self.work.arm = arm;
+    }
+
     /// Notes that the request did not run after all.
     pub(crate) fn did_not_run(&mut self) {
         self.ran = false;
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -192,9 +192,11 @@
         policy,
         sample_share,
         planned,
+        arm,
         ..
     } = path;
     let mut billing = Billing::new(shared.clone(), context);
+    billing.in_arm(arm);
     let call = call(context, &chat, &leg.version, true, 0, false);
     let pool = pool_of(context, &leg.version)?;
     let teacher = Teacher {
@@ -274,6 +276,7 @@
     path: Path,
 ) -> Result<Answer, Failure> {
     let mut billing = Billing::new(shared.clone(), context);
+    billing.in_arm(path.arm);
     let cascade = path.then.is_some();
     let teacher = Teacher {
         policy: path.policy,
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use catalog::{Policy, Version, VersionState};
+use catalog::{Arm, Experiment, Policy, Version, VersionState};
 use kernel::{Failure, Priority, Reason};
 use policy::{Candidate, Plan, Query, arm, unit_hash};
 
@@ -33,6 +33,8 @@
     pub(crate) sample_share: f64,
     /// What the policy expects.
     pub(crate) planned: Option<Planned>,
+    /// The arm of an experiment, as `EXPERIMENT/POLICY`.
+    pub(crate) arm: Option<Arc<str>>,
 }
 
 /// Plans a chat request.
@@ -53,7 +55,13 @@
         return Ok(direct(leg, policy));
     }
     let versions = permitted(context, &chat.model)?;
-    by_policy(shared, context, &versions, policy)
+    let path = by_policy(shared, context, &versions, policy)?;
+    let arm =
+        arm_of(context).map(|(experiment, arm)| format!("{}/{}", experiment.name, arm.policy));
+    Ok(Path {
+        arm: arm.map(Arc::from),
+        ..path
+    })
 }
 
 /// Chooses the version of a new session.
@@ -68,23 +76,20 @@
     Ok(leg.version)
 }
 
+/// Returns the experiment that a request takes part in, and its arm.
+fn arm_of(context: &Context) -> Option<(&Arc<Experiment>, &Arm)> {
+    let mut experiments = context.view.snapshot.experiments.values();
+    let joined = |found: &&Arc<Experiment>| found.workspaces.contains(&context.workspace.name);
+    let experiment = experiments.find(joined)?;
+    let shares: Vec<f64> = experiment.arms.iter().map(|arm| arm.share).collect();
+    let index = arm(&experiment.name, &context.request, &shares);
+    experiment.arms.get(index).map(|arm| (experiment, arm))
+}
+
 /// Returns the policy of the workspace, or of its arm in an experiment.
 fn policy_of(context: &Context) -> Option<Arc<Policy>> {
-    let snapshot = &context.view.snapshot;
-    let workspace = &context.workspace;
-    for experiment in snapshot.experiments.values() {
-        if !experiment.workspaces.contains(&workspace.name) {
-            continue;
-        }
-        let shares: Vec<f64> = experiment.arms.iter().map(|arm| arm.share).collect();
-        let index = arm(&experiment.name, &context.request, &shares);
-        return experiment
-            .arms
-            .get(index)
-            .and_then(|arm| snapshot.policies.get(&arm.policy))
-            .cloned();
-    }
-    snapshot.policies.get(&workspace.policy).cloned()
+    let name = arm_of(context).map_or(&context.workspace.policy, |(_, arm)| &arm.policy);
+    context.view.snapshot.policies.get(name).cloned()
 }
 
 fn direct(leg: Leg, policy: Option<Arc<Policy>>) -> Path {
@@ -96,6 +101,7 @@
         policy,
         sample_share,
         planned: None,
+        arm: None,
     }
 }
 
--- a/crates/receipt/src/lib.rs
+++ b/crates/receipt/src/lib.rs
@@ -25,4 +25,6 @@
 pub use ledger::{Draft, Ledger};
 pub use receipt::{Outcome, Receipt, Work};
 pub use segment::{Segment, shard_of};
-pub use statement::{BUCKET_MS, Bucket, Folded, LATENCY_BINS, Statement, Totals, latency_bin};
+pub use statement::{
+    ArmTotals, BUCKET_MS, Bucket, Folded, LATENCY_BINS, Statement, Totals, latency_bin,
+};
--- a/crates/receipt/src/receipt.rs
+++ b/crates/receipt/src/receipt.rs
@@ -42,6 +42,9 @@
     pub unproven: bool,
     /// Whether the objective was kept.
     pub in_objective: bool,
+    /// The arm of an experiment, as `EXPERIMENT/POLICY`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub arm: Option<Arc<str>>,
 }
 
 /// The one bill of one request.
--- a/crates/receipt/src/statement.rs
+++ b/crates/receipt/src/statement.rs
@@ -52,6 +52,45 @@
     }
 }
 
+/// Sums over the requests of one arm of an experiment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct ArmTotals {
+    /// Billed requests.
+    pub requests: u64,
+    /// Requests that missed the objective or failed.
+    pub bad: u64,
+    /// The cost, in millionths of the currency unit.
+    pub cost_micros: u64,
+    /// The sum of squares of the cost.
+    pub cost_squares: f64,
+    /// The sum of times to the whole answer, in milliseconds.
+    pub total_ms: u64,
+    /// The sum of squares of these times.
+    pub total_squares: f64,
+}
+
+impl ArmTotals {
+    /// Adds the sums of another shard.
+    pub fn merge(&mut self, other: &ArmTotals) {
+        self.requests += other.requests;
+        self.bad += other.bad;
+        self.cost_micros += other.cost_micros;
+        self.cost_squares += other.cost_squares;
+        self.total_ms += other.total_ms;
+        self.total_squares += other.total_squares;
+    }
+
+    fn add(&mut self, receipt: &Receipt) {
+        let work = &receipt.work;
+        self.requests += 1;
+        self.bad += u64::from(!work.in_objective || work.outcome == Outcome::Failed);
+        self.cost_micros += work.cost_micros;
+        self.cost_squares += (work.cost_micros as f64).powi(2);
+        self.total_ms += work.total_ms;
+        self.total_squares += (work.total_ms as f64).powi(2);
+    }
+}
+
 /// The service-level record of one class over one stretch of time.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Bucket {
@@ -89,6 +128,9 @@
     pub totals: Totals,
     /// Sums by version or service.
     pub by_version: BTreeMap<Arc<str>, Totals>,
+    /// Sums by arm of an experiment.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub by_arm: BTreeMap<Arc<str>, ArmTotals>,
     /// What was taken in, by incarnation.
     pub folded: BTreeMap<Incarnation, Folded>,
     /// The service-level record.
@@ -116,6 +158,9 @@
                 .entry(receipt.work.version.clone())
                 .or_default()
                 .add(receipt);
+            if let Some(arm) = &receipt.work.arm {
+                self.by_arm.entry(arm.clone()).or_default().add(receipt);
+            }
             self.bucket(receipt);
             count += 1;
         }
--- a/crates/receipt/tests/billing.rs
+++ b/crates/receipt/tests/billing.rs
@@ -22,6 +22,7 @@
         total_ms: 2,
         unproven: false,
         in_objective: true,
+        arm: None,
     };
     Draft {
         workspace: "w".into(),
