--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -26,7 +26,7 @@
 const LEAVE_COUNT: usize = 8;
 
 /// The share of probes that ask for the whole table when the tables differ.
-const TABLE_SHARE: f64 = 0.1;
+const TABLE_SHARE: f64 = 0.03;
 
 /// Probes peers at the set interval.
 pub(super) async fn run(control: Rc<Control>) {
