Order versions to be loaded, with fencing, and test the operators' program

Change: a roll-out begins once the weight store knows the version and an endpoint of its pool loaded it; orders only add and carry the configuration's revision. Six tests of rosemaryctl with the real program: applying twice, faults that say where, a conflict that shows both sides, a lost answer, a withdrawn version, and every exit code. Ruled out: orders to unload or change a role, which nothing would protect at endpoints that ignore the number.

--- a/crates/ctl/src/resource.rs
+++ b/crates/ctl/src/resource.rs
@@ -142,12 +142,12 @@
         for object in changes.objects {
             seen += 1;
             match output {
-                Output::Json => println!("{}", json!(object)),
+                Output::Json => output.line(&json!(object).to_string()),
                 Output::Table => {
                     let value = object
                         .value
                         .map_or_else(|| "deleted".to_owned(), |value| value.to_string());
-                    println!("{} {} {value}", object.revision, object.path);
+                    output.line(&format!("{} {} {value}", object.revision, object.path));
                 }
             }
         }
@@ -155,12 +155,20 @@
     Ok(())
 }
 
-/// Changes one object by a conditional update.
+/// Prints what became of a change.
+fn say(what: &str, revision: Option<u64>) {
+    match revision {
+        Some(revision) => Output::Table.line(&format!("{what} at revision {revision}")),
+        None => Output::Table.line(&format!("{what} already, nothing to change")),
+    }
+}
+
+/// Changes one object by a conditional update, and returns its new revision if it changed.
 async fn change(
     platform: &HttpPlatform,
     path: &str,
     mut edit: impl FnMut(Value) -> Result<Value, Stop>,
-) -> Result<u64, Stop> {
+) -> Result<Option<u64>, Stop> {
     let mut last = StoreError::Conflict;
     for _ in 0..MAX_TRIES {
         let (old, expect) = match platform.get(path).await {
@@ -173,11 +181,10 @@
         };
         let new = edit(old.clone())?;
         if new == old {
-            println!("nothing to change");
-            return Ok(0);
+            return Ok(None);
         }
         match platform.put(path, &new, expect).await {
-            Ok(revision) => return Ok(revision),
+            Ok(revision) => return Ok(Some(revision)),
             Err(err) => last = err,
         }
     }
@@ -204,11 +211,8 @@
         value["paused"] = paused.into();
         Ok(value)
     });
-    println!(
-        "rollout {name} {} at revision {}",
-        if paused { "paused" } else { "resumed" },
-        revision.await?
-    );
+    let done = if paused { "paused" } else { "resumed" };
+    say(&format!("rollout {name} {done}"), revision.await?);
     Ok(())
 }
 
@@ -236,10 +240,7 @@
         value["state"] = "withdrawn".into();
         Ok(value)
     });
-    println!(
-        "version {version} withdrawn at revision {}",
-        revision.await?
-    );
+    say(&format!("version {version} withdrawn"), revision.await?);
     Ok(())
 }
 
@@ -266,9 +267,9 @@
         row["draining"] = true.into();
         Ok(value)
     });
-    println!(
-        "endpoint {pool}/{endpoint} drains at revision {}",
-        revision.await?
+    say(
+        &format!("endpoint {pool}/{endpoint} drains"),
+        revision.await?,
     );
     Ok(())
 }
@@ -289,7 +290,7 @@
         ring.keys.truncate(LIVE_KEYS);
         Ok(json!(ring))
     });
-    println!("signing key rotated at revision {}", revision.await?);
+    say("signing key rotated", revision.await?);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,243 @@
+//! The operators' path, with the real program beside a stand-in platform.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use fakes::Farm;
+use serde_json::{Value, json};
+use store::Expect;
+use trial::{Deployment, Scene};
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/shrestha")
+}
+
+fn farm() -> Farm {
+    Scene::start_farm(Deployment::Shrestha, 0).unwrap()
+}
+
+fn ctl(farm: &Farm, args: &[&str]) -> Output {
+    let platform = farm.platform_addr.to_string();
+    Command::new(env!("CARGO_BIN_EXE_rosemaryctl"))
+        .args(["--platform", &platform])
+        .args(args)
+        .output()
+        .unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Copies the examples so that a test may change them.
+fn copy() -> PathBuf {
+    let dir = std::env::temp_dir().join(format!(
+        "rosemaryctl-{}-{:x}",
+        std::process::id(),
+        fastrand::u64(..)
+    ));
+    std::fs::create_dir(&dir).unwrap();
+    for entry in std::fs::read_dir(examples()).unwrap().flatten() {
+        std::fs::copy(entry.path(), dir.join(entry.file_name())).unwrap();
+    }
+    dir
+}
+
+fn replace(dir: &Path, file: &str, from: &str, to: &str) {
+    let path = dir.join(file);
+    let held = std::fs::read_to_string(&path).unwrap();
+    assert!(held.contains(from), "{from}");
+    std::fs::write(path, held.replacen(from, to, 1)).unwrap();
+}
+
+#[test]
+fn apply_changes_what_differs_and_then_nothing() {
+    let farm = farm();
+    let dir = examples();
+    let dir = dir.to_str().unwrap();
+    let first = ctl(&farm, &["apply", "-f", dir]);
+    assert_eq!(code(&first), 0, "{}", text(&first.stderr));
+    let before = farm.world.objects.list("config/");
+    let again = ctl(&farm, &["apply", "-f", dir]);
+    assert_eq!(
+        (code(&again), text(&again.stdout).trim()),
+        (0, "nothing to change")
+    );
+    assert_eq!(farm.world.objects.list("config/"), before);
+    let diff = ctl(&farm, &["-o", "json", "diff", "-f", dir]);
+    assert_eq!(
+        serde_json::from_slice::<Value>(&diff.stdout).unwrap(),
+        json!([])
+    );
+}
+
+#[test]
+fn faulty_declarations_say_where_and_change_nothing() {
+    let farm = farm();
+    let before = farm.world.objects.list("config/");
+    let dir = copy();
+    replace(
+        &dir,
+        "workspaces.toml",
+        "quota_per_s = 400.0",
+        "quota_per_s = -4.0",
+    );
+    for command in ["validate", "diff", "apply"] {
+        let output = ctl(&farm, &[command, "-f", dir.to_str().unwrap()]);
+        let message = text(&output.stderr);
+        assert_eq!(code(&output), 2, "{command}: {message}");
+        assert!(
+            message.contains("workspaces.toml: workspace/bir-hospital: field 'quota_per_s'"),
+            "{message}"
+        );
+    }
+    assert_eq!(farm.world.objects.list("config/"), before);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn an_operator_who_comes_second_sees_both_sides() {
+    let farm = farm();
+    let dir = copy();
+    replace(
+        &dir,
+        "policies.toml",
+        "sample_share = 0.2",
+        "sample_share = 0.4",
+    );
+    let path = "config/spec/policy/target";
+    // The other operator's write falls between this one's read and write: every write is slow, and
+    // theirs comes meanwhile.
+    farm.world.faults.change(|set| set.platform.slow_ms = 300);
+    let child = std::thread::spawn({
+        let platform = farm.platform_addr.to_string();
+        let dir = dir.clone();
+        move || {
+            let args = [
+                "--platform",
+                &platform,
+                "apply",
+                "-f",
+                dir.to_str().unwrap(),
+            ];
+            Command::new(env!("CARGO_BIN_EXE_rosemaryctl"))
+                .args(args)
+                .output()
+                .unwrap()
+        }
+    });
+    let start = std::time::Instant::now();
+    let mut value = farm.world.objects.get(path).unwrap().value.unwrap();
+    // Their writes go on until this one has ended, so that one of them falls between.
+    let mut share = 0.5;
+    while !child.is_finished() && start.elapsed().as_secs() < 20 {
+        share += 0.0001;
+        value["sample_share"] = json!(share);
+        farm.world
+            .objects
+            .put(path, value.clone(), Expect::Any)
+            .unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    let output = child.join().unwrap();
+    let message = text(&output.stderr);
+    assert_eq!(code(&output), 3, "{message}");
+    assert!(
+        message.contains("yours:")
+            && message.contains("theirs:")
+            && message.contains("sample_share"),
+        "{message}"
+    );
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_not_a_conflict() {
+    let farm = farm();
+    let dir = copy();
+    replace(
+        &dir,
+        "policies.toml",
+        "sample_share = 0.2",
+        "sample_share = 0.4",
+    );
+    farm.world
+        .faults
+        .change(|set| set.platform.lose_answers = 1);
+    let output = ctl(&farm, &["apply", "-f", dir.to_str().unwrap()]);
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+    let held = farm
+        .world
+        .objects
+        .get("config/spec/policy/target")
+        .unwrap()
+        .value
+        .unwrap();
+    assert_eq!(held["sample_share"], 0.4);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_withdrawn_version_is_not_brought_back() {
+    let farm = farm();
+    let dir = examples();
+    assert_eq!(
+        code(&ctl(&farm, &["apply", "-f", dir.to_str().unwrap()])),
+        0
+    );
+    assert_eq!(code(&ctl(&farm, &["rollout", "withdraw", "visitor-s2"])), 0);
+    let again = ctl(&farm, &["withdraw", "visitor-s2"]);
+    assert!(text(&again.stdout).contains("nothing to change"));
+    let output = ctl(&farm, &["apply", "-f", dir.to_str().unwrap()]);
+    assert_eq!(code(&output), 2);
+    assert!(
+        text(&output.stderr).contains("a withdrawn version stays withdrawn"),
+        "{}",
+        text(&output.stderr)
+    );
+}
+
+#[test]
+fn pause_drain_rotate_and_get_say_what_they_did() {
+    let farm = farm();
+    for (args, says) in [
+        (vec!["rollout", "pause", "visitor-s2"], "paused at revision"),
+        (
+            vec!["rollout", "resume", "visitor-s2"],
+            "resumed at revision",
+        ),
+        (vec!["drain", "gate/gate-1"], "drains at revision"),
+        (vec!["rotate-keys"], "rotated at revision"),
+        (vec!["get", "version", "visitor-s1"], "proven of visitor"),
+        (vec!["statements"], "WORKSPACE"),
+    ] {
+        let output = ctl(&farm, &args);
+        assert_eq!(code(&output), 0, "{args:?}: {}", text(&output.stderr));
+        assert!(
+            text(&output.stdout).contains(says),
+            "{args:?}: {}",
+            text(&output.stdout)
+        );
+    }
+    let keys = farm
+        .world
+        .objects
+        .get("config/system/keys")
+        .unwrap()
+        .value
+        .unwrap();
+    assert_eq!(keys["keys"].as_array().unwrap().len(), 2);
+    for (args, expected) in [
+        (vec!["drain", "gate/gate-9"], 1),
+        (vec!["drain", "gate"], 2),
+        (vec!["rollout", "stop", "visitor-s2"], 2),
+        (vec!["get", "versions"], 2),
+        (vec!["get", "version", "nothing"], 1),
+    ] {
+        assert_eq!(code(&ctl(&farm, &args)), expected, "{args:?}");
+    }
+}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod gossip;
 mod learn;
 mod listing;
+mod orders;
 mod rollouts;
 mod settle;
 mod shares;
--- a/crates/entry/src/control/rollouts.rs
+++ b/crates/entry/src/control/rollouts.rs
@@ -17,8 +17,8 @@
 use store::{Expect, ObjectApi};
 use wire::{Body, Envelope, EvidenceReport, Link};
 
-use crate::control::gossip;
 use crate::control::state::Control;
+use crate::control::{gossip, orders};
 use crate::convert::evidence_to_wire;
 
 /// Looks after roll-outs at the set interval.
@@ -157,6 +157,7 @@
     let held = held.filter(|object| object.value.is_some());
     let status = snapshot.rollout_statuses.get(&rollout.name);
     let next = match status {
+        None if !load_first(control, snapshot, rollout).await => None,
         None => Some(status_of(control, RolloutPhase::Running, 0, "began")),
         Some(status) => advance(control, snapshot, rollout, status),
     };
@@ -185,6 +186,14 @@
     }
 }
 
+/// Has the endpoints load the unproven version.
+async fn load_first(control: &Control, snapshot: &Snapshot, rollout: &Rollout) -> bool {
+    match snapshot.versions.get(&rollout.to) {
+        Some(version) => orders::load(control, snapshot, version).await,
+        None => false,
+    }
+}
+
 fn advance(
     control: &Control,
     snapshot: &Snapshot,
--- a/crates/entry/tests/rollouts.rs
+++ b/crates/entry/tests/rollouts.rs
@@ -218,3 +218,43 @@
         "a stopped roll-out was written again"
     );
 }
+
+#[test]
+fn a_late_order_is_refused_or_harmless() {
+    let mut fleet = start(&json!([0.5]));
+    let orders = fleet.farm.world.orders.all();
+    let loaded = orders
+        .iter()
+        .filter(|order| order.version == "visitor-s2" && order.obeyed)
+        .count();
+    assert!(
+        loaded >= 6,
+        "the roll-out began before its version was loaded: {orders:?}"
+    );
+    let path = "config/spec/version/visitor-s2";
+    let mut version = fleet.farm.world.objects.get(path).unwrap().value.unwrap();
+    version["state"] = json!("withdrawn");
+    let revision = fleet
+        .farm
+        .world
+        .objects
+        .put(path, version, Expect::Any)
+        .unwrap();
+    fleet.wait_revision(revision);
+    // A controller that was paused with an order in hand sends it now, after a newer one.
+    let log = &fleet.farm.world.orders;
+    assert!(log.take("checks", "visitor-s3", revision, true));
+    assert!(
+        !log.take("checks", "visitor-s2", orders[0].fencing, true),
+        "an old order was obeyed"
+    );
+    assert!(log.take("ignores", "visitor-s3", revision, false));
+    assert!(log.take("ignores", "visitor-s2", orders[0].fencing, false));
+    let before = runs_of(&fleet, "visitor-s2");
+    fleet.calls_during(load(110, 120), |_| {});
+    assert_eq!(
+        runs_of(&fleet, "visitor-s2"),
+        before,
+        "a loaded version that is withdrawn got work"
+    );
+}
--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -32,6 +32,7 @@
 pub(crate) struct Endpoint {
     pub(crate) name: String,
     pub(crate) kind: PoolKind,
+    pub(crate) checks_fencing: bool,
     pub(crate) world: Arc<World>,
     pub(crate) running: Arc<AtomicU32>,
     pub(crate) clock: SystemClock,
@@ -76,6 +77,9 @@
             .header("x-request-id")
             .unwrap_or_default()
             .to_owned();
+        if path == "/orders" {
+            return self.order(incoming).await;
+        }
         let faults = self.world.faults.take(&self.name);
         let Ok(body) = incoming.body().await else {
             return web::json(400, &json!({}));
@@ -112,6 +116,18 @@
         response
     }
 
+    async fn order(&self, mut incoming: Incoming) -> Response {
+        let body = incoming.body().await.unwrap_or_default();
+        let order: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let version = order["version"].as_str().unwrap_or_default();
+        let fencing = order["fencing"].as_u64().unwrap_or(0);
+        let obeyed = self
+            .world
+            .orders
+            .take(&self.name, version, fencing, self.checks_fencing);
+        web::json(if obeyed { 200 } else { 409 }, &json!({ "obeyed": obeyed }))
+    }
+
     async fn serve(&self, call: Call, value: &Value) -> Response {
         Timer::after(Duration::from_millis(call.token_ms)).await;
         self.world.runs.finish(call.run);
--- a/crates/fakes/src/farm.rs
+++ b/crates/fakes/src/farm.rs
@@ -16,7 +16,7 @@
 use crate::objects::ObjectStore;
 use crate::platform::Platform;
 use crate::ratings::Ratings;
-use crate::runs::RunLog;
+use crate::runs::{OrderLog, RunLog};
 
 /// The share of good answers of a version that is not declared.
 const UNKNOWN_QUALITY: f64 = 0.5;
@@ -29,6 +29,8 @@
     pub faults: Faults,
     /// What endpoints ran.
     pub runs: RunLog,
+    /// The orders that endpoints got.
+    pub orders: OrderLog,
     /// How long a token or service call takes, in milliseconds.
     pub token_ms: u64,
     pub(crate) ratings: Ratings,
@@ -99,6 +101,7 @@
             objects: ObjectStore::default(),
             faults: Faults::default(),
             runs: RunLog::default(),
+            orders: OrderLog::default(),
             token_ms: plan.token_ms,
             ratings: Ratings::default(),
             instances: Mutex::default(),
@@ -140,6 +143,7 @@
         executor: &Arc<Executor<'static>>,
     ) -> anyhow::Result<()> {
         let kind = pool.kind;
+        let checks_fencing = pool.checks_fencing;
         for spec in &mut pool.endpoints {
             let mut addr: SocketAddr = spec.addr.parse()?;
             if free_ports {
@@ -148,6 +152,7 @@
             let endpoint = Endpoint {
                 name: spec.name.to_string(),
                 kind,
+                checks_fencing,
                 world: self.world.clone(),
                 running: Arc::new(AtomicU32::new(0)),
                 clock: SystemClock::new(),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -28,4 +28,4 @@
 pub use farm::{Farm, FarmPlan};
 pub use faults::{EndpointFault, EndpointFaults, Faults, PlatformFaults};
 pub use objects::ObjectStore;
-pub use runs::{Run, RunLog};
+pub use runs::{OrderLog, OrderRecord, Run, RunLog};
--- a/crates/fakes/src/runs.rs
+++ b/crates/fakes/src/runs.rs
@@ -49,3 +49,47 @@
             .clone()
     }
 }
+
+/// One order to an endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    /// The endpoint's name.
+    pub endpoint: String,
+    /// The version.
+    pub version: String,
+    /// The fencing number.
+    pub fencing: u64,
+    /// Whether the endpoint obeyed.
+    pub obeyed: bool,
+}
+
+/// All orders, in time order, and the highest fencing number of each endpoint.
+#[derive(Debug, Default)]
+pub struct OrderLog {
+    orders: Mutex<Vec<OrderRecord>>,
+}
+
+impl OrderLog {
+    /// Takes an order. An endpoint that checks fencing refuses one that is older than another.
+    pub fn take(&self, endpoint: &str, version: &str, fencing: u64, checks: bool) -> bool {
+        let mut orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = |order: &OrderRecord| order.endpoint == endpoint && order.fencing > fencing;
+        let obeyed = !(checks && orders.iter().any(newer));
+        let (endpoint, version) = (endpoint.to_owned(), version.to_owned());
+        orders.push(OrderRecord {
+            endpoint,
+            version,
+            fencing,
+            obeyed,
+        });
+        obeyed
+    }
+
+    /// Returns all orders.
+    pub fn all(&self) -> Vec<OrderRecord> {
+        self.orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
