Keep the verdict of a try that broke off when a later one is refused

Cause: found while reading execute.rs: an idempotent call whose answer broke off was tried again, and when every other endpoint then refused it, the caller was told not-run though the first try had run. Shown failing first: a_refusal_after_a_try_that_ran_does_not_say_not_run, 'ran 1 times, but not-run'. Ruled out: counting such refusals as may-have-run in the dispatcher, which does not know of the try. Change: the tries of one call remember that one broke off.

--- /dev/null
+++ b/crates/entry/src/calls.rs
@@ -0,0 +1,143 @@
+//! Calls on versions, tried again while that is safe.
+
+use std::sync::Arc;
+
+use catalog::Version;
+use kernel::{Failure, Reason, Verdict};
+use upstream::{Call, Event, EventReader, PoolState, Started};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::chat::ChatRequest;
+use crate::context::Context;
+use crate::shared::Shared;
+
+/// The most tries of an idempotent call whose answer broke off before it was handed on.
+const MAX_TRIES: u32 = 2;
+
+/// Finds the pool of a version.
+pub(crate) fn pool_of<'a>(
+    context: &'a Context,
+    version: &Version,
+) -> Result<&'a Arc<PoolState>, Failure> {
+    let pool = context.view.pools.get(&version.pool);
+    pool.ok_or_else(|| {
+        let detail = format!("version '{}' has no pool '{}'", version.name, version.pool);
+        Failure::not_run(Reason::NoEndpoint, detail).retry_after_ms(1_000)
+    })
+}
+
+/// Makes the call of a chat request on a version.
+pub(crate) fn call(
+    context: &Context,
+    chat: &ChatRequest,
+    version: &Version,
+    stream: bool,
+    stage: u32,
+    confidence: bool,
+) -> Call {
+    let body = chat.engine_body(&version.name, context.priority.rank(), stream, confidence);
+    let affinity = match &context.session {
+        Some(session) => format!("{}/{}", session.workspace, session.expires_ms),
+        None => chat.prefix().to_owned(),
+    };
+    Call::builder("/v1/chat/completions", body, context.request.clone())
+        .priority(context.priority)
+        .idempotent(!context.non_idempotent)
+        .deadline_ms(context.deadline_ms)
+        .affinity(Some(xxh3_64(affinity.as_bytes())))
+        .stage(stage)
+        .build()
+}
+
+/// The start of a streamed answer.
+pub(crate) struct Begun {
+    /// The running call.
+    pub(crate) started: Started,
+    /// The reader of its events.
+    pub(crate) events: EventReader,
+    /// The first event.
+    pub(crate) first: Event,
+}
+
+/// Starts a call and waits for its first event, trying again while nothing was handed on.
+pub(crate) async fn begin_stream(
+    shared: &Shared,
+    context: &Context,
+    pool: &PoolState,
+    call: &Call,
+) -> Result<Begun, Failure> {
+    let mut tries = Tries::default();
+    loop {
+        let started = shared
+            .dispatcher
+            .start(pool, call, context.view.instances())
+            .await;
+        let mut started = started.map_err(|failure| tries.join(failure))?;
+        let mut events = EventReader::default();
+        if let Ok(Some(first)) = events.next(&mut started).await {
+            return Ok(Begun {
+                started,
+                events,
+                first,
+            });
+        }
+        started.fail();
+        let failure = Failure::may_have_run(
+            Reason::Endpoint,
+            "the answer broke off before its first token",
+        );
+        tries.again(call, failure)?;
+    }
+}
+
+/// Starts a call and reads its whole answer, trying again while that is safe.
+pub(crate) async fn exchange(
+    shared: &Shared,
+    context: &Context,
+    pool: &PoolState,
+    call: &Call,
+) -> Result<Vec<u8>, Failure> {
+    let mut tries = Tries::default();
+    loop {
+        let started = shared
+            .dispatcher
+            .start(pool, call, context.view.instances())
+            .await;
+        let mut started = started.map_err(|failure| tries.join(failure))?;
+        match started.whole(shared.settings.max_answer_bytes).await {
+            Ok(bytes) => return Ok(bytes),
+            Err(failure) => tries.again(call, failure)?,
+        }
+    }
+}
+
+/// The tries of one call that an endpoint began to answer.
+#[derive(Debug, Default)]
+struct Tries {
+    broken: u32,
+}
+
+impl Tries {
+    /// Notes an answer that broke off, and ends the call if it may not be tried again.
+    fn again(&mut self, call: &Call, failure: Failure) -> Result<(), Failure> {
+        self.broken += 1;
+        if self.broken < MAX_TRIES && call.is_idempotent() {
+            Ok(())
+        } else {
+            Err(failure)
+        }
+    }
+
+    /// Makes a later refusal say that an earlier try may have run.
+    fn join(&self, failure: Failure) -> Failure {
+        let earlier = if self.broken > 0 {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        Failure {
+            verdict: failure.verdict.join(earlier),
+            ..failure
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod billing;
 mod body;
+mod calls;
 mod chat;
 mod claim;
 mod cli;
@@ -39,8 +40,11 @@
 mod sessions;
 mod settings;
 mod shared;
+mod stream;
 mod tape;
+mod teach;
 mod view;
+mod whole;
 
 pub use cli::{Args, args, run};
 pub use instance::Instance;
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -9,10 +9,12 @@
 
 use crate::billing::Billing;
 use crate::body::Sink;
+use crate::calls::Begun;
 use crate::context::Context;
-use crate::execute::{CallEnd, Teacher, within};
+use crate::execute::within;
 use crate::plan::Leg;
 use crate::shared::{Ending, Shared};
+use crate::teach::{CallEnd, Teacher};
 
 /// The event that ends an answer.
 const DONE: &[u8] = b"data: [DONE]\n\n";
@@ -58,20 +60,19 @@
     }
 
     /// Makes a pump for an answer whose first event came.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one running request"
-    )]
     pub(crate) fn new(
         shared: Arc<Shared>,
         context: Arc<Context>,
         leg: Leg,
         teacher: Teacher,
         billing: Billing,
-        started: Started,
-        events: EventReader,
-        first: Event,
+        begun: Begun,
     ) -> Pump {
+        let Begun {
+            started,
+            events,
+            first,
+        } = begun;
         let version = leg.version.name.clone();
         let sampled = leg.exposed.is_some() || teacher.sample_share > 0.0;
         let live = Live {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -8,8 +8,9 @@
 use web::Incoming;
 
 use crate::billing::Billing;
+use crate::calls::exchange;
 use crate::context::Context;
-use crate::execute::{self, Answer, Job, exchange, settle_failure, within};
+use crate::execute::{self, Answer, Job, settle_failure, within};
 use crate::keyed;
 use crate::shared::Shared;
 
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,60 @@
+//! Streamed answers of one version.
+
+use std::sync::Arc;
+
+use kernel::Failure;
+
+use crate::billing::Billing;
+use crate::calls::{begin_stream, call, pool_of};
+use crate::chat::ChatRequest;
+use crate::context::Context;
+use crate::execute::{Answer, settle_failure, within};
+use crate::plan::Path;
+use crate::pump::Pump;
+use crate::shared::Shared;
+use crate::teach::{CallEnd, Teacher};
+
+/// Begins a streamed answer on the first version of the path.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    context: &Arc<Context>,
+    chat: ChatRequest,
+    path: Path,
+) -> Result<Answer, Failure> {
+    let Path {
+        first: leg,
+        policy,
+        sample_share,
+        planned,
+        arm,
+        ..
+    } = path;
+    let mut billing = Billing::new(shared.clone(), context);
+    billing.in_arm(arm);
+    let call = call(context, &chat, &leg.version, true, 0, false);
+    let pool = pool_of(context, &leg.version)?;
+    let teacher = Teacher {
+        policy,
+        sample_share,
+        planned,
+    };
+    billing.runs_on(&leg.version.name, leg.exposed.is_some());
+    let begun = within(shared, context, begin_stream(shared, context, pool, &call)).await;
+    match begun {
+        Ok(begun) => {
+            let pump = Pump::new(
+                shared.clone(),
+                context.clone(),
+                leg,
+                teacher,
+                billing,
+                begun,
+            );
+            Ok(Answer::Stream(Box::new(pump)))
+        }
+        Err(failure) => {
+            teacher.teach(shared, context, CallEnd::failed(leg));
+            Err(settle_failure(billing, failure))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/teach.rs
@@ -0,0 +1,98 @@
+//! What calls on versions teach the control thread.
+
+use std::sync::Arc;
+
+use policy::{Observation, Unsure};
+use store::Sample;
+use upstream::Completion;
+
+use crate::context::Context;
+use crate::plan::Leg;
+use crate::shared::{Ending, Lesson, Planned, Shared};
+
+/// How one call on a version ended.
+pub(crate) struct CallEnd {
+    leg: Leg,
+    unsure: Option<Unsure>,
+    confidence: Option<f64>,
+    text: String,
+    ending: Ending,
+    last: bool,
+}
+
+impl CallEnd {
+    /// Makes the end of a call without an answer.
+    pub(crate) fn failed(leg: Leg) -> CallEnd {
+        CallEnd::streamed(leg, String::new(), Ending::Failed)
+    }
+
+    /// Makes the end of a streamed call.
+    pub(crate) fn streamed(leg: Leg, text: String, ending: Ending) -> CallEnd {
+        CallEnd {
+            leg,
+            unsure: None,
+            confidence: None,
+            text,
+            ending,
+            last: true,
+        }
+    }
+
+    pub(crate) fn answered(leg: Leg, completion: &Completion, ending: Ending) -> CallEnd {
+        let confidence = completion.confidence;
+        CallEnd {
+            confidence,
+            ..CallEnd::streamed(leg, completion.text.clone(), ending)
+        }
+    }
+
+    /// Notes that the caller got another answer than this one.
+    pub(crate) fn not_last(mut self) -> CallEnd {
+        self.last = false;
+        self
+    }
+
+    /// Notes the answer that was not kept before.
+    pub(crate) fn after(mut self, unsure: Unsure) -> CallEnd {
+        self.unsure = Some(unsure);
+        self
+    }
+}
+
+/// Hands what calls taught to the control thread.
+pub(crate) struct Teacher {
+    pub(crate) policy: Arc<str>,
+    pub(crate) sample_share: f64,
+    pub(crate) planned: Option<Planned>,
+}
+
+impl Teacher {
+    /// Hands on one call. Every answer of an unproven version is rated, of others a sample.
+    pub(crate) fn teach(&self, shared: &Shared, context: &Context, end: CallEnd) {
+        let version = end.leg.version.name.clone();
+        let wanted = end.leg.exposed.is_some() || fastrand::f64() < self.sample_share;
+        let sample = (wanted && end.ending != Ending::Failed).then(|| Sample {
+            id: format!("{}/{version}", context.request).into(),
+            version: version.clone(),
+            class: context.class.clone(),
+            answer: end.text,
+        });
+        let lesson = Lesson {
+            workspace: context.workspace.name.clone(),
+            policy: self.policy.clone(),
+            observation: Observation {
+                class: context.class.clone(),
+                version,
+                escalated_from: end.unsure,
+                confidence: end.confidence,
+                good: None,
+            },
+            planned: self.planned.filter(|_| end.last),
+            sample,
+            exposed: end.leg.exposed,
+            ending: end.ending,
+        };
+        // A lesson that finds no room is dropped; the allowance that it carries is given back.
+        drop(shared.lessons.try_send(lesson));
+    }
+}
--- a/crates/entry/tests/endpoint_faults.rs
+++ b/crates/entry/tests/endpoint_faults.rs
@@ -64,7 +64,7 @@
     let chat = json!({
         "model": "visitor-s1",
         "stream": kind == "stream",
-        "messages": [{ "role": "user", "content": "x" }],
+        "messages": [{ "role": "user", "content": id }],
     });
     let (path, body) = match kind {
         "service" => ("/v1/services/gate/clearance", json!({})),
@@ -181,3 +181,44 @@
     let books: Books = scene.settled_books(1);
     assert!(books.balance());
 }
+
+#[test]
+fn a_refusal_after_a_try_that_ran_does_not_say_not_run() {
+    for kind in ["chat", "stream"] {
+        let scene = Scene::start(Deployment::Shrestha, 2, 0).unwrap();
+        // One endpoint runs the call and breaks off; all others refuse before they run it.
+        scene.farm.world.faults.change(|set| {
+            for index in 1..=6 {
+                let fault = match (index, kind) {
+                    (1, "chat") => EndpointFault::CutHalf,
+                    (1, _) => EndpointFault::ResetAfterRun,
+                    _ => EndpointFault::Refuse,
+                };
+                set.endpoints.insert(
+                    format!("runners-small-{index}"),
+                    EndpointFaults {
+                        fault,
+                        calls: 0,
+                        slow_ms: 0,
+                    },
+                );
+            }
+        });
+        for _ in 0..60 {
+            let (addr, id) = fresh(&scene);
+            let reply = ask(addr, &id, kind, 0);
+            let runs = scene
+                .runs()
+                .all()
+                .iter()
+                .filter(|run| run.request.starts_with(&id))
+                .count();
+            let says_not_run = reply.verdict == Some(Verdict::NotRun);
+            assert!(
+                !says_not_run || runs == 0,
+                "{kind}: ran {runs} times, but: {}",
+                reply.json()
+            );
+        }
+    }
+}
