Check permissions before each further step, and pause after an expired watch

Cause: (1) found by a new test: a cascade's second step ran on a version 840 ms after its withdrawal was in force, since the permission was checked at planning only. (2) Found by reading: a watch that always expires was followed by a listing at once, without a pause, until the budget was used up. (3) The break 'status written without condition' left all tests green. Change: the permission is checked before a second step and before another try; expired watches wait as other errors do; a test holds every instance on an old status and asks whether a decision takes effect. Shown failing first: the cascade test (840 ms), the budget test, and the status test with the break. Ruled out: dropping the whole request when the second version is gone; its first answer is kept.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -65,6 +65,7 @@
     context: &Context,
     pool: &PoolState,
     call: &Call,
+    version: Option<&Version>,
 ) -> Result<Begun, Failure> {
     let mut tries = Tries::default();
     loop {
@@ -86,7 +87,7 @@
             Reason::Endpoint,
             "the answer broke off before its first token",
         );
-        tries.again(call, failure)?;
+        tries.again(call, may_go_on(shared, context, version), failure)?;
     }
 }
 
@@ -96,6 +97,7 @@
     context: &Context,
     pool: &PoolState,
     call: &Call,
+    version: Option<&Version>,
 ) -> Result<Vec<u8>, Failure> {
     let mut tries = Tries::default();
     loop {
@@ -106,11 +108,17 @@
         let mut started = started.map_err(|failure| tries.join(failure))?;
         match started.whole(shared.settings.max_answer_bytes).await {
             Ok(bytes) => return Ok(bytes),
-            Err(failure) => tries.again(call, failure)?,
+            Err(failure) => tries.again(call, may_go_on(shared, context, version), failure)?,
         }
     }
 }
 
+/// Returns whether a version that was planned earlier may still get new work; services always may.
+pub(crate) fn may_go_on(shared: &Shared, context: &Context, version: Option<&Version>) -> bool {
+    let view = shared.view.load();
+    version.is_none_or(|version| view.snapshot.permits(&context.workspace, &version.name))
+}
+
 /// The tries of one call that an endpoint began to answer.
 #[derive(Debug, Default)]
 struct Tries {
@@ -119,9 +127,9 @@
 
 impl Tries {
     /// Notes an answer that broke off, and ends the call if it may not be tried again.
-    fn again(&mut self, call: &Call, failure: Failure) -> Result<(), Failure> {
+    fn again(&mut self, call: &Call, allowed: bool, failure: Failure) -> Result<(), Failure> {
         self.broken += 1;
-        if self.broken < MAX_TRIES && call.is_idempotent() {
+        if self.broken < MAX_TRIES && allowed && call.is_idempotent() {
             Ok(())
         } else {
             Err(failure)
--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -60,8 +60,10 @@
                 cursor = Some(revision);
                 pause_ms = MIN_PAUSE_MS;
             }
-            Err(StoreError::Expired) => cursor = None,
             Err(err) => {
+                if err == StoreError::Expired {
+                    cursor = None;
+                }
                 tracing::warn!("watch: {err}");
                 let jitter_ms = fastrand::u64(..pause_ms);
                 Timer::after(Duration::from_millis(pause_ms + jitter_ms)).await;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -115,7 +115,7 @@
         match within(
             shared,
             context,
-            exchange(shared, context, &self.pool, &call),
+            exchange(shared, context, &self.pool, &call, None),
         )
         .await
         {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -39,7 +39,12 @@
         planned,
     };
     billing.runs_on(&leg.version.name, leg.exposed.is_some());
-    let begun = within(shared, context, begin_stream(shared, context, pool, &call)).await;
+    let begun = within(
+        shared,
+        context,
+        begin_stream(shared, context, pool, &call, Some(&leg.version)),
+    )
+    .await;
     match begun {
         Ok(begun) => {
             let pump = Pump::new(
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -7,7 +7,7 @@
 use upstream::Completion;
 
 use crate::billing::Billing;
-use crate::calls::{call, exchange, pool_of};
+use crate::calls::{call, exchange, may_go_on, pool_of};
 use crate::chat::ChatRequest;
 use crate::context::Context;
 use crate::execute::{Answer, settle_failure, within};
@@ -57,7 +57,9 @@
     let first_name = path.first.version.name.clone();
     let first = CallEnd::answered(path.first, &answer.completion, ending(context, &billing));
     let sure = |threshold: f64| answer.completion.confidence.unwrap_or(0.0) >= threshold;
-    let Some((then, _)) = path.then.filter(|(_, threshold)| !sure(*threshold)) else {
+    let wanted = path.then.filter(|(_, threshold)| !sure(*threshold));
+    let Some((then, _)) = wanted.filter(|(leg, _)| may_go_on(shared, context, Some(&leg.version)))
+    else {
         teacher.teach(shared, context, first);
         return finish(billing, answer, first_name, chat.stream).await;
     };
@@ -100,7 +102,7 @@
     let pool = pool_of(context, &leg.version)?;
     let had_run = stage > 0;
     billing.runs_on(&leg.version.name, leg.exposed.is_some());
-    let exchange = exchange(shared, context, pool, &call);
+    let exchange = exchange(shared, context, pool, &call, Some(&leg.version));
     let bytes = match within(shared, context, exchange).await {
         Ok(bytes) => bytes,
         Err(failure) => {
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -447,3 +447,66 @@
         assert_eq!(reply, (429, Some(Verdict::NotRun)), "{}", entry.name);
     }
 }
+
+#[test]
+fn a_cascade_takes_no_second_step_to_a_version_withdrawn_meanwhile() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 3, 80);
+    let path = "config/spec/policy/target";
+    let revision = edit(&fleet, path, |value| {
+        value["plugin"] = json!("fixed-cascade")
+    });
+    fleet.wait_revision(revision);
+    let mix = Mix {
+        service: 0.0,
+        stream: 0.0,
+        keyed: 0.0,
+    };
+    let load = Load {
+        seed: 31,
+        calls: 40,
+        pause_ms: 1,
+        mix,
+    };
+    let mut in_force_ms = 0;
+    // The first step takes 12 tokens of 80 ms each; the withdrawal falls into it.
+    let records = fleet.calls_during(load, |fleet| {
+        std::thread::sleep(Duration::from_millis(200));
+        let revision = withdraw(fleet, "visitor-l1");
+        fleet.wait_revision(revision);
+        in_force_ms = kernel::Clock::wall_ms(&kernel::SystemClock::new());
+    });
+    let late = last_run(&fleet, "visitor-l1").saturating_sub(in_force_ms);
+    assert!(
+        late < 100,
+        "the second step ran {late} ms after the withdrawal was in force"
+    );
+    let answered = records
+        .iter()
+        .filter(|record| record.ending == Ending::Answered)
+        .count();
+    assert_eq!(
+        answered,
+        records.len(),
+        "the first answer is kept: {records:#?}"
+    );
+}
+
+#[test]
+fn watches_that_always_expire_do_not_use_up_the_budget() {
+    let fleet = Fleet::start(Deployment::Authority, 3, 1);
+    fleet
+        .farm
+        .world
+        .faults
+        .change(|set| set.platform.expire_watches = true);
+    std::thread::sleep(Duration::from_millis(500));
+    let reads =
+        |entry: &common::EntryProcess| entry.status()["platform"]["reads"].as_u64().unwrap();
+    let before: Vec<u64> = fleet.entries.iter().map(reads).collect();
+    std::thread::sleep(Duration::from_millis(1_500));
+    for (entry, before) in fleet.entries.iter().zip(before) {
+        let since = reads(entry) - before;
+        // Two reads a pause of at least 100 ms, settlement and the list beside them.
+        assert!(since < 60, "{} made {since} reads in 1.5 s", entry.name);
+    }
+}
--- a/crates/entry/tests/rollouts.rs
+++ b/crates/entry/tests/rollouts.rs
@@ -69,6 +69,18 @@
         value["min_step_ms"] = json!(200);
         value["steps"] = steps.clone();
     });
+    // All chat calls go to the version that the roll-out moves from.
+    let path = "config/spec/policy/target";
+    let mut policy = fleet.farm.world.objects.get(path).unwrap().value.unwrap();
+    policy["plugin"] = json!("always-cheapest");
+    fleet.wait_revision(
+        fleet
+            .farm
+            .world
+            .objects
+            .put(path, policy, Expect::Any)
+            .unwrap(),
+    );
     until("the roll-out begins", || {
         status(&fleet)["phase"] == "running"
     });
@@ -258,3 +270,32 @@
         "a loaded version that is withdrawn got work"
     );
 }
+
+#[test]
+fn a_controller_that_read_an_old_status_changes_nothing() {
+    let mut fleet = start(&json!([0.5, 1.0]));
+    let world = fleet.farm.world.clone();
+    world
+        .faults
+        .change(|set| set.set_quality("visitor-s2", 1.0));
+    // No instance hears of the stop, as a controller that was paused would not.
+    world.objects.remember_stale();
+    world.faults.change(|set| {
+        set.platform.stale_list = true;
+        set.platform.expire_watches = true;
+    });
+    let mut stopped = status(&fleet);
+    stopped["phase"] = json!("stopped");
+    world.objects.put(STATUS, stopped, Expect::Any).unwrap();
+    let written = world.objects.get(STATUS).unwrap();
+    // Enough good ratings to pass a step several times over.
+    for seed in 120..126 {
+        fleet.calls_during(load(seed, 200), |_| {});
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(
+        world.objects.get(STATUS).unwrap(),
+        written,
+        "an old decision took effect"
+    );
+}
