Show that a settler writes over no other

Change: a test changes a statement between a settler's reads and writes forty times and asks for every change; the link is gone. Ruled out: relying on the model in the receipt crate, which does not run the settler's own code.

--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::{Fleet, Load, until};
+use common::{Fleet, Load, PATIENCE, until};
 use kernel::{Priority, Verdict};
 use rustix::process::Signal;
 use trial::{Audit, CallKind, CallRecord, CallSpec, Deployment, Ending, Mix};
@@ -280,3 +280,38 @@
     let record = smol::block_on(fleet.caller(0).call(spec));
     assert_eq!(record.ending, Ending::Answered);
 }
+
+#[test]
+fn a_settler_writes_over_no_other_settler() {
+    let mut fleet = Fleet::start(Deployment::Shrestha, 3, 0);
+    let world = fleet.farm.world.clone();
+    let path = "statements/hotel-1/0";
+    world.faults.change(|set| set.platform.slow_ms = 60);
+    let mut written = 0;
+    let records = fleet.calls_during(load(10, 200), |_| {
+        // Another settler changes the statement between this one's reads and writes.
+        let end = Instant::now() + PATIENCE;
+        while written < 40 {
+            assert!(Instant::now() < end, "only {written} writes in time");
+            std::thread::sleep(Duration::from_millis(45));
+            let Ok(object) = world.objects.get(path) else {
+                continue;
+            };
+            let mut value = object.value.unwrap();
+            value["too_late"] = (value["too_late"].as_u64().unwrap() + 1).into();
+            written += u64::from(
+                world
+                    .objects
+                    .put(path, value, store::Expect::Revision(object.revision))
+                    .is_ok(),
+            );
+        }
+    });
+    world.faults.change(|set| set.platform.slow_ms = 0);
+    audit(&fleet, &records);
+    let statement = world.objects.get(path).unwrap().value.unwrap();
+    assert_eq!(
+        statement["too_late"], written,
+        "a settler wrote over another"
+    );
+}
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -19,7 +19,7 @@
 ///
 /// Instances average their demand in pairs, so that each knows the mean without a table of all.
 /// Above the quota each gets a part in proportion to its demand; below it each gets its demand and a
-/// part of the room that is left. The sum may exceed the quota by [`HEADROOM_FACTOR`] until the mean
+/// part of the room that is left. The sum may exceed the quota by a factor of two until the mean
 /// has followed a rise in demand. An instance that hears no peer keeps to an equal split.
 ///
 /// # Examples
