--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -310,3 +310,18 @@
         "a settler wrote over another"
     );
 }
+
+#[test]
+fn an_instance_whose_death_is_old_news_comes_back() {
+    let fleet = Fleet::start(Deployment::Shrestha, 3, 1);
+    fleet.entries[1].signal(Signal::STOP);
+    until("the others take it for dead", || {
+        let members =
+            |entry: &common::EntryProcess| entry.status()["members"].as_array().map_or(0, Vec::len);
+        members(&fleet.entries[0]) == 2 && members(&fleet.entries[2]) == 2
+    });
+    // The news of its death is passed on a bounded number of times, and then no more.
+    std::thread::sleep(Duration::from_secs(4));
+    fleet.entries[1].signal(Signal::CONT);
+    fleet.wait_converged();
+}
