Name a dead sender in whole-table answers too, and drop what nothing calls

Cause: read once more, the answer to a probe added the sender's own entry before the whole table, when asked for, replaced the list; the table leaves the dead out, so just then a dead sender was not told. store_age_ms was sent with every probe and read by nobody, the time of the last store contact served it alone, and Table::answered and Table::all had no caller. Change: the table goes in first, the sender's entry after it; the dead code and the field are gone; one 'heard' stands for two that did the same. Checks: clippy with warnings denied; the frames, processes (13) and config (11) tests pass.

--- a/crates/entry/benches/scale/parts.rs
+++ b/crates/entry/benches/scale/parts.rs
@@ -153,7 +153,6 @@
         demands: vec![demand; 16],
         leaving: Vec::new(),
         wants_table: false,
-        store_age_ms: 100,
     })
 }
 
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -135,7 +135,7 @@
         Body::Ping(news(control, wants_table)),
     );
     let answer = link.call(&ping, timeout).await?;
-    control.heard_peer();
+    control.heard();
     let from = Incarnation::from_u64(answer.from);
     let Some(Body::Ack(Ack { news: Some(news) })) = answer.body else {
         return Ok(from);
@@ -151,7 +151,7 @@
 
 /// Answers a probe.
 pub(super) fn answer(control: &Control, ping: &Ping) -> Ack {
-    control.heard_peer();
+    control.heard();
     absorb(control, ping);
     compare(control, ping);
     let demands = shares::meet(control, &ping.demands);
@@ -160,6 +160,15 @@
         demands,
         ..news(control, false)
     };
+    if ping.wants_table && differs {
+        news.members = control
+            .table
+            .borrow()
+            .snapshot()
+            .iter()
+            .map(member_to_wire)
+            .collect();
+    }
     // A sender that is thought dead must hear so, or it never refutes.
     if let Some(sender) = ping.members.first() {
         let held = control
@@ -173,15 +182,6 @@
                 .map(member_to_wire),
         );
     }
-    if ping.wants_table && differs {
-        news.members = control
-            .table
-            .borrow()
-            .snapshot()
-            .iter()
-            .map(member_to_wire)
-            .collect();
-    }
     Ack { news: Some(news) }
 }
 
@@ -273,9 +273,6 @@
         demands: shares::demands(control),
         leaving,
         wants_table,
-        store_age_ms: control
-            .now_ms()
-            .saturating_sub(control.store_heard_ms.get()),
     }
 }
 
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -47,8 +47,6 @@
     pub(super) leaving: RefCell<BTreeSet<LeavingEndpoint>>,
     /// When the store or a peer was heard last, on the monotonic clock.
     pub(super) heard_ms: Cell<u64>,
-    /// When the store was heard last, on the monotonic clock.
-    pub(super) store_heard_ms: Cell<u64>,
     pub(super) configured: Cell<bool>,
     /// The store's revision up to which nothing is missing here.
     pub(super) complete_revision: Cell<u64>,
@@ -73,7 +71,6 @@
             rollouts: RefCell::default(),
             leaving: RefCell::default(),
             heard_ms: Cell::new(now_ms),
-            store_heard_ms: Cell::new(0),
             configured: Cell::new(false),
             complete_revision: Cell::new(0),
             cut_off: Cell::new(false),
@@ -87,17 +84,11 @@
         self.shared.clock.mono_ms()
     }
 
-    /// Notes that a peer was heard.
-    pub(super) fn heard_peer(&self) {
+    /// Notes that a peer or the store was heard.
+    pub(super) fn heard(&self) {
         self.heard_ms.set(self.now_ms());
     }
 
-    /// Notes that the store was heard.
-    pub(super) fn heard_store(&self) {
-        self.heard_ms.set(self.now_ms());
-        self.store_heard_ms.set(self.now_ms());
-    }
-
     /// Notes that the view is out of date.
     pub(super) fn touch(&self) {
         self.changed.set(true);
--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -75,7 +75,7 @@
 
 async fn list(control: &Rc<Control>) -> Result<u64, StoreError> {
     let listing = control.shared.platform.list(CONFIG_PREFIX).await?;
-    control.heard_store();
+    control.heard();
     let revision = listing.revision;
     let changed =
         control
@@ -99,7 +99,7 @@
         .platform
         .watch(CONFIG_PREFIX, revision, wait_ms)
         .await?;
-    control.heard_store();
+    control.heard();
     let fresh = control.take_objects(listing.objects);
     control.complete_up_to(listing.revision);
     if fresh {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -91,11 +91,6 @@
         self.entries.get(&incarnation).map(|entry| &entry.member)
     }
 
-    /// Returns all members, dead ones included.
-    pub fn all(&self) -> Vec<&Member> {
-        self.entries.values().map(|entry| &entry.member).collect()
-    }
-
     /// Returns a hash of the live table, equal for equal tables.
     pub fn digest(&self) -> u64 {
         let mut digest = 0;
@@ -135,13 +130,6 @@
         self.set_status(incarnation, Status::Suspect, now_ms);
     }
 
-    /// Notes that a member answered.
-    ///
-    /// Only the member itself can refute a suspicion, which it does when it hears of it.
-    pub fn answered(&mut self, update: Member, now_ms: u64) {
-        self.merge(update, now_ms);
-    }
-
     /// Starts to leave.
     pub fn leave(&mut self) {
         if let Some(entry) = self.entries.get_mut(&self.me) {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -134,9 +134,6 @@
     /// Whether the sender wants the whole table.
     #[prost(bool, tag = "6")]
     pub wants_table: bool,
-    /// When a store read last succeeded at the sender, as an age in milliseconds.
-    #[prost(uint64, tag = "7")]
-    pub store_age_ms: u64,
 }
 
 /// The answer to a probe, with news the other way.
