Ask the small model first, and wait for endpoints that live

Change: a cascade by the small model's confidence; a stream waits for an endpoint as long as that answers others.

--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -51,6 +51,11 @@
     pub(crate) ask: Option<&'a Ask>,
     pub(crate) route: Option<&'a Arc<str>>,
     pub(crate) endpoint: Option<&'a str>,
+    /// The version that the last endpoint runs.
+    pub(crate) version: Option<&'a str>,
+    /// The model's size and how sure the model was.
+    pub(crate) size: Option<usize>,
+    pub(crate) confidence: Option<u8>,
     pub(crate) sends: u32,
     pub(crate) config: u64,
     pub(crate) view: u64,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -105,6 +105,9 @@
             ask,
             route,
             endpoint: endpoint.map(|endpoint| &*endpoint.id),
+            version: endpoint.map(|endpoint| &*endpoint.version),
+            size: job.and_then(|job| job.size),
+            confidence: job.and_then(|job| job.confidence),
             sends: job.map_or(0, |job| job.sends),
             config: job.map_or(0, |job| job.table_version),
             view: self.view,
@@ -338,6 +341,7 @@
         verdict: Verdict::NotRun,
         size: None,
         escalated: false,
+        confidence: None,
         last_endpoint: None,
         own_failure: None,
         call,
@@ -392,6 +396,13 @@
         let Some(size) = job.size else {
             return Ok(begun);
         };
+        job.confidence = begun.reply.confidence;
+        tracing::debug!(
+            id = &*job.ask.id,
+            size,
+            confidence = job.confidence,
+            "request: confidence"
+        );
         if size == largest || desk.ladder.keeps(job.route.rank, begun.reply.confidence) {
             return Ok(begun);
         }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use kernel::{Failure, Reason, Verdict};
 use limits::NoPlace;
-use relay::{Call, Exchange, ResponseHead};
+use relay::{Call, Exchange, ExchangeError, ResponseHead};
 use route::{Route, Workspace};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -17,7 +19,7 @@
 use crate::pipeline::Desk;
 use crate::plan::{self, Place};
 use crate::protocol::{Attempt, Reply, Standing};
-use crate::station::{Seat, StationKey};
+use crate::station::{Seat, Station, StationKey};
 use crate::tally::{Ending, Tally};
 
 /// The largest answer that is held to see whether it is whole, in bytes.
@@ -47,9 +49,20 @@
 /// Callers keep to a moment within a third of their time; a quarter leaves room for the way.
 const COMEBACK_SHARE: u64 = 4;
 
-/// How much of its objective a repeatable request waits for one endpoint, while others are left.
+/// How many of its objectives a repeatable plain request waits for one endpoint.
 const PATIENCE: f64 = 2.5;
 
+/// How many of the endpoint's usual times to a first event a stream waits, and its objective at
+/// least: sending a long prompt elsewhere reads it again.
+const PATIENCE_OF_USUAL: f64 = 6.0;
+
+/// How long an endpoint with work in hand may send nothing at all before it is taken for dead.
+/// Engines that live send a token of some request many times a second.
+const SILENCE_MS: u64 = 1_500;
+
+/// How often a waiting request looks for such silence.
+const SILENCE_TICK: Duration = Duration::from_millis(250);
+
 /// One request under way.
 pub(crate) struct Job {
     pub(crate) call: Call,
@@ -72,6 +85,8 @@
     pub(crate) size: Option<usize>,
     /// Whether a smaller model's answer was not good enough.
     pub(crate) escalated: bool,
+    /// How sure the model was of its answer, from 0 to 100.
+    pub(crate) confidence: Option<u8>,
     pub(crate) last_endpoint: Option<Arc<Endpoint>>,
     /// An endpoint's own failure, which the caller gets if nothing better comes.
     pub(crate) own_failure: Option<EndpointFailure>,
@@ -179,16 +194,19 @@
         (urgency - waited).min(LAST_URGENCY)
     }
 
-    /// Returns until when one endpoint is waited for.
-    fn patience(&self) -> Instant {
+    /// Returns how long one endpoint is waited for, as long as it answers other requests.
+    fn patience(&self, station: &Station) -> Duration {
         let others = self.route.repeat.may_repeat() && self.runs + 1 < self.route.max_attempts;
         if !others {
-            return self.deadline;
+            return self.left();
         }
         let objective = Duration::from_millis(self.route.objective_ms);
-        let half = self.left() / 2;
-        let patience = objective.mul_f64(PATIENCE).min(half);
-        (Instant::now() + patience).min(self.deadline)
+        if !self.route.repeat.is_stream() {
+            return objective.mul_f64(PATIENCE).min(self.left() / 2);
+        }
+        let usual_ms = station.first_ms().unwrap_or_default() * PATIENCE_OF_USUAL;
+        let usual = Duration::from_millis(usual_ms as u64);
+        objective.max(usual).min(self.left())
     }
 
     /// Sends the request until an endpoint begins to answer.
@@ -271,15 +289,20 @@
         let sent_at = Instant::now();
         let connect_until = sent_at + Duration::from_millis(desk.settings.connect_timeout_ms);
         let running = Running::start(&desk.tally, &endpoint);
-        let started = Exchange::start(
+        let starting = Exchange::start(
             endpoint.addr,
             connect_until.min(self.deadline),
-            self.patience(),
+            sent_at + self.patience(&station),
             &self.call.head.method,
             &bytes,
             &self.call.body,
-        )
-        .await;
+        );
+        let silence = async {
+            self.wait_for_silence(desk, &station).await;
+            let source = std::io::Error::other("the endpoint sends nothing at all");
+            Err(ExchangeError { sent: true, source })
+        };
+        let started = starting.or(silence).await;
         self.tried.push(StationKey::of(&endpoint));
         self.last_endpoint = Some(endpoint.clone());
         let now_ms = desk.now_ms();
@@ -300,6 +323,7 @@
                 return Sent::Next;
             }
         };
+        station.note_first(sent_at.elapsed().as_millis() as u64, now_ms);
         self.sends += 1;
         if self.sends > 1 {
             Counters::add(&desk.counters.repeats);
@@ -366,6 +390,21 @@
         }
     }
 
+    /// Returns when an endpoint was silent for too long, if others may still take the request.
+    async fn wait_for_silence(&self, desk: &Desk, station: &Station) {
+        if !self.route.repeat.may_repeat() || self.runs + 1 >= self.route.max_attempts {
+            std::future::pending::<()>().await;
+        }
+        let sent_ms = desk.now_ms();
+        loop {
+            Timer::after(SILENCE_TICK).await;
+            let last_ms = station.heard_ms().max(sent_ms);
+            if desk.now_ms() >= last_ms + SILENCE_MS {
+                return;
+            }
+        }
+    }
+
     pub(crate) fn note_tally(&self, desk: &Desk, endpoint: &Endpoint, ending: Ending) {
         desk.tally.note(
             &endpoint.service,
--- a/crates/serve/src/station.rs
+++ b/crates/serve/src/station.rs
@@ -47,6 +47,10 @@
     slowness: Cell<Option<f64>>,
     closed_until_ms: Cell<u64>,
     misdirected: Cell<bool>,
+    /// When any byte of an answer came last, in milliseconds.
+    heard_ms: Cell<u64>,
+    /// The running mean of the time to the head of an answer, in milliseconds.
+    first_ms: Cell<Option<f64>>,
 }
 
 impl Station {
@@ -92,10 +96,28 @@
         self.outlier.borrow_mut().note(failed, now_ms);
     }
 
-    /// Notes a time relative to what is usual.
-    pub(crate) fn note_pace(&self, ratio: f64) {
-        let mean = self.slowness.get().unwrap_or(1.0);
-        self.slowness.set(Some(mean + PACE_WEIGHT * (ratio - mean)));
+    /// Notes that bytes of an answer came.
+    pub(crate) fn note_heard(&self, now_ms: u64) {
+        self.heard_ms.set(now_ms);
+    }
+
+    /// Notes the time to the head of an answer.
+    pub(crate) fn note_first(&self, first_ms: u64, now_ms: u64) {
+        self.note_heard(now_ms);
+        let first_ms = first_ms as f64;
+        let mean = self.first_ms.get().unwrap_or(first_ms);
+        self.first_ms
+            .set(Some(mean + PACE_WEIGHT * (first_ms - mean)));
+    }
+
+    /// Returns the usual time to the head of an answer, in milliseconds.
+    pub(crate) fn first_ms(&self) -> Option<f64> {
+        self.first_ms.get()
+    }
+
+    /// Returns when any byte of an answer came last, in milliseconds.
+    pub(crate) fn heard_ms(&self) -> u64 {
+        self.heard_ms.get()
     }
 
     fn close_until(&self, until_ms: u64) {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -76,7 +76,10 @@
             }
             let until = (Instant::now() + self.stall).min(self.job.deadline);
             match within(until, self.begun.exchange.next()).await? {
-                Some(bytes) => self.splitter.push(&bytes),
+                Some(bytes) => {
+                    self.begun.seat.station.note_heard(self.desk.now_ms());
+                    self.splitter.push(&bytes);
+                }
                 None if self.splitter.is_empty() => return Ok(None),
                 None => return Err(io::ErrorKind::UnexpectedEof.into()),
             }
