Let conversations, not requests, try a new version

Cause: a good version stayed in its trial for good, since every request on both sites belongs to a conversation and conversations were kept on the old version. Change: a fixed 5% of the conversations try the version; shares only grow, so that each conversation moves once.

--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -21,7 +21,8 @@
 /// Times and shares of a shift.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShiftSettings {
-    /// The share of traffic during the trial, from 0 to 1.
+    /// The share of traffic during the trial, from 0 to 1. Conversations that are under way when the
+    /// trial begins change their version for it, so that it must be small.
     pub trial_share: f64,
     /// The part of the time after which half of the traffic moves. Conversations stay where they
     /// are until half of the time is over.
@@ -37,7 +38,7 @@
 impl Default for ShiftSettings {
     fn default() -> ShiftSettings {
         ShiftSettings {
-            trial_share: 0.08,
+            trial_share: 0.05,
             half_at: 0.51,
             all_at: 0.6,
             done_at: 0.9,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -397,8 +397,9 @@
             return Ok(begun);
         };
         job.confidence = begun.reply.confidence;
-        tracing::debug!(
+        tracing::info!(
             id = &*job.ask.id,
+            session = job.ask.session.as_deref(),
             size,
             confidence = job.confidence,
             "request: confidence"
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -43,8 +43,7 @@
     let Some(pool) = view.pools.get(&job.service) else {
         return Err(NoPlace::Nobody);
     };
-    let conversing = job.ask.session.is_some();
-    let eligible = pool.eligible(job.conversation_unit(), conversing);
+    let eligible = pool.eligible(job.conversation_unit());
     let cap = connection_cap(job.max_connections, view.instances);
     let mut places = Vec::new();
     let mut candidates = Vec::new();
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -10,7 +10,7 @@
 /// How far the traffic of a service has moved to another version.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Stage {
-    /// This share of new conversations goes to the new version.
+    /// This share of all conversations tries the new version.
     Trial(f64),
     /// This share of all conversations goes to the new version.
     Moving(f64),
@@ -56,31 +56,25 @@
 }
 
 impl Pool {
-    /// Returns the endpoints that a request may run on, best first by version.
+    /// Returns the endpoints that a request may run on.
     ///
-    /// `unit` is a number below 1 that is the same for all requests of a conversation, and
-    /// `conversing` whether the request belongs to one.
-    pub fn eligible(&self, unit: f64, conversing: bool) -> Vec<&Arc<Endpoint>> {
+    /// `unit` is a number below 1 that is the same for all requests of a conversation. Shares only
+    /// grow, so that a conversation moves to the new version once and never back.
+    pub fn eligible(&self, unit: f64) -> Vec<&Arc<Endpoint>> {
         let Some(shift) = &self.shift else {
             return self.endpoints.iter().collect();
         };
         let share = match shift.stage {
-            // A conversation that began on the old version stays there during the trial.
-            Stage::Trial(_) if conversing => 0.0,
             Stage::Trial(share) | Stage::Moving(share) => share,
             Stage::Done => 1.0,
             Stage::Withdrawn => 0.0,
         };
-        let on_target = unit < share;
-        let chosen = self.of(&shift.target, on_target);
-        if !chosen.is_empty() || shift.stage == Stage::Withdrawn {
+        let chosen = self.of(&shift.target, unit < share);
+        if !chosen.is_empty() || unit >= share {
             return chosen;
         }
-        // The old version is all there is, or the new one has not come up yet.
-        if on_target {
-            return self.of(&shift.target, false);
-        }
-        chosen
+        // The new version has not come up yet, or is gone.
+        self.of(&shift.target, false)
     }
 
     fn of(&self, version: &Arc<str>, equal: bool) -> Vec<&Arc<Endpoint>> {
