Test what an instance believes, and end the control thread when its handle goes

Cause: a control thread that was ended without leaving first waited for a second message for ever; the new tests hung on it. Change: dropping the handle's channel ends the thread. Ruled out: a lost wake-up; the thread stood in its second receive.

--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -61,9 +61,9 @@
         let _ = self.stop.try_send(());
     }
 
-    /// Ends the thread.
+    /// Ends the thread, which leaves first if it has not.
     pub fn end(self) {
-        let _ = self.stop.try_send(());
+        drop(self.stop);
         if self.thread.join().is_err() {
             tracing::error!("control: the thread panicked");
         }
--- /dev/null
+++ b/crates/control/tests/peers.rs
@@ -0,0 +1,85 @@
+//! What instances learn of and from one another.
+
+mod common;
+
+use common::{Instance, Shelves, Way, entry, eventually};
+use serde_json::json;
+
+fn knows(instance: &Instance, count: usize) -> bool {
+    let members = instance.handle.members();
+    let members = members.load();
+    members.iter().filter(|member| member.takes_work()).count() == count
+}
+
+#[test]
+fn an_instance_that_the_store_turns_away_hears_from_its_peers() {
+    let shelves = Shelves::default();
+    shelves.write("config/main", json!({ "version": 1 }));
+    let near = Instance::start("near", &shelves);
+    let away = Instance::start("away", &shelves);
+    eventually("both know both", || knows(&near, 2) && knows(&away, 2));
+    away.way.set_all_away(true);
+    shelves.write("config/main", json!({ "version": 2 }));
+    shelves.write("endpoints/e", entry("v1"));
+    eventually("heard of the configuration", || away.version() == Some(2));
+    eventually("heard of the endpoint", || away.endpoints().len() == 1);
+    shelves.remove("endpoints/e");
+    eventually("heard of the removal", || away.endpoints().is_empty());
+    near.handle.end();
+    away.handle.end();
+}
+
+#[test]
+fn leaving_and_dead_instances_are_left_out() {
+    let shelves = Shelves::default();
+    let stays = Instance::start("stays", &shelves);
+    let leaves = Instance::start("leaves", &shelves);
+    eventually("both know both", || knows(&stays, 2) && knows(&leaves, 2));
+    leaves.handle.leave();
+    eventually("the leaving one is left out", || knows(&stays, 1));
+    assert!(!leaves.view.load().accepts);
+    assert_eq!(shelves.value("instances/leaves"), None);
+    leaves.handle.end();
+    let dies = Instance::start("dies", &shelves);
+    eventually("the new one is known", || knows(&stays, 2));
+    // The thread ends without a word to the store or to peers.
+    dies.way.set_all_away(true);
+    dies.handle.end();
+    eventually("the dead one is left out", || knows(&stays, 1));
+    eventually("its entry is removed", || {
+        shelves.value("instances/dies").is_none()
+    });
+    stays.handle.end();
+}
+
+#[test]
+fn an_instance_that_starts_while_the_store_is_away_accepts_nothing() {
+    let way = Way::default();
+    way.set_all_away(true);
+    way.shelves.write("config/main", json!({ "version": 1 }));
+    let instance = Instance::start_over("a", way);
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    assert!(!instance.view.load().accepts);
+    instance.way.set_all_away(false);
+    eventually("in force", || instance.version() == Some(1));
+    assert!(instance.view.load().accepts);
+    instance.handle.end();
+}
+
+#[test]
+fn a_version_without_trouble_takes_over_within_its_time() {
+    let shelves = Shelves::default();
+    shelves.write("endpoints/old", entry("v1"));
+    shelves.write("endpoints/new", entry("v2"));
+    let instance = Instance::start("a", &shelves);
+    eventually("known", || instance.endpoints().len() == 2);
+    shelves.write("rollouts/app", json!({ "service": "app", "target": "v2" }));
+    let state = |expected: &str| {
+        let status = shelves.value("rollouts/app/status");
+        status.is_some_and(|status| status["state"] == *expected)
+    };
+    eventually("running", || state("running"));
+    let view = instance.view.load();
+    assert!(view.pools["app"].shift.is_some());
+    instance.handle.end();
+}
