--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use catalog::Object;
 use kernel::Incarnation;
-use member::first_choice;
+use member::rank;
 use rollout::{
     Counts, Evidence, Judgement, Monitor, Phase, ShiftSettings, ShiftState, TestSettings, is_worse,
     next_phase,
@@ -66,6 +66,10 @@
     row.map_or(Phase::Trial, |row| row.0)
 }
 
+/// How long an instance leaves what is due to each one that ranks before it, in milliseconds: those
+/// may be turned away by the store. Writes are conditional, so that two may act at once.
+const RANK_DELAY_MS: u64 = 600;
+
 /// One roll-out as this instance sees it.
 struct Track {
     target: Arc<str>,
@@ -73,6 +77,8 @@
     /// The part of the time that was over when this instance learned of the phase, and when it did.
     base_share: f64,
     since_ms: u64,
+    /// Since when something is due that nobody has done, in milliseconds.
+    due_since_ms: Option<u64>,
     monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
 }
@@ -132,6 +138,7 @@
             phase: Phase::Trial,
             base_share: 0.0,
             since_ms: now_ms,
+            due_since_ms: None,
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
         }
@@ -398,14 +405,17 @@
     }
 }
 
-/// Moves a roll-out on, if this instance ranks first for it.
+/// What is due for a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Due {
+    /// The operator is to read this state.
+    State(RolloutState),
+    /// The instances are to agree on this phase.
+    Agree(Phase, f64),
+}
+
+/// Moves a roll-out on, if nobody that ranks before this instance does.
 async fn lead(control: &Control, standing: &Standing) {
-    let order = &standing.order;
-    let first = {
-        let members = control.members.borrow();
-        let first = first_choice(&standing.path, &members.live());
-        first.is_some_and(|first| first.incarnation == control.me)
-    };
     let settled = matches!(
         standing.state,
         Some(RolloutState::Succeeded | RolloutState::RolledBack)
@@ -413,43 +423,65 @@
     if settled || control.store_away() {
         return;
     }
-    let (phase, elapsed_share, next) = {
-        let shifts = control.shifts.borrow();
-        let Some(track) = shifts.tracks.get(&order.service) else {
-            return;
-        };
-        let elapsed_share = track.elapsed_share(order.duration_ms, control.now_ms());
-        let state = ShiftState {
-            phase: track.phase,
-            elapsed_share,
-            new: track.monitor.total(),
-            running_on_old: track.running_on_old(),
-        };
-        let next = next_phase(&state, &control.settings.shift);
-        (track.phase, elapsed_share, next)
-    };
-    if phase == Phase::Withdrawn {
-        // Whoever found it bad may have been cut off before it could say so.
-        write_state(control, standing, RolloutState::RolledBack).await;
+    let due = due(control, standing);
+    if !is_turn(control, standing, due.is_some()) {
         return;
     }
-    if !first {
-        return;
+    match due {
+        Some(Due::State(state)) => {
+            write_state(control, standing, state).await;
+        }
+        Some(Due::Agree(phase, elapsed_share)) => {
+            agree(control, standing, phase, elapsed_share).await;
+        }
+        None => {}
     }
-    if standing.state.is_none() && !write_state(control, standing, RolloutState::Running).await {
-        return;
+}
+
+fn due(control: &Control, standing: &Standing) -> Option<Due> {
+    let order = &standing.order;
+    let shifts = control.shifts.borrow();
+    let track = shifts.tracks.get(&order.service)?;
+    let elapsed_share = track.elapsed_share(order.duration_ms, control.now_ms());
+    let state = ShiftState {
+        phase: track.phase,
+        elapsed_share,
+        new: track.monitor.total(),
+        running_on_old: track.running_on_old(),
+    };
+    let next = next_phase(&state, &control.settings.shift);
+    if next == Phase::Withdrawn {
+        // Whoever found it bad may have been cut off before it could say so.
+        return Some(Due::State(RolloutState::RolledBack));
+    }
+    if standing.state.is_none() {
+        return Some(Due::State(RolloutState::Running));
     }
     if next == Phase::Done {
-        write_state(control, standing, RolloutState::Succeeded).await;
-        return;
+        return Some(Due::State(RolloutState::Succeeded));
     }
-    let unwritten = standing
-        .agreed
-        .as_ref()
-        .is_none_or(|agreed| *agreed.target != *order.target);
-    if next != phase || unwritten {
-        agree(control, standing, next, elapsed_share).await;
+    let agreed = standing.agreed.as_ref();
+    let unwritten = agreed.is_none_or(|agreed| *agreed.target != *order.target);
+    (next != track.phase || unwritten).then_some(Due::Agree(next, elapsed_share))
+}
+
+/// Returns whether this instance does what is due.
+fn is_turn(control: &Control, standing: &Standing, is_due: bool) -> bool {
+    let now_ms = control.now_ms();
+    let rank = {
+        let members = control.members.borrow();
+        rank(&standing.path, control.me, &members.live()) as u64
+    };
+    let mut shifts = control.shifts.borrow_mut();
+    let Some(track) = shifts.tracks.get_mut(&standing.order.service) else {
+        return false;
+    };
+    if !is_due {
+        track.due_since_ms = None;
+        return false;
     }
+    let since_ms = *track.due_since_ms.get_or_insert(now_ms);
+    now_ms >= since_ms + rank * RANK_DELAY_MS
 }
 
 async fn agree(control: &Control, standing: &Standing, phase: Phase, elapsed_share: f64) {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -18,5 +18,5 @@
 mod table;
 
 pub use info::{Member, Status};
-pub use rank::{first_choice, holders, spread};
+pub use rank::{first_choice, holders, rank, spread};
 pub use table::{Table, TableSettings};
--- a/crates/member/src/rank.rs
+++ b/crates/member/src/rank.rs
@@ -20,6 +20,15 @@
         .max_by_key(|member| weight(key, member.incarnation))
 }
 
+/// Returns how many members rank before one for a key, by rendezvous hashing.
+pub fn rank(key: &str, of: Incarnation, members: &[&Member]) -> usize {
+    let own = weight(key, of);
+    members
+        .iter()
+        .filter(|member| weight(key, member.incarnation) > own)
+        .count()
+}
+
 /// Returns the peers that hold receipts for an instance, in order of preference: other
 /// availability zones first.
 pub fn holders<'a>(me: &Member, members: &[&'a Member]) -> Vec<&'a Member> {
--- a/crates/policy/src/ladder.rs
+++ b/crates/policy/src/ladder.rs
@@ -13,14 +13,19 @@
 /// let ladder = Ladder::new(&[101, 80]);
 /// assert_eq!(ladder.first(0, 2), 2);
 /// assert_eq!(ladder.first(1, 2), 0);
-/// assert!(ladder.keeps(1, Some(80)));
-/// assert!(!ladder.keeps(1, Some(79)));
+/// assert!(ladder.keeps(1, Some(80), 0.0));
+/// assert!(!ladder.keeps(1, Some(79), 0.0));
+/// assert!(ladder.keeps(1, Some(60), 1.0));
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Ladder {
     keep: Vec<u8>,
 }
 
+/// How much the threshold sinks when the large model is fully pressed. On the heaviest days a
+/// threshold lower by this much served callers best.
+const PRESSURE_RELIEF: f64 = 22.0;
+
 /// The confidence that no answer reaches: the small model is not asked.
 const NEVER: u8 = 101;
 
@@ -41,9 +46,12 @@
         }
     }
 
-    /// Returns whether an answer is kept.
-    pub fn keeps(&self, rank: u8, confidence: Option<u8>) -> bool {
-        confidence.is_some_and(|confidence| confidence >= self.threshold(rank))
+    /// Returns whether an answer is kept while the large model is pressed, from 0 to 1.
+    ///
+    /// The more it is pressed, the more a doubtful answer now is worth against a late one.
+    pub fn keeps(&self, rank: u8, confidence: Option<u8>, pressure: f64) -> bool {
+        let threshold = f64::from(self.threshold(rank)) - PRESSURE_RELIEF * pressure;
+        confidence.is_some_and(|confidence| f64::from(confidence) >= threshold)
     }
 
     fn threshold(&self, rank: u8) -> u8 {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod events;
 mod face;
 mod journal;
+mod pace;
 mod pipeline;
 mod plan;
 mod protocol;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -16,6 +16,7 @@
 use crate::ask::Ask;
 use crate::face::Face;
 use crate::journal::{Counters, Line, Observer, Outcome};
+use crate::pace::Paces;
 use crate::protocol::EndpointProtocol;
 use crate::run::{Begun, Job, MAX_ANSWER_BYTES};
 use crate::settings::Settings;
@@ -50,6 +51,7 @@
     view: Arc<ArcSwap<View>>,
     repeats: RefCell<HashMap<Arc<str>, RepeatWindow>>,
     pub(crate) ladder: Ladder,
+    pub(crate) paces: Paces,
     stopped: Cell<bool>,
 }
 
@@ -151,6 +153,7 @@
                 view,
                 repeats: RefCell::default(),
                 ladder,
+                paces: Paces::default(),
                 stopped: Cell::new(false),
             }),
         }
@@ -383,6 +386,8 @@
 
 fn note_answered(desk: &Desk, job: &Job, begun: &Begun) {
     let elapsed_ms = begun.sent_at.elapsed().as_millis() as u64;
+    let ratio = desk.paces.note(&job.service, None, elapsed_ms as f64);
+    begun.seat.station.note_pace(ratio);
     let slow = elapsed_ms > job.route.objective_ms;
     let ending = if slow { Ending::Slow } else { Ending::Answered };
     job.note_tally(desk, &begun.endpoint, ending);
@@ -402,14 +407,25 @@
             return Ok(begun);
         };
         job.confidence = begun.reply.confidence;
+        let pressure = desk.paces.pressure(&job.service);
         tracing::info!(
             id = &*job.ask.id,
             session = job.ask.session.as_deref(),
             size,
             confidence = job.confidence,
+            pressure,
             "request: confidence"
         );
-        if size == largest || desk.ladder.keeps(job.route.rank, begun.reply.confidence) {
+        if size == largest {
+            let objective_ms = job.route.objective_ms.max(1) as f64;
+            let first_ms = begun.first.as_millis() as f64;
+            desk.paces.note_first(&job.service, first_ms / objective_ms);
+        }
+        if size == largest
+            || desk
+                .ladder
+                .keeps(job.route.rank, begun.reply.confidence, pressure)
+        {
             return Ok(begun);
         }
         if job.runs + 1 >= job.route.max_attempts || !may_escalate(desk, job) {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -133,6 +133,8 @@
     pub(crate) seat: Seat,
     pub(crate) _running: Running,
     pub(crate) sent_at: Instant,
+    /// The time from the send to the head of the answer.
+    pub(crate) first: Duration,
 }
 
 /// What became of one send.
@@ -328,7 +330,8 @@
                 return Sent::Next;
             }
         };
-        station.note_first(sent_at.elapsed().as_millis() as u64, now_ms);
+        let first = sent_at.elapsed();
+        station.note_first(first.as_millis() as u64, now_ms);
         self.sends += 1;
         if self.sends > 1 {
             Counters::add(&desk.counters.repeats);
@@ -391,6 +394,7 @@
                 seat,
                 _running: running,
                 sent_at,
+                first,
             })),
         }
     }
--- a/crates/serve/src/station.rs
+++ b/crates/serve/src/station.rs
@@ -21,6 +21,10 @@
 /// The weight of the latest time in the running mean.
 const PACE_WEIGHT: f64 = 0.15;
 
+/// Bounds on what one time counts for, relative to what is usual.
+const MIN_PACE: f64 = 0.25;
+const MAX_PACE: f64 = 8.0;
+
 /// One run of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct StationKey {
@@ -110,6 +114,13 @@
             .set(Some(mean + PACE_WEIGHT * (first_ms - mean)));
     }
 
+    /// Notes a time relative to what is usual at the service.
+    pub(crate) fn note_pace(&self, ratio: f64) {
+        let mean = self.slowness.get().unwrap_or(1.0);
+        let ratio = ratio.clamp(MIN_PACE, MAX_PACE);
+        self.slowness.set(Some(mean + PACE_WEIGHT * (ratio - mean)));
+    }
+
     /// Returns the usual time to the head of an answer, in milliseconds.
     pub(crate) fn first_ms(&self) -> Option<f64> {
         self.first_ms.get()
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -21,6 +21,9 @@
 /// How many of the longest pauses that callers bear make a stall.
 const STALL_GAPS: u32 = 2;
 
+/// How many events tell a pace.
+const MIN_PACED_EVENTS: u32 = 4;
+
 /// The stream to a caller, which may go on at another endpoint.
 pub(crate) struct Stream {
     desk: Rc<Desk>,
@@ -28,6 +31,9 @@
     begun: Box<Begun>,
     splitter: EventSplitter,
     last_id: Option<u64>,
+    /// Events of the present run, and when it began.
+    events: u32,
+    began: Instant,
     stall: Duration,
     report: Report,
     ended: bool,
@@ -43,6 +49,8 @@
             begun,
             splitter: EventSplitter::default(),
             last_id,
+            events: 0,
+            began: Instant::now(),
             stall: (gap * STALL_GAPS).max(MIN_STALL),
             report,
             ended: false,
@@ -53,6 +61,7 @@
         loop {
             let failed = match self.read_event().await {
                 Ok(Some(event)) => {
+                    self.events += 1;
                     if event.id.is_some() {
                         self.last_id = event.id;
                     }
@@ -116,14 +125,30 @@
         match self.job.dispatch(&self.desk, after).await {
             Ok(begun) => {
                 self.begun = begun;
+                self.events = 0;
+                self.began = Instant::now();
                 Ok(())
             }
             Err(failure) => Err(self.finish_badly(&failure.to_string())),
         }
     }
 
+    /// Notes the pace of the events, which tells slow endpoints apart.
+    fn note_pace(&self) {
+        if self.events < MIN_PACED_EVENTS {
+            return;
+        }
+        let per_event_ms = self.began.elapsed().as_millis() as f64 / f64::from(self.events);
+        let ratio = self
+            .desk
+            .paces
+            .note(&self.job.service, self.job.size, per_event_ms);
+        self.begun.seat.station.note_pace(ratio);
+    }
+
     fn finish_well(&mut self) {
         self.ended = true;
+        self.note_pace();
         let endpoint = self.begun.endpoint.clone();
         self.begun
             .seat
