Try a new version only in the second half of its time

Change: a waiting phase; the trial of 10% begins at 0.505 of the time, half moves at 0.6, all at 0.66. Ruled out: a share that falls with the load, which still moves about one conversation a roll-out; a memory of conversations at each instance, which sees one in six of them.

--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -48,7 +48,8 @@
     elapsed_share: f64,
 }
 
-const PHASES: [(Phase, &str); 5] = [
+const PHASES: [(Phase, &str); 6] = [
+    (Phase::Waiting, "waiting"),
     (Phase::Trial, "trial"),
     (Phase::Half, "half"),
     (Phase::All, "all"),
@@ -58,12 +59,12 @@
 
 fn phase_name(phase: Phase) -> &'static str {
     let row = PHASES.iter().find(|row| row.0 == phase);
-    row.map_or("trial", |row| row.1)
+    row.map_or("waiting", |row| row.1)
 }
 
 fn phase_of(name: &str) -> Phase {
     let row = PHASES.iter().find(|row| row.1 == name);
-    row.map_or(Phase::Trial, |row| row.0)
+    row.map_or(Phase::Waiting, |row| row.0)
 }
 
 /// How long an instance leaves what is due to each one that ranks before it, in milliseconds: those
@@ -94,6 +95,7 @@
     pub(crate) fn view(&self, service: &str, settings: &ShiftSettings) -> Option<Shift> {
         let track = self.tracks.get(service)?;
         let stage = match track.phase {
+            Phase::Waiting => Stage::Trial(0.0),
             Phase::Trial => Stage::Trial(settings.trial_share),
             Phase::Half => Stage::Moving(0.5),
             Phase::All => Stage::Moving(1.0),
@@ -135,7 +137,7 @@
         };
         Track {
             target: target.clone(),
-            phase: Phase::Trial,
+            phase: Phase::Waiting,
             base_share: 0.0,
             since_ms: now_ms,
             due_since_ms: None,
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -6,6 +6,8 @@
 /// How far a shift has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
+    /// All stays on the old version, so that no conversation changes its version too soon.
+    Waiting,
     /// A small share tries the version.
     Trial,
     /// Half of the traffic is on it.
@@ -21,11 +23,12 @@
 /// Times and shares of a shift.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShiftSettings {
-    /// The share of traffic during the trial, from 0 to 1. Conversations that are under way when the
-    /// trial begins change their version for it, so that it must be small.
+    /// The share of traffic during the trial, from 0 to 1.
     pub trial_share: f64,
-    /// The part of the time after which half of the traffic moves. Conversations stay where they
-    /// are until half of the time is over.
+    /// The part of the time after which the trial begins. The users let conversations change to the
+    /// new version after half of it.
+    pub trial_at: f64,
+    /// The part of the time after which half of the traffic moves.
     pub half_at: f64,
     /// The part of the time after which all traffic moves.
     pub all_at: f64,
@@ -38,11 +41,12 @@
 impl Default for ShiftSettings {
     fn default() -> ShiftSettings {
         ShiftSettings {
-            trial_share: 0.05,
-            half_at: 0.51,
-            all_at: 0.6,
-            done_at: 0.9,
-            min_answers: 10,
+            trial_share: 0.1,
+            trial_at: 0.505,
+            half_at: 0.6,
+            all_at: 0.66,
+            done_at: 0.92,
+            min_answers: 6,
         }
     }
 }
@@ -64,6 +68,7 @@
 pub fn next_phase(state: &ShiftState, settings: &ShiftSettings) -> Phase {
     let answers = state.new.answered + state.new.failed;
     match state.phase {
+        Phase::Waiting if state.elapsed_share >= settings.trial_at => Phase::Trial,
         Phase::Trial if state.elapsed_share >= settings.half_at => {
             if answers >= settings.min_answers {
                 Phase::Half
