--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -225,6 +225,7 @@
         if was_away == away {
             return;
         }
+        self.publish();
         if away {
             tracing::warn!(?feed, "store: lost");
         } else {
@@ -327,6 +328,7 @@
                 .map(|(service, pool)| (service, Arc::new(pool)))
                 .collect(),
             instances: instances.max(1),
+            store_away: self.store_away(),
         }));
     }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A store that tests steer, and instances over it.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A far end that follows a script, over a real socket.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::JoinHandle;
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -57,8 +57,11 @@
     pub(crate) size: Option<usize>,
     pub(crate) confidence: Option<u8>,
     pub(crate) sends: u32,
+    /// The version of the configuration that decided, and the number of the view.
     pub(crate) config: u64,
     pub(crate) view: u64,
+    /// Whether the store did not answer this instance at that time.
+    pub(crate) store_away: bool,
     pub(crate) elapsed: Duration,
 }
 
@@ -87,6 +90,7 @@
                     sends = line.sends,
                     config = line.config,
                     view = line.view,
+                    store_away = line.store_away,
                     elapsed_ms,
                     "request: answered"
                 );
@@ -108,6 +112,7 @@
                     sends = line.sends,
                     config = line.config,
                     view = line.view,
+                    store_away = line.store_away,
                     elapsed_ms,
                     "request: failed"
                 );
@@ -122,6 +127,7 @@
                     sends = line.sends,
                     config = line.config,
                     view = line.view,
+                    store_away = line.store_away,
                     elapsed_ms,
                     "request: broke off"
                 );
@@ -135,6 +141,7 @@
                     sends = line.sends,
                     config = line.config,
                     view = line.view,
+                    store_away = line.store_away,
                     elapsed_ms,
                     "request: caller left"
                 );
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -95,7 +95,9 @@
 /// Writes the line on a request when it ends.
 pub(crate) struct Report {
     received: Instant,
+    config: u64,
     view: u64,
+    store_away: bool,
 }
 
 impl Report {
@@ -115,8 +117,9 @@
             size: job.and_then(|job| job.size),
             confidence: job.and_then(|job| job.confidence),
             sends: job.map_or(0, |job| job.sends),
-            config: job.map_or(0, |job| job.table_version),
+            config: self.config,
             view: self.view,
+            store_away: self.store_away,
             elapsed,
         };
         desk.counters.write(&line, outcome);
@@ -179,7 +182,9 @@
         let view = desk.view();
         let report = Report {
             received: call.received,
+            config: view.table.as_ref().map_or(0, |table| table.version()),
             view: view.generation,
+            store_away: view.store_away,
         };
         let ask = match desk.face.decode(&call.head) {
             Ok(ask) => ask,
@@ -340,7 +345,6 @@
         service: target.service.clone(),
         max_connections: max_connections(table, &target.service),
         workspace: workspace.cloned(),
-        table_version: table.version(),
         deadline,
         tried: Vec::new(),
         sends: 0,
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -74,7 +74,6 @@
     pub(crate) service: Arc<str>,
     pub(crate) max_connections: u32,
     pub(crate) workspace: Option<Arc<Workspace>>,
-    pub(crate) table_version: u64,
     pub(crate) deadline: Instant,
     /// The runs that turned it away or failed it.
     pub(crate) tried: Vec<StationKey>,
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -53,6 +53,8 @@
     pub instances: usize,
     /// Whether this instance takes new callers.
     pub accepts: bool,
+    /// Whether the store did not answer this instance when the view was made.
+    pub store_away: bool,
 }
 
 impl Pool {
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A pipeline over scripted endpoints, which speak over real sockets.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
