Split a test file with three jobs, log requests in one place, and share what compares replicas

Cause: tests/config.rs held changes, sessions and leaving endpoints in 538 lines; the line on a request was written in four forms; the comparison of replicas stood twice.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -60,6 +60,16 @@
     theirs == mine
 }
 
+/// Returns the revision after which a peer has objects that this replica lacks.
+pub fn missing_since(theirs: &ConfigDigest, mine: Digest) -> Option<u64> {
+    if same_objects(theirs, mine) || theirs.count == 0 || theirs.max_revision < mine.max_revision {
+        return None;
+    }
+    // With equal latest revisions something older is missing on one side.
+    let gap = theirs.max_revision == mine.max_revision;
+    Some(if gap { 0 } else { mine.max_revision })
+}
+
 /// Writes an object.
 pub fn object_to_wire(object: &Object) -> ObjectEntry {
     let value = object
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -10,7 +10,7 @@
 use wire::{Ack, Body, Envelope, Fetch, Link, LinkError, Ping};
 
 use crate::convert::{
-    digest_to_wire, member_from_wire, member_to_wire, object_from_wire, same_objects,
+    digest_to_wire, member_from_wire, member_to_wire, missing_since, object_from_wire,
 };
 use crate::shift;
 use crate::state::Control;
@@ -112,7 +112,7 @@
     };
     absorb(control, from, &news);
     if control.needs_peers()
-        && let Some(since) = missing_since(control, &news)
+        && let Some(since) = lacks_since(control, &news)
     {
         fetch(control, &mut link, since, timeout).await?;
     }
@@ -137,16 +137,8 @@
 }
 
 /// Returns the revision after which a peer has objects that this instance lacks.
-fn missing_since(control: &Control, news: &Ping) -> Option<u64> {
-    let theirs = news.config?;
-    let mine = control.replica.borrow().digest();
-    let equal = same_objects(&theirs, mine);
-    if equal || theirs.count == 0 || theirs.max_revision < mine.max_revision {
-        return None;
-    }
-    // With equal latest revisions something older is missing on one side.
-    let gap = theirs.max_revision == mine.max_revision;
-    Some(if gap { 0 } else { mine.max_revision })
+fn lacks_since(control: &Control, news: &Ping) -> Option<u64> {
+    missing_since(news.config.as_ref()?, control.replica.borrow().digest())
 }
 
 async fn fetch(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use convert::{
     digest_to_wire, evidence_from_wire, evidence_to_wire, member_from_wire, member_to_wire,
-    object_from_wire, object_to_wire, same_objects,
+    missing_since, object_from_wire, object_to_wire, same_objects,
 };
 pub use dialect::{Dialect, Feed, Problem, RolloutOrder, RolloutState};
 pub use registry::Registry;
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::control::{digest_to_wire, member_from_wire, member_to_wire, object_from_wire, same_objects};
+use ::control::{
+    digest_to_wire, member_from_wire, member_to_wire, missing_since, object_from_wire, same_objects,
+};
 use kernel::Incarnation;
 use member::{Member, Status};
 use smol::Timer;
@@ -140,7 +142,7 @@
     };
     absorb(control, &news);
     shares::met(control, &news.demands);
-    if let Some(since) = missing_since(control, &news) {
+    if let Some(since) = lacks_since(control, &news) {
         fetch(control, &mut link, since, timeout).await?;
     }
     compare(control, &news);
@@ -185,7 +187,7 @@
 
 /// Fetches what a peer that probed has and this instance lacks.
 pub(super) async fn catch_up(control: &Rc<Control>, ping: &Ping) -> Result<(), LinkError> {
-    let Some(since) = missing_since(control, ping) else {
+    let Some(since) = lacks_since(control, ping) else {
         return Ok(());
     };
     let Some(Ok(addr)) = ping.members.first().map(|member| member.peer_addr.parse()) else {
@@ -214,16 +216,8 @@
 }
 
 /// Returns the revision after which a peer has objects that this instance lacks.
-fn missing_since(control: &Control, news: &Ping) -> Option<u64> {
-    let theirs = news.config?;
-    let mine = control.replica.borrow().digest();
-    let equal = same_objects(&theirs, mine);
-    if equal || theirs.count == 0 || theirs.max_revision < mine.max_revision {
-        return None;
-    }
-    // With equal latest revisions something older is missing on one side.
-    let gap = theirs.max_revision == mine.max_revision;
-    Some(if gap { 0 } else { mine.max_revision })
+fn lacks_since(control: &Control, news: &Ping) -> Option<u64> {
+    missing_since(news.config.as_ref()?, control.replica.borrow().digest())
 }
 
 async fn fetch(
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod changes;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
--- /dev/null
+++ b/crates/entry/tests/sessions.rs
@@ -0,0 +1,102 @@
+//! Sessions and permissions while declarations change.
+
+mod common;
+
+use common::Fleet;
+use common::changes::{edit, spec, withdraw};
+use kernel::Verdict;
+use serde_json::json;
+use store::Expect;
+use trial::{CallKind, CallSpec, Deployment, Ending};
+
+#[test]
+fn a_permission_taken_away_in_mid_traffic_holds_for_sessions_too() {
+    let fleet = Fleet::start(Deployment::Shrestha, 3, 1);
+    let caller = fleet.caller(0);
+    let (token, version) = smol::block_on(caller.open_session("bir-hospital", "visitor")).unwrap();
+    let call = CallSpec {
+        session: Some(token),
+        ..spec(CallKind::Chat, "visitor")
+    };
+    let before = smol::block_on(caller.call(call.clone()));
+    assert_eq!(
+        (&before.ending, &before.version),
+        (&Ending::Answered, &version)
+    );
+    let kept: Vec<&str> = ["visitor-s1", "visitor-s2", "visitor-l1"]
+        .into_iter()
+        .filter(|name| *name != version)
+        .collect();
+    let revision = edit(&fleet, "config/spec/workspace/bir-hospital", |value| {
+        value["versions"] = json!(kept)
+    });
+    fleet.wait_revision(revision);
+    let after = smol::block_on(caller.call(call));
+    assert!(
+        matches!(after.ending, Ending::Failed(Verdict::NotRun, _)),
+        "{after:?}"
+    );
+}
+
+#[test]
+fn a_session_keeps_its_version_over_kills_rotation_and_roll_outs() {
+    let mut fleet = Fleet::start(Deployment::Authority, 6, 1);
+    let caller = fleet.caller(0);
+    let (token, version) =
+        smol::block_on(caller.open_session("yahrzeit-office", "seating")).unwrap();
+    let call = CallSpec {
+        workspace: "yahrzeit-office".into(),
+        session: Some(token),
+        ..spec(CallKind::Stream, "seating")
+    };
+    let rotate = |fleet: &Fleet| {
+        edit(fleet, "config/system/keys", |value| {
+            let newer = json!({ "id": "k2", "secret_hex": "0123456789abcdef" });
+            value["keys"].as_array_mut().unwrap().insert(0, newer);
+        })
+    };
+    for step in ["kill", "rotate", "roll on", "add"] {
+        match step {
+            "kill" => fleet.entries.remove(0).kill(),
+            "rotate" => fleet.wait_revision(rotate(&fleet)),
+            "roll on" => {
+                let status =
+                    json!({ "phase": "running", "step": 2, "reason": "test", "changed_ms": 0 });
+                let put = fleet.farm.world.objects.put(
+                    "config/status/rollout/seating-s2",
+                    status,
+                    Expect::Any,
+                );
+                fleet.wait_revision(put.unwrap());
+            }
+            _ => fleet.add(),
+        }
+        for zone in 0..3 {
+            let record = smol::block_on(fleet.caller(zone).call(call.clone()));
+            assert_eq!(
+                (&record.ending, &record.version),
+                (&Ending::Answered, &version),
+                "{step}: {record:?}"
+            );
+        }
+    }
+    fleet.wait_revision(withdraw(&fleet, &version));
+    let record = smol::block_on(fleet.caller(1).call(call.clone()));
+    assert!(
+        matches!(record.ending, Ending::Failed(Verdict::NotRun, _)),
+        "moved or run: {record:?}"
+    );
+    let forged = CallSpec {
+        session: call.session.map(|token| token.replace("rs1.", "rs1.x")),
+        ..spec(CallKind::Chat, "seating")
+    };
+    let forged = CallSpec {
+        workspace: "yahrzeit-office".into(),
+        ..forged
+    };
+    let record = smol::block_on(fleet.caller(1).call(forged));
+    assert!(
+        matches!(record.ending, Ending::Failed(Verdict::NotRun, _)),
+        "{record:?}"
+    );
+}
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -72,80 +72,60 @@
 
     /// Counts an outcome and logs it.
     pub(crate) fn write(&self, line: &Line<'_>, outcome: &Outcome) {
-        let id = line.ask.map_or("", |ask| &*ask.id);
-        let route = line.route.map_or("", |route| &**route);
-        let endpoint = line.endpoint.unwrap_or("");
-        let elapsed_ms = line.elapsed.as_millis() as u64;
+        let failure = match outcome {
+            Outcome::Failed(failure) => Some(failure),
+            _ => None,
+        };
+        let status = match outcome {
+            Outcome::Answered(status) => Some(*status),
+            _ => None,
+        };
+        let why = match outcome {
+            Outcome::Broken(why) => Some(&**why),
+            _ => None,
+        };
+        Counters::add(self.counter(outcome));
+        tracing::info!(
+            id = line.ask.map_or("", |ask| &*ask.id),
+            route = line.route.map_or("", |route| &**route),
+            endpoint = line.endpoint,
+            version = line.version,
+            size = line.size,
+            confidence = line.confidence,
+            status,
+            why,
+            reason = failure.map(|failure| failure.reason.as_str()),
+            verdict = failure.map(|failure| failure.verdict.as_str()),
+            detail = failure.map(|failure| &*failure.detail),
+            retry_after_ms = failure.and_then(|failure| failure.retry_after_ms),
+            sends = line.sends,
+            config = line.config,
+            view = line.view,
+            store_away = line.store_away,
+            elapsed_ms = line.elapsed.as_millis() as u64,
+            "request: {}",
+            outcome.name()
+        );
+    }
+
+    fn counter(&self, outcome: &Outcome) -> &AtomicU64 {
         match outcome {
-            Outcome::Answered(status) => {
-                Counters::add(&self.answered);
-                tracing::info!(
-                    id,
-                    route,
-                    endpoint,
-                    version = line.version,
-                    size = line.size,
-                    confidence = line.confidence,
-                    status,
-                    sends = line.sends,
-                    config = line.config,
-                    view = line.view,
-                    store_away = line.store_away,
-                    elapsed_ms,
-                    "request: answered"
-                );
-            }
-            Outcome::Failed(failure) => {
-                Counters::add(if failure.verdict == Verdict::NotRun {
-                    &self.refused
-                } else {
-                    &self.failed
-                });
-                tracing::info!(
-                    id,
-                    route,
-                    endpoint,
-                    reason = failure.reason.as_str(),
-                    verdict = failure.verdict.as_str(),
-                    detail = failure.detail,
-                    retry_after_ms = failure.retry_after_ms,
-                    sends = line.sends,
-                    config = line.config,
-                    view = line.view,
-                    store_away = line.store_away,
-                    elapsed_ms,
-                    "request: failed"
-                );
-            }
-            Outcome::Broken(why) => {
-                Counters::add(&self.broken);
-                tracing::info!(
-                    id,
-                    route,
-                    endpoint,
-                    why,
-                    sends = line.sends,
-                    config = line.config,
-                    view = line.view,
-                    store_away = line.store_away,
-                    elapsed_ms,
-                    "request: broke off"
-                );
-            }
-            Outcome::Left => {
-                Counters::add(&self.left);
-                tracing::info!(
-                    id,
-                    route,
-                    endpoint,
-                    sends = line.sends,
-                    config = line.config,
-                    view = line.view,
-                    store_away = line.store_away,
-                    elapsed_ms,
-                    "request: caller left"
-                );
-            }
+            Outcome::Answered(_) => &self.answered,
+            Outcome::Failed(failure) if failure.verdict == Verdict::NotRun => &self.refused,
+            Outcome::Failed(_) => &self.failed,
+            Outcome::Broken(_) => &self.broken,
+            Outcome::Left => &self.left,
+        }
+    }
+}
+
+impl Outcome {
+    fn name(&self) -> &'static str {
+        match self {
+            Outcome::Answered(_) => "answered",
+            Outcome::Failed(_) => "failed",
+            Outcome::Broken(_) => "broke off",
+            Outcome::Left => "caller left",
         }
     }
 }
