--- a/crates/control/tests/beliefs.rs
+++ b/crates/control/tests/beliefs.rs
@@ -96,3 +96,23 @@
     eventually("the next one", || instance.version() == Some(9));
     instance.handle.end();
 }
+
+/// Incident inc-79bf: the first call after an outage was a watch, which waited for 10 s, and all that
+/// time the store counted as away.
+#[test]
+fn the_return_of_the_store_is_noticed_before_anything_changes_there() {
+    let shelves = Shelves::default();
+    shelves.write("config/main", json!({ "version": 1 }));
+    let instance = Instance::start("a", &shelves);
+    eventually("the store is there", || {
+        instance.version() == Some(1) && !instance.view.load().store_away
+    });
+    instance.way.set_all_away(true);
+    eventually("the store is away", || instance.view.load().store_away);
+    std::thread::sleep(Duration::from_millis(300));
+    instance.way.set_all_away(false);
+    let returned = Instant::now();
+    eventually("the store is back", || !instance.view.load().store_away);
+    assert!(returned.elapsed() < Duration::from_millis(1_800));
+    instance.handle.end();
+}
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -21,6 +21,9 @@
 /// How long a test waits for something to come about.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// The longest that a watch waits, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 4_000;
+
 /// How often it looks.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -198,7 +201,7 @@
         from_revision: u64,
         wait_ms: u64,
     ) -> BoxFuture<'a, Result<Listing, StoreError>> {
-        Box::pin(self.wait(prefix, from_revision, wait_ms.min(300)))
+        Box::pin(self.wait(prefix, from_revision, wait_ms.min(LONGEST_WAIT_MS)))
     }
 }
 
