--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -135,9 +135,7 @@
         return Ok(from);
     };
     absorb(control, from, &news);
-    if control.needs_peers()
-        && let Some(since) = lacks_since(control, &news)
-    {
+    if let Some(since) = lacks_since(control, &news) {
         fetch(control, &mut link, since, timeout).await?;
     }
     Ok(from)
@@ -162,9 +160,6 @@
 
 /// Fetches what a peer that probed has and this instance lacks.
 pub(crate) async fn catch_up(control: &Control, ping: &Ping) -> Result<(), LinkError> {
-    if !control.needs_peers() {
-        return Ok(());
-    }
     let Some(since) = lacks_since(control, ping) else {
         return Ok(());
     };
@@ -176,9 +171,13 @@
     fetch(control, &mut link, since, timeout).await
 }
 
-/// Returns the revision after which a peer has objects that this instance lacks.
+/// Returns the revision after which a peer has objects that this instance lacks and must fetch: the
+/// store itself tells of most within a moment.
 fn lacks_since(control: &Control, news: &Ping) -> Option<u64> {
-    missing_since(news.config.as_ref()?, control.replica.borrow().digest())
+    let mine = control.replica.borrow().digest();
+    let since = missing_since(news.config.as_ref()?, mine);
+    let behind = control.note_behind(since.is_some(), mine.max_revision);
+    since.filter(|_| behind || control.needs_peers())
 }
 
 async fn fetch(
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -29,6 +29,17 @@
     LostAt(u64),
 }
 
+/// A revision that is held here while a peer is ahead of it.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    revision: u64,
+    since_ms: u64,
+}
+
+/// How long a peer may be ahead before its objects are fetched although the store seems to answer, in
+/// milliseconds: many times what a watch takes to tell of a change.
+const BEHIND_MS: u64 = 600;
+
 /// The control state, used on one thread and never borrowed across a wait.
 pub(crate) struct Control {
     pub(crate) settings: Settings,
@@ -50,6 +61,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Whether peers are still to be told of a change.
     pub(crate) untold: Cell<bool>,
+    /// Since when a peer is ahead of the revision held here.
+    behind: Cell<Option<Behind>>,
     generation: Cell<u64>,
 }
 
@@ -83,6 +96,7 @@
             regained_ms: Cell::new(None),
             stopping: Cell::new(false),
             untold: Cell::new(false),
+            behind: Cell::new(None),
             generation: Cell::new(0),
             settings: parts.settings,
             clock: parts.clock,
@@ -249,6 +263,22 @@
         contacts.is_empty() || contacts.values().any(|contact| *contact != Contact::Good)
     }
 
+    /// Notes whether a peer is ahead, and returns whether one has been for so long that the store's
+    /// watches must have gone silent.
+    pub(crate) fn note_behind(&self, ahead: bool, revision: u64) -> bool {
+        if !ahead {
+            return false;
+        }
+        let now_ms = self.now_ms();
+        let held = self.behind.get().filter(|held| held.revision == revision);
+        let behind = held.unwrap_or(Behind {
+            revision,
+            since_ms: now_ms,
+        });
+        self.behind.set(Some(behind));
+        now_ms >= behind.since_ms + BEHIND_MS
+    }
+
     /// Returns whether peers must be asked for what the store does not tell.
     pub(crate) fn needs_peers(&self) -> bool {
         let now_ms = self.now_ms();
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -88,6 +88,8 @@
     pub away: Arc<Mutex<BTreeSet<String>>>,
     /// The calls that were made.
     pub calls: Arc<AtomicU64>,
+    /// Whether watches get no answer any more, not even an end.
+    pub silent: Arc<AtomicBool>,
 }
 
 impl Way {
@@ -124,6 +126,9 @@
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             self.check(prefix)?;
+            while self.silent.load(Ordering::Relaxed) {
+                Timer::after(TICK).await;
+            }
             let (revision, objects) = {
                 let shelf = self.shelves.shelf.lock().unwrap();
                 let newer =
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -84,6 +84,28 @@
     instance.handle.end();
 }
 
+/// Soak seed 599337997502: a way to the store that was silent for a while left a watch without an answer,
+/// which nothing but its own limit ends.
+#[test]
+fn an_instance_whose_watches_went_silent_hears_from_its_peers() {
+    let shelves = Shelves::default();
+    shelves.write("config/main", json!({ "version": 1 }));
+    let near = Instance::start("near", &shelves);
+    let deaf = Instance::start("deaf", &shelves);
+    eventually("both know both", || knows(&near, 2) && knows(&deaf, 2));
+    eventually("in force", || deaf.version() == Some(1));
+    deaf.way
+        .silent
+        .store(true, std::sync::atomic::Ordering::Relaxed);
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    shelves.write("endpoints/e", entry("v1"));
+    let written = std::time::Instant::now();
+    eventually("heard of it", || deaf.endpoints().len() == 1);
+    assert!(written.elapsed() < std::time::Duration::from_millis(2_000));
+    near.handle.end();
+    deaf.handle.end();
+}
+
 /// In a large fleet a few watch, and the others hear of each change from peers.
 #[test]
 fn few_watch_in_a_large_fleet_and_all_hear_of_changes() {
