Read on after refusing a body, so that the caller hears the refusal

The server closed the connection while the caller was still sending; closing with unread bytes resets it, and the answer is lost. Change: after the answer the connection is read on for up to a second.

--- a/crates/web/src/conn.rs
+++ b/crates/web/src/conn.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt};
 
 /// How many bytes are read ahead while a head is awaited.
 const READ_AHEAD_BYTES: usize = 2048;
@@ -16,6 +16,13 @@
 /// The age from which on a request's caller is watched.
 const WATCH_AFTER: Duration = Duration::from_millis(100);
 
+/// How long a connection with an unread body is read on after its answer: what callers allow for a
+/// new connection.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// How much is read at a time then, in bytes.
+const LINGER_CHUNK_BYTES: usize = 4096;
+
 /// The bytes that end a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -138,6 +145,24 @@
         self.gate().phase == Phase::Head
     }
 
+    /// Ends the writing direction and reads on for a while if a body was left unread: closing at once
+    /// would reset the connection, and the caller would lose the answer that it has not read yet.
+    pub(crate) async fn linger(&self) {
+        if !self.gate().skipped {
+            return;
+        }
+        drop(self.shared.stream.get_ref().shutdown(Shutdown::Write));
+        let mut stream = &self.shared.stream;
+        let drain = async {
+            let mut chunk = [0; LINGER_CHUNK_BYTES];
+            while stream.read(&mut chunk).await.is_ok_and(|count| count > 0) {}
+        };
+        let expire = async {
+            Timer::after(LINGER).await;
+        };
+        drain.or(expire).await;
+    }
+
     /// Closes both directions.
     pub(crate) fn close(&self) {
         drop(self.shared.stream.get_ref().shutdown(Shutdown::Both));
--- a/crates/web/src/serve.rs
+++ b/crates/web/src/serve.rs
@@ -181,6 +181,7 @@
                 }
             }
         }
+        self.conn.linger().await;
         self.conn.close();
     }
 
