--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -32,6 +32,11 @@
 }
 
 impl Registry {
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Takes an entry.
     pub fn put(&mut self, path: &Arc<str>, endpoint: Endpoint) {
         let entry = Entry {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -240,6 +240,9 @@
         if feed == Feed::Endpoints && good && was_lost {
             self.regained_ms.set(Some(now_ms));
         }
+        if feed == Feed::Endpoints && good && before != Some(Contact::Good) {
+            self.publish();
+        }
         let away = self.store_away();
         if was_away == away {
             return;
@@ -377,10 +380,12 @@
         let members = self.members_out.load();
         let instances = members.iter().filter(|member| member.takes_work()).count();
         let table = self.table.borrow().clone();
+        let listed = self.contacts.borrow().get(&Feed::Endpoints) == Some(&Contact::Good);
+        let knows_endpoints = listed || !self.registry.borrow().is_empty();
         self.generation.set(self.generation.get() + 1);
         self.view.store(Arc::new(View {
             generation: self.generation.get(),
-            accepts: table.is_some() && !self.stopping.get(),
+            accepts: table.is_some() && knows_endpoints && !self.stopping.get(),
             table,
             table_revision: self.table_revision.get(),
             pools: pools
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -130,8 +130,9 @@
         let _ = stopped.recv().await;
         control.stopping.set(true);
         control.publish();
-        announce::remove(&control).await;
+        // Peers hear at once, also while the store is slow.
         gossip::leave(&control).await;
+        announce::remove(&control).await;
         let _ = stopped.recv().await;
     }));
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -36,6 +36,8 @@
     events: u32,
     began: Instant,
     stall: Duration,
+    /// Whether the present endpoint is waited for until the time is up, since nobody else may go on.
+    waits: bool,
     report: Report,
     ended: bool,
 }
@@ -53,6 +55,7 @@
             events: 0,
             began: Instant::now(),
             stall: (gap * STALL_GAPS).max(MIN_STALL),
+            waits: false,
             report,
             ended: false,
         }
@@ -60,7 +63,7 @@
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, Broken> {
         loop {
-            let failed = match self.read_event().await {
+            let err = match self.read_event().await {
                 Ok(Some(event)) => {
                     self.events += 1;
                     if event.id.is_some() {
@@ -72,9 +75,9 @@
                     self.finish_well();
                     return Ok(None);
                 }
-                Err(err) => err.to_string(),
+                Err(err) => err,
             };
-            self.go_on(failed).await?;
+            self.go_on(&err).await?;
         }
     }
 
@@ -84,7 +87,11 @@
             if let Some(event) = self.splitter.next() {
                 return self.check_order(event).map(Some);
             }
-            let until = (Instant::now() + self.stall).min(self.job.deadline);
+            let until = if self.waits {
+                self.job.deadline
+            } else {
+                (Instant::now() + self.stall).min(self.job.deadline)
+            };
             match within(until, self.begun.exchange.next()).await? {
                 Some(bytes) => {
                     self.begun.seat.station.note_heard(self.desk.now_ms());
@@ -109,29 +116,42 @@
     }
 
     /// Goes on at another endpoint after the last event that the caller has.
-    async fn go_on(&mut self, why: String) -> Result<(), Broken> {
+    ///
+    /// An endpoint that is only silent is waited for when nobody else takes the stream.
+    async fn go_on(&mut self, err: &io::Error) -> Result<(), Broken> {
+        if self.job.left().is_zero() {
+            return Err(self.finish_badly("the time is up"));
+        }
+        let is_silent = err.kind() == io::ErrorKind::TimedOut;
+        let why = err.to_string();
         let endpoint = self.begun.endpoint.clone();
         self.begun.seat.station.note_ended(true, self.desk.now_ms());
         self.job.note_tally(&self.desk, &endpoint, Ending::Failed);
         self.job.log_send(&endpoint, "stream broke", &why);
         self.job.note_run(Verdict::Ran);
-        self.splitter.clear();
-        if self.job.left().is_zero() {
-            return Err(self.finish_badly("the time is up"));
-        }
-        if !self.job.may_go_on() {
-            return Err(self.finish_badly(&why));
-        }
-        let after = self.last_id;
-        match self.job.dispatch(&self.desk, after).await {
-            Ok(begun) => {
-                self.begun = begun;
-                self.events = 0;
-                self.began = Instant::now();
-                Ok(())
+        let refused = if self.job.may_go_on() {
+            match self.job.dispatch(&self.desk, self.last_id).await {
+                Ok(begun) => {
+                    self.take_over(begun);
+                    return Ok(());
+                }
+                Err(failure) => failure.to_string(),
             }
-            Err(failure) => Err(self.finish_badly(&failure.to_string())),
+        } else {
+            why
+        };
+        if is_silent {
+            self.waits = true;
+            return Ok(());
         }
+        Err(self.finish_badly(&refused))
+    }
+
+    fn take_over(&mut self, begun: Box<Begun>) {
+        self.begun = begun;
+        self.splitter.clear();
+        self.events = 0;
+        self.began = Instant::now();
     }
 
     /// Notes the pace of the events, which tells slow endpoints apart.
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -87,3 +87,31 @@
     assert!(got.whole);
     assert_eq!(endpoint.arrivals(), 1);
 }
+
+/// Kiosk-grown, mix with seed 1019146630595: a stream whose last endpoint paused was cut, though no
+/// other endpoint could go on.
+#[test]
+fn a_silent_endpoint_is_waited_for_when_nobody_else_may_go_on() {
+    let cases = [
+        ("the budget is used up", 3, 0.0),
+        ("no attempt is left", 1, 10.0),
+    ];
+    for (name, attempts, floor) in cases {
+        let first = Scripted::start(vec![vec![
+            stream_head(90),
+            events(1..=3),
+            Step::Sleep(2_400),
+            events(4..=6),
+            stream_end(),
+        ]]);
+        let second = Scripted::start(vec![vec![stream_head(90), events(4..=6), stream_end()]]);
+        let route = route(Repeat::Resumable)
+            .timeout_ms(8_000)
+            .max_attempts(attempts);
+        let rig = Rig::new(route, &[first.addr, second.addr], floor);
+        let got = rig.send(&[]);
+        assert!(got.whole, "{name}");
+        assert_eq!(ids(&got.body), [1, 2, 3, 4, 5, 6], "{name}");
+        assert_eq!(second.arrivals(), 0, "{name}");
+    }
+}
