--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc;
 use std::time::Duration;
 
 use http_types::{Method, Request, Url};
@@ -10,6 +11,11 @@
 
 /// Answers every request on every connection with its number and whatever extra the test wants.
 fn serve(extra: &'static [u8], pause: Duration) -> SocketAddr {
+    serve_and_tell(extra, pause, mpsc::channel().0)
+}
+
+/// Does the same, and tells when the extra bytes are on their way.
+fn serve_and_tell(extra: &'static [u8], pause: Duration, written: mpsc::Sender<()>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -28,6 +34,8 @@
                 if stream.write_all(extra).is_err() {
                     break;
                 }
+                // Not every test listens.
+                let _ = written.send(());
                 std::thread::sleep(pause);
                 // The caller must have let go of this connection.
                 break;
@@ -55,7 +63,8 @@
 fn a_second_answer_on_a_connection_is_never_taken_for_another_request() {
     const AGAIN: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n#9";
     for pause_ms in [0, 30] {
-        let addr = serve(AGAIN, Duration::from_millis(pause_ms));
+        let (written, extra) = mpsc::channel();
+        let addr = serve_and_tell(AGAIN, Duration::from_millis(pause_ms), written);
         let client = Client::new(1_000);
         for number in 1..4 {
             assert_eq!(
@@ -63,7 +72,7 @@
                 Ok(format!("#{number}")),
                 "pause {pause_ms} ms"
             );
-            std::thread::sleep(Duration::from_millis(pause_ms * 2));
+            extra.recv_timeout(Duration::from_secs(5)).unwrap();
         }
     }
 }
