Hold only answers against a version, find slow ones, and weigh prompts by reading time

Changes: broken and late connections are no evidence on a version; a stream is judged by its first event and ten events; slowness must last 2.5 s; a prompt weighs its learned reading time until its first event.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -178,8 +178,9 @@
 }
 
 fn fault(control: &Control, order: &RolloutOrder) -> Option<String> {
-    let shifts = control.shifts.borrow();
-    shifts.tracks.get(&order.service)?.fault()
+    let now_ms = control.now_ms();
+    let mut shifts = control.shifts.borrow_mut();
+    shifts.tracks.get_mut(&order.service)?.fault(now_ms)
 }
 
 /// Stops a version here at once, and says so in the store.
--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use kernel::Incarnation;
-use rollout::{Counts, Evidence, Judgement, Monitor, Phase, ShiftSettings, TestSettings, is_worse};
+use rollout::{
+    Counts, Evidence, Judgement, Lasting, Monitor, Phase, ShiftSettings, Symptom, TestSettings,
+    is_worse,
+};
 use serve::{Shift, Stage};
 use wire::VersionReport;
 
@@ -27,6 +30,10 @@
 /// The rise in failed calls that must be found.
 const FAILURE_RISE: f64 = 0.2;
 
+/// How long a version must stay slow, in milliseconds: the users' longest prompts are read for two
+/// seconds, and all that their endpoint answers is slow meanwhile.
+const SLOW_LEAST_MS: u64 = 2_500;
+
 /// One roll-out as this instance sees it.
 pub(crate) struct Track {
     pub(crate) target: Arc<str>,
@@ -38,6 +45,7 @@
     pub(crate) due_since_ms: Option<u64>,
     pub(crate) monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
+    slowness: Lasting,
 }
 
 /// All roll-outs, by service.
@@ -99,6 +107,7 @@
             due_since_ms: None,
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
+            slowness: Lasting::default(),
         }
     }
 
@@ -131,16 +140,22 @@
     }
 
     /// Returns why the version is bad, if it is.
-    pub(crate) fn fault(&self) -> Option<String> {
+    pub(crate) fn fault(&mut self, now_ms: u64) -> Option<String> {
         if matches!(self.phase, Phase::Done | Phase::Withdrawn) {
             return None;
         }
-        let Judgement::Bad(symptom, class) = self.monitor.judge() else {
-            return None;
-        };
         let new = self.monitor.total();
         let old = self.besides();
-        if !is_worse(symptom, &new, &old) {
+        let judged = match self.monitor.judge() {
+            Judgement::Bad(symptom, class) if is_worse(symptom, &new, &old) => {
+                Some((symptom, class))
+            }
+            _ => None,
+        };
+        let is_slow = matches!(judged, Some((Symptom::Slowness, _)));
+        let lasts = self.slowness.note(is_slow, now_ms, SLOW_LEAST_MS);
+        let (symptom, class) = judged?;
+        if is_slow && !lasts {
             return None;
         }
         Some(format!(
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -1,6 +1,6 @@
 //! How far a shift moves, and when.
 
-use rollout::{Counts, Phase, ShiftSettings, ShiftState, Symptom, is_worse, next_phase};
+use rollout::{Counts, Lasting, Phase, ShiftSettings, ShiftState, Symptom, is_worse, next_phase};
 
 fn state(phase: Phase, elapsed_share: f64, answers: u64, running_on_old: u64) -> ShiftState {
     ShiftState {
@@ -109,3 +109,20 @@
         assert!(share <= bound * 1.05, "{share} of {bound}");
     }
 }
+
+/// Own day slow-version: all answers of an endpoint are slow while it reads one long prompt.
+#[test]
+fn slowness_must_last() {
+    let looks = [
+        (0, true, false),
+        (2_000, true, false),
+        (2_100, false, false),
+        (2_200, true, false),
+        (4_600, true, false),
+        (4_700, true, true),
+    ];
+    let mut lasting = Lasting::default();
+    for (now_ms, seen, expected) in looks {
+        assert_eq!(lasting.note(seen, now_ms, 2_500), expected, "at {now_ms}");
+    }
+}
--- a/crates/serve/src/job.rs
+++ b/crates/serve/src/job.rs
@@ -10,7 +10,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ask::Ask;
+use crate::desk::Desk;
 use crate::endpoint::Endpoint;
+use crate::pace::Kind;
 use crate::station::{Station, StationKey};
 
 /// How many endpoints may turn a request away before its caller is told to come back.
@@ -81,6 +83,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns what its times are compared with.
+    pub(crate) fn kind(&self) -> Kind {
+        Kind {
+            service: self.service.clone(),
+            size: self.size,
+        }
+    }
+
+    /// Returns how long its prompt is read if nothing else is, in milliseconds.
+    pub(crate) fn reading_ms(&self, desk: &Desk) -> f64 {
+        desk.paces.reading_ms(&self.kind(), self.ask.usage.prompt)
+    }
+
     /// Returns a number below 1 that is the same for all requests of a conversation.
     pub(crate) fn conversation_unit(&self) -> f64 {
         let key = self.ask.session.as_ref().unwrap_or(&self.ask.id);
--- a/crates/serve/src/pace.rs
+++ b/crates/serve/src/pace.rs
@@ -13,36 +13,83 @@
 /// The part of the objective at which it counts as fully pressed.
 const PRESSED_SHARE: f64 = 0.9;
 
+/// The quantile of the times for one token that counts as reading undisturbed: most times hold waits
+/// for other prompts.
+const READ_QUANTILE: f64 = 0.2;
+
+/// How far one time moves the estimate of the quantile, relative to it.
+const READ_STEP: f64 = 0.2;
+
+/// The shortest prompt that tells the time for one token; shorter ones tell what each request costs.
+const MIN_READ_TOKENS: u32 = 4_000;
+
+/// The time for one token before any was seen, in milliseconds: 100 tokens a millisecond, as the
+/// users' engines read.
+const USUAL_READ_MS: f64 = 0.01;
+
 /// What a time is compared with.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Kind {
-    service: Arc<str>,
-    size: Option<usize>,
+pub(crate) struct Kind {
+    pub(crate) service: Arc<str>,
+    /// The size of the model.
+    pub(crate) size: Option<usize>,
+}
+
+/// The usual times of one kind, in milliseconds.
+#[derive(Debug, Default)]
+struct Usual {
+    answer_ms: Option<f64>,
+    event_ms: Option<f64>,
+    first_ms: Option<f64>,
+    read_token_ms: Option<f64>,
 }
 
-/// Running means of times, by service and size of the model.
+/// Running estimates of times, by service and size of the model.
 #[derive(Debug, Default)]
 pub(crate) struct Paces {
-    usual: RefCell<HashMap<Kind, f64>>,
+    usual: RefCell<HashMap<Kind, Usual>>,
     first_shares: RefCell<HashMap<Arc<str>, f64>>,
 }
 
 impl Paces {
-    /// Notes a time and returns it relative to what was usual.
-    pub(crate) fn note(&self, service: &Arc<str>, size: Option<usize>, time: f64) -> f64 {
-        let kind = Kind {
-            service: service.clone(),
-            size,
-        };
+    /// Notes the time of a whole answer and returns it relative to what was usual.
+    pub(crate) fn note_answer(&self, kind: &Kind, answer_ms: f64) -> f64 {
+        let mut usual = self.usual.borrow_mut();
+        follow(
+            &mut usual.entry(kind.clone()).or_default().answer_ms,
+            answer_ms,
+        )
+    }
+
+    /// Notes the time between events and returns it relative to what was usual.
+    pub(crate) fn note_event(&self, kind: &Kind, event_ms: f64) -> f64 {
         let mut usual = self.usual.borrow_mut();
-        let mean = usual.entry(kind).or_insert(time);
-        let ratio = if *mean > 0.0 { time / *mean } else { 1.0 };
-        *mean += WEIGHT * (time - *mean);
-        ratio
+        follow(
+            &mut usual.entry(kind.clone()).or_default().event_ms,
+            event_ms,
+        )
+    }
+
+    /// Notes the time to a first event and returns it relative to what was usual.
+    pub(crate) fn note_first(&self, kind: &Kind, prompt_tokens: u32, first_ms: f64) -> f64 {
+        let mut usual = self.usual.borrow_mut();
+        let usual = usual.entry(kind.clone()).or_default();
+        if prompt_tokens >= MIN_READ_TOKENS {
+            let token_ms = first_ms / f64::from(prompt_tokens);
+            follow_quantile(&mut usual.read_token_ms, token_ms);
+        }
+        follow(&mut usual.first_ms, first_ms)
+    }
+
+    /// Returns how long a prompt is read if nothing else is, in milliseconds.
+    pub(crate) fn reading_ms(&self, kind: &Kind, prompt_tokens: u32) -> f64 {
+        let usual = self.usual.borrow();
+        let token_ms = usual.get(kind).and_then(|usual| usual.read_token_ms);
+        token_ms.unwrap_or(USUAL_READ_MS) * f64::from(prompt_tokens)
     }
 
     /// Notes the part of its objective that a first event of the largest model took.
-    pub(crate) fn note_first(&self, service: &Arc<str>, share: f64) {
+    pub(crate) fn note_first_share(&self, service: &Arc<str>, share: f64) {
         let mut shares = self.first_shares.borrow_mut();
         let mean = shares.entry(service.clone()).or_insert(share);
         *mean += WEIGHT * (share.min(2.0) - *mean);
@@ -55,3 +102,21 @@
         ((share - EASY_SHARE) / (PRESSED_SHARE - EASY_SHARE)).clamp(0.0, 1.0)
     }
 }
+
+/// Moves a running mean and returns the time relative to what it was.
+fn follow(mean: &mut Option<f64>, time_ms: f64) -> f64 {
+    let held = mean.unwrap_or(time_ms);
+    *mean = Some(held + WEIGHT * (time_ms - held));
+    if held > 0.0 { time_ms / held } else { 1.0 }
+}
+
+/// Moves an estimate of a quantile by the method of H. Robbins and S. Monro, 1951.
+fn follow_quantile(estimate: &mut Option<f64>, time_ms: f64) {
+    let held = estimate.unwrap_or(time_ms);
+    let step = if time_ms < held {
+        READ_QUANTILE - 1.0
+    } else {
+        READ_QUANTILE
+    };
+    *estimate = Some(held * (1.0 + READ_STEP * step));
+}
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -292,7 +292,6 @@
             Err(err) => {
                 begun.seat.station.note_ended(true, now_ms);
                 job.note_run(Verdict::Ran);
-                job.note_tally(desk, &begun.endpoint, Ending::Failed);
                 job.log_send(&begun.endpoint, "answer cut", &err.to_string());
             }
         }
@@ -301,7 +300,7 @@
 
 fn note_answered(desk: &Desk, job: &Job, begun: &Begun) {
     let elapsed_ms = begun.sent_at.elapsed().as_millis() as u64;
-    let ratio = desk.paces.note(&job.service, None, elapsed_ms as f64);
+    let ratio = desk.paces.note_answer(&job.kind(), elapsed_ms as f64);
     begun.seat.station.note_pace(ratio);
     let slow = elapsed_ms > job.route.objective_ms;
     let ending = if slow { Ending::Slow } else { Ending::Answered };
@@ -327,6 +326,11 @@
             id = &*job.ask.id,
             session = job.ask.session.as_deref(),
             size,
+            prompt_tokens = job.ask.usage.prompt,
+            first_ms = begun.first.as_millis() as u64,
+            endpoint = &*begun.endpoint.id,
+            load = begun.seat.station.load(),
+            reading_ms = job.reading_ms(desk) as u64,
             confidence = job.confidence,
             pressure,
             "request: confidence"
@@ -334,7 +338,8 @@
         if size == largest {
             let objective_ms = job.route.objective_ms.max(1) as f64;
             let first_ms = begun.first.as_millis() as f64;
-            desk.paces.note_first(&job.service, first_ms / objective_ms);
+            desk.paces
+                .note_first_share(&job.service, first_ms / objective_ms);
         }
         if size == largest
             || desk
@@ -347,6 +352,7 @@
             return Ok(begun);
         }
         Counters::add(&desk.counters.escalated);
+        job.note_tally(desk, &begun.endpoint, begun.ending());
         drop(begun);
         job.note_run(Verdict::Ran);
         job.size = Some(largest);
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -8,12 +8,9 @@
 
 use crate::endpoint::Endpoint;
 use crate::job::Job;
-use crate::station::{Station, StationKey, Stations};
+use crate::station::{Station, StationKey, Stations, Work};
 use crate::view::View;
 
-/// The tokens of a request that counts as one of usual size.
-const USUAL_TOKENS: f64 = 4_000.0;
-
 /// How much of an endpoint's connections all instances together use.
 const CONNECTION_SHARE: f64 = 0.9;
 
@@ -23,9 +20,18 @@
     pub(crate) station: Rc<Station>,
 }
 
-/// Returns how much work a request is, in requests of usual size.
-pub(crate) fn work(job: &Job) -> f64 {
-    1.0 + f64::from(job.ask.usage.prompt) / USUAL_TOKENS
+/// The load of a running answer.
+const ANSWER_WORK: f64 = 1.0;
+
+/// The time that a prompt is read that makes as much load as a running answer, in milliseconds.
+const READ_UNIT_MS: f64 = 30.0;
+
+/// Returns how much work a request is, whose prompt is read for this time if nothing else is.
+pub(crate) fn work(reading_ms: f64) -> Work {
+    Work {
+        before_answer: reading_ms / READ_UNIT_MS,
+        until_end: ANSWER_WORK,
+    }
 }
 
 /// Chooses the endpoint of the next send.
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -72,6 +72,23 @@
     pub(crate) sent_at: Instant,
     /// The time from the send to the head of the answer.
     pub(crate) first: Duration,
+    /// That time relative to what was usual for its size of the model.
+    pub(crate) first_ratio: f64,
+}
+
+/// How many times the usual time to a first event makes an answer slow: a version that is bad takes
+/// several times as long.
+const SLOW_FIRST: f64 = 3.0;
+
+impl Begun {
+    /// Returns what its beginning says of the version.
+    pub(crate) fn ending(&self) -> Ending {
+        if self.first_ratio >= SLOW_FIRST {
+            Ending::Slow
+        } else {
+            Ending::Answered
+        }
+    }
 }
 
 /// What became of one send.
@@ -142,7 +159,8 @@
 
     async fn send(&mut self, desk: &Rc<Desk>, place: Place, resume_after: Option<u64>) -> Sent {
         let Place { endpoint, station } = place;
-        let seat = Seat::take(station.clone(), plan::work(self));
+        let reading_ms = self.reading_ms(desk);
+        let mut seat = Seat::take(station.clone(), plan::work(reading_ms));
         let attempt = Attempt {
             ask: &self.ask,
             head: &self.call.head,
@@ -190,13 +208,18 @@
                 self.sends += 1;
                 self.note_run(Verdict::MayHaveRun);
                 station.note_ended(true, now_ms);
-                self.note_tally(desk, &endpoint, Ending::Failed);
                 self.log_send(&endpoint, "broke", &err.to_string());
                 return Sent::Next;
             }
         };
         let first = sent_at.elapsed();
         station.note_first(first.as_millis() as u64, now_ms);
+        let first_ratio = desk.paces.note_first(
+            &self.kind(),
+            self.ask.usage.prompt,
+            first.as_millis() as f64,
+        );
+        seat.begin_answer();
         self.sends += 1;
         if self.sends > 1 {
             Counters::add(&desk.counters.repeats);
@@ -212,6 +235,7 @@
                 _running: running,
                 sent_at,
                 first,
+                first_ratio,
             }));
         }
         self.note_no_answer(desk, &endpoint, &station, &reply);
--- a/crates/serve/src/station.rs
+++ b/crates/serve/src/station.rs
@@ -131,24 +131,50 @@
         self.heard_ms.get()
     }
 
+    fn release(&self, work: f64) {
+        self.work.set((self.work.get() - work).max(0.0));
+    }
+
     fn close_until(&self, until_ms: u64) {
         self.closed_until_ms
             .set(self.closed_until_ms.get().max(until_ms));
     }
 }
 
+/// The work of one call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Work {
+    /// What is done before the answer begins.
+    pub(crate) before_answer: f64,
+    /// What goes on until it has ended.
+    pub(crate) until_end: f64,
+}
+
 /// A call in hand at a station, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Seat {
     pub(crate) station: Rc<Station>,
-    work: f64,
+    held: f64,
+    until_end: f64,
 }
 
 impl Seat {
-    pub(crate) fn take(station: Rc<Station>, work: f64) -> Seat {
+    pub(crate) fn take(station: Rc<Station>, work: Work) -> Seat {
+        let held = work.before_answer + work.until_end;
         station.connections.set(station.connections.get() + 1);
-        station.work.set(station.work.get() + work);
-        Seat { station, work }
+        station.work.set(station.work.get() + held);
+        Seat {
+            station,
+            held,
+            until_end: work.until_end,
+        }
+    }
+
+    /// Notes that the answer has begun, which ends the reading of the prompt.
+    pub(crate) fn begin_answer(&mut self) {
+        let done = self.held - self.until_end;
+        self.held = self.until_end;
+        self.station.release(done);
     }
 }
 
@@ -158,7 +184,7 @@
         station
             .connections
             .set(station.connections.get().saturating_sub(1));
-        station.work.set((station.work.get() - self.work).max(0.0));
+        station.release(self.held);
     }
 }
 
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -25,6 +25,14 @@
 /// How many events tell a pace.
 const MIN_PACED_EVENTS: u32 = 4;
 
+/// How many events are enough to tell it, so that a slow version is found before its first stream
+/// has ended.
+const ENOUGH_PACED_EVENTS: u32 = 10;
+
+/// How many times the usual time between events makes a stream slow: more than a full batch adds,
+/// less than the several times that a bad version takes.
+const SLOW_EVENTS: f64 = 2.5;
+
 /// The stream to a caller, which may go on at another endpoint.
 pub(crate) struct Stream {
     desk: Rc<Desk>,
@@ -35,6 +43,10 @@
     /// Events of the present run, and when it began.
     events: u32,
     began: Instant,
+    /// Whether it was noted how fast the events of the present run come.
+    is_paced: bool,
+    /// Whether it was told how the version of the present run answered.
+    is_judged: bool,
     stall: Duration,
     /// Whether the present endpoint is waited for until the time is up, since nobody else may go on.
     waits: bool,
@@ -46,7 +58,7 @@
     pub(crate) fn new(desk: Rc<Desk>, job: Job, begun: Box<Begun>, report: Report) -> Stream {
         let gap = Duration::from_millis(job.route.max_gap_ms.unwrap_or_default());
         let last_id = job.ask.resume_after;
-        Stream {
+        let mut stream = Stream {
             desk,
             job,
             begun,
@@ -54,11 +66,15 @@
             last_id,
             events: 0,
             began: Instant::now(),
+            is_paced: false,
+            is_judged: false,
             stall: (gap * STALL_GAPS).max(MIN_STALL),
             waits: false,
             report,
             ended: false,
-        }
+        };
+        stream.judge_beginning();
+        stream
     }
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, Broken> {
@@ -66,6 +82,9 @@
             let err = match self.read_event().await {
                 Ok(Some(event)) => {
                     self.events += 1;
+                    if self.events == ENOUGH_PACED_EVENTS {
+                        self.note_pace();
+                    }
                     if event.id.is_some() {
                         self.last_id = event.id;
                     }
@@ -126,7 +145,6 @@
         let why = err.to_string();
         let endpoint = self.begun.endpoint.clone();
         self.begun.seat.station.note_ended(true, self.desk.now_ms());
-        self.job.note_tally(&self.desk, &endpoint, Ending::Failed);
         self.job.log_send(&endpoint, "stream broke", &why);
         self.job.note_run(Verdict::Ran);
         let refused = if self.job.may_go_on() {
@@ -152,30 +170,56 @@
         self.splitter.clear();
         self.events = 0;
         self.began = Instant::now();
+        self.is_paced = false;
+        self.is_judged = false;
+        self.judge_beginning();
+    }
+
+    /// Notes how fast the present run answers, which tells slow endpoints and versions apart.
+    fn note_pace(&mut self) {
+        if self.is_paced {
+            return;
+        }
+        self.is_paced = true;
+        let mut is_slow = false;
+        if self.events >= MIN_PACED_EVENTS {
+            let event_ms = self.began.elapsed().as_millis() as f64 / f64::from(self.events);
+            let ratio = self.desk.paces.note_event(&self.job.kind(), event_ms);
+            self.begun.seat.station.note_pace(ratio);
+            is_slow = ratio >= SLOW_EVENTS;
+        }
+        let ending = if is_slow {
+            Ending::Slow
+        } else {
+            Ending::Answered
+        };
+        self.judge(ending);
     }
 
-    /// Notes the pace of the events, which tells slow endpoints apart.
-    fn note_pace(&self) {
-        if self.events < MIN_PACED_EVENTS {
+    /// Tells once how the version of the present run answered.
+    fn judge(&mut self, ending: Ending) {
+        if self.is_judged {
             return;
         }
-        let per_event_ms = self.began.elapsed().as_millis() as f64 / f64::from(self.events);
-        let ratio = self
-            .desk
-            .paces
-            .note(&self.job.service, self.job.size, per_event_ms);
-        self.begun.seat.station.note_pace(ratio);
+        self.is_judged = true;
+        self.job
+            .note_tally(&self.desk, &self.begun.endpoint, ending);
+    }
+
+    /// Judges a run whose beginning was slow; others are judged by their events, too.
+    fn judge_beginning(&mut self) {
+        if self.begun.ending() == Ending::Slow {
+            self.judge(Ending::Slow);
+        }
     }
 
     fn finish_well(&mut self) {
         self.ended = true;
         self.note_pace();
-        let endpoint = self.begun.endpoint.clone();
         self.begun
             .seat
             .station
             .note_ended(false, self.desk.now_ms());
-        self.job.note_tally(&self.desk, &endpoint, Ending::Answered);
         let outcome = Outcome::Answered(self.begun.head.status);
         self.report.write(&self.desk, Some(&self.job), &outcome);
     }
--- a/crates/serve/src/tally.rs
+++ b/crates/serve/src/tally.rs
@@ -24,7 +24,8 @@
     lines: Mutex<BTreeMap<VersionKey, Line>>,
 }
 
-/// How a call ended.
+/// How an endpoint answered a call. A connection that breaks is held against the endpoint alone: one
+/// crash ends all calls in hand, and says nothing of the version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Ending {
     Answered,
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use route::{Route, Service, Table, Target};
 use serve::{
     Ask, Attempt, Endpoint, EndpointProtocol, Face, Observer, Outcome, Pipeline, Pool, Reply,
-    Settings, Shift, Standing, View,
+    Settings, Shift, Standing, TokenUse, View,
 };
 
 /// What a scripted endpoint does on one connection.
@@ -152,6 +152,10 @@
             any_size: head.headers.get("x-any-size").is_some(),
             resume_after: number("x-after"),
             session: head.headers.get("x-session").map(Into::into),
+            usage: TokenUse {
+                prompt: number("x-prompt").unwrap_or_default() as u32,
+                answer_max: 0,
+            },
             ..Ask::default()
         })
     }
@@ -263,7 +267,7 @@
                 // The first one is nearest, and so is asked first.
                 zone: if index == 0 { "here" } else { "there" }.into(),
                 version: (*version).into(),
-                slots: 4,
+                slots: 64,
                 leaving: false,
             }));
         }
@@ -294,6 +298,11 @@
 
     /// Sends a request with header fields and reads its whole answer.
     pub fn send(&self, fields: &[(&str, &str)]) -> Got {
+        async_io::block_on(self.ask(fields))
+    }
+
+    /// Sends a request with header fields and reads its whole answer beside others.
+    pub async fn ask(&self, fields: &[(&str, &str)]) -> Got {
         let mut headers = Headers::default();
         for (name, value) in fields {
             headers.push(name, value);
@@ -309,10 +318,8 @@
             peer: "127.0.0.1:1".parse().unwrap(),
             received: Instant::now(),
         };
-        async_io::block_on(async {
-            let response = self.pipeline.answer(call).await;
-            read(response).await
-        })
+        let response = self.pipeline.answer(call).await;
+        read(response).await
     }
 }
 
--- a/crates/serve/tests/versions.rs
+++ b/crates/serve/tests/versions.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Rig, Scripted, answer, route};
+use common::{Rig, Scripted, Step, answer, events, own_failure, route, stream_end, stream_head};
 use route::Repeat;
 use serve::{Shift, Stage};
 
@@ -72,3 +72,63 @@
     assert_eq!(loaded.len(), 1, "{loaded:?}");
     assert!((5..=40).contains(&loaded[0]), "{loaded:?}");
 }
+
+/// Seats scale-2: one crash ended three calls on a good version's only loaded endpoint, and the
+/// version was withdrawn.
+#[test]
+fn only_answers_are_evidence_on_a_version() {
+    let cut = vec![
+        Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nContent-Length: 9\r\n\r\n".into()),
+        Step::Reset,
+    ];
+    let broken_stream = vec![stream_head(90), events(1..=2), Step::Reset];
+    let slow = |pause_ms| {
+        let mut script = vec![stream_head(90)];
+        for id in 1..=6 {
+            script.push(events(id..=id));
+            script.push(Step::Sleep(pause_ms));
+        }
+        script.push(stream_end());
+        script
+    };
+    let cases = [
+        ("an answer", Repeat::Once, vec![answer("new")], [1, 0, 0]),
+        (
+            "its own failure",
+            Repeat::Once,
+            vec![own_failure()],
+            [0, 1, 0],
+        ),
+        (
+            "a reset before the answer",
+            Repeat::Once,
+            vec![vec![Step::Reset]],
+            [0, 0, 0],
+        ),
+        ("a cut answer", Repeat::Once, vec![cut], [0, 0, 0]),
+        (
+            "a broken stream",
+            Repeat::OnceStream,
+            vec![broken_stream],
+            [0, 0, 0],
+        ),
+        (
+            "a slow stream",
+            Repeat::OnceStream,
+            vec![slow(4), slow(4), slow(40)],
+            [3, 0, 1],
+        ),
+    ];
+    for (name, repeat, scripts, expected) in cases {
+        let calls = scripts.len();
+        let endpoint = Scripted::start(scripts);
+        let endpoints = [(endpoint.addr, "v2")];
+        let rig = Rig::with_versions(route(repeat), &endpoints, None, 10.0);
+        for _ in 0..calls {
+            rig.send(&[]);
+        }
+        let evidence = rig.pipeline.tally().evidence(&"app".into(), &"v2".into());
+        let seen = evidence.total();
+        assert_eq!([seen.answered, seen.failed, seen.slow], expected, "{name}");
+    }
+}
