--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -43,8 +43,8 @@
 /// How long a suspect has to refute: some rounds of probes.
 const SUSPECT_MS: u64 = 2_000;
 
-/// How long a watch waits; keep-alive finds a silent connection sooner.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// How long a watch waits: each end costs a call, and keep-alive finds a silent connection sooner.
+const WATCH_WAIT_MS: u64 = 25_000;
 
 /// Up to how many instances all watch: a small fleet's calls cost under a hundredth of what it earns.
 const ALL_WATCH_UP_TO: usize = 12;
