Tell slow versions by the pace of their streams, and use the whole exposure for evidence

First events were usual, streams under ten events were not judged, the test looked for a rise of 0.4, and the trial ended with 28 first events and 17 answers.

Ruled out: longer first events (95 to 218 ms on the version, as on the other); calls that fail (none).

Changes: streams are judged by the time between events from two events on, and as soon as six at a slow pace would have come; the test looks for a rise of 0.2 over 0.05; with half of the traffic slowness need not last; a service whose users bear more exposure than the default uses it for a larger and longer trial. The state of a roll-out is logged with the counts that decided.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -208,11 +208,7 @@
     let expect = Expect::Revision(standing.status_revision);
     match control.store.put(&path, &value, expect).await {
         Ok(_) => {
-            tracing::info!(
-                service = &*standing.order.service,
-                ?state,
-                "rollout: state written"
-            );
+            log_written(control, &standing.order, state);
             true
         }
         Err(err) => {
@@ -222,6 +218,27 @@
     }
 }
 
+/// Writes down a state that the store took, with what is known of both versions.
+fn log_written(control: &Control, order: &RolloutOrder, state: RolloutState) {
+    let shifts = control.shifts.borrow();
+    let Some(track) = shifts.tracks.get(&order.service) else {
+        return;
+    };
+    let new = track.monitor.total();
+    let old = track.besides();
+    tracing::info!(
+        service = &*order.service,
+        ?state,
+        answered = new.answered,
+        failed = new.failed,
+        slow = new.slow,
+        old_answered = old.answered,
+        old_failed = old.failed,
+        old_slow = old.slow,
+        "rollout: state written"
+    );
+}
+
 /// What is due for a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Due {
--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -20,11 +20,12 @@
 /// The share of failed calls that is normal on days with trouble.
 const NORMAL_FAILED_SHARE: f64 = 0.03;
 
-/// The share of slow answers that is normal on days with trouble.
-const NORMAL_SLOW_SHARE: f64 = 0.15;
+/// The share of slow answers that is normal on days with trouble: good versions showed 0 to 0.08.
+const NORMAL_SLOW_SHARE: f64 = 0.05;
 
-/// The rise in slow answers that must be found.
-const SLOW_RISE: f64 = 0.4;
+/// The rise in slow answers that must be found: a third of the calls of a bad version are slow, and
+/// half of all answers are too short to show it.
+const SLOW_RISE: f64 = 0.2;
 
 /// The rise in failed calls that must be found.
 const FAILURE_RISE: f64 = 0.2;
@@ -125,7 +126,8 @@
         self.base_share + since_ms as f64 / duration_ms.max(1) as f64
     }
 
-    fn besides(&self) -> Counts {
+    /// Returns the outcomes on the other versions, all instances together.
+    pub(crate) fn besides(&self) -> Counts {
         let mut sum = Evidence::default();
         let class: Arc<str> = "all".into();
         for report in self.reports.values() {
@@ -154,7 +156,9 @@
         let is_slow = matches!(judged, Some((Symptom::Slowness, _)));
         let lasts = self.slowness.note(is_slow, now_ms, SLOW_LEAST_MS);
         let (symptom, class) = judged?;
-        if is_slow && !lasts {
+        // With half of the traffic, it is not one endpoint's doing any more.
+        let is_one = self.phase <= Phase::Trial;
+        if is_slow && is_one && !lasts {
             return None;
         }
         Some(format!(
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -42,6 +42,10 @@
 /// 0.07 of them for 0.345 of the time, half for 0.03, all for 0.06.
 const DEFAULT_EXPOSURE: f64 = 0.0975;
 
+/// How many times the default exposure is used at most: more evidence comes in the same time, but
+/// all traffic must move within the last sixth of it.
+const MAX_EXPOSURE_PART: f64 = 1.6;
+
 impl Default for ShiftSettings {
     fn default() -> ShiftSettings {
         ShiftSettings {
@@ -60,7 +64,7 @@
     /// at most this share of all requests until its time is over.
     pub fn for_exposure(share: f64) -> ShiftSettings {
         let usual = ShiftSettings::default();
-        let part = (share / DEFAULT_EXPOSURE).clamp(0.0, 1.0);
+        let part = (share / DEFAULT_EXPOSURE).clamp(0.0, MAX_EXPOSURE_PART);
         let all_at = usual.done_at - (usual.done_at - usual.all_at) * part;
         ShiftSettings {
             trial_share: usual.trial_share * part,
--- a/crates/serve/src/pace.rs
+++ b/crates/serve/src/pace.rs
@@ -40,7 +40,6 @@
 struct Usual {
     answer_ms: Option<f64>,
     event_ms: Option<f64>,
-    first_ms: Option<f64>,
     read_token_ms: Option<f64>,
 }
 
@@ -70,15 +69,20 @@
         )
     }
 
-    /// Notes the time to a first event and returns it relative to what was usual.
-    pub(crate) fn note_first(&self, kind: &Kind, prompt_tokens: u32, first_ms: f64) -> f64 {
+    /// Returns the usual time between events, in milliseconds.
+    pub(crate) fn event_ms(&self, kind: &Kind) -> Option<f64> {
+        self.usual.borrow().get(kind)?.event_ms
+    }
+
+    /// Notes how long the first event of a prompt took.
+    pub(crate) fn note_reading(&self, kind: &Kind, prompt_tokens: u32, first_ms: f64) {
+        if prompt_tokens < MIN_READ_TOKENS {
+            return;
+        }
+        let token_ms = first_ms / f64::from(prompt_tokens);
         let mut usual = self.usual.borrow_mut();
         let usual = usual.entry(kind.clone()).or_default();
-        if prompt_tokens >= MIN_READ_TOKENS {
-            let token_ms = first_ms / f64::from(prompt_tokens);
-            follow_quantile(&mut usual.read_token_ms, token_ms);
-        }
-        follow(&mut usual.first_ms, first_ms)
+        follow_quantile(&mut usual.read_token_ms, token_ms);
     }
 
     /// Returns how long a prompt is read if nothing else is, in milliseconds.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -353,7 +353,6 @@
             return Ok(begun);
         }
         Counters::add(&desk.counters.escalated);
-        job.note_tally(desk, &begun.endpoint, begun.ending());
         drop(begun);
         job.note_run(Verdict::Ran);
         job.size = Some(largest);
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -72,23 +72,6 @@
     pub(crate) sent_at: Instant,
     /// The time from the send to the head of the answer.
     pub(crate) first: Duration,
-    /// That time relative to what was usual for its size of the model.
-    pub(crate) first_ratio: f64,
-}
-
-/// How many times the usual time to a first event makes an answer slow: a version that is bad takes
-/// several times as long.
-const SLOW_FIRST: f64 = 3.0;
-
-impl Begun {
-    /// Returns what its beginning says of the version.
-    pub(crate) fn ending(&self) -> Ending {
-        if self.first_ratio >= SLOW_FIRST {
-            Ending::Slow
-        } else {
-            Ending::Answered
-        }
-    }
 }
 
 /// What became of one send.
@@ -214,7 +197,7 @@
         };
         let first = sent_at.elapsed();
         station.note_first(first.as_millis() as u64, now_ms);
-        let first_ratio = desk.paces.note_first(
+        desk.paces.note_reading(
             &self.kind(),
             self.ask.usage.prompt,
             first.as_millis() as f64,
@@ -235,7 +218,6 @@
                 _running: running,
                 sent_at,
                 first,
-                first_ratio,
             }));
         }
         self.note_no_answer(desk, &endpoint, &station, &reply);
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -23,12 +23,16 @@
 /// How many of the longest pauses that callers bear make a stall.
 const STALL_GAPS: u32 = 2;
 
-/// How many events tell a pace.
+/// How many events tell the pace of an endpoint.
 const MIN_PACED_EVENTS: u32 = 4;
 
-/// How many events are enough to tell it, so that a slow version is found before its first stream
-/// has ended.
-const ENOUGH_PACED_EVENTS: u32 = 10;
+/// How many events tell the pace of a version: few, so that a slow one is found before its streams
+/// have ended.
+const ENOUGH_EVENTS: u32 = 6;
+
+/// How many events are enough at the end of a stream, or if they took as long as those would at a
+/// slow pace.
+const FEWEST_EVENTS: u32 = 2;
 
 /// How many times the usual time between events makes a stream slow: more than a full batch adds,
 /// less than the several times that a bad version takes.
@@ -44,9 +48,7 @@
     /// Events of the present run, and when it began.
     events: u32,
     began: Instant,
-    /// Whether it was noted how fast the events of the present run come.
-    is_paced: bool,
-    /// Whether it was told how the version of the present run answered.
+    /// Whether it was told how the version of the present run answers.
     is_judged: bool,
     stall: Duration,
     /// Whether the present endpoint is waited for until the time is up, since nobody else may go on.
@@ -59,7 +61,7 @@
     pub(crate) fn new(desk: Rc<Desk>, job: Job, begun: Box<Begun>, report: Report) -> Stream {
         let gap = Duration::from_millis(job.route.max_gap_ms.unwrap_or_default());
         let last_id = job.ask.resume_after;
-        let mut stream = Stream {
+        Stream {
             desk,
             job,
             begun,
@@ -67,15 +69,12 @@
             last_id,
             events: 0,
             began: Instant::now(),
-            is_paced: false,
             is_judged: false,
             stall: (gap * STALL_GAPS).max(MIN_STALL),
             waits: false,
             report,
             ended: false,
-        };
-        stream.judge_beginning();
-        stream
+        }
     }
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, Broken> {
@@ -83,9 +82,7 @@
             let err = match self.read_event().await {
                 Ok(Some(event)) => {
                     self.events += 1;
-                    if self.events == ENOUGH_PACED_EVENTS {
-                        self.note_pace();
-                    }
+                    self.judge(false);
                     if event.id.is_some() {
                         self.last_id = event.id;
                     }
@@ -171,51 +168,47 @@
         self.splitter.clear();
         self.events = 0;
         self.began = Instant::now();
-        self.is_paced = false;
         self.is_judged = false;
-        self.judge_beginning();
     }
 
-    /// Notes how fast the present run answers, which tells slow endpoints and versions apart.
-    fn note_pace(&mut self) {
-        if self.is_paced {
+    /// Tells once how the version of the present run answers, as soon as its pace shows it.
+    fn judge(&mut self, is_over: bool) {
+        if self.is_judged {
             return;
         }
-        self.is_paced = true;
-        let mut is_slow = false;
-        if self.events >= MIN_PACED_EVENTS {
-            let event_ms = self.began.elapsed().as_millis() as f64 / f64::from(self.events);
-            let ratio = self.desk.paces.note_event(&self.job.kind(), event_ms);
-            self.begun.seat.station.note_pace(ratio);
-            is_slow = ratio >= SLOW_EVENTS;
+        let usual_ms = self.desk.paces.event_ms(&self.job.kind());
+        let slow_ms = usual_ms.unwrap_or(f64::INFINITY) * SLOW_EVENTS;
+        let elapsed_ms = self.began.elapsed().as_millis() as f64;
+        let paced = self.events >= FEWEST_EVENTS;
+        // The events of a slow run need not be waited for.
+        let is_late = paced && elapsed_ms >= slow_ms * f64::from(ENOUGH_EVENTS);
+        if self.events < ENOUGH_EVENTS && !is_late && !is_over {
+            return;
         }
+        self.is_judged = true;
+        let is_slow = paced && elapsed_ms >= slow_ms * f64::from(self.events);
         let ending = if is_slow {
             Ending::Slow
         } else {
             Ending::Answered
         };
-        self.judge(ending);
-    }
-
-    /// Tells once how the version of the present run answered.
-    fn judge(&mut self, ending: Ending) {
-        if self.is_judged {
-            return;
-        }
-        self.is_judged = true;
         self.job
             .note_tally(&self.desk, &self.begun.endpoint, ending);
     }
 
-    /// Judges a run whose beginning was slow; others are judged by their events, too.
-    fn judge_beginning(&mut self) {
-        if self.begun.ending() == Ending::Slow {
-            self.judge(Ending::Slow);
+    /// Notes the pace of the events, which tells slow endpoints apart.
+    fn note_pace(&self) {
+        if self.events < MIN_PACED_EVENTS {
+            return;
         }
+        let event_ms = self.began.elapsed().as_millis() as f64 / f64::from(self.events);
+        let ratio = self.desk.paces.note_event(&self.job.kind(), event_ms);
+        self.begun.seat.station.note_pace(ratio);
     }
 
     fn finish_well(&mut self) {
         self.ended = true;
+        self.judge(true);
         self.note_pace();
         self.begun
             .seat
