--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -218,7 +218,7 @@
         demands: Vec::new(),
         leaving: Vec::new(),
         wants_table,
-        versions: reports::reports(control),
+        versions: reports::own(control),
     }
 }
 
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -116,7 +116,7 @@
 
 /// Looks at all roll-outs and does what is due.
 async fn advance(control: &Control) {
-    let own = reports::reports(control);
+    let own = reports::own(control);
     control.shifts.borrow_mut().note(control.me, &own);
     for standing in orders(control) {
         follow(control, &standing);
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -9,7 +9,7 @@
 use crate::state::Control;
 
 /// Returns what this instance saw of the versions that are rolled out.
-pub(crate) fn reports(control: &Control) -> Vec<VersionReport> {
+pub(crate) fn own(control: &Control) -> Vec<VersionReport> {
     let shifts = control.shifts.borrow();
     let mut reports = Vec::new();
     for (service, track) in &shifts.tracks {
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -20,10 +20,11 @@
     pub(crate) station: Rc<Station>,
 }
 
-/// The load of a running answer.
+/// The load of a running answer, or of a plain request.
 const ANSWER_WORK: f64 = 1.0;
 
-/// The time that a prompt is read that makes as much load as a running answer, in milliseconds.
+/// The time of reading that makes as much load as a running answer, in milliseconds: what a prompt
+/// of 4,000 tokens takes on the users' smallest model.
 const READ_UNIT_MS: f64 = 30.0;
 
 /// Returns how much work a request is, whose prompt is read for this time if nothing else is.
