--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -22,6 +22,7 @@
 mod repeats;
 mod retry;
 mod share;
+mod work;
 
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, prefix_choice};
@@ -32,3 +33,4 @@
 pub use repeats::{RepeatSettings, RepeatWindow};
 pub use retry::RetryBudget;
 pub use share::Share;
+pub use work::Work;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -19,6 +19,7 @@
 mod lasting;
 mod monitor;
 mod shift;
+mod slow;
 
 pub use allowance::{allowance, exposure_cap};
 pub use controller::{Controller, Next, Step};
@@ -27,3 +28,4 @@
 pub use lasting::Lasting;
 pub use monitor::{Judgement, Monitor, Symptom, TestSettings};
 pub use shift::{Phase, ShiftSettings, ShiftState, is_worse, next_phase};
+pub use slow::{Progress, is_slow};
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -8,7 +8,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::job::Job;
-use crate::station::{Station, StationKey, Stations, Work};
+use crate::station::{Station, StationKey, Stations};
 use crate::view::View;
 
 /// How much of an endpoint's connections all instances together use.
@@ -20,21 +20,6 @@
     pub(crate) station: Rc<Station>,
 }
 
-/// The load of a running answer, or of a plain request.
-const ANSWER_WORK: f64 = 1.0;
-
-/// The time of reading that makes as much load as a running answer, in milliseconds: what a prompt
-/// of 4,000 tokens takes on the users' smallest model.
-const READ_UNIT_MS: f64 = 30.0;
-
-/// Returns how much work a request is, whose prompt is read for this time if nothing else is.
-pub(crate) fn work(reading_ms: f64) -> Work {
-    Work {
-        before_answer: reading_ms / READ_UNIT_MS,
-        until_end: ANSWER_WORK,
-    }
-}
-
 /// Chooses the endpoint of the next send.
 ///
 /// # Errors
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use kernel::{Failure, Reason, Verdict};
-use limits::NoPlace;
+use limits::{NoPlace, Work};
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::desk::Desk;
@@ -143,7 +143,7 @@
     async fn send(&mut self, desk: &Rc<Desk>, place: Place, resume_after: Option<u64>) -> Sent {
         let Place { endpoint, station } = place;
         let reading_ms = self.reading_ms(desk);
-        let mut seat = Seat::take(station.clone(), plan::work(reading_ms));
+        let mut seat = Seat::take(station.clone(), Work::of_prompt(reading_ms));
         let attempt = Attempt {
             ask: &self.ask,
             head: &self.call.head,
--- a/crates/serve/src/station.rs
+++ b/crates/serve/src/station.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{Health, Outlier};
+use limits::{Health, Outlier, Work};
 
 use crate::endpoint::Endpoint;
 use crate::view::View;
@@ -141,15 +141,6 @@
     }
 }
 
-/// The work of one call.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Work {
-    /// What is done before the answer begins.
-    pub(crate) before_answer: f64,
-    /// What goes on until it has ended.
-    pub(crate) until_end: f64,
-}
-
 /// A call in hand at a station, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Seat {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use kernel::Verdict;
 use relay::{Broken, LocalFuture, Pieces, within};
+use rollout::{Progress, is_slow};
 
 use crate::desk::Desk;
 use crate::events::{Event, EventSplitter};
@@ -26,18 +27,6 @@
 /// How many events tell the pace of an endpoint.
 const MIN_PACED_EVENTS: u32 = 4;
 
-/// How many events tell the pace of a version: few, so that a slow one is found before its streams
-/// have ended.
-const ENOUGH_EVENTS: u32 = 6;
-
-/// How many events are enough at the end of a stream, or if they took as long as those would at a
-/// slow pace.
-const FEWEST_EVENTS: u32 = 2;
-
-/// How many times the usual time between events makes a stream slow: more than a full batch adds,
-/// less than the several times that a bad version takes.
-const SLOW_EVENTS: f64 = 2.5;
-
 /// The stream to a caller, which may go on at another endpoint.
 pub(crate) struct Stream {
     desk: Rc<Desk>,
@@ -176,17 +165,16 @@
         if self.is_judged {
             return;
         }
+        let progress = Progress {
+            events: self.events,
+            elapsed_ms: self.began.elapsed().as_millis() as f64,
+            is_over,
+        };
         let usual_ms = self.desk.paces.event_ms(&self.job.kind());
-        let slow_ms = usual_ms.unwrap_or(f64::INFINITY) * SLOW_EVENTS;
-        let elapsed_ms = self.began.elapsed().as_millis() as f64;
-        let paced = self.events >= FEWEST_EVENTS;
-        // The events of a slow run need not be waited for.
-        let is_late = paced && elapsed_ms >= slow_ms * f64::from(ENOUGH_EVENTS);
-        if self.events < ENOUGH_EVENTS && !is_late && !is_over {
+        let Some(is_slow) = is_slow(&progress, usual_ms) else {
             return;
-        }
+        };
         self.is_judged = true;
-        let is_slow = paced && elapsed_ms >= slow_ms * f64::from(self.events);
         let ending = if is_slow {
             Ending::Slow
         } else {
