Do not hold a cold endpoint's pace against a good version

Ruled out: failures (none), a version that is slow (its answers on other endpoints were not).

Change: with traffic, slowness must be seen anew for a second; the share of slow answers must be 0.15 over twice the usual one, not 0.08.

--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -5,7 +5,7 @@
 
 use kernel::Incarnation;
 use rollout::{
-    Counts, Evidence, Judgement, Lasting, Monitor, Phase, ShiftSettings, Symptom, TestSettings,
+    Counts, Evidence, Judgement, Monitor, Phase, ShiftSettings, Slowness, Symptom, TestSettings,
     is_worse,
 };
 use serve::{Shift, Stage};
@@ -30,10 +30,6 @@
 /// The rise in failed calls that must be found.
 const FAILURE_RISE: f64 = 0.2;
 
-/// How long a version must stay slow, in milliseconds: the users' longest prompts are read for two
-/// seconds, and all that their endpoint answers is slow meanwhile.
-const SLOW_LEAST_MS: u64 = 2_500;
-
 /// One roll-out as this instance sees it.
 pub(crate) struct Track {
     pub(crate) target: Arc<str>,
@@ -45,7 +41,7 @@
     pub(crate) due_since_ms: Option<u64>,
     pub(crate) monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
-    slowness: Lasting,
+    slowness: Slowness,
 }
 
 /// All roll-outs, by service.
@@ -107,7 +103,7 @@
             due_since_ms: None,
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
-            slowness: Lasting::default(),
+            slowness: Slowness::default(),
         }
     }
 
@@ -154,11 +150,9 @@
             _ => None,
         };
         let is_slow = matches!(judged, Some((Symptom::Slowness, _)));
-        let lasts = self.slowness.note(is_slow, now_ms, SLOW_LEAST_MS);
+        let counts = self.slowness.note(is_slow, self.phase, now_ms);
         let (symptom, class) = judged?;
-        // With half of the traffic, it is not one endpoint's doing any more.
-        let is_one = self.phase <= Phase::Trial;
-        if is_slow && is_one && !lasts {
+        if is_slow && !counts {
             return None;
         }
         Some(format!(
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -16,16 +16,16 @@
 mod controller;
 mod cusum;
 mod evidence;
-mod lasting;
 mod monitor;
 mod shift;
 mod slow;
+mod slowness;
 
 pub use allowance::{allowance, exposure_cap};
 pub use controller::{Controller, Next, Step};
 pub use cusum::{Cusum, CusumSettings};
 pub use evidence::{Counts, Evidence};
-pub use lasting::Lasting;
 pub use monitor::{Judgement, Monitor, Symptom, TestSettings};
 pub use shift::{Phase, ShiftSettings, ShiftState, is_worse, next_phase};
 pub use slow::{Progress, is_slow};
+pub use slowness::Slowness;
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -122,14 +122,22 @@
 /// How many times the old version's share of failures the new one's must be to be held against it.
 const WORSE_FACTOR: f64 = 2.0;
 
-/// How much higher than that the new one's share must be.
+/// How much higher than that the new one's share of failures must be.
 const WORSE_MARGIN: f64 = 0.08;
 
+/// How much higher than that its share of slow answers must be: good versions showed up to 0.2 on
+/// the one endpoint that bears a trial, where 0.05 were slow besides.
+const SLOWER_MARGIN: f64 = 0.15;
+
 /// Returns whether a symptom is worse on the new version than trouble of the whole service explains.
 pub fn is_worse(symptom: Symptom, new: &Counts, old: &Counts) -> bool {
     let share = |counts: &Counts| {
         let (happened, absent) = symptom.split(counts);
         happened as f64 / (happened + absent).max(1) as f64
     };
-    share(new) > share(old) * WORSE_FACTOR + WORSE_MARGIN
+    let margin = match symptom {
+        Symptom::Slowness => SLOWER_MARGIN,
+        Symptom::Failures | Symptom::Quality => WORSE_MARGIN,
+    };
+    share(new) > share(old) * WORSE_FACTOR + margin
 }
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -1,6 +1,6 @@
 //! How far a shift moves, and when.
 
-use rollout::{Counts, Lasting, Phase, ShiftSettings, ShiftState, Symptom, is_worse, next_phase};
+use rollout::{Counts, Phase, ShiftSettings, ShiftState, Slowness, Symptom, is_worse, next_phase};
 
 fn state(phase: Phase, elapsed_share: f64, answers: u64, running_on_old: u64) -> ShiftState {
     ShiftState {
@@ -84,6 +84,29 @@
     ));
 }
 
+/// Seats scale-2: 7 of 41 answers of a good version were slow, on the one cold endpoint of its trial.
+#[test]
+fn a_cold_endpoint_makes_no_version_slow() {
+    let counts = |answered, slow| Counts {
+        answered,
+        slow,
+        ..Counts::default()
+    };
+    let cases = [
+        (
+            "good, on a cold endpoint",
+            counts(41, 7),
+            counts(2061, 90),
+            false,
+        ),
+        ("a third is slow", counts(23, 9), counts(1219, 135), true),
+    ];
+    for (name, new, old, expected) in cases {
+        let worse = is_worse(Symptom::Slowness, &new, &old);
+        assert_eq!(worse, expected, "{name}");
+    }
+}
+
 /// Returns the share of all requests that a version without a visible fault gets until its time is
 /// over, if the traffic of the last third is `late` times that before.
 fn exposure(settings: &ShiftSettings, late: f64) -> f64 {
@@ -125,19 +148,24 @@
     assert!(share <= 0.15, "{share}");
 }
 
-/// Own day slow-version: all answers of an endpoint are slow while it reads one long prompt.
+/// Own day slow-version: all answers of an endpoint are slow while it reads one long prompt. Seats
+/// scale-2: what had been seen on trial had a good version withdrawn at once when it got traffic.
 #[test]
-fn slowness_must_last() {
+fn slowness_must_last_and_be_seen_anew_with_traffic() {
     let looks = [
-        (0, true, false),
-        (2_000, true, false),
-        (2_100, false, false),
-        (2_200, true, false),
-        (4_600, true, false),
-        (4_700, true, true),
+        (0, true, Phase::Trial, false),
+        (2_000, true, Phase::Trial, false),
+        (2_100, false, Phase::Trial, false),
+        (2_200, true, Phase::Trial, false),
+        (4_600, true, Phase::Trial, false),
+        (4_700, true, Phase::Trial, true),
+        (4_800, true, Phase::Half, false),
+        (5_500, true, Phase::All, false),
+        (5_800, true, Phase::All, true),
+        (5_900, false, Phase::All, false),
     ];
-    let mut lasting = Lasting::default();
-    for (now_ms, seen, expected) in looks {
-        assert_eq!(lasting.note(seen, now_ms, 2_500), expected, "at {now_ms}");
+    let mut slowness = Slowness::default();
+    for (now_ms, seen, phase, expected) in looks {
+        assert_eq!(slowness.note(seen, phase, now_ms), expected, "at {now_ms}");
     }
 }
