--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -94,6 +94,9 @@
 
 /// Returns the phase that follows, which is the same one if nothing is to be done.
 pub fn next_phase(state: &ShiftState, settings: &ShiftSettings) -> Phase {
+    if is_slow_trial(state, settings) {
+        return Phase::Withdrawn;
+    }
     let answers = state.new.answered + state.new.failed;
     match state.phase {
         Phase::Waiting if state.elapsed_share >= settings.trial_at => Phase::Trial,
@@ -119,6 +122,17 @@
     }
 }
 
+/// The share of slow answers over a whole trial at which a version may not move on: far above what a
+/// cold endpoint or one long prompt makes of a good one.
+const TRIAL_SLOW_SHARE: f64 = 0.5;
+
+/// Returns whether a trial that would end now ended badly, for being slow all along.
+fn is_slow_trial(state: &ShiftState, settings: &ShiftSettings) -> bool {
+    let ends = state.phase == Phase::Trial && state.elapsed_share >= settings.half_at;
+    let enough = state.new.answered >= settings.min_answers;
+    ends && enough && state.new.slow as f64 >= TRIAL_SLOW_SHARE * state.new.answered as f64
+}
+
 /// How many times the old version's share of failures the new one's must be to be held against it.
 const WORSE_FACTOR: f64 = 2.0;
 
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -107,6 +107,18 @@
     }
 }
 
+/// Own day slow-version with --seed 1013406868120 on the seats: all of eight answers were slow, the
+/// last of them so late that the phases that followed took no time.
+#[test]
+fn a_trial_that_was_slow_all_along_ends_the_roll_out() {
+    let mut trial = state(Phase::Trial, 0.96, 8, 0);
+    trial.new.slow = 8;
+    let settings = ShiftSettings::default();
+    assert_eq!(next_phase(&trial, &settings), Phase::Withdrawn);
+    trial.new.slow = 3;
+    assert_eq!(next_phase(&trial, &settings), Phase::Half);
+}
+
 /// Returns the share of all requests that a version without a visible fault gets until its time is
 /// over, if the traffic of the last third is `late` times that before.
 fn exposure(settings: &ShiftSettings, late: f64) -> f64 {
