Share the measure of pressure, and clear what a second reading of the change found

Change: policy::Pressure serves the router and the played load; Track::suspicion sums only when a test speaks; Begun carries the reading time. No behaviour changes but the logged figure.

--- a/crates/control/src/shift.rs
+++ b/crates/control/src/shift.rs
@@ -1,6 +1,7 @@
 //! What this instance saw of the versions that traffic moves to.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 
 use kernel::Incarnation;
@@ -30,6 +31,36 @@
 /// The rise in failed calls that must be found.
 const FAILURE_RISE: f64 = 0.2;
 
+/// A symptom that a version shows, with the counts that tell it.
+struct Suspicion {
+    symptom: Symptom,
+    class: Arc<str>,
+    new: Counts,
+    old: Counts,
+}
+
+impl fmt::Display for Suspicion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Suspicion {
+            symptom,
+            class,
+            new,
+            old,
+        } = self;
+        write!(
+            f,
+            "{} in {class}: {} failed and {} slow of {}, on the other version {} and {} of {}",
+            symptom.as_str(),
+            new.failed,
+            new.slow,
+            new.answered + new.failed,
+            old.failed,
+            old.slow,
+            old.answered + old.failed,
+        )
+    }
+}
+
 /// One roll-out as this instance sees it.
 pub(crate) struct Track {
     pub(crate) target: Arc<str>,
@@ -141,30 +172,27 @@
         if matches!(self.phase, Phase::Done | Phase::Withdrawn) {
             return None;
         }
-        let new = self.monitor.total();
-        let old = self.besides();
-        let judged = match self.monitor.judge() {
-            Judgement::Bad(symptom, class) if is_worse(symptom, &new, &old) => {
-                Some((symptom, class))
-            }
-            _ => None,
-        };
-        let is_slow = matches!(judged, Some((Symptom::Slowness, _)));
-        let counts = self.slowness.note(is_slow, self.phase, now_ms);
-        let (symptom, class) = judged?;
-        if is_slow && !counts {
+        let suspicion = self.suspicion();
+        let is_slow = suspicion
+            .as_ref()
+            .is_some_and(|suspicion| suspicion.symptom == Symptom::Slowness);
+        let lasts = self.slowness.note(is_slow, self.phase, now_ms);
+        let suspicion = suspicion.filter(|_| lasts || !is_slow)?;
+        Some(suspicion.to_string())
+    }
+
+    /// Returns what a test found that is worse than on the other versions.
+    fn suspicion(&self) -> Option<Suspicion> {
+        let Judgement::Bad(symptom, class) = self.monitor.judge() else {
             return None;
-        }
-        Some(format!(
-            "{} in {class}: {} failed and {} slow of {}, on the other version {} and {} of {}",
-            symptom.as_str(),
-            new.failed,
-            new.slow,
-            new.answered + new.failed,
-            old.failed,
-            old.slow,
-            old.answered + old.failed,
-        ))
+        };
+        let suspicion = Suspicion {
+            symptom,
+            class,
+            new: self.monitor.total(),
+            old: self.besides(),
+        };
+        is_worse(symptom, &suspicion.new, &suspicion.old).then_some(suspicion)
     }
 
     pub(crate) fn running_on_old(&self) -> u64 {
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -57,10 +57,9 @@
         match result {
             Ok(revision) => {
                 control.note_contact(feed, true);
-                if is_first {
+                if std::mem::take(&mut is_first) {
                     let_peers_join(&control).await;
                 }
-                is_first = false;
                 cursor = Some(revision);
                 pause_ms = MIN_PAUSE_MS;
                 recovers = false;
--- a/crates/limits/src/work.rs
+++ b/crates/limits/src/work.rs
@@ -21,7 +21,7 @@
 /// assert_eq!(work.before_answer, 10.0);
 /// assert_eq!(work.until_end, 1.0);
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug)]
 pub struct Work {
     /// What is done before the answer begins.
     pub before_answer: f64,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod ladder;
 mod learned;
 mod plan;
+mod pressure;
 mod price;
 
 pub use assign::{arm, unit_hash};
@@ -27,4 +28,5 @@
 pub use ladder::Ladder;
 pub use learned::{CONFIDENCE_BINS, Learned, Observation, Unsure, confidence_bin};
 pub use plan::{Candidate, Decision, Plan, PolicyPlugin, Query, RoutingPolicy, find};
+pub use pressure::Pressure;
 pub use price::Price;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 
 use fastrand::Rng;
-use policy::Ladder;
+use policy::{Ladder, Pressure};
 
 const REQUESTS: usize = 20_000;
 const ENGINES: usize = 9;
@@ -28,12 +28,6 @@
 const LATE: f64 = 0.5;
 const POOR: f64 = 0.05;
 
-/// Bounds of the time to a first event, relative to the objective, between which pressure rises, and
-/// the weight of the latest time; as the router has them.
-const EASY_SHARE: f64 = 0.35;
-const PRESSED_SHARE: f64 = 0.9;
-const WEIGHT: f64 = 0.05;
-
 /// A way to choose the size of the model.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -148,26 +142,20 @@
     let mut engines = Engines {
         free_at_ms: [0.0; ENGINES],
     };
-    let mut first_share: f64 = 0.0;
+    let mut pressure = Pressure::default();
     let mut worth = 0.0;
     while let Some(next) = heap.pop() {
         let request = &requests[next.request];
         let at_ms = next.at_us.0 as f64 / 1_000.0;
         if next.is_large {
             let done_ms = engines.run(at_ms, LARGE_MS);
-            let share = (done_ms - at_ms) / OBJECTIVE_MS;
-            first_share += WEIGHT * (share.min(2.0) - first_share);
+            pressure.note((done_ms - at_ms) / OBJECTIVE_MS);
             worth += earned(true, done_ms - request.came_ms) - LARGE_COST;
             continue;
         }
         let done_ms = engines.run(at_ms, SMALL_MS);
         worth -= SMALL_COST;
-        let over = (first_share - EASY_SHARE) / (PRESSED_SHARE - EASY_SHARE);
-        let pressure = if policy.sinks {
-            over.clamp(0.0, 1.0)
-        } else {
-            0.0
-        };
+        let pressure = if policy.sinks { pressure.value() } else { 0.0 };
         if policy.ladder.keeps(0, Some(request.sure), pressure) {
             let is_good = request.hardness < SMALL_REACH;
             worth += earned(is_good, done_ms - request.came_ms);
--- a/crates/rollout/src/slow.rs
+++ b/crates/rollout/src/slow.rs
@@ -13,7 +13,7 @@
 const SLOW_EVENTS: f64 = 2.5;
 
 /// What is seen of a stream.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug)]
 pub struct Progress {
     /// The events that came.
     pub events: u32,
--- a/crates/serve/src/pace.rs
+++ b/crates/serve/src/pace.rs
@@ -4,15 +4,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use policy::Pressure;
+
 /// The weight of the latest time in the running means.
 const WEIGHT: f64 = 0.05;
 
-/// The part of the objective that first events may take before the service counts as pressed.
-const EASY_SHARE: f64 = 0.35;
-
-/// The part of the objective at which it counts as fully pressed.
-const PRESSED_SHARE: f64 = 0.9;
-
 /// The quantile of the times for one token that counts as reading undisturbed: most times hold waits
 /// for other prompts.
 const READ_QUANTILE: f64 = 0.2;
@@ -47,7 +43,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Paces {
     usual: RefCell<HashMap<Kind, Usual>>,
-    first_shares: RefCell<HashMap<Arc<str>, f64>>,
+    pressures: RefCell<HashMap<Arc<str>, Pressure>>,
 }
 
 impl Paces {
@@ -94,16 +90,14 @@
 
     /// Notes the part of its objective that a first event of the largest model took.
     pub(crate) fn note_first_share(&self, service: &Arc<str>, share: f64) {
-        let mut shares = self.first_shares.borrow_mut();
-        let mean = shares.entry(service.clone()).or_insert(share);
-        *mean += WEIGHT * (share.min(2.0) - *mean);
+        let mut pressures = self.pressures.borrow_mut();
+        pressures.entry(service.clone()).or_default().note(share);
     }
 
     /// Returns how pressed a service is, from 0 to 1.
     pub(crate) fn pressure(&self, service: &Arc<str>) -> f64 {
-        let shares = self.first_shares.borrow();
-        let share = shares.get(service).copied().unwrap_or_default();
-        ((share - EASY_SHARE) / (PRESSED_SHARE - EASY_SHARE)).clamp(0.0, 1.0)
+        let pressures = self.pressures.borrow();
+        pressures.get(service).map_or(0.0, Pressure::value)
     }
 }
 
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -331,7 +331,7 @@
             first_ms = begun.first.as_millis() as u64,
             endpoint = &*begun.endpoint.id,
             load = begun.seat.station.load(),
-            reading_ms = job.reading_ms(desk) as u64,
+            reading_ms = begun.reading_ms as u64,
             confidence = job.confidence,
             pressure,
             "request: confidence"
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -72,6 +72,8 @@
     pub(crate) sent_at: Instant,
     /// The time from the send to the head of the answer.
     pub(crate) first: Duration,
+    /// How long its prompt was taken to be read when it was placed, in milliseconds.
+    pub(crate) reading_ms: f64,
 }
 
 /// What became of one send.
@@ -218,6 +220,7 @@
                 _running: running,
                 sent_at,
                 first,
+                reading_ms,
             }));
         }
         self.note_no_answer(desk, &endpoint, &station, &reply);
