policy: Choose model sizes by expected gain and the scarcity of engines

Hypothesis: one price of engine time from the waits of all sizes, and a further run only where the chance of a poor answer is worth more than the run costs. Change: Scarcity (mean wait beyond undisturbed reading, all sizes, time constant 0.7 s) replaces Pressure; Cascade compares gains, a late answer counting 0.4; SizeEstimates learns from confidences what each size answers well and tries sizes in between on a bounded share; the largest size is asked at once when the retry budget allows no second run. Undisturbed reading is learned from the tokens that no other request shares. The setting keep_confidence goes; largest_run_cost may be set. Prefill counts three times as much in an endpoint's load (10 ms of reading weigh as one response, before 30).

--- a/crates/limits/src/request_load.rs
+++ b/crates/limits/src/request_load.rs
@@ -6,9 +6,9 @@
 /// Load of a response in progress, or of a plain request.
 const RESPONSE_LOAD: f64 = 1.0;
 
-/// Prefill time that counts as much as one response in progress: that of a prompt of 4,000 tokens
-/// on the smallest deployed model.
-const PREFILL_UNIT_MS: f64 = 30.0;
+/// Prefill time that counts as much as one response in progress: a response takes about this much
+/// of the steps of its batch.
+const PREFILL_UNIT_MS: f64 = 10.0;
 
 /// Load of one request, where 1 is the load of a response in progress.
 ///
@@ -17,7 +17,7 @@
 /// ```
 /// use limits::RequestLoad;
 ///
-/// let load = RequestLoad::from_prefill_ms(300.0);
+/// let load = RequestLoad::from_prefill_ms(100.0);
 /// assert_eq!(load.prefill, 10.0);
 /// assert_eq!(load.response, 1.0);
 /// ```
--- a/crates/policy/src/cascade.rs
+++ b/crates/policy/src/cascade.rs
@@ -1,65 +1,210 @@
-//! The cascade over the sizes of a model, which keeps a small model's answer if it is confident.
+//! The cascade over the sizes of a model, by the expected gain of each further run.
 //!
-//! It is meant for loads in which the small model's answer serves most requests, and for a large
-//! model that costs many times as much and runs as many times slower.
+//! It is meant for loads in which smaller sizes serve most requests, larger ones cost many times as
+//! much engine time, and confidence tells which requests need them. All gains and costs are in good
+//! answers in time, of which a request is worth one.
 
-/// The confidence from which a small model's answer is kept, by the rank of the request.
+use crate::size_estimates::EVEN_CONFIDENCE;
+
+/// Points of confidence over which the odds of a good answer change by a factor of e.
+const CONFIDENCE_SCALE: f64 = 6.0;
+
+/// The mean wait, as a share of the latency objective, that costs no request its objective.
+const FREE_WAIT_SHARE: f64 = 0.05;
+
+/// The cost of a run of the largest size, in good answers, when requests wait for their whole
+/// objective. A run then makes several other requests late.
+const FULL_WAIT_COST: f64 = 2.0;
+
+/// Half of the range over which the costs of requests differ at the same wait, relative to the cost.
+/// Without it, all requests of one confidence would change their size at the same moment.
+const COST_SPREAD: f64 = 0.2;
+
+/// The cost of any run, in good answers: a connection, a part of the retry budget, and time.
+const RUN_COST: f64 = 0.05;
+
+/// Share of requests answered well below which a size is skipped. A more useful one costs less than
+/// an error in the estimates would.
+const MIN_USEFUL_SHARE: f64 = 0.12;
+
+/// The gain by which a size in between must exceed the largest. Few answers of it are known.
+const MIN_DETOUR_GAIN: f64 = 0.15;
+
+/// The value of a good answer after the objective.
+const LATE_VALUE: f64 = 0.4;
+
+/// What is expected of one size for one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SizeOutlook {
+    /// The share of all requests that the size answers well, from 0 to 1.
+    pub good_share: f64,
+    /// The engine time of a run, where 1 is that of the largest size.
+    pub relative_time: f64,
+    /// The time from now to the first event, in milliseconds.
+    pub first_event_ms: f64,
+}
+
+/// The answer that a request has so far.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CurrentAnswer {
+    /// Index of the size that gave it.
+    pub size: usize,
+    /// Confidence of the size, from 0 to 100; `None` counts as unsure.
+    pub confidence: Option<u8>,
+    /// The time left to the latency objective, in milliseconds; 0 or below once it has passed.
+    pub objective_left_ms: f64,
+}
+
+/// Chooses the size of each run.
 ///
 /// # Examples
 ///
 /// ```
-/// use policy::Cascade;
+/// use policy::{Cascade, CurrentAnswer, SizeOutlook};
 ///
-/// let cascade = Cascade::new(&[101, 80]);
-/// assert_eq!(cascade.first_size(0, 2), 2);
-/// assert_eq!(cascade.first_size(1, 2), 0);
-/// assert!(cascade.keeps(1, Some(80), 0.0));
-/// assert!(!cascade.keeps(1, Some(79), 0.0));
-/// assert!(cascade.keeps(1, Some(60), 1.0));
+/// let size = |good_share, relative_time| SizeOutlook { good_share, relative_time, first_event_ms: 100.0 };
+/// let sizes = [size(0.55, 0.1), size(1.0, 1.0)];
+/// let cascade = Cascade::new(0.3, 0.0, 0.5);
+/// assert_eq!(cascade.first_size(&sizes, 1_000.0, 3), 0);
+/// let answer = CurrentAnswer { size: 0, confidence: Some(20), objective_left_ms: 900.0 };
+/// assert_eq!(cascade.next_size(&sizes, &answer, 2), Some(1));
+/// let sure = CurrentAnswer { confidence: Some(80), ..answer };
+/// assert_eq!(cascade.next_size(&sizes, &sure, 2), None);
 /// ```
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Cascade {
-    thresholds: Vec<u8>,
+    largest_run_cost: f64,
 }
 
-/// How far full pressure on the large model lowers the threshold, in points of confidence. Under
-/// the heaviest loads, callers get more from a doubtful answer now than from a late one.
-const PRESSURE_RELIEF: f64 = 22.0;
-
-/// A threshold that no confidence reaches, at which the small model is not called.
-const UNREACHABLE: u8 = 101;
-
 impl Cascade {
-    /// Creates a cascade from the thresholds by rank, each a confidence from 0 to 100.
+    /// Creates a cascade for one request.
     ///
-    /// Ranks beyond the list get its last threshold. At a threshold above 100, and with an empty
-    /// list, the small model is not called.
-    pub fn new(thresholds: &[u8]) -> Cascade {
+    /// `idle_cost` is the cost of a run of the largest size on idle engines, in good answers,
+    /// `wait_share` the mean wait as a share of the latency objective, and `uniform` a number of the
+    /// request's own from 0 to below 1.
+    pub fn new(idle_cost: f64, wait_share: f64, uniform: f64) -> Cascade {
+        let cost = idle_cost + FULL_WAIT_COST * (wait_share - FREE_WAIT_SHARE).max(0.0);
         Cascade {
-            thresholds: thresholds.to_vec(),
+            largest_run_cost: cost * (1.0 + COST_SPREAD * (2.0 * uniform - 1.0)),
         }
     }
 
-    /// Returns the index of the size that is called first, where `largest` is the last one.
-    pub fn first_size(&self, rank: u8, largest: usize) -> usize {
-        if self.threshold(rank) >= UNREACHABLE {
-            largest
-        } else {
-            0
+    /// Returns the size of the first of at most `max_runs` runs, for a request with this time left to
+    /// its latency objective.
+    ///
+    /// It is the smallest one that is of use, or the one with the largest gain if no further run may
+    /// follow.
+    pub fn first_size(
+        &self,
+        sizes: &[SizeOutlook],
+        objective_left_ms: f64,
+        max_runs: u32,
+    ) -> usize {
+        let largest = sizes.len().saturating_sub(1);
+        if max_runs > 1 {
+            let is_useful = |size: &SizeOutlook| size.good_share >= MIN_USEFUL_SHARE;
+            return sizes.iter().position(is_useful).unwrap_or(largest);
+        }
+        let path = Path {
+            sizes,
+            too_hard_for: None,
+            objective_left_ms,
+            max_runs,
+        };
+        let mut best = (f64::NEG_INFINITY, 0);
+        for size in 0..sizes.len() {
+            let gain = self.path_gain(&path, size);
+            if gain > best.0 {
+                best = (gain, size);
+            }
         }
+        best.1
     }
 
-    /// Returns whether an answer is kept at a pressure on the large model from 0 to 1.
-    ///
-    /// The higher the pressure, the later the large model's answer, and the lower the confidence
-    /// that is accepted instead. An answer without a confidence is not kept.
-    pub fn keeps(&self, rank: u8, confidence: Option<u8>, pressure: f64) -> bool {
-        let threshold = f64::from(self.threshold(rank)) - PRESSURE_RELIEF * pressure;
-        confidence.is_some_and(|confidence| f64::from(confidence) >= threshold)
+    /// Returns the size to run after an answer, or `None` if the answer is better kept.
+    pub fn next_size(
+        &self,
+        sizes: &[SizeOutlook],
+        answer: &CurrentAnswer,
+        max_runs: u32,
+    ) -> Option<usize> {
+        if max_runs == 0 {
+            return None;
+        }
+        let good = good_chance(answer.confidence);
+        let kept_value = value_at(answer.objective_left_ms);
+        let path = Path {
+            sizes,
+            too_hard_for: Some(answer.size),
+            objective_left_ms: answer.objective_left_ms,
+            max_runs,
+        };
+        let mut best = (0.0, None);
+        for size in answer.size + 1..sizes.len() {
+            let is_largest = size + 1 == sizes.len();
+            let margin = if is_largest { 0.0 } else { MIN_DETOUR_GAIN };
+            let cost = self.run_cost(&sizes[size]);
+            let found_value = self.path_gain(&path, size) + cost;
+            let value = value_at(answer.objective_left_ms - sizes[size].first_event_ms);
+            let gain = (1.0 - good) * found_value - good * (kept_value - value) - cost - margin;
+            if gain > best.0 {
+                best = (gain, Some(size));
+            }
+        }
+        best.1
+    }
+
+    fn run_cost(&self, size: &SizeOutlook) -> f64 {
+        RUN_COST + self.largest_run_cost * size.relative_time
     }
 
-    fn threshold(&self, rank: u8) -> u8 {
-        let index = usize::from(rank).min(self.thresholds.len().saturating_sub(1));
-        self.thresholds.get(index).copied().unwrap_or(UNREACHABLE)
+    /// Returns the expected gain of a run, and of the best runs after it.
+    fn path_gain(&self, path: &Path<'_>, size: usize) -> f64 {
+        let outlook = &path.sizes[size];
+        let known = path
+            .too_hard_for
+            .map_or(0.0, |smaller| path.sizes[smaller].good_share);
+        let good = ((outlook.good_share - known) / (1.0 - known).max(f64::EPSILON)).max(0.0);
+        let rest = Path {
+            too_hard_for: Some(size),
+            objective_left_ms: path.objective_left_ms - outlook.first_event_ms,
+            max_runs: path.max_runs - 1,
+            ..*path
+        };
+        let mut best_rest: f64 = 0.0;
+        if rest.max_runs > 0 {
+            for next in size + 1..path.sizes.len() {
+                best_rest = best_rest.max(self.path_gain(&rest, next));
+            }
+        }
+        let value = value_at(rest.objective_left_ms);
+        good * value + (1.0 - good) * best_rest - self.run_cost(outlook)
     }
 }
+
+/// The runs that a request may still have.
+#[derive(Clone, Copy)]
+struct Path<'a> {
+    sizes: &'a [SizeOutlook],
+    /// The largest size that the request was too hard for.
+    too_hard_for: Option<usize>,
+    objective_left_ms: f64,
+    max_runs: u32,
+}
+
+fn value_at(objective_left_ms: f64) -> f64 {
+    if objective_left_ms > 0.0 {
+        1.0
+    } else {
+        LATE_VALUE
+    }
+}
+
+/// Returns the chance that an answer is good, from 0 to 1.
+fn good_chance(confidence: Option<u8>) -> f64 {
+    let Some(confidence) = confidence else {
+        return 0.0;
+    };
+    let points = f64::from(confidence) - f64::from(EVEN_CONFIDENCE);
+    1.0 / (1.0 + (-points / CONFIDENCE_SCALE).exp())
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Routing policies are plug-ins that choose one version or a cascade of two, by cost and estimated
 //! quality. The crate also holds those estimates, the price of quality, the assignment to arms of
-//! experiments, and the cascade over the sizes of one model with its measure of pressure.
+//! experiments, and the cascade over the sizes of one model with its measure of scarcity.
 //!
 //! # Examples
 //!
@@ -23,16 +23,18 @@
 mod cheapest;
 mod estimate;
 mod plan;
-mod pressure;
 mod price;
 mod quality;
+mod scarcity;
+mod size_estimates;
 
 pub use assign::{assign_arm, unit_hash};
-pub use cascade::Cascade;
+pub use cascade::{Cascade, CurrentAnswer, SizeOutlook};
 pub use estimate::Estimate;
 pub use plan::{Candidate, Decision, Plan, PolicyPlugin, Query, RoutingPolicy, find};
-pub use pressure::Pressure;
 pub use price::Price;
 pub use quality::{
     CONFIDENCE_BINS, EscalatedAnswer, Observation, QualityEstimates, confidence_bin,
 };
+pub use scarcity::Scarcity;
+pub use size_estimates::{EVEN_CONFIDENCE, SizeEstimates};
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -64,8 +64,8 @@
     pub(crate) verdict: Verdict,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
-    /// Whether the confidence of a smaller model was too low.
-    pub(crate) escalated: bool,
+    /// Index of the smaller size whose answer was discarded before this run.
+    pub(crate) unsure_size: Option<usize>,
     /// Confidence of the model in its answer, from 0 to 100.
     pub(crate) confidence: Option<u8>,
     pub(crate) last_endpoint: Option<Arc<Endpoint>>,
@@ -93,7 +93,8 @@
         }
     }
 
-    /// Estimates how long an otherwise idle endpoint reads the prompt, in milliseconds.
+    /// Estimates how long an otherwise idle endpoint that caches none of the prompt reads it, in
+    /// milliseconds.
     pub(crate) fn reading_ms(&self, context: &RequestContext) -> f64 {
         context
             .baselines
@@ -150,7 +151,7 @@
             .and_then(|workspace| workspace.priority);
         let priority = priority.unwrap_or(self.route.priority);
         let priority = BASE_PRIORITY.saturating_add(priority.saturating_mul(PRIORITY_STEP));
-        let waited = u8::from(self.escalated || self.info.resume_after.is_some());
+        let waited = u8::from(self.unsure_size.is_some() || self.info.resume_after.is_some());
         (priority - waited).min(LEAST_URGENT_PRIORITY)
     }
 
--- a/crates/serve/src/baseline.rs
+++ b/crates/serve/src/baseline.rs
@@ -1,29 +1,37 @@
-//! Latency baselines by service and model size, and the pressure on each service.
+//! Latency baselines by service and model size, and the scarcity of each service's engine time.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use policy::Pressure;
+use policy::Scarcity;
 
 /// Weight of the latest sample in the moving averages.
 const SMOOTHING: f64 = 0.05;
 
-/// Quantile of the times per prompt token that counts as undisturbed reading. Most samples include
-/// waiting for other prompts.
-const READ_QUANTILE: f64 = 0.2;
+/// Quantile of the times to a first event that counts as undisturbed. Most samples include waiting
+/// for other prompts.
+const UNDISTURBED_QUANTILE: f64 = 0.1;
 
-/// Step by which one sample moves the quantile estimate, relative to the estimate.
-const READ_STEP: f64 = 0.2;
+/// Factor by which a running minimum rises with each sample, so that it follows a slower service.
+const MINIMUM_RISE: f64 = 1.005;
 
-/// Shortest prompt that is sampled, in tokens. The times of shorter ones show the fixed cost of a
-/// request.
-const MIN_SAMPLED_PROMPT_TOKENS: u32 = 4_000;
+/// Smallest part of the time to a first event that counts as reading.
+const MIN_READING_PART: f64 = 0.2;
+
+/// Step by which one sample moves a quantile estimate, relative to the estimate.
+const QUANTILE_STEP: f64 = 0.1;
+
+/// Fewest tokens of a sampled prompt. The times of shorter ones show the fixed cost of a request.
+const MIN_SAMPLED_TOKENS: u32 = 1_000;
 
 /// Time to read one prompt token before the first sample, in milliseconds: 100 tokens per
 /// millisecond of prefill.
 const DEFAULT_READ_TOKEN_MS: f64 = 0.01;
 
+/// Time of a run relative to that of the next larger size, before both were sampled.
+const DEFAULT_TIME_STEP: f64 = 0.3;
+
 /// Requests whose latencies are compared with one another.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct BaselineKey {
@@ -44,7 +52,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct LatencyBaselines {
     by_key: RefCell<HashMap<BaselineKey, Baseline>>,
-    pressures: RefCell<HashMap<Arc<str>, Pressure>>,
+    fixed_ms: RefCell<HashMap<Arc<str>, Option<f64>>>,
+    scarcities: RefCell<HashMap<Arc<str>, Scarcity>>,
 }
 
 impl LatencyBaselines {
@@ -71,36 +80,91 @@
         self.by_key.borrow().get(key)?.event_ms
     }
 
-    /// Records the time to the first event for a prompt, unless the prompt is too short to sample.
-    pub(crate) fn record_prompt(&self, key: &BaselineKey, prompt_tokens: u32, first_ms: f64) {
-        if prompt_tokens < MIN_SAMPLED_PROMPT_TOKENS {
+    /// Records the time to the first event of a prompt, of which `new_tokens` were certainly not
+    /// cached.
+    pub(crate) fn record_prompt(
+        &self,
+        key: &BaselineKey,
+        prompt_tokens: u32,
+        new_tokens: u32,
+        first_ms: f64,
+    ) {
+        let mut fixed_times = self.fixed_ms.borrow_mut();
+        let fixed_ms = fixed_times.entry(key.service.clone()).or_default();
+        if prompt_tokens < MIN_SAMPLED_TOKENS {
+            let lowest_ms = fixed_ms.map_or(first_ms, |lowest_ms| lowest_ms * MINIMUM_RISE);
+            *fixed_ms = Some(lowest_ms.min(first_ms));
+        }
+        if new_tokens < MIN_SAMPLED_TOKENS {
             return;
         }
-        let token_ms = first_ms / f64::from(prompt_tokens);
+        let reading_ms = first_ms - fixed_ms.unwrap_or_default();
+        let reading_ms = reading_ms.max(first_ms * MIN_READING_PART);
+        let token_ms = reading_ms / f64::from(new_tokens);
         let mut baselines = self.by_key.borrow_mut();
         let baseline = baselines.entry(key.clone()).or_default();
         update_quantile(&mut baseline.read_token_ms, token_ms);
     }
 
-    /// Estimates how long an otherwise idle endpoint reads a prompt, in milliseconds.
-    pub(crate) fn reading_ms(&self, key: &BaselineKey, prompt_tokens: u32) -> f64 {
+    /// Estimates how long an otherwise idle endpoint reads a number of tokens, in milliseconds.
+    pub(crate) fn reading_ms(&self, key: &BaselineKey, tokens: u32) -> f64 {
         let baselines = self.by_key.borrow();
         let token_ms = baselines
             .get(key)
             .and_then(|baseline| baseline.read_token_ms);
-        token_ms.unwrap_or(DEFAULT_READ_TOKEN_MS) * f64::from(prompt_tokens)
+        token_ms.unwrap_or(DEFAULT_READ_TOKEN_MS) * f64::from(tokens)
+    }
+
+    /// Returns the time to a first event that does not depend on the prompt, in milliseconds.
+    pub(crate) fn fixed_ms(&self, service: &Arc<str>) -> f64 {
+        let fixed_times = self.fixed_ms.borrow();
+        fixed_times
+            .get(service)
+            .copied()
+            .flatten()
+            .unwrap_or_default()
+    }
+
+    /// Returns the time of a run of each of `count` sizes, relative to the largest.
+    pub(crate) fn relative_times(&self, service: &Arc<str>, count: usize) -> Vec<f64> {
+        let baselines = self.by_key.borrow();
+        let token_ms = |size: usize| {
+            let key = BaselineKey {
+                service: service.clone(),
+                size: Some(size),
+            };
+            baselines.get(&key)?.read_token_ms
+        };
+        let largest_ms = token_ms(count.saturating_sub(1));
+        let mut times = Vec::with_capacity(count);
+        for size in 0..count {
+            let steps = (count - 1 - size) as i32;
+            let time = match (token_ms(size), largest_ms) {
+                (Some(size_ms), Some(largest_ms)) if largest_ms > 0.0 => size_ms / largest_ms,
+                _ => DEFAULT_TIME_STEP.powi(steps),
+            };
+            times.push(time.min(1.0));
+        }
+        times
     }
 
-    /// Records the share of its objective that the largest model took to the first event.
-    pub(crate) fn record_objective_share(&self, service: &Arc<str>, share: f64) {
-        let mut pressures = self.pressures.borrow_mut();
-        pressures.entry(service.clone()).or_default().record(share);
+    /// Records how long a request waited for its first event beyond undisturbed reading.
+    pub(crate) fn record_wait(
+        &self,
+        service: &Arc<str>,
+        wait_ms: f64,
+        objective_ms: f64,
+        now_ms: u64,
+    ) {
+        let mut scarcities = self.scarcities.borrow_mut();
+        let scarcity = scarcities.entry(service.clone()).or_default();
+        scarcity.record(wait_ms, objective_ms, now_ms);
     }
 
-    /// Returns the pressure on a service, from 0 to 1.
-    pub(crate) fn pressure(&self, service: &Arc<str>) -> f64 {
-        let pressures = self.pressures.borrow();
-        pressures.get(service).map_or(0.0, Pressure::value)
+    /// Returns the mean wait for a service's engines, as a share of the latency objective.
+    pub(crate) fn wait_share(&self, service: &Arc<str>) -> f64 {
+        let scarcities = self.scarcities.borrow();
+        scarcities.get(service).map_or(0.0, Scarcity::wait_share)
     }
 }
 
@@ -119,9 +183,9 @@
 fn update_quantile(estimate: &mut Option<f64>, time_ms: f64) {
     let previous = estimate.unwrap_or(time_ms);
     let step = if time_ms < previous {
-        READ_QUANTILE - 1.0
+        UNDISTURBED_QUANTILE - 1.0
     } else {
-        READ_QUANTILE
+        UNDISTURBED_QUANTILE
     };
-    *estimate = Some(previous * (1.0 + READ_STEP * step));
+    *estimate = Some(previous * (1.0 + QUANTILE_STEP * step));
 }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -225,6 +225,7 @@
         context.baselines.record_prompt(
             &self.baseline_key(),
             self.info.token_usage.prompt_tokens,
+            self.info.new_tokens(),
             time_to_head.as_millis() as f64,
         );
         call_guard.response_started();
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -20,6 +20,7 @@
 mod endpoint;
 mod endpoint_protocol;
 mod endpoint_state;
+mod escalation;
 mod events;
 mod outcome;
 mod pipeline;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -7,9 +7,8 @@
 
 use arc_swap::ArcSwap;
 use kernel::{Clock, Failure, Reason, Verdict};
-use policy::Cascade;
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
-use route::{KeyError, RetrySafety, Table};
+use route::{KeyError, Table};
 
 use crate::active_request::ActiveRequest;
 use crate::baseline::LatencyBaselines;
@@ -17,6 +16,7 @@
 use crate::dispatch::{MAX_BUFFERED_BYTES, StartedResponse};
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
+use crate::escalation::SizeBook;
 use crate::outcome::{Counters, Observer, Outcome};
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
@@ -54,7 +54,6 @@
         clock: Arc<dyn Clock>,
         view: Arc<ArcSwap<View>>,
     ) -> Pipeline {
-        let cascade = Cascade::new(&settings.keep_confidence);
         Pipeline {
             context: Rc::new(RequestContext {
                 settings,
@@ -67,8 +66,8 @@
                 clock,
                 view,
                 retry_windows: RefCell::default(),
-                cascade,
                 baselines: LatencyBaselines::default(),
+                size_book: SizeBook::default(),
                 stopped: Cell::new(false),
             }),
         }
@@ -287,7 +286,7 @@
         refusals: 0,
         verdict: Verdict::NotRun,
         size: None,
-        escalated: false,
+        unsure_size: None,
         confidence: None,
         last_endpoint: None,
         failure_response: None,
@@ -349,69 +348,59 @@
     request.record_call_outcome(context, &started.endpoint, outcome);
 }
 
-/// Starts a stream, and escalates to the largest model if the confidence of the first is too low.
+/// Starts a stream, and runs larger sizes of the model as long as their expected gain is worth it.
 async fn start_stream(
     context: &Rc<RequestContext>,
     request: &mut ActiveRequest,
 ) -> Result<Box<StartedResponse>, Failure> {
-    let is_cascade = request.info.any_size && !request.route.model_sizes.is_empty();
-    let largest = request.route.model_sizes.len().saturating_sub(1);
-    if is_cascade {
-        request.size = Some(context.cascade.first_size(request.route.priority, largest));
-    }
+    request.size = request.choose_first_size(context);
     let resume_after = request.info.resume_after;
     loop {
         let started = request.dispatch(context, resume_after).await?;
-        let Some(size) = request.size else {
-            return Ok(started);
-        };
-        request.confidence = started.reply.confidence;
-        let pressure = context.baselines.pressure(&request.service);
-        tracing::info!(
-            id = &*request.info.id,
-            session = request.info.session.as_deref(),
-            size,
-            prompt_tokens = request.info.token_usage.prompt_tokens,
-            first_ms = started.time_to_head.as_millis() as u64,
-            endpoint = &*started.endpoint.id,
-            load = started.call_guard.endpoint_state.load(),
-            reading_ms = started.reading_ms as u64,
-            confidence = request.confidence,
-            pressure,
-            "request: confidence"
-        );
-        if size == largest {
-            let objective_ms = request.route.objective_ms.max(1) as f64;
-            let first_ms = started.time_to_head.as_millis() as f64;
-            context
-                .baselines
-                .record_objective_share(&request.service, first_ms / objective_ms);
-        }
-        if size == largest
-            || context
-                .cascade
-                .keeps(request.route.priority, started.reply.confidence, pressure)
-        {
+        if request.size.is_none() {
             return Ok(started);
         }
-        if request.runs + 1 >= request.route.max_attempts || !may_escalate(context, request) {
+        request.confidence = started.reply.confidence;
+        request.record_confidence(context);
+        record_wait(context, request, &started);
+        log_confidence(context, request, &started);
+        let Some(next_size) = request.choose_next_size(context) else {
             return Ok(started);
-        }
+        };
         Counters::add(&context.counters.escalated);
         drop(started);
         request.record_run(Verdict::Ran);
-        request.size = Some(largest);
-        request.escalated = true;
+        request.unsure_size = request.size;
+        request.size = Some(next_size);
         request.tried.clear();
     }
 }
 
-/// Share of the retry budget that escalations may use. The rest is kept for failures.
-const MAX_ESCALATION_BUDGET_SHARE: f64 = 0.75;
+fn record_wait(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
+    let undisturbed_ms = started.reading_ms + context.baselines.fixed_ms(&request.service);
+    let wait_ms = started.time_to_head.as_millis() as f64 - undisturbed_ms;
+    context.baselines.record_wait(
+        &request.service,
+        wait_ms,
+        request.route.objective_ms as f64,
+        context.now_ms(),
+    );
+}
 
-fn may_escalate(context: &RequestContext, request: &ActiveRequest) -> bool {
-    request.route.retry_safety != RetrySafety::NonIdempotentStream
-        && context.retry_budget_used(&request.service) < MAX_ESCALATION_BUDGET_SHARE
+fn log_confidence(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
+    tracing::info!(
+        id = &*request.info.id,
+        session = request.info.session.as_deref(),
+        size = request.size,
+        prompt_tokens = request.info.token_usage.prompt_tokens,
+        first_ms = started.time_to_head.as_millis() as u64,
+        endpoint = &*started.endpoint.id,
+        load = started.call_guard.endpoint_state.load(),
+        reading_ms = started.reading_ms as u64,
+        confidence = request.confidence,
+        wait_share = context.baselines.wait_share(&request.service),
+        "request: confidence"
+    );
 }
 
 /// Returns an endpoint's response head without its hop-by-hop headers.
--- a/crates/serve/src/request.rs
+++ b/crates/serve/src/request.rs
@@ -46,6 +46,14 @@
 }
 
 impl RequestInfo {
+    /// Returns the number of tokens that no other request shares.
+    pub fn new_tokens(&self) -> u32 {
+        match self.prompt_parts.last() {
+            Some(part) => part.tokens,
+            None => self.token_usage.prompt_tokens,
+        }
+    }
+
     /// Returns the last part of the prompt that other requests may share.
     pub fn shared_part(&self) -> Option<&PromptPart> {
         self.prompt_parts
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -8,12 +8,12 @@
 use arc_swap::ArcSwap;
 use kernel::Clock;
 use limits::WindowedRetryBudget;
-use policy::Cascade;
 
 use crate::baseline::LatencyBaselines;
 use crate::caller_protocol::CallerProtocol;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
+use crate::escalation::SizeBook;
 use crate::outcome::{Counters, Observer};
 use crate::settings::Settings;
 use crate::version_counters::VersionCounters;
@@ -32,8 +32,8 @@
     pub(crate) view: Arc<ArcSwap<View>>,
     /// Retry windows by service.
     pub(crate) retry_windows: RefCell<HashMap<Arc<str>, WindowedRetryBudget>>,
-    pub(crate) cascade: Cascade,
     pub(crate) baselines: LatencyBaselines,
+    pub(crate) size_book: SizeBook,
     /// Whether new requests are refused because the instance is stopping.
     pub(crate) stopped: Cell<bool>,
 }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -13,13 +13,16 @@
     pub retry_window: WindowedRetrySettings,
     /// Timeout for connecting to an endpoint, in milliseconds.
     pub connect_timeout_ms: u64,
-    /// Lowest confidence at which a small model's answer is kept, from 0 to 100, by priority.
-    pub keep_confidence: Vec<u8>,
+    /// Cost of one run of a model's largest size on idle engines, in good answers.
+    pub largest_run_cost: f64,
 }
 
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
 const CONNECT_TIMEOUT_MS: u64 = 150;
 
+/// A run of the largest size costs a part of what its answer is worth also when nothing waits.
+const DEFAULT_LARGEST_RUN_COST: f64 = 0.3;
+
 impl Settings {
     /// Creates settings for a zone.
     pub fn new(zone: &str, retry_window: WindowedRetrySettings) -> Settings {
@@ -27,13 +30,13 @@
             zone: zone.into(),
             retry_window,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
-            keep_confidence: Vec::new(),
+            largest_run_cost: DEFAULT_LARGEST_RUN_COST,
         }
     }
 
-    /// Sets the lowest confidence at which a small model's answer is kept, by priority.
-    pub fn keep_confidence(mut self, keep: &[u8]) -> Settings {
-        self.keep_confidence = keep.to_vec();
+    /// Sets the cost of one run of a model's largest size on idle engines, in good answers.
+    pub fn largest_run_cost(mut self, cost: f64) -> Settings {
+        self.largest_run_cost = cost;
         self
     }
 
