limits, control: Place by expected load, with the loads of all instances

Hypothesis: with loads known, and the repeated reading of a prefix weighed against the wait, prompts wait less. Change: instances exchange the loads of their own requests by datagrams every 75 ms (up to 16 instances, 80 a second at most, ended after 600 ms without a report); place() takes the least load met and added, prefixes being cached at the first of two homes and half at the second; a prompt's load is what it has to read where it goes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod convert;
 mod coordinator;
 mod gossip;
+mod loads;
 mod peers;
 mod registration;
 mod registry;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,10 +8,11 @@
 use catalog::{Object, Replica};
 use kernel::{Clock, Incarnation};
 use member::{Member, MemberTable as Members, MemberTableSettings, Status};
-use serve::{Pool, VersionCounters, View};
+use serve::{Pool, SharedLoads, VersionCounters, View};
 use store::ObjectApi;
 
 use crate::codec::{Feed, StoreCodec};
+use crate::loads::PeerLoads;
 use crate::registry::EndpointRegistry;
 use crate::settings::Settings;
 use crate::tracker::RolloutTrackers;
@@ -50,6 +51,8 @@
     pub(crate) store: Arc<dyn ObjectApi>,
     pub(crate) codec: Arc<dyn StoreCodec>,
     pub(crate) version_counters: Arc<VersionCounters>,
+    pub(crate) shared_loads: Arc<SharedLoads>,
+    pub(crate) peer_loads: RefCell<PeerLoads>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
     pub(crate) replica: RefCell<Replica>,
@@ -76,6 +79,7 @@
     pub(crate) store: Arc<dyn ObjectApi>,
     pub(crate) codec: Arc<dyn StoreCodec>,
     pub(crate) version_counters: Arc<VersionCounters>,
+    pub(crate) shared_loads: Arc<SharedLoads>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
 }
@@ -105,6 +109,8 @@
             store: components.store,
             codec: components.codec,
             version_counters: components.version_counters,
+            shared_loads: components.shared_loads,
+            peer_loads: RefCell::default(),
             view: components.view,
             published_members: components.published_members,
         }
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -1,6 +1,6 @@
 //! The control thread: its start, its tasks and its shutdown.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -13,12 +13,13 @@
 use futures_lite::future::block_on;
 use kernel::{Clock, Incarnation};
 use member::Member;
-use serve::{VersionCounters, View};
+use serve::{SharedLoads, VersionCounters, View};
 use store::ObjectApi;
 
 use crate::codec::{Feed, StoreCodec};
 use crate::coordinator;
 use crate::gossip;
+use crate::loads;
 use crate::peers;
 use crate::registration;
 use crate::settings::Settings;
@@ -38,6 +39,8 @@
     pub codec: Arc<dyn StoreCodec>,
     /// The outcomes of calls by service and version, recorded by the request pipeline.
     pub version_counters: Arc<VersionCounters>,
+    /// The loads of endpoints by the pipeline's requests and by those of other instances.
+    pub shared_loads: Arc<SharedLoads>,
     /// Where the view is published for requests.
     pub view: Arc<ArcSwap<View>>,
 }
@@ -81,12 +84,24 @@
     dependencies: Dependencies,
 ) -> std::io::Result<Handle> {
     let listener = Async::<TcpListener>::bind(listen)?;
+    let load_socket = match Async::<UdpSocket>::bind(listen) {
+        Ok(socket) => Some(socket),
+        Err(err) => {
+            // Placement works without it, only less evenly.
+            tracing::warn!(%listen, error = %err, "member: loads are not exchanged");
+            None
+        }
+    };
     let members: Arc<ArcSwap<Vec<Member>>> = Arc::default();
     let published_members = members.clone();
     let (stop, stopped) = bounded(2);
+    let sockets = Sockets {
+        listener,
+        load_socket,
+    };
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || run(settings, dependencies, published_members, listener, stopped))?;
+        .spawn(move || run(settings, dependencies, published_members, sockets, stopped))?;
     Ok(Handle {
         stop,
         members,
@@ -94,11 +109,17 @@
     })
 }
 
+/// The sockets on the address for other instances.
+struct Sockets {
+    listener: Async<TcpListener>,
+    load_socket: Option<Async<UdpSocket>>,
+}
+
 fn run(
     settings: Settings,
     dependencies: Dependencies,
     published_members: Arc<ArcSwap<Vec<Member>>>,
-    listener: Async<TcpListener>,
+    sockets: Sockets,
     stopped: Receiver<()>,
 ) {
     let own_member = Member::new(Incarnation::random(), &settings.name, &settings.zone)
@@ -111,6 +132,7 @@
         store: dependencies.store,
         codec: dependencies.codec,
         version_counters: dependencies.version_counters,
+        shared_loads: dependencies.shared_loads,
         view: dependencies.view,
         published_members,
     }));
@@ -120,8 +142,20 @@
         executor.spawn(watch::run(control.clone(), feed)).detach();
     }
     executor
-        .spawn(peers::run(control.clone(), listener, executor.clone()))
+        .spawn(peers::run(
+            control.clone(),
+            sockets.listener,
+            executor.clone(),
+        ))
         .detach();
+    if let Some(socket) = sockets.load_socket.map(Rc::new) {
+        executor
+            .spawn(loads::send(control.clone(), socket.clone()))
+            .detach();
+        executor
+            .spawn(loads::receive(control.clone(), socket))
+            .detach();
+    }
     executor.spawn(gossip::run(control.clone())).detach();
     executor
         .spawn(gossip::push_changes(control.clone()))
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use kernel::{SystemClock, Verdict};
 use route::{Route, Table, Target};
 use serde_json::{Value, json};
-use serve::{Endpoint, VersionCounters, View};
+use serve::{Endpoint, SharedLoads, VersionCounters, View};
 use store::{Listing, ObjectApi, Precondition, StoreError};
 use web::BoxFuture;
 
@@ -300,6 +300,7 @@
 
 /// A running control thread.
 pub struct Instance {
+    pub shared_loads: Arc<SharedLoads>,
     pub connection: StoreConnection,
     pub view: Arc<ArcSwap<View>>,
     pub handle: Handle,
@@ -338,15 +339,18 @@
             .addresses(&format!("{name}:80"), &peer_addr.to_string())
             .gossip_interval_ms(50);
         let settings = adjust(settings);
+        let shared_loads: Arc<SharedLoads> = Arc::default();
         let dependencies = Dependencies {
             clock: Arc::new(SystemClock::new()),
             store: Arc::new(connection.clone()),
             codec: Arc::new(PlainCodec),
             version_counters: Arc::new(VersionCounters::default()),
+            shared_loads: shared_loads.clone(),
             view: view.clone(),
         };
         let handle = control::start(settings, peer_addr, dependencies).unwrap();
         Instance {
+            shared_loads,
             connection,
             view,
             handle,
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -206,3 +206,27 @@
         .calls
         .load(std::sync::atomic::Ordering::Relaxed)
 }
+
+#[test]
+fn instances_know_the_load_of_endpoints_by_the_requests_of_the_others() {
+    const ENDPOINT: u64 = 7;
+    let store = MemoryStore::default();
+    let first = Instance::start("first", &store);
+    let second = Instance::start("second", &store);
+    let third = Instance::start("third", &store);
+    let instances = [&first, &second, &third];
+    eventually("each sees the others", || {
+        instances.iter().all(|instance| sees(instance, 3))
+    });
+    first.shared_loads.entry(ENDPOINT).set_own(2.5);
+    second.shared_loads.entry(ENDPOINT).set_own(4.0);
+    let of_peers = |instance: &Instance| instance.shared_loads.entry(ENDPOINT).of_peers();
+    eventually("the third knows the sum", || of_peers(&third) == 6.5);
+    eventually("the first knows the second's", || of_peers(&first) == 4.0);
+    second.handle.shutdown();
+    eventually("the load of an ended instance expires", || {
+        of_peers(&third) == 2.5
+    });
+    first.handle.shutdown();
+    third.handle.shutdown();
+}
--- a/crates/entry/src/control/peer_requests.rs
+++ b/crates/entry/src/control/peer_requests.rs
@@ -50,7 +50,11 @@
             }))
         }
         Body::Evidence(report) => Some(Body::AcceptReply(record_evidence(control, from, &report))),
-        Body::ReceiptBatch(_) | Body::Ack(_) | Body::Objects(_) | Body::AcceptReply(_) => None,
+        Body::ReceiptBatch(_)
+        | Body::Ack(_)
+        | Body::Objects(_)
+        | Body::AcceptReply(_)
+        | Body::Loads(_) => None,
     }
 }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -28,7 +28,7 @@
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
 pub use outlier::{Health, OutlierDetector};
-pub use placement::{Candidate, PlacementError, place};
+pub use placement::{Candidate, PlacementError, PromptLoad, Selected, place};
 pub use quota_share::QuotaShare;
 pub use request_load::RequestLoad;
 pub use retry_after::RetryAfterSchedule;
--- a/crates/limits/src/placement.rs
+++ b/crates/limits/src/placement.rs
@@ -5,12 +5,12 @@
 
 use crate::outlier::Health;
 
-/// Load, relative to the mean, up to which an endpoint receives prompts whose prefix it caches;
-/// from consistent hashing with bounded loads (V. Mirrokni and others, 2018).
-const PREFIX_LOAD_FACTOR: f64 = 1.5;
+/// Chance that the first, second and further endpoints by affinity cache a shared prefix.
+const CACHED_CHANCES: [f64; 2] = [1.0, 0.5];
 
-/// Number of endpoints that cache the same prompt prefix.
-const PREFIX_REPLICAS: usize = 2;
+/// Weight of the prefill of a shared prefix that is not cached. It takes the time of other requests
+/// too, and evicts other prefixes.
+const REPEATED_PREFILL_WEIGHT: f64 = 6.0;
 
 /// Load, as a share of the slots, that is added to the score of an endpoint in another zone: about
 /// one request on six slots.
@@ -37,9 +37,21 @@
     pub has_capacity: bool,
 }
 
+/// Load of a request's own prompt until its response starts, in units of
+/// [`RequestLoad`](crate::RequestLoad).
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PromptLoad {
+    /// Load of the part that no other request shares.
+    pub new: f64,
+    /// Load of the prefix that other requests share, where it is not cached.
+    pub shared: f64,
+}
+
 impl Candidate {
-    fn score(&self) -> f64 {
-        let share = (self.load + 1.0) / f64::from(self.slots.max(1));
+    /// Returns the load that the request meets and adds, as a share of the slots, with the cost of
+    /// a longer path.
+    fn score(&self, prompt_load: f64) -> f64 {
+        let share = (self.load + prompt_load + 1.0) / f64::from(self.slots.max(1));
         let zone = if self.same_zone {
             0.0
         } else {
@@ -47,10 +59,6 @@
         };
         share * self.latency_ratio.max(0.1) + zone
     }
-
-    fn weighted_load(&self) -> f64 {
-        (self.load + 1.0) * self.latency_ratio.max(0.1)
-    }
 }
 
 /// Why a request was not placed.
@@ -62,7 +70,16 @@
     Full,
 }
 
-/// Selects an endpoint for a request and returns its index.
+/// The candidate selected for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Selected {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Expected load of the request's prompt there.
+    pub prompt_load: f64,
+}
+
+/// Selects an endpoint for a request.
 ///
 /// Ejected candidates are selected only if no healthy one has capacity.
 ///
@@ -71,8 +88,9 @@
 /// Fails when there is no candidate, or none with capacity.
 pub fn place(
     candidates: &[Candidate],
+    prompt: &PromptLoad,
     random: &mut fastrand::Rng,
-) -> Result<usize, PlacementError> {
+) -> Result<Selected, PlacementError> {
     if candidates.is_empty() {
         return Err(PlacementError::NoCandidate);
     }
@@ -92,37 +110,43 @@
     } else {
         healthy
     };
-    if let Some(index) = prefix_endpoint(candidates, &open) {
-        return Ok(index);
-    }
-    Ok(least_loaded(candidates, &open, random))
-}
-
-/// Returns the first endpoint that caches the prompt prefix and is not far above the mean load.
-fn prefix_endpoint(candidates: &[Candidate], open: &[usize]) -> Option<usize> {
-    let mut ranked: Vec<usize> = open.to_vec();
-    ranked.retain(|index| candidates[*index].affinity.is_some());
-    ranked.sort_by_key(|index| std::cmp::Reverse(candidates[*index].affinity));
-    ranked.truncate(PREFIX_REPLICAS);
-    let total: f64 = open.iter().map(|index| candidates[*index].load).sum();
-    let bound = (total / open.len() as f64 + 1.0) * PREFIX_LOAD_FACTOR;
-    // The second replica is used only once the first is over the bound, so that a prefix occupies
-    // the cache of one endpoint as long as one is enough.
-    ranked
-        .into_iter()
-        .find(|index| candidates[*index].weighted_load() <= bound)
-}
-
-fn least_loaded(candidates: &[Candidate], open: &[usize], random: &mut fastrand::Rng) -> usize {
-    let mut best = open[0];
+    let uncached = uncached_shares(candidates, &open);
     let mut best_score = f64::INFINITY;
-    for index in open {
+    let mut best = Selected {
+        index: open[0],
+        prompt_load: prompt.new + prompt.shared,
+    };
+    for (index, uncached) in open.into_iter().zip(uncached) {
+        let repeated = prompt.shared * uncached;
+        let prompt_load = prompt.new + repeated * REPEATED_PREFILL_WEIGHT;
         // Noise prevents instances with equal views from all selecting the same endpoint.
-        let score = candidates[*index].score() * (1.0 + 0.05 * random.f64());
+        let score = candidates[index].score(prompt_load) * (1.0 + 0.05 * random.f64());
         if score < best_score {
-            best = *index;
             best_score = score;
+            best = Selected {
+                index,
+                prompt_load: prompt.new + repeated,
+            };
         }
     }
-    best
+    Ok(best)
+}
+
+/// Returns the share of the request's shared prefix that each open candidate has to read.
+fn uncached_shares(candidates: &[Candidate], open: &[usize]) -> Vec<f64> {
+    let affinity = |index: &usize| candidates[*index].affinity;
+    let mut shares = Vec::with_capacity(open.len());
+    for index in open {
+        let Some(own) = affinity(index) else {
+            shares.push(1.0);
+            continue;
+        };
+        let rank = open
+            .iter()
+            .filter(|other| affinity(other) > Some(own))
+            .count();
+        let cached = CACHED_CHANCES.get(rank).copied().unwrap_or_default();
+        shares.push(1.0 - cached);
+    }
+    shares
 }
--- a/crates/limits/src/request_load.rs
+++ b/crates/limits/src/request_load.rs
@@ -33,8 +33,13 @@
     /// Estimates the load from the time that the prompt's prefill takes on an idle endpoint, in
     /// milliseconds; 0 without a prompt.
     pub fn from_prefill_ms(prefill_ms: f64) -> RequestLoad {
+        RequestLoad::from_prefill(prefill_ms / PREFILL_UNIT_MS)
+    }
+
+    /// Creates the load from that of the prefill.
+    pub fn from_prefill(prefill: f64) -> RequestLoad {
         RequestLoad {
-            prefill: prefill_ms / PREFILL_UNIT_MS,
+            prefill,
             response: RESPONSE_LOAD,
         }
     }
--- a/crates/limits/tests/request_load.rs
+++ b/crates/limits/tests/request_load.rs
@@ -1,7 +1,7 @@
 //! Long prompts among short ones, simulated on engines that prefill one prompt at a time.
 
 use fastrand::Rng;
-use limits::{Candidate, Health, RequestLoad, place};
+use limits::{Candidate, Health, PromptLoad, RequestLoad, place};
 
 const ENGINES: usize = 9;
 const REQUESTS: usize = 6_000;
@@ -71,7 +71,8 @@
             has_capacity: true,
         };
         let candidates: Vec<Candidate> = (0..ENGINES).map(candidate).collect();
-        let engine = place(&candidates, &mut random).unwrap();
+        let engine = place(&candidates, &PromptLoad::default(), &mut random);
+        let engine = engine.unwrap().index;
         let first_ms = free_at_ms[engine].max(request.at_ms) + request.prefill_ms;
         free_at_ms[engine] = first_ms;
         within_objective += usize::from(first_ms - request.at_ms <= OBJECTIVE_MS);
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use kernel::{Failure, Reason, Verdict};
+use limits::{PromptLoad, RequestLoad};
 use relay::{Request, ResponseHead};
 use route::{Route, Workspace};
 use xxhash_rust::xxh3::xxh3_64;
@@ -101,6 +102,21 @@
             .reading_ms(&self.baseline_key(), self.info.token_usage.prompt_tokens)
     }
 
+    /// Estimates the load of the prompt on an endpoint until the response starts.
+    pub(crate) fn prompt_load(&self, context: &RequestContext) -> PromptLoad {
+        let new_tokens = self.info.new_tokens();
+        let prompt_tokens = self.info.token_usage.prompt_tokens;
+        let key = self.baseline_key();
+        let load = |tokens: u32| {
+            let prefill_ms = context.baselines.reading_ms(&key, tokens);
+            RequestLoad::from_prefill_ms(prefill_ms).prefill
+        };
+        PromptLoad {
+            new: load(new_tokens),
+            shared: load(prompt_tokens.saturating_sub(new_tokens)),
+        }
+    }
+
     /// Returns a number in `[0, 1)` that is the same for all requests of a session.
     pub(crate) fn session_unit(&self) -> f64 {
         let key = self.info.session.as_ref().unwrap_or(&self.info.id);
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -122,12 +122,14 @@
 
     fn place(&mut self, context: &Rc<RequestContext>) -> Result<Placement, Failure> {
         let view = context.view();
+        let prompt = self.prompt_load(context);
         let choose = |request: &ActiveRequest| {
             placement::choose_endpoint(
                 request,
                 &view,
                 &context.endpoint_states,
                 &context.settings.zone,
+                &prompt,
                 context.now_ms(),
             )
         };
@@ -163,11 +165,12 @@
         let Placement {
             endpoint,
             endpoint_state,
+            prompt_load,
         } = placement;
         let reading_ms = self.reading_ms(context);
         let mut call_guard = CallGuard::new(
             endpoint_state.clone(),
-            RequestLoad::from_prefill_ms(reading_ms),
+            RequestLoad::from_prefill(prompt_load),
         );
         let attempt = Attempt {
             request: &self.info,
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -1,4 +1,4 @@
-//! Load, health and latency of each endpoint, from this instance's own calls.
+//! Load, health and latency of each endpoint. All but the load come from this instance's own calls.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -8,6 +8,7 @@
 use limits::{Health, OutlierDetector, RequestLoad};
 
 use crate::endpoint::Endpoint;
+use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
 
 /// Pause after an endpoint refuses a request as full, in milliseconds: a few plain requests.
@@ -45,6 +46,7 @@
 pub(crate) struct EndpointState {
     connections: Cell<u32>,
     load: Cell<f64>,
+    shared_load: Arc<EndpointLoad>,
     outlier: RefCell<OutlierDetector>,
     /// Moving average of the ratio of latencies to the baseline.
     latency_ratio: Cell<Option<f64>>,
@@ -56,9 +58,9 @@
 }
 
 impl EndpointState {
-    /// Returns the load of the calls in flight, in requests of average size.
+    /// Returns the load of all instances' calls in flight, in requests of average size.
     pub(crate) fn load(&self) -> f64 {
-        self.load.get()
+        self.load.get() + self.shared_load.of_peers()
     }
 
     pub(crate) fn connections(&self) -> u32 {
@@ -130,8 +132,9 @@
         self.last_received_ms.get()
     }
 
-    fn release(&self, load: f64) {
-        self.load.set((self.load.get() - load).max(0.0));
+    fn add(&self, load: f64) {
+        self.load.set((self.load.get() + load).max(0.0));
+        self.shared_load.set_own(self.load.get());
     }
 
     fn pause_until(&self, until_ms: u64) {
@@ -154,7 +157,7 @@
         endpoint_state
             .connections
             .set(endpoint_state.connections.get() + 1);
-        endpoint_state.load.set(endpoint_state.load.get() + load);
+        endpoint_state.add(load);
         CallGuard {
             endpoint_state,
             load,
@@ -166,7 +169,7 @@
     pub(crate) fn response_started(&mut self) {
         let done = self.load - self.load_after_head;
         self.load = self.load_after_head;
-        self.endpoint_state.release(done);
+        self.endpoint_state.add(-done);
     }
 }
 
@@ -176,7 +179,7 @@
         endpoint_state
             .connections
             .set(endpoint_state.connections.get().saturating_sub(1));
-        endpoint_state.release(self.load);
+        endpoint_state.add(-self.load);
     }
 }
 
@@ -185,13 +188,27 @@
 pub(crate) struct EndpointStates {
     by_key: RefCell<HashMap<EndpointKey, Rc<EndpointState>>>,
     generation: Cell<u64>,
+    shared_loads: Arc<SharedLoads>,
 }
 
 impl EndpointStates {
     /// Returns the state of an endpoint, which is created if there is none yet.
     pub(crate) fn of(&self, endpoint: &Endpoint) -> Rc<EndpointState> {
         let mut states = self.by_key.borrow_mut();
-        states.entry(EndpointKey::of(endpoint)).or_default().clone()
+        let key = EndpointKey::of(endpoint);
+        if let Some(state) = states.get(&key) {
+            return state.clone();
+        }
+        let state = Rc::new(EndpointState {
+            shared_load: self.shared_loads.of(&key),
+            ..EndpointState::default()
+        });
+        states.insert(key, state.clone());
+        state
+    }
+
+    pub(crate) fn shared_loads(&self) -> Arc<SharedLoads> {
+        self.shared_loads.clone()
     }
 
     /// Drops the states of removed endpoints that have no call in flight.
@@ -206,6 +223,12 @@
             }
         }
         let mut states = self.by_key.borrow_mut();
-        states.retain(|key, state| state.connections.get() > 0 || listed.contains(key));
+        states.retain(|key, state| {
+            let is_kept = state.connections.get() > 0 || listed.contains(key);
+            if !is_kept {
+                self.shared_loads.remove(key);
+            }
+            is_kept
+        });
     }
 }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -22,6 +22,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::settings::Settings;
+use crate::shared_load::SharedLoads;
 use crate::stream::Stream;
 use crate::version_counters::{CallOutcome, VersionCounters};
 use crate::view::View;
@@ -83,6 +84,11 @@
         self.context.version_counters.clone()
     }
 
+    /// Returns the loads of endpoints, for the exchange with other instances.
+    pub fn shared_loads(&self) -> Arc<SharedLoads> {
+        self.context.endpoint_states.shared_loads()
+    }
+
     /// Returns the counts of requests by outcome.
     pub fn counters(&self) -> Arc<Counters> {
         self.context.counters.clone()
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{Candidate, PlacementError, place};
+use limits::{Candidate, PlacementError, PromptLoad, place};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::active_request::ActiveRequest;
@@ -18,6 +18,8 @@
 pub(crate) struct Placement {
     pub(crate) endpoint: Arc<Endpoint>,
     pub(crate) endpoint_state: Rc<EndpointState>,
+    /// Expected load of the request's prompt there.
+    pub(crate) prompt_load: f64,
 }
 
 /// Chooses the endpoint of the next send.
@@ -30,6 +32,7 @@
     view: &View,
     endpoint_states: &EndpointStates,
     zone: &str,
+    prompt: &PromptLoad,
     now_ms: u64,
 ) -> Result<Placement, PlacementError> {
     let Some(pool) = view.pools.get(&request.service) else {
@@ -55,11 +58,12 @@
         });
         available.push((endpoint, state));
     }
-    let chosen = place(&candidates, &mut fastrand::Rng::new())?;
-    let (endpoint, endpoint_state) = available.swap_remove(chosen);
+    let selected = place(&candidates, prompt, &mut fastrand::Rng::new())?;
+    let (endpoint, endpoint_state) = available.swap_remove(selected.index);
     Ok(Placement {
         endpoint: endpoint.clone(),
         endpoint_state,
+        prompt_load: selected.prompt_load,
     })
 }
 
--- /dev/null
+++ b/crates/serve/src/shared_load.rs
@@ -0,0 +1,96 @@
+//! Loads of endpoints, shared with the thread that exchanges them with other instances.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::endpoint_state::EndpointKey;
+
+/// Loads are stored in tenths of the load of an average request.
+const UNITS_PER_LOAD: f64 = 10.0;
+
+/// The load of one endpoint by this instance's requests and by those of the others.
+#[derive(Debug, Default)]
+pub struct EndpointLoad {
+    own_units: AtomicU32,
+    peer_units: AtomicU32,
+}
+
+impl EndpointLoad {
+    /// Sets the load by this instance's requests, in requests of average size.
+    pub fn set_own(&self, load: f64) {
+        let units = (load * UNITS_PER_LOAD).max(0.0) as u32;
+        self.own_units.store(units, Ordering::Relaxed);
+    }
+
+    /// Returns the load by the requests of the other instances, in requests of average size.
+    pub fn of_peers(&self) -> f64 {
+        f64::from(self.peer_units.load(Ordering::Relaxed)) / UNITS_PER_LOAD
+    }
+}
+
+/// The load of one run of one endpoint, as instances report it to one another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadEntry {
+    /// Hash of the endpoint's identifier and start.
+    pub endpoint: u64,
+    /// Load, in tenths of an average request.
+    pub units: u32,
+}
+
+/// Loads of all endpoints by this instance's requests and by those of the others.
+#[derive(Debug, Default)]
+pub struct SharedLoads {
+    by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
+}
+
+impl SharedLoads {
+    /// Returns the endpoints that this instance's requests load.
+    pub fn own(&self) -> Vec<LoadEntry> {
+        let mut entries = Vec::new();
+        for (endpoint, load) in self.loads().iter() {
+            let units = load.own_units.load(Ordering::Relaxed);
+            if units == 0 {
+                continue;
+            }
+            entries.push(LoadEntry {
+                endpoint: *endpoint,
+                units,
+            });
+        }
+        entries
+    }
+
+    /// Replaces the sums of the other instances' loads; endpoints without a sum get 0.
+    pub fn set_peers(&self, sums: &HashMap<u64, u32>) {
+        for (endpoint, load) in self.loads().iter() {
+            let units = sums.get(endpoint).copied().unwrap_or_default();
+            load.peer_units.store(units, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the load of the endpoint with this hash, which is created if there is none yet.
+    pub fn entry(&self, endpoint: u64) -> Arc<EndpointLoad> {
+        self.loads().entry(endpoint).or_default().clone()
+    }
+
+    pub(crate) fn of(&self, key: &EndpointKey) -> Arc<EndpointLoad> {
+        self.entry(endpoint_hash(key))
+    }
+
+    pub(crate) fn remove(&self, key: &EndpointKey) {
+        self.loads().remove(&endpoint_hash(key));
+    }
+
+    fn loads(&self) -> MutexGuard<'_, HashMap<u64, Arc<EndpointLoad>>> {
+        self.by_endpoint
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn endpoint_hash(key: &EndpointKey) -> u64 {
+    xxh3_64(key.id.as_bytes()) ^ key.started_ms.unwrap_or_default()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,6 @@
 pub use link::{Link, LinkError, MAX_FRAME_BYTES};
 pub use message::{
     AcceptReply, Ack, Body, ClassOutcomes, ConfigDigest, Demand, EndpointInfo, Envelope,
-    EvidenceReport, Fetch, MemberInfo, ObjectEntry, Objects, Ping, ReceiptBatch, ReceiptEntry,
-    VersionReport,
+    EvidenceReport, Fetch, LoadReport, MemberInfo, ObjectEntry, Objects, Ping, ReceiptBatch,
+    ReceiptEntry, VersionReport,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
     #[prost(fixed64, tag = "1")]
     pub from: u64,
     /// The message, or `None` if its kind is unknown to this version.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
@@ -37,6 +37,9 @@
     /// Outcomes for the controller of a roll-out, which responds with an [`AcceptReply`].
     #[prost(message, tag = "8")]
     Evidence(EvidenceReport),
+    /// Loads of endpoints by the sender's requests, sent as a datagram without a response.
+    #[prost(message, tag = "9")]
+    Loads(LoadReport),
 }
 
 /// The state of one member, as the sender's member table holds it.
@@ -262,6 +265,17 @@
     pub classes: Vec<ClassOutcomes>,
 }
 
+/// Loads of endpoints by the requests of one instance; both lists have the same length.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LoadReport {
+    /// Hashes of the endpoints' identifiers and starts.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub endpoints: Vec<u64>,
+    /// Loads, in tenths of an average request.
+    #[prost(uint32, repeated, tag = "2")]
+    pub units: Vec<u32>,
+}
+
 impl Envelope {
     /// Wraps a message from the incarnation `from`.
     pub fn new(from: u64, body: Body) -> Envelope {
