policy: Keep estimates apart by model, and try a skipped smallest size

Cause, found on reading: two routes with different sizes at one service would have reset each other's estimates with each request; and a smallest size that was skipped once was never asked again, so that a mended model would stay unused.

--- a/crates/policy/src/size_estimates.rs
+++ b/crates/policy/src/size_estimates.rs
@@ -66,15 +66,16 @@
         SizeEstimates { sizes }
     }
 
-    /// Returns the number of sizes.
-    pub fn count(&self) -> usize {
-        self.sizes.len()
-    }
-
     fn samples(&self, size: usize) -> f64 {
         self.sizes[size].samples
     }
 
+    /// Returns whether a request tries the smallest size although a larger one is the first of use,
+    /// so that a change of the smallest one becomes known.
+    pub fn tries_smaller(first_size: usize, uniform: f64) -> bool {
+        first_size > 0 && uniform < TRIAL_SHARE
+    }
+
     /// Records the confidence of a size in its answer, and the size that was unsure before it.
     pub fn record(&mut self, unsure_before: Option<usize>, size: usize, confidence: u8) {
         let is_sure = if confidence >= EVEN_CONFIDENCE {
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -14,52 +14,35 @@
 /// Share of the retry budget that escalations may use. The rest is kept for failures.
 const MAX_ESCALATION_BUDGET_SHARE: f64 = 0.75;
 
-/// Estimates of the model sizes of each service.
-#[derive(Debug, Default)]
-pub(crate) struct SizeBook {
-    by_service: RefCell<HashMap<Arc<str>, SizeEstimates>>,
+/// The sizes of one model at one service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct ModelKey {
+    service: Arc<str>,
+    sizes: Vec<Arc<str>>,
 }
 
-impl SizeBook {
-    fn good_shares(&self, service: &Arc<str>, count: usize) -> Vec<f64> {
-        let mut services = self.by_service.borrow_mut();
-        let estimates = estimates_of(&mut services, service, count);
-        estimates.good_shares()
-    }
-
-    fn trial_size(&self, service: &Arc<str>, after: usize, wait_share: f64) -> Option<usize> {
-        let services = self.by_service.borrow();
-        let estimates = services.get(service)?;
-        estimates.trial_size(after, wait_share, fastrand::f64())
+impl ModelKey {
+    fn of(request: &ActiveRequest) -> ModelKey {
+        ModelKey {
+            service: request.service.clone(),
+            sizes: request.route.model_sizes.clone(),
+        }
     }
+}
 
-    fn record(
-        &self,
-        service: &Arc<str>,
-        count: usize,
-        unsure_before: Option<usize>,
-        size: usize,
-        confidence: u8,
-    ) {
-        let mut services = self.by_service.borrow_mut();
-        let estimates = estimates_of(&mut services, service, count);
-        estimates.record(unsure_before, size, confidence);
-    }
+/// Estimates of the sizes of each model.
+#[derive(Debug, Default)]
+pub(crate) struct SizeBook {
+    by_model: RefCell<HashMap<ModelKey, SizeEstimates>>,
 }
 
-/// Returns the estimates of a service, which start anew if the number of its sizes has changed.
-fn estimates_of<'a>(
-    services: &'a mut HashMap<Arc<str>, SizeEstimates>,
-    service: &Arc<str>,
-    count: usize,
-) -> &'a mut SizeEstimates {
-    let estimates = services
-        .entry(service.clone())
-        .or_insert_with(|| SizeEstimates::new(count));
-    if estimates.count() != count {
-        *estimates = SizeEstimates::new(count);
+impl SizeBook {
+    fn with<T>(&self, request: &ActiveRequest, act: impl FnOnce(&mut SizeEstimates) -> T) -> T {
+        let count = request.route.model_sizes.len();
+        let mut models = self.by_model.borrow_mut();
+        let estimates = models.entry(ModelKey::of(request));
+        act(estimates.or_insert_with(|| SizeEstimates::new(count)))
     }
-    estimates
 }
 
 impl ActiveRequest {
@@ -74,10 +57,10 @@
             1
         };
         let sizes = self.size_outlooks(context);
-        Some(
-            self.cascade(context, 0.5)
-                .first_size(&sizes, self.objective_left_ms(), runs),
-        )
+        let cascade = self.cascade(context, 0.5);
+        let first = cascade.first_size(&sizes, self.objective_left_ms(), runs);
+        let is_trial = runs > 1 && SizeEstimates::tries_smaller(first, fastrand::f64());
+        Some(if is_trial { 0 } else { first })
     }
 
     /// Returns the size to run after an answer of the current one, or `None` to keep the answer.
@@ -99,9 +82,9 @@
             return Some(next);
         }
         let wait_share = context.baselines.wait_share(&self.service);
-        let trial = context
-            .size_book
-            .trial_size(&self.service, size, wait_share);
+        let trial = context.size_book.with(self, |estimates| {
+            estimates.trial_size(size, wait_share, fastrand::f64())
+        });
         Some(trial.unwrap_or(next))
     }
 
@@ -110,10 +93,9 @@
         let (Some(size), Some(confidence)) = (self.size, self.confidence) else {
             return;
         };
-        let count = self.route.model_sizes.len();
-        context
-            .size_book
-            .record(&self.service, count, self.unsure_size, size, confidence);
+        context.size_book.with(self, |estimates| {
+            estimates.record(self.unsure_size, size, confidence);
+        });
     }
 
     fn cascade(&self, context: &RequestContext, uniform: f64) -> Cascade {
@@ -123,7 +105,9 @@
 
     fn size_outlooks(&self, context: &RequestContext) -> Vec<SizeOutlook> {
         let count = self.route.model_sizes.len();
-        let good_shares = context.size_book.good_shares(&self.service, count);
+        let good_shares = context
+            .size_book
+            .with(self, |estimates| estimates.good_shares());
         let times = context.baselines.relative_times(&self.service, count);
         let wait_ms = context.baselines.wait_share(&self.service) * self.route.objective_ms as f64;
         let mut sizes = Vec::with_capacity(count);
