serve, control: Break three import cycles of the new modules

Change: the hash of an endpoint's key lives with the key, SizeBook and PeerLoads have files of their own; two comments say that loads are those of all instances. No decision changes. Result: cycles, names, lints, documentation and the tests of serve, limits and control pass.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod coordinator;
 mod gossip;
 mod loads;
+mod peer_loads;
 mod peers;
 mod registration;
 mod registry;
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -3,7 +3,6 @@
 //! It answers loads at which one instance's own requests say little about an endpoint: each report
 //! is as fresh as a few requests, and a lost one is replaced by the next.
 
-use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,52 +23,12 @@
 
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a report counts, in milliseconds: several intervals of the largest exchange.
-const REPORT_LIFETIME_MS: u64 = 600;
-
 /// The largest report, in bytes.
 const MAX_REPORT_BYTES: usize = 16 << 10;
 
 /// The pause after a receive error.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
-/// The latest report of one peer.
-#[derive(Debug)]
-struct PeerReport {
-    received_ms: u64,
-    loads: LoadReport,
-}
-
-/// The latest reports of the peers.
-#[derive(Debug, Default)]
-pub(crate) struct PeerLoads {
-    reports: HashMap<Incarnation, PeerReport>,
-}
-
-impl PeerLoads {
-    fn record(&mut self, from: Incarnation, loads: LoadReport, now_ms: u64) {
-        let report = PeerReport {
-            received_ms: now_ms,
-            loads,
-        };
-        self.reports.insert(from, report);
-    }
-
-    /// Returns the sums by endpoint over the reports that still count.
-    fn sums(&mut self, now_ms: u64) -> HashMap<u64, u32> {
-        self.reports
-            .retain(|_, report| now_ms < report.received_ms + REPORT_LIFETIME_MS);
-        let mut sums: HashMap<u64, u32> = HashMap::new();
-        for report in self.reports.values() {
-            for (endpoint, units) in report.loads.endpoints.iter().zip(&report.loads.units) {
-                let sum = sums.entry(*endpoint).or_default();
-                *sum = sum.saturating_add(*units);
-            }
-        }
-        sums
-    }
-}
-
 /// Sends this instance's loads to the other instances.
 pub(crate) async fn send(control: Rc<Control>, socket: Rc<Async<UdpSocket>>) {
     loop {
--- /dev/null
+++ b/crates/control/src/peer_loads.rs
@@ -0,0 +1,46 @@
+//! The latest reports of the peers on the loads of endpoints.
+
+use std::collections::HashMap;
+
+use kernel::Incarnation;
+use wire::LoadReport;
+
+/// How long a report counts, in milliseconds: several intervals of the largest exchange.
+const REPORT_LIFETIME_MS: u64 = 600;
+
+/// The latest report of one peer.
+#[derive(Debug)]
+struct PeerReport {
+    received_ms: u64,
+    loads: LoadReport,
+}
+
+/// The latest reports of the peers.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLoads {
+    reports: HashMap<Incarnation, PeerReport>,
+}
+
+impl PeerLoads {
+    pub(crate) fn record(&mut self, from: Incarnation, loads: LoadReport, now_ms: u64) {
+        let report = PeerReport {
+            received_ms: now_ms,
+            loads,
+        };
+        self.reports.insert(from, report);
+    }
+
+    /// Returns the sums by endpoint over the reports that still count.
+    pub(crate) fn sums(&mut self, now_ms: u64) -> HashMap<u64, u32> {
+        self.reports
+            .retain(|_, report| now_ms < report.received_ms + REPORT_LIFETIME_MS);
+        let mut sums: HashMap<u64, u32> = HashMap::new();
+        for report in self.reports.values() {
+            for (endpoint, units) in report.loads.endpoints.iter().zip(&report.loads.units) {
+                let sum = sums.entry(*endpoint).or_default();
+                *sum = sum.saturating_add(*units);
+            }
+        }
+        sums
+    }
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,7 @@
 use store::ObjectApi;
 
 use crate::codec::{Feed, StoreCodec};
-use crate::loads::PeerLoads;
+use crate::peer_loads::PeerLoads;
 use crate::registry::EndpointRegistry;
 use crate::settings::Settings;
 use crate::tracker::RolloutTrackers;
--- a/crates/limits/src/placement.rs
+++ b/crates/limits/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement of a request on an endpoint.
 //!
-//! It handles two kinds of load: prompts for which a cached prefix saves more time than a short
-//! network path, and plain requests that end before a load report about them could arrive.
+//! It answers two kinds of load: prompts, for which the wait behind others is weighed against reading
+//! a prefix again, and plain requests that end before a load report about them could arrive.
 
 use crate::outlier::Health;
 
@@ -19,7 +19,7 @@
 /// Snapshot of one endpoint's state for the placement of one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
-    /// Load of this instance's requests on the endpoint, in units of
+    /// Load of the known requests on the endpoint, in units of
     /// [`RequestLoad`](crate::RequestLoad).
     pub load: f64,
     /// Number of requests that the endpoint runs concurrently.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use limits::{Health, OutlierDetector, RequestLoad};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
 use crate::shared_load::{EndpointLoad, SharedLoads};
@@ -39,6 +40,11 @@
             started_ms: endpoint.started_ms,
         }
     }
+
+    /// Returns a hash that is the same on all instances.
+    fn shared_hash(&self) -> u64 {
+        xxh3_64(self.id.as_bytes()) ^ self.started_ms.unwrap_or_default()
+    }
 }
 
 /// State of one run of one endpoint, as this instance's calls show it.
@@ -200,7 +206,7 @@
             return state.clone();
         }
         let state = Rc::new(EndpointState {
-            shared_load: self.shared_loads.of(&key),
+            shared_load: self.shared_loads.entry(key.shared_hash()),
             ..EndpointState::default()
         });
         states.insert(key, state.clone());
@@ -226,7 +232,7 @@
         states.retain(|key, state| {
             let is_kept = state.connections.get() > 0 || listed.contains(key);
             if !is_kept {
-                self.shared_loads.remove(key);
+                self.shared_loads.remove(key.shared_hash());
             }
             is_kept
         });
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -1,9 +1,5 @@
 //! Choice of the model size for each run of a request.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::sync::Arc;
-
 use policy::{Cascade, CurrentAnswer, SizeEstimates, SizeOutlook};
 use route::RetrySafety;
 
@@ -14,37 +10,6 @@
 /// Share of the retry budget that escalations may use. The rest is kept for failures.
 const MAX_ESCALATION_BUDGET_SHARE: f64 = 0.75;
 
-/// The sizes of one model at one service.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct ModelKey {
-    service: Arc<str>,
-    sizes: Vec<Arc<str>>,
-}
-
-impl ModelKey {
-    fn of(request: &ActiveRequest) -> ModelKey {
-        ModelKey {
-            service: request.service.clone(),
-            sizes: request.route.model_sizes.clone(),
-        }
-    }
-}
-
-/// Estimates of the sizes of each model.
-#[derive(Debug, Default)]
-pub(crate) struct SizeBook {
-    by_model: RefCell<HashMap<ModelKey, SizeEstimates>>,
-}
-
-impl SizeBook {
-    fn with<T>(&self, request: &ActiveRequest, act: impl FnOnce(&mut SizeEstimates) -> T) -> T {
-        let count = request.route.model_sizes.len();
-        let mut models = self.by_model.borrow_mut();
-        let estimates = models.entry(ModelKey::of(request));
-        act(estimates.or_insert_with(|| SizeEstimates::new(count)))
-    }
-}
-
 impl ActiveRequest {
     /// Returns the size of the first run, or `None` if the caller named the model.
     pub(crate) fn choose_first_size(&self, context: &RequestContext) -> Option<usize> {
@@ -82,9 +47,11 @@
             return Some(next);
         }
         let wait_share = context.baselines.wait_share(&self.service);
-        let trial = context.size_book.with(self, |estimates| {
-            estimates.trial_size(size, wait_share, fastrand::f64())
-        });
+        let trial = context
+            .size_book
+            .with(&self.service, &self.route.model_sizes, |estimates| {
+                estimates.trial_size(size, wait_share, fastrand::f64())
+            });
         Some(trial.unwrap_or(next))
     }
 
@@ -93,9 +60,11 @@
         let (Some(size), Some(confidence)) = (self.size, self.confidence) else {
             return;
         };
-        context.size_book.with(self, |estimates| {
-            estimates.record(self.unsure_size, size, confidence);
-        });
+        context
+            .size_book
+            .with(&self.service, &self.route.model_sizes, |estimates| {
+                estimates.record(self.unsure_size, size, confidence);
+            });
     }
 
     fn cascade(&self, context: &RequestContext, uniform: f64) -> Cascade {
@@ -105,9 +74,12 @@
 
     fn size_outlooks(&self, context: &RequestContext) -> Vec<SizeOutlook> {
         let count = self.route.model_sizes.len();
-        let good_shares = context
-            .size_book
-            .with(self, |estimates| estimates.good_shares());
+        let good_shares =
+            context
+                .size_book
+                .with(&self.service, &self.route.model_sizes, |estimates| {
+                    estimates.good_shares()
+                });
         let times = context.baselines.relative_times(&self.service, count);
         let wait_ms = context.baselines.wait_share(&self.service) * self.route.objective_ms as f64;
         let mut sizes = Vec::with_capacity(count);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -30,6 +30,7 @@
 mod request_log;
 mod settings;
 mod shared_load;
+mod size_book;
 mod stream;
 mod version_counters;
 mod view;
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -13,9 +13,9 @@
 use crate::caller_protocol::CallerProtocol;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
-use crate::escalation::SizeBook;
 use crate::outcome::{Counters, Observer};
 use crate::settings::Settings;
+use crate::size_book::SizeBook;
 use crate::version_counters::VersionCounters;
 use crate::view::View;
 
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -4,10 +4,6 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use xxhash_rust::xxh3::xxh3_64;
-
-use crate::endpoint_state::EndpointKey;
-
 /// Loads are stored in tenths of the load of an average request.
 const UNITS_PER_LOAD: f64 = 10.0;
 
@@ -76,12 +72,8 @@
         self.loads().entry(endpoint).or_default().clone()
     }
 
-    pub(crate) fn of(&self, key: &EndpointKey) -> Arc<EndpointLoad> {
-        self.entry(endpoint_hash(key))
-    }
-
-    pub(crate) fn remove(&self, key: &EndpointKey) {
-        self.loads().remove(&endpoint_hash(key));
+    pub(crate) fn remove(&self, endpoint: u64) {
+        self.loads().remove(&endpoint);
     }
 
     fn loads(&self) -> MutexGuard<'_, HashMap<u64, Arc<EndpointLoad>>> {
@@ -90,7 +82,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn endpoint_hash(key: &EndpointKey) -> u64 {
-    xxh3_64(key.id.as_bytes()) ^ key.started_ms.unwrap_or_default()
-}
