policy: Share the two sizes between the bench and the test of the cascade

Cause, found on a last reading: bench and test held the same table of two model sizes, and a constant that only the crate uses was public. Change: one table, beside the simulation that both use; EVEN_CONFIDENCE is visible in the crate only. No decision, bound or assertion changed.

--- a/crates/policy/benches/cascade/main.rs
+++ b/crates/policy/benches/cascade/main.rs
@@ -5,23 +5,10 @@
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
-use common::{Policy, Size, World, simulate};
+use common::{Policy, TWO_SIZES, World, simulate};
 
 const RATES_PER_S: [f64; 6] = [20.0, 40.0, 60.0, 80.0, 100.0, 120.0];
 
-const SIZES: &[Size] = &[
-    Size {
-        max_hardness: 0.56,
-        work_ms: 20.0,
-        cost: 0.017,
-    },
-    Size {
-        max_hardness: 1.0,
-        work_ms: 200.0,
-        cost: 0.26,
-    },
-];
-
 const POLICIES: &[Policy] = &[
     Policy::ExpectedGain,
     Policy::FixedThreshold(50),
@@ -39,7 +26,7 @@
         print!("{:22}", format!("{policy:?}"));
         for per_s in RATES_PER_S {
             let world = World {
-                sizes: SIZES,
+                sizes: TWO_SIZES,
                 per_s,
                 burst: 1.0,
             };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,4 +37,4 @@
     CONFIDENCE_BINS, EscalatedAnswer, Observation, QualityEstimates, confidence_bin,
 };
 pub use scarcity::Scarcity;
-pub use size_estimates::{EVEN_CONFIDENCE, SizeEstimates};
+pub use size_estimates::SizeEstimates;
--- a/crates/policy/src/size_estimates.rs
+++ b/crates/policy/src/size_estimates.rs
@@ -4,7 +4,7 @@
 ///
 /// Whether an answer is good is never reported. The assumption is that a model's confidence is
 /// centred: it is above the middle for the requests that the model answers well.
-pub const EVEN_CONFIDENCE: u8 = 50;
+pub(crate) const EVEN_CONFIDENCE: u8 = 50;
 
 /// Share of requests that a size other than the largest is assumed to answer well at first. The
 /// largest is assumed to answer all.
--- a/crates/policy/tests/cascade.rs
+++ b/crates/policy/tests/cascade.rs
@@ -2,23 +2,9 @@
 
 mod common;
 
-use common::{Policy, Size, World, simulate};
+use common::{Policy, Size, TWO_SIZES, World, simulate};
 use policy::{Cascade, CurrentAnswer, SizeOutlook};
 
-/// A cheap size for half of the requests, and a dear one for all.
-const TWO_SIZES: &[Size] = &[
-    Size {
-        max_hardness: 0.56,
-        work_ms: 20.0,
-        cost: 0.017,
-    },
-    Size {
-        max_hardness: 1.0,
-        work_ms: 200.0,
-        cost: 0.26,
-    },
-];
-
 /// Sizes of which the one in between serves most requests, and the smallest few.
 const GOOD_MIDDLE: &[Size] = &[
     Size {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -34,6 +34,20 @@
     pub cost: f64,
 }
 
+/// A cheap size for half of the requests, and a dear one for all.
+pub const TWO_SIZES: &[Size] = &[
+    Size {
+        max_hardness: 0.56,
+        work_ms: 20.0,
+        cost: 0.017,
+    },
+    Size {
+        max_hardness: 1.0,
+        work_ms: 200.0,
+        cost: 0.26,
+    },
+];
+
 /// The sizes of the model and the requests.
 #[derive(Debug, Clone, Copy)]
 pub struct World {
