control: Choose the watchers of the store over all zones

Cause: in a fleet over full_watch_max_instances the watchers were the first instances by their random incarnation, although the constant's reason says "one for each zone and a spare one". With all four in the part that is cut off, the rest notices only by suspicion and its spread, an interval of one second, a listing, and pushes of which each waited for the probe before it, 400 ms at a peer that is cut off.

Change: watchers are taken in rounds over the zones; an instance checks every 200 ms whether it has become one; the probes of a push run side by side.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_executor::LocalExecutor;
 use async_io::Timer;
 use kernel::Incarnation;
 use member::{Member, Status};
@@ -48,7 +49,9 @@
 }
 
 /// Pushes each change to some peers at once if not all instances watch the store.
-pub(crate) async fn push_changes(control: Rc<Control>) {
+///
+/// The probes run side by side, so that a peer that is cut off does not delay the others.
+pub(crate) async fn push_changes(control: Rc<Control>, executor: Rc<LocalExecutor<'static>>) {
     loop {
         Timer::after(PUSH_INTERVAL).await;
         if !control.has_unsent_changes.replace(false) || !control.has_non_watchers() {
@@ -59,7 +62,10 @@
             .borrow()
             .probe_targets(PUSH_FANOUT, &mut fastrand::Rng::new());
         for target in targets {
-            probe(&control, &target).await;
+            let control = control.clone();
+            executor
+                .spawn(async move { probe(&control, &target).await })
+                .detach();
         }
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -115,6 +115,12 @@
         self
     }
 
+    /// Sets the availability zone of the instance.
+    pub fn zone(mut self, zone: &str) -> Settings {
+        self.zone = zone.into();
+        self
+    }
+
     /// Sets the interval between probes, in milliseconds.
     pub fn gossip_interval_ms(mut self, interval_ms: u64) -> Settings {
         self.gossip_interval_ms = interval_ms;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -328,14 +328,11 @@
     /// the same ones.
     pub(crate) fn watchers(&self) -> Vec<Member> {
         let members = self.members.borrow();
-        let mut alive: Vec<&Member> = members
-            .live()
-            .into_iter()
-            .filter(|member| member.status == Status::Alive)
-            .collect();
+        // Live members are sorted by incarnation.
+        let mut alive = members.live();
+        alive.retain(|member| member.status == Status::Alive);
         if alive.len() > self.settings.full_watch_max_instances {
-            // Live members are sorted by incarnation.
-            alive.truncate(self.settings.watchers);
+            alive = member::spread_over_zones(&alive, self.settings.watchers);
         }
         alive.into_iter().cloned().collect()
     }
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -158,7 +158,7 @@
     }
     executor.spawn(gossip::run(control.clone())).detach();
     executor
-        .spawn(gossip::push_changes(control.clone()))
+        .spawn(gossip::push_changes(control.clone(), executor.clone()))
         .detach();
     executor.spawn(registration::run(control.clone())).detach();
     executor.spawn(coordinator::run(control.clone())).detach();
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -34,8 +34,9 @@
 /// a change must be in force.
 const BATCH_DELAY: Duration = Duration::from_millis(150);
 
-/// How often an instance that is not a watcher checks whether it has become one, in milliseconds.
-const WATCHER_CHECK_INTERVAL_MS: u64 = 1_000;
+/// How often an instance that is not a watcher checks whether it has become one, in milliseconds: a
+/// small part of the time within which a change must be in force.
+const WATCHER_CHECK_INTERVAL_MS: u64 = 200;
 
 /// Lists a feed, then watches it for as long as this instance is a watcher.
 pub(crate) async fn run(control: Rc<Control>, feed: Feed) {
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -163,6 +163,47 @@
     }
 }
 
+/// A day of betonar-narocila-grown: a part of the fleet was cut off with all watchers in it, and the
+/// others noticed only when those counted as dead.
+#[test]
+fn a_large_fleet_receives_changes_while_most_zones_are_cut_off_from_the_store() {
+    const INSTANCES: usize = 12;
+    const CUT_OFF: usize = 10;
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let mut fleet = Vec::new();
+    for number in 0..INSTANCES {
+        let connection = StoreConnection {
+            store: store.clone(),
+            ..StoreConnection::default()
+        };
+        let zone = if number < CUT_OFF { "cut" } else { "connected" };
+        fleet.push(Instance::start_with(
+            &format!("i{number}"),
+            connection,
+            |settings| settings.zone(zone).watchers(4, 2),
+        ));
+    }
+    eventually("every instance sees all", || {
+        fleet.iter().all(|instance| sees(instance, INSTANCES))
+    });
+    // Watches that started before the fleet was complete end by themselves.
+    std::thread::sleep(common::MAX_WATCH_WAIT + std::time::Duration::from_millis(500));
+    for instance in &fleet[..CUT_OFF] {
+        let stalled = &instance.connection.stalled;
+        stalled.store(true, std::sync::atomic::Ordering::Relaxed);
+    }
+    store.write("config/main", json!({ "version": 2 }));
+    let written = std::time::Instant::now();
+    eventually("every instance has the configuration", || {
+        fleet.iter().all(|instance| instance.version() == Some(2))
+    });
+    assert!(written.elapsed() < std::time::Duration::from_millis(2_000));
+    for instance in fleet {
+        instance.handle.shutdown();
+    }
+}
+
 /// Scenario kiosk-grown: 79 instances that started at the same time all began to watch, and again
 /// after all had lost power.
 #[test]
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -20,5 +20,5 @@
 mod table;
 
 pub use member::{Member, Status};
-pub use selection::{highest_ranked, members_for_caller, rank, receipt_holders};
+pub use selection::{highest_ranked, members_for_caller, rank, receipt_holders, spread_over_zones};
 pub use table::{MemberTable, MemberTableSettings};
--- a/crates/member/src/selection.rs
+++ b/crates/member/src/selection.rs
@@ -1,5 +1,7 @@
 //! Selection of members by rendezvous hashing and by zone.
 
+use std::collections::BTreeMap;
+
 use kernel::Incarnation;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -48,6 +50,22 @@
     peers
 }
 
+/// Returns up to `count` members, in rounds that take the next one of each availability zone, so
+/// that the loss of a zone leaves some. The order of `members` decides within a zone.
+pub fn spread_over_zones<'a>(members: &[&'a Member], count: usize) -> Vec<&'a Member> {
+    let mut taken_per_zone: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut rounds = Vec::new();
+    for member in members {
+        let taken = taken_per_zone.entry(&member.zone).or_default();
+        rounds.push((*taken, *member));
+        *taken += 1;
+    }
+    // The sort is stable, so the order of `members` remains within a round.
+    rounds.sort_by_key(|(round, _)| *round);
+    rounds.truncate(count);
+    rounds.into_iter().map(|(_, member)| member).collect()
+}
+
 /// Returns up to `count` members for a caller: one of its zone first, then those of other zones,
 /// then the rest, each group in random order.
 pub fn members_for_caller<'a>(
