receipt, entry: Save the receipts of a peer as soon as its link closes

Two instances are killed 500 ms apart; if the second is the one that holds the receipts of the first, and the first does not count as dead by then, nobody saves them.

Change: a holder saves what it holds as soon as the home's link closes, which at a kill is at once. A home whose first choice of holder has failed also kept closing its link to the second one with every batch; it keeps it now.

Ruled out: two holders for each receipt, which doubles the messages of every request for the same loss of two.

Two instances that are cut off, not killed, within the time of detection still lose the receipts of the last interval (DESIGN).

--- a/crates/entry/src/answer/receipt_writer.rs
+++ b/crates/entry/src/answer/receipt_writer.rs
@@ -113,9 +113,10 @@
     let envelope = Envelope::new(shared.incarnation.as_u64(), Body::ReceiptBatch(message));
     let timeout = Duration::from_millis(shared.settings.receipt_hold_timeout_ms);
     for (peer, addr) in holder_candidates(shared) {
-        let held = match held_by.take() {
-            Some(held) if held.peer == peer => Some(held),
-            _ => match Link::connect(addr, timeout).await {
+        // The link to the last holder stays open while a peer that is tried before it fails.
+        let held = match held_by.take_if(|held| held.peer == peer) {
+            Some(held) => Some(held),
+            None => match Link::connect(addr, timeout).await {
                 Ok(link) => {
                     let link = link.metered(&shared.peer_bytes);
                     Some(HolderLink { peer, link })
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -37,6 +37,9 @@
 /// The most call reports that wait for the control thread.
 const CALL_REPORT_QUEUE_CAPACITY: usize = 4096;
 
+/// The most closed links of peers whose receipts wait to be saved.
+const CLOSED_LINK_QUEUE_CAPACITY: usize = 256;
+
 /// The most messages of peers that wait for the control thread.
 const PEER_MESSAGE_QUEUE_CAPACITY: usize = 256;
 
@@ -71,6 +74,7 @@
         let (receipt_queue, receipt_inbox) = bounded(RECEIPT_QUEUE_CAPACITY);
         let (call_reports, call_report_inbox) = bounded(CALL_REPORT_QUEUE_CAPACITY);
         let (peer_messages, peer_inbox) = bounded(PEER_MESSAGE_QUEUE_CAPACITY);
+        let (closed_links, closed_link_inbox) = bounded(CLOSED_LINK_QUEUE_CAPACITY);
         let threads = settings.traffic_threads;
         let shared = Arc::new(Shared {
             incarnation,
@@ -89,6 +93,7 @@
             outbox: SharedOutbox::new(incarnation),
             peer_receipts: PeerReceipts::new(incarnation, settings.max_held_receipts),
             peer_messages,
+            closed_links,
             receipt_queue,
             call_reports,
             complete_revision: AtomicU64::new(0),
@@ -130,7 +135,7 @@
             .spawn(peers::run(shared.clone(), peer_listener))
             .detach();
         executor
-            .spawn(receipt_takeover::run(shared.clone()))
+            .spawn(receipt_takeover::run(shared.clone(), closed_link_inbox))
             .detach();
         let control_shared = shared.clone();
         let control = std::thread::Builder::new()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,7 +32,18 @@
     }
 }
 
+/// Serves a peer's messages until it closes the link.
 async fn serve(shared: Arc<Shared>, mut link: Link) {
+    let mut home = None;
+    serve_messages(&shared, &mut link, &mut home).await;
+    if let Some(home) = home {
+        // If the queue is full, the receipts are saved once the home counts as dead.
+        let _ = shared.closed_links.try_send(home);
+    }
+}
+
+/// Serves a peer's messages, and sets `home` to the peer once it has sent receipts to hold.
+async fn serve_messages(shared: &Shared, link: &mut Link, home: &mut Option<Incarnation>) {
     while let Ok(envelope) = link.receive().await {
         let from = Incarnation::from_u64(envelope.from);
         let Some(body) = envelope.body else {
@@ -40,9 +51,10 @@
         };
         let reply = match body {
             Body::ReceiptBatch(batch) => {
+                *home = Some(from);
                 Some(Body::AcceptReply(shared.peer_receipts.accept(from, &batch)))
             }
-            body => call_control(&shared, from, body).await,
+            body => call_control(shared, from, body).await,
         };
         let Some(reply) = reply else {
             return;
--- a/crates/entry/src/state/shared.rs
+++ b/crates/entry/src/state/shared.rs
@@ -38,6 +38,8 @@
     pub(crate) outbox: SharedOutbox,
     pub(crate) peer_receipts: PeerReceipts,
     pub(crate) peer_messages: Sender<PeerMessage>,
+    /// The homes of held receipts whose links closed.
+    pub(crate) closed_links: Sender<Incarnation>,
     pub(crate) receipt_queue: Sender<PendingReceipt>,
     pub(crate) call_reports: Sender<CallReport>,
     /// The store revision up to which the configuration is complete and in force.
--- a/crates/receipt/src/held.rs
+++ b/crates/receipt/src/held.rs
@@ -14,6 +14,15 @@
     receipts: Vec<Receipt>,
 }
 
+/// Receipts held for an instance, as a segment to save in its place.
+#[derive(Debug)]
+pub struct Takeover {
+    /// The oldest receipts held.
+    pub segment: Segment,
+    /// The number of the last batch in the segment.
+    last_batch: u64,
+}
+
 /// Copies of the receipts of other instances, up to a maximum number.
 ///
 /// If the home of the receipts fails before it saved them, the holder saves them in its place.
@@ -74,42 +83,37 @@
         self.homes.keys().copied().collect()
     }
 
-    /// Returns the oldest receipts held for a failed home, as a segment to save in its place.
-    pub fn takeover_segment(&self, home: Incarnation) -> Option<Segment> {
+    /// Returns the oldest receipts held for a home, to save in its place.
+    pub fn takeover(&self, home: Incarnation) -> Option<Takeover> {
         let batches = self.homes.get(&home)?;
         let mut receipts = Vec::new();
+        let mut last_batch = 0;
         for batch in batches {
             if !receipts.is_empty() && receipts.len() + batch.receipts.len() > MAX_SEGMENT_RECEIPTS
             {
                 break;
             }
             receipts.extend(batch.receipts.iter().cloned());
+            last_batch = batch.number;
         }
-        Some(Segment {
+        let segment = Segment {
             home,
             writer: self.writer,
             number: self.next_segment,
             receipts,
+        };
+        Some(Takeover {
+            segment,
+            last_batch,
         })
     }
 
-    /// Drops the receipts of a segment that was saved in place of its home.
-    pub fn mark_saved(&mut self, segment: &Segment) {
-        self.next_segment = self.next_segment.max(segment.number + 1);
-        let Some(batches) = self.homes.get_mut(&segment.home) else {
-            return;
-        };
-        let mut remaining = segment.receipts.len();
-        while remaining > 0 {
-            let Some(batch) = batches.pop_front() else {
-                break;
-            };
-            remaining = remaining.saturating_sub(batch.receipts.len());
-            self.count -= batch.receipts.len();
-        }
-        if batches.is_empty() {
-            self.homes.remove(&segment.home);
-        }
+    /// Drops the batches of a segment that was saved in place of its home.
+    ///
+    /// The home may still run, and may have saved some of them and sent others meanwhile.
+    pub fn mark_saved(&mut self, saved: &Takeover) {
+        self.next_segment = self.next_segment.max(saved.segment.number + 1);
+        self.drop_saved(saved.segment.home, saved.last_batch);
     }
 
     fn drop_saved(&mut self, home: Incarnation, saved_batch: u64) {
--- a/crates/receipt/src/lib.rs
+++ b/crates/receipt/src/lib.rs
@@ -21,7 +21,7 @@
 mod segment;
 mod statement;
 
-pub use held::HeldReceipts;
+pub use held::{HeldReceipts, Takeover};
 pub use interval_set::IntervalSet;
 pub use outbox::{ReceiptDraft, ReceiptOutbox};
 pub use receipt::{Outcome, Receipt, RequestUsage};
--- a/crates/receipt/tests/billing.rs
+++ b/crates/receipt/tests/billing.rs
@@ -155,12 +155,13 @@
             }
             Step::Crash => self.outbox = None,
             Step::Takeover | Step::TakeoverLost => {
-                let Some(segment) = self.holder.takeover_segment(HOME) else {
+                let Some(takeover) = self.holder.takeover(HOME) else {
                     return;
                 };
+                let segment = &takeover.segment;
                 self.store.insert(segment.path(1), segment.clone());
                 if step == Step::Takeover {
-                    self.holder.mark_saved(&segment);
+                    self.holder.mark_saved(&takeover);
                 }
             }
             Step::Settle => {
