--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -399,6 +399,7 @@
         session = request.info.session.as_deref(),
         size = request.size,
         prompt_tokens = request.info.token_usage.prompt_tokens,
+        new_tokens = request.info.new_tokens(),
         first_ms = started.time_to_head.as_millis() as u64,
         endpoint = &*started.endpoint.id,
         load = started.call_guard.endpoint_state.load(),
