control: Start a whole fleet without listing and watching at every instance

All 91 instances list five feeds after 250 ms and watch them after 600 ms, when each knows too few members to see that it is no watcher; at 2 s, all that still hold such a watch write the phase and the state of a roll-out (165 calls).

Change: when the platform says that the system starts for the first time (`first_start`), an instance waits until its member table is unchanged for 0.5 s, and if it is no watcher up to 1.5 s more for the configuration from a peer; no callers wait then. The pause after a change before the next watch holds in every fleet, not only in large ones. Only watchers take turns at roll-outs.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -316,6 +316,10 @@
 /// Returns whether this instance is to perform the next step, after the delay of its rank.
 fn is_turn(control: &Control, record: &RolloutRecord, has_action: bool) -> bool {
     let now_ms = control.now_ms();
+    // Other instances may still have a watch from a time when they knew fewer members.
+    if !control.is_watcher() {
+        return false;
+    }
     let watchers = control.watchers();
     let watchers: Vec<&Member> = watchers.iter().collect();
     let rank = rank(&record.path, control.incarnation, &watchers) as u64;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -16,6 +16,8 @@
     pub peer_addr: String,
     /// Addresses of instances to join while no other is known; not all need be running.
     pub peers: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that no callers wait.
+    pub first_start: bool,
     /// The interval between probes of random peers, in milliseconds.
     pub gossip_interval_ms: u64,
     /// The timeout for a peer's response, in milliseconds.
@@ -70,6 +72,7 @@
             http_addr: String::new(),
             peer_addr: String::new(),
             peers: Vec::new(),
+            first_start: false,
             gossip_interval_ms: GOSSIP_INTERVAL_MS,
             gossip_timeout_ms: GOSSIP_TIMEOUT_MS,
             suspect_ms: SUSPECT_MS,
@@ -94,6 +97,12 @@
         self
     }
 
+    /// Sets whether the whole fleet starts for the first time.
+    pub fn first_start(mut self, first_start: bool) -> Settings {
+        self.first_start = first_start;
+        self
+    }
+
     /// Sets the largest fleet in which every instance watches, and the watchers of a larger one.
     pub fn watchers(mut self, full_watch_max_instances: usize, watchers: usize) -> Settings {
         self.full_watch_max_instances = full_watch_max_instances;
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use store::StoreError;
 
 use crate::codec::Feed;
@@ -19,8 +20,20 @@
 /// several round trips. Callers wait meanwhile if all instances were lost.
 const FIRST_PEER_TIMEOUT_MS: u64 = 120;
 
-/// How often the member table is checked for a first peer.
-const FIRST_PEER_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How long instances that start with the whole fleet wait for the member table, in milliseconds.
+/// No callers wait then.
+const FIRST_START_TIMEOUT_MS: u64 = 3_000;
+
+/// How long after that an instance that is not a watcher waits for the configuration from a peer, in
+/// milliseconds.
+const FIRST_CONFIG_TIMEOUT_MS: u64 = 1_500;
+
+/// How often the member table is checked at the start.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// How long the member table must be unchanged to count as complete, in milliseconds: more than the
+/// interval between probes.
+const SETTLED_MS: u64 = 500;
 
 /// The delay of the first watch and of the own entry when peers are configured. After it an
 /// instance of a large fleet has the member table that says whether it is a watcher.
@@ -29,8 +42,8 @@
 /// How long the first watch after a failure waits for a change, in milliseconds.
 const RECOVERY_WAIT_MS: u64 = 1;
 
-/// The pause between two watches in a large fleet, where many endpoints change and each call is
-/// paid for, so that one call returns several changes. It is a small part of the time within which
+/// The pause between two watches after a change. Endpoints often change together and each call is
+/// paid for, so that one call should return several changes. It is a small part of the time within which
 /// a change must be in force.
 const BATCH_DELAY: Duration = Duration::from_millis(150);
 
@@ -83,18 +96,37 @@
     }
 }
 
-/// Waits until a peer has responded, or all have failed, so that an instance that joins a large fleet need not call the
-/// store.
+/// Waits until a peer has responded, or all have failed, so that an instance that joins a large
+/// fleet need not call the store.
 async fn wait_for_first_peer(control: &Control) {
     if control.settings.peers.is_empty() {
         return;
     }
+    if control.settings.first_start {
+        return wait_for_first_config(control).await;
+    }
     let until_ms = control.now_ms() + FIRST_PEER_TIMEOUT_MS;
     while control.now_ms() < until_ms {
         if control.members.borrow().live().len() > 1 || control.peers_tried.get() {
             return;
         }
-        Timer::after(FIRST_PEER_POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for the member table of a fleet that starts as a whole, and then for the configuration
+/// from one of the watchers unless this instance is one.
+async fn wait_for_first_config(control: &Control) {
+    let configured = async {
+        while !control.is_configured() {
+            Timer::after(POLL_INTERVAL).await;
+        }
+    };
+    let settled = wait_until_settled(control);
+    settled.or(configured).await;
+    let until_ms = control.now_ms() + FIRST_CONFIG_TIMEOUT_MS;
+    while control.now_ms() < until_ms && !control.is_watcher() && !control.is_configured() {
+        Timer::after(POLL_INTERVAL).await;
     }
 }
 
@@ -105,6 +137,21 @@
     }
 }
 
+/// Waits until the member table has not changed for a while.
+async fn wait_until_settled(control: &Control) {
+    let until_ms = control.now_ms() + FIRST_START_TIMEOUT_MS;
+    let mut digest = control.members.borrow().digest();
+    let mut changed_ms = control.now_ms();
+    while control.now_ms() < until_ms.min(changed_ms + SETTLED_MS) {
+        Timer::after(POLL_INTERVAL).await;
+        let current = control.members.borrow().digest();
+        if current != digest {
+            digest = current;
+            changed_ms = control.now_ms();
+        }
+    }
+}
+
 async fn list(control: &Control, feed: Feed) -> Result<u64, StoreError> {
     let prefix = control.codec.prefix(feed);
     let listing = control.store.list(prefix).await?;
@@ -126,7 +173,7 @@
         control.settings.watch_wait_ms
     };
     let listing = control.store.watch(prefix, revision, wait_ms).await?;
-    if control.apply_objects(listing.objects) && control.has_non_watchers() {
+    if control.apply_objects(listing.objects) {
         Timer::after(BATCH_DELAY).await;
     }
     Ok(listing.revision.max(revision))
