control, limits: Share the loads of endpoints in a large fleet

Reports of all to all would be 90 times 91 datagrams an interval.

Change: a collector in each zone, by rendezvous hashing, takes the loads of its zone's instances, exchanges sums with the other collectors and reports to each instance the loads of all others, every 0.1 to 0.25 s.

Ruled out: asking an endpoint's owner before each send, for its round trip and its message; groups of instances with endpoints of their own, as prefixes would lose their homes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod convert;
 mod coordinator;
 mod gossip;
+mod load_plan;
 mod loads;
 mod peer_loads;
 mod peers;
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -3,6 +3,7 @@
 //! It answers loads at which one instance's own requests say little about an endpoint: each report
 //! is as fresh as a few requests, and a lost one is replaced by the next.
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,49 +12,68 @@
 use kernel::Incarnation;
 use wire::{Body, Envelope, LoadReport};
 
+use crate::load_plan::{LoadPlan, Scope};
 use crate::state::Control;
 
-/// The largest number of peers that reports are exchanged with. In a larger fleet each instance
-/// sends too small a part of the traffic for its reports to be worth their number.
-const MAX_PEERS: usize = 15;
-
-/// The interval between the reports to one peer, per peer: bounds the reports of an instance to 80 a
-/// second.
-const INTERVAL_PER_PEER: Duration = Duration::from_micros(12_500);
-
-const MIN_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The largest report, in bytes.
 const MAX_REPORT_BYTES: usize = 16 << 10;
 
 /// The pause after a receive error.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
-/// Sends this instance's loads to the other instances.
+/// Sends the reports of this instance's plan.
 pub(crate) async fn send(control: Rc<Control>, socket: Rc<Async<UdpSocket>>) {
     loop {
-        let peers = peer_addrs(&control);
-        let interval = INTERVAL_PER_PEER * peers.len() as u32;
-        Timer::after(interval.max(MIN_INTERVAL)).await;
+        let interval = plan(&control).interval;
+        Timer::after(interval).await;
         apply_sums(&control);
-        if peers.is_empty() || peers.len() > MAX_PEERS {
-            continue;
-        }
-        let mut report = LoadReport::default();
-        for entry in control.shared_loads.own() {
-            report.endpoints.push(entry.endpoint);
-            report.units.push(entry.units);
-        }
-        let envelope = Envelope::new(control.incarnation.as_u64(), Body::Loads(report));
-        let bytes = envelope.encode_frame();
-        for peer in peers {
-            if let Err(err) = socket.send_to(&bytes, peer).await {
-                tracing::debug!(%peer, error = %err, "member: load report not sent");
+        for recipient in plan(&control).recipients {
+            let report = report(&control, &recipient.scope);
+            let peer = &*recipient.peer_addr;
+            if let Err(err) = send_report(&control, &socket, peer, report).await {
+                tracing::debug!(peer, error = %err, "member: load report not sent");
             }
         }
     }
 }
 
+fn plan(control: &Control) -> LoadPlan {
+    let members = control.members.borrow();
+    LoadPlan::new(members.local(), &members.live())
+}
+
+/// Returns the sums of this instance's loads and of those that the peers in the scope reported.
+fn report(control: &Control, scope: &Scope) -> LoadReport {
+    let peer_loads = control.peer_loads.borrow();
+    let mut sums = match scope {
+        Scope::Own => HashMap::new(),
+        Scope::Zone(zone) => peer_loads.sums(|peer| zone.contains(&peer)),
+        Scope::AllBut(receiver) => peer_loads.sums(|peer| peer != *receiver),
+    };
+    for entry in control.shared_loads.own() {
+        let sum = sums.entry(entry.endpoint).or_default();
+        *sum = sum.saturating_add(entry.units);
+    }
+    let mut report = LoadReport::default();
+    for (endpoint, units) in sums {
+        report.endpoints.push(endpoint);
+        report.units.push(units);
+    }
+    report
+}
+
+async fn send_report(
+    control: &Control,
+    socket: &Async<UdpSocket>,
+    peer: &str,
+    report: LoadReport,
+) -> std::io::Result<()> {
+    let addr: SocketAddr = peer.parse().map_err(std::io::Error::other)?;
+    let envelope = Envelope::new(control.incarnation.as_u64(), Body::Loads(report));
+    socket.send_to(&envelope.encode_frame(), addr).await?;
+    Ok(())
+}
+
 /// Receives the loads of other instances.
 pub(crate) async fn receive(control: Rc<Control>, socket: Rc<Async<UdpSocket>>) {
     let mut buffer = vec![0; MAX_REPORT_BYTES];
@@ -83,22 +103,7 @@
 }
 
 fn apply_sums(control: &Control) {
-    let now_ms = control.now_ms();
-    let sums = control.peer_loads.borrow_mut().sums(now_ms);
-    control.shared_loads.set_peers(&sums);
-}
-
-fn peer_addrs(control: &Control) -> Vec<SocketAddr> {
-    let members = control.members.borrow();
-    let mut addrs = Vec::new();
-    for member in members.live() {
-        if member.incarnation == control.incarnation {
-            continue;
-        }
-        let Ok(addr) = member.peer_addr.parse() else {
-            continue;
-        };
-        addrs.push(addr);
-    }
-    addrs
+    let mut peer_loads = control.peer_loads.borrow_mut();
+    peer_loads.expire(control.now_ms());
+    control.shared_loads.set_peers(&peer_loads.sums(|_| true));
 }
--- a/crates/control/src/peer_loads.rs
+++ b/crates/control/src/peer_loads.rs
@@ -30,12 +30,19 @@
         self.reports.insert(from, report);
     }
 
-    /// Returns the sums by endpoint over the reports that still count.
-    pub(crate) fn sums(&mut self, now_ms: u64) -> HashMap<u64, u32> {
+    /// Drops the reports that no longer count.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
         self.reports
             .retain(|_, report| now_ms < report.received_ms + REPORT_LIFETIME_MS);
+    }
+
+    /// Returns the sums by endpoint over the reports of the peers that `counts` selects.
+    pub(crate) fn sums(&self, counts: impl Fn(Incarnation) -> bool) -> HashMap<u64, u32> {
         let mut sums: HashMap<u64, u32> = HashMap::new();
-        for report in self.reports.values() {
+        for (peer, report) in &self.reports {
+            if !counts(*peer) {
+                continue;
+            }
             for (endpoint, units) in report.loads.endpoints.iter().zip(&report.loads.units) {
                 let sum = sums.entry(*endpoint).or_default();
                 *sum = sum.saturating_add(*units);
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -287,3 +287,41 @@
     first.handle.shutdown();
     third.handle.shutdown();
 }
+
+/// In a fleet over the size at which all report to all, a collector of each zone sums up the loads.
+#[test]
+fn instances_of_a_large_fleet_know_the_load_by_the_requests_of_all_others() {
+    const ENDPOINT: u64 = 7;
+    const INSTANCES: usize = 18;
+    let store = MemoryStore::default();
+    let mut fleet = Vec::new();
+    for number in 0..INSTANCES {
+        let connection = StoreConnection {
+            store: store.clone(),
+            ..StoreConnection::default()
+        };
+        let zone = if number % 3 == 0 { "a" } else { "b" };
+        let name = format!("i{number}");
+        fleet.push(Instance::start_with(&name, connection, |settings| {
+            settings.zone(zone)
+        }));
+    }
+    eventually("each sees the others", || {
+        fleet.iter().all(|instance| sees(instance, INSTANCES))
+    });
+    for instance in &fleet {
+        instance.shared_loads.entry(ENDPOINT).set_own(0.5);
+    }
+    fleet[0].shared_loads.entry(ENDPOINT).set_own(2.5);
+    fleet[1].shared_loads.entry(ENDPOINT).set_own(4.0);
+    let sum = 2.5 + 4.0 + 0.5 * (INSTANCES - 2) as f64;
+    eventually("each knows the loads of all others", || {
+        fleet.iter().enumerate().all(|(number, instance)| {
+            let own = [2.5, 4.0].get(number).copied().unwrap_or(0.5);
+            instance.shared_loads.entry(ENDPOINT).of_peers() == sum - own
+        })
+    });
+    for instance in fleet {
+        instance.handle.shutdown();
+    }
+}
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{Candidate, PlacementError, PromptLoad, place};
+use limits::{Candidate, PlacementError, PromptLoad, place, shortlist};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::active_request::ActiveRequest;
@@ -14,6 +14,10 @@
 /// Share of an endpoint's connections that all instances together use.
 const CONNECTION_SHARE: f64 = 0.9;
 
+/// Largest number of instances with which each chooses among all endpoints. The loads that more
+/// instances know are too old for that.
+const MAX_FULL_CHOICE_INSTANCES: usize = 16;
+
 /// The endpoint chosen for one send.
 pub(crate) struct Placement {
     pub(crate) endpoint: Arc<Endpoint>,
@@ -58,7 +62,16 @@
         });
         available.push((endpoint, state));
     }
-    let selected = place(&candidates, prompt, &mut fastrand::Rng::new())?;
+    let mut random = fastrand::Rng::new();
+    if view.instance_count > MAX_FULL_CHOICE_INSTANCES {
+        let listed = shortlist(&candidates, &mut random);
+        candidates = listed.iter().map(|index| candidates[*index]).collect();
+        available = listed
+            .iter()
+            .map(|index| (available[*index].0, available[*index].1.clone()))
+            .collect();
+    }
+    let selected = place(&candidates, prompt, &mut random)?;
     let (endpoint, endpoint_state) = available.swap_remove(selected.index);
     Ok(Placement {
         endpoint: endpoint.clone(),
