burn: Name the counts of the report on logs

Cause: on reading as a newcomer, pairs and arrays without names, and a sum of nothing that printed as -0.00. Change: FailureCounts, and runs sorted in place. Ruled out: other figures, the test of the report is unchanged. Conclusion: reads better.

--- a/crates/burn/src/logs/report.rs
+++ b/crates/burn/src/logs/report.rs
@@ -121,6 +121,25 @@
     pub p90_ms: u64,
 }
 
+/// Failures of one interval.
+#[derive(Default)]
+struct FailureCounts {
+    /// Sends without a usable response.
+    no_answers: u64,
+    /// Requests that ended otherwise than answered.
+    failed: u64,
+}
+
+impl FailureCounts {
+    fn record(&mut self, kind: &EventKind) {
+        match kind {
+            EventKind::NoAnswer { .. } => self.no_answers += 1,
+            EventKind::Ended(ended) if &*ended.outcome != "answered" => self.failed += 1,
+            EventKind::Ended(_) | EventKind::FirstEvent(_) => {}
+        }
+    }
+}
+
 /// A run with what its request did before and after it.
 struct Run<'a> {
     at_ms: f64,
@@ -153,25 +172,27 @@
 
 /// Returns the runs of all requests, those of each request in order.
 fn runs(events: &[LogEvent]) -> Vec<Run<'_>> {
-    let mut by_request: HashMap<&str, Vec<(f64, &FirstEvent)>> = HashMap::new();
+    let mut by_request: HashMap<&str, Vec<Run<'_>>> = HashMap::new();
     for event in events {
-        if let EventKind::FirstEvent(first) = &event.kind {
-            let runs = by_request.entry(&event.request).or_default();
-            runs.push((event.at_ms, first));
-        }
+        let EventKind::FirstEvent(first) = &event.kind else {
+            continue;
+        };
+        by_request.entry(&event.request).or_default().push(Run {
+            at_ms: event.at_ms,
+            first,
+            is_escalated: false,
+            is_followed: false,
+        });
     }
     let mut found = Vec::new();
-    for (_, mut of_request) in by_request {
-        of_request.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let last = of_request.len() - 1;
-        for (index, (at_ms, first)) in of_request.into_iter().enumerate() {
-            found.push(Run {
-                at_ms,
-                first,
-                is_escalated: index > 0,
-                is_followed: index < last,
-            });
+    for mut runs in by_request.into_values() {
+        runs.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        let last = runs.len() - 1;
+        for (index, run) in runs.iter_mut().enumerate() {
+            run.is_escalated = index > 0;
+            run.is_followed = index < last;
         }
+        found.extend(runs);
     }
     found
 }
@@ -182,27 +203,21 @@
     let index_of = |at_ms: f64| ((at_ms - start_ms) / interval_ms as f64) as u64;
     let sizes = runs.iter().map(|run| run.first.size + 1).max();
     let mut runs_of: BTreeMap<u64, Vec<&Run<'_>>> = BTreeMap::new();
-    let mut failures_of: BTreeMap<u64, [u64; 2]> = BTreeMap::new();
+    let mut failures_of: BTreeMap<u64, FailureCounts> = BTreeMap::new();
     for run in runs {
         runs_of.entry(index_of(run.at_ms)).or_default().push(run);
     }
     for event in events {
-        let index = index_of(event.at_ms);
-        runs_of.entry(index).or_default();
-        let [no_answers, failed] = failures_of.entry(index).or_default();
-        match &event.kind {
-            EventKind::NoAnswer { .. } => *no_answers += 1,
-            EventKind::Ended(ended) if &*ended.outcome != "answered" => *failed += 1,
-            EventKind::Ended(_) | EventKind::FirstEvent(_) => {}
-        }
+        let failures = failures_of.entry(index_of(event.at_ms)).or_default();
+        failures.record(&event.kind);
     }
     let mut rows = Vec::new();
-    for (index, runs) in runs_of {
-        let [no_answers, failed] = failures_of.get(&index).copied().unwrap_or_default();
+    for (index, failures) in failures_of {
+        let runs = runs_of.remove(&index).unwrap_or_default();
         let mut row = interval_row(&runs, sizes.unwrap_or_default());
         row.start_ms = index * interval_ms;
-        row.no_answers = no_answers;
-        row.failed = failed;
+        row.no_answers = failures.no_answers;
+        row.failed = failures.failed;
         rows.push(row);
     }
     rows
@@ -223,7 +238,7 @@
     IntervalRow {
         start_ms: 0,
         runs: waits.count(),
-        escalated_share: mean(runs, |run| f64::from(u8::from(run.is_escalated))),
+        escalated_share: share(runs, |run| run.is_escalated),
         wait_share: mean(runs, |run| run.first.wait_share),
         wait_p50_ms: waits.quantile_ms(0.5),
         wait_p90_ms: p90(&waits),
@@ -249,8 +264,8 @@
         rows.push(SizeRow {
             size,
             runs: firsts.count(),
-            escalated_share: mean(&runs, |run| f64::from(u8::from(run.is_escalated))),
-            unsure_share: mean(&runs, |run| f64::from(u8::from(run.is_followed))),
+            escalated_share: share(&runs, |run| run.is_escalated),
+            unsure_share: share(&runs, |run| run.is_followed),
             first_p50_ms: firsts.quantile_ms(0.5),
             first_p90_ms: firsts.quantile_ms(0.9),
             reading_ms: mean(&runs, |run| run.first.reading_ms),
@@ -277,7 +292,7 @@
             size,
             from: tenth * TENTHS,
             runs: runs.len() as u64,
-            escalated_share: mean(&runs, |run| f64::from(u8::from(run.is_followed))),
+            escalated_share: share(&runs, |run| run.is_followed),
         });
     }
     rows
@@ -336,6 +351,14 @@
 
 /// Returns the mean of a value over runs, 0 without any.
 fn mean(runs: &[&Run<'_>], value: impl Fn(&Run<'_>) -> f64) -> f64 {
-    let sum: f64 = runs.iter().map(|run| value(run)).sum();
+    let mut sum = 0.0;
+    for run in runs {
+        sum += value(run);
+    }
     sum / runs.len().max(1) as f64
 }
+
+/// Returns the share of the runs for which a condition holds, 0 without any.
+fn share(runs: &[&Run<'_>], holds: impl Fn(&Run<'_>) -> bool) -> f64 {
+    mean(runs, |run| f64::from(u8::from(holds(run))))
+}
