entry: Check for dead homes at a fixed interval

Cause: links that close faster than the check interval put the check off each time. Ruled out: a second task, whose writes for one home would run beside the first. Change: the interval runs on. Tests of processes pass.

--- a/crates/entry/src/answer/receipt_takeover.rs
+++ b/crates/entry/src/answer/receipt_takeover.rs
@@ -7,6 +7,7 @@
 use kernel::Incarnation;
 use smol::Timer;
 use smol::future::FutureExt;
+use smol::stream::StreamExt;
 use store::{ObjectApi, Precondition};
 
 use crate::state::shared::Shared;
@@ -20,10 +21,11 @@
 /// A home that fails closes its link long before it counts as dead. If this instance failed in
 /// between, the receipts would be lost with it. Saving receipts twice does no harm.
 pub(crate) async fn run(shared: Arc<Shared>, closed_links: Receiver<Incarnation>) {
+    let mut checks = Timer::interval(CHECK_INTERVAL);
     loop {
         let closed = async { closed_links.recv().await.ok() };
         let checked = async {
-            Timer::after(CHECK_INTERVAL).await;
+            checks.next().await;
             None
         };
         if let Some(home) = closed.or(checked).await {
