--- a/crates/receipt/src/statement.rs
+++ b/crates/receipt/src/statement.rs
@@ -119,7 +119,8 @@
 pub struct AppliedReceipts {
     /// The sequence numbers of the receipts.
     pub numbers: IntervalSet,
-    /// The latest end of any of the requests, in milliseconds since the Unix epoch.
+    /// The latest end of any of the requests, or when the latest receipt came that was too late, in
+    /// milliseconds since the Unix epoch.
     pub last_ms: u64,
 }
 
@@ -147,14 +148,16 @@
     pub fn apply(&mut self, receipts: &[Receipt], now_ms: u64) -> u64 {
         let mut count = 0;
         for receipt in receipts {
-            if receipt.ended_ms + MAX_RECEIPT_AGE_MS < now_ms {
-                self.too_late += u64::from(!self.contains(receipt));
-                continue;
-            }
             let applied = self.applied.entry(receipt.home).or_default();
             if !applied.numbers.insert(receipt.number) {
                 continue;
             }
+            if receipt.ended_ms + MAX_RECEIPT_AGE_MS < now_ms {
+                self.too_late += 1;
+                // Its home and a peer may both save it, so that it comes once more.
+                applied.last_ms = applied.last_ms.max(now_ms);
+                continue;
+            }
             applied.last_ms = applied.last_ms.max(receipt.ended_ms);
             self.totals.add(receipt);
             self.by_version
@@ -171,12 +174,6 @@
         count
     }
 
-    fn contains(&self, receipt: &Receipt) -> bool {
-        self.applied
-            .get(&receipt.home)
-            .is_some_and(|applied| applied.numbers.contains(receipt.number))
-    }
-
     fn add_to_bucket(&mut self, receipt: &Receipt) {
         let start_ms = receipt.ended_ms - receipt.ended_ms % BUCKET_MS;
         let class = &receipt.usage.class;
--- a/crates/receipt/tests/billing.rs
+++ b/crates/receipt/tests/billing.rs
@@ -246,15 +246,16 @@
 }
 
 #[test]
-fn receipts_older_than_the_maximum_age_are_counted_and_not_billed() {
+fn receipts_older_than_the_maximum_age_are_counted_once_and_not_billed() {
     let mut outbox = ReceiptOutbox::new(HOME);
     let receipt = outbox.add(draft(1));
     let mut statement = Statement::default();
-    assert_eq!(
-        statement.apply(std::slice::from_ref(&receipt), 25 * 3_600_000 + 1_000),
-        0
-    );
-    assert_eq!((statement.totals.requests, statement.too_late), (0, 1));
+    // The segment of the home and that of a peer both hold it.
+    for hours in [25, 26] {
+        let receipts = std::slice::from_ref(&receipt);
+        assert_eq!(statement.apply(receipts, hours * 3_600_000 + 1_000), 0);
+        assert_eq!((statement.totals.requests, statement.too_late), (0, 1));
+    }
 }
 
 #[test]
