receipt, control: Share the fixtures of the new tests with their twins

Cause: saving.rs built the same receipt as billing.rs, and three tests of large fleets repeated the loop that starts one. Ruled out: one fixture over crates. Change: tests/common of receipt, start_fleet and StoreConnection::to; assertions as before. All tests of both crates pass.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -95,6 +95,14 @@
 }
 
 impl StoreConnection {
+    /// Returns a connection of its own to a store.
+    pub fn to(store: &MemoryStore) -> StoreConnection {
+        StoreConnection {
+            store: store.clone(),
+            ..StoreConnection::default()
+        }
+    }
+
     /// Makes the calls on a prefix fail, or work again.
     pub fn set_unavailable(&self, prefix: &str, unavailable: bool) {
         let mut set = self.failing_prefixes.lock().unwrap();
@@ -316,11 +324,7 @@
 impl Instance {
     /// Starts an instance with a connection of its own to a store.
     pub fn start(name: &str, store: &MemoryStore) -> Instance {
-        let connection = StoreConnection {
-            store: store.clone(),
-            ..StoreConnection::default()
-        };
-        Instance::start_on(name, connection)
+        Instance::start_on(name, StoreConnection::to(store))
     }
 
     /// Starts an instance on an existing connection to a store.
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Instance, MemoryStore, StoreConnection, entry, eventually};
+use control::Settings;
 use serde_json::json;
 
 fn sees(instance: &Instance, count: usize) -> bool {
@@ -123,23 +124,31 @@
     stalled.handle.shutdown();
 }
 
+/// Starts instances that are joined through the store, with settings adjusted by their number.
+fn start_fleet(
+    store: &MemoryStore,
+    count: usize,
+    adjust: impl Fn(usize, Settings) -> Settings,
+) -> Vec<Instance> {
+    let mut fleet = Vec::new();
+    for number in 0..count {
+        let name = format!("i{number}");
+        fleet.push(Instance::start_with(
+            &name,
+            StoreConnection::to(store),
+            |settings| adjust(number, settings),
+        ));
+    }
+    fleet
+}
+
 /// In a large fleet a few instances watch the store, and the others receive changes from peers.
 #[test]
 fn few_instances_of_a_large_fleet_watch_and_all_receive_changes() {
     const INSTANCES: usize = 12;
     let store = MemoryStore::default();
     store.write("config/main", json!({ "version": 1 }));
-    let mut fleet = Vec::new();
-    for number in 0..INSTANCES {
-        let connection = StoreConnection {
-            store: store.clone(),
-            ..StoreConnection::default()
-        };
-        let name = format!("i{number}");
-        fleet.push(Instance::start_with(&name, connection, |settings| {
-            settings.watchers(4, 2)
-        }));
-    }
+    let fleet = start_fleet(&store, INSTANCES, |_, settings| settings.watchers(4, 2));
     eventually("every instance sees all", || {
         fleet.iter().all(|instance| sees(instance, INSTANCES))
     });
@@ -171,19 +180,10 @@
     const CUT_OFF: usize = 10;
     let store = MemoryStore::default();
     store.write("config/main", json!({ "version": 1 }));
-    let mut fleet = Vec::new();
-    for number in 0..INSTANCES {
-        let connection = StoreConnection {
-            store: store.clone(),
-            ..StoreConnection::default()
-        };
+    let fleet = start_fleet(&store, INSTANCES, |number, settings| {
         let zone = if number < CUT_OFF { "cut" } else { "connected" };
-        fleet.push(Instance::start_with(
-            &format!("i{number}"),
-            connection,
-            |settings| settings.zone(zone).watchers(4, 2),
-        ));
-    }
+        settings.zone(zone).watchers(4, 2)
+    });
     eventually("every instance sees all", || {
         fleet.iter().all(|instance| sees(instance, INSTANCES))
     });
@@ -212,13 +212,11 @@
     let store = MemoryStore::default();
     store.write("config/main", json!({ "version": 1 }));
     let start = |number: usize, peers: &[std::net::SocketAddr]| {
-        let connection = StoreConnection {
-            store: store.clone(),
-            ..StoreConnection::default()
-        };
-        Instance::start_with(&format!("i{number}"), connection, |settings| {
-            settings.watchers(4, 2).peers(peers)
-        })
+        Instance::start_with(
+            &format!("i{number}"),
+            StoreConnection::to(&store),
+            |settings| settings.watchers(4, 2).peers(peers),
+        )
     };
     let mut fleet = vec![start(0, &[])];
     for number in 1..INSTANCES {
@@ -246,12 +244,10 @@
 fn an_instance_whose_peers_all_fail_starts_from_the_store() {
     let store = MemoryStore::default();
     store.write("config/main", json!({ "version": 1 }));
-    let connection = StoreConnection {
-        store: store.clone(),
-        ..StoreConnection::default()
-    };
     let unused = [common::free_addr(), common::free_addr()];
-    let instance = Instance::start_with("first", connection, |settings| settings.peers(&unused));
+    let instance = Instance::start_with("first", StoreConnection::to(&store), |settings| {
+        settings.peers(&unused)
+    });
     eventually("configuration in force", || instance.version() == Some(1));
     eventually("requests accepted", || instance.view.load().accepting);
     instance.handle.shutdown();
@@ -294,18 +290,9 @@
     const ENDPOINT: u64 = 7;
     const INSTANCES: usize = 18;
     let store = MemoryStore::default();
-    let mut fleet = Vec::new();
-    for number in 0..INSTANCES {
-        let connection = StoreConnection {
-            store: store.clone(),
-            ..StoreConnection::default()
-        };
-        let zone = if number % 3 == 0 { "a" } else { "b" };
-        let name = format!("i{number}");
-        fleet.push(Instance::start_with(&name, connection, |settings| {
-            settings.zone(zone)
-        }));
-    }
+    let fleet = start_fleet(&store, INSTANCES, |number, settings| {
+        settings.zone(if number % 3 == 0 { "a" } else { "b" })
+    });
     eventually("each sees the others", || {
         fleet.iter().all(|instance| sees(instance, INSTANCES))
     });
--- a/crates/receipt/tests/billing.rs
+++ b/crates/receipt/tests/billing.rs
@@ -1,40 +1,14 @@
 //! Model checking of billing: each request is billed exactly once in every interleaving of saves,
 //! lost responses, a crash of the home, takeover by a peer and concurrent settlement.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+mod common;
 
-use kernel::{Incarnation, Priority};
-use proptest::prelude::*;
-use receipt::{
-    HeldReceipts, IntervalSet, Outcome, Receipt, ReceiptDraft, ReceiptOutbox, RequestUsage,
-    Segment, Statement,
-};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
-const HOME: Incarnation = Incarnation::from_u64(1);
-const PEER: Incarnation = Incarnation::from_u64(2);
+use common::{HOME, PEER, draft};
 
-fn draft(request: u64) -> ReceiptDraft {
-    let work = RequestUsage {
-        version: "v".into(),
-        class: "default".into(),
-        priority: Priority::Normal,
-        outcome: Outcome::Answered,
-        prompt_tokens: 1,
-        completion_tokens: 1,
-        cost_micros: 10,
-        first_token_ms: 1,
-        total_ms: 2,
-        unproven: false,
-        in_objective: true,
-        arm: None,
-    };
-    ReceiptDraft {
-        workspace: "w".into(),
-        request: request.to_string().into(),
-        ended_ms: 1_000,
-        usage: work,
-    }
-}
+use proptest::prelude::*;
+use receipt::{HeldReceipts, IntervalSet, Receipt, ReceiptOutbox, Segment, Statement};
 
 /// A step of the model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -138,7 +112,7 @@
                 let Some(outbox) = &mut self.outbox else {
                     return;
                 };
-                let receipt = outbox.add(draft(self.requests));
+                let receipt = outbox.add(draft(&self.requests.to_string()));
                 assert!(self.holder.try_hold(HOME, self.requests, 0, vec![receipt]));
             }
             Step::Save | Step::SaveLost => {
@@ -248,7 +222,7 @@
 #[test]
 fn receipts_older_than_the_maximum_age_are_counted_once_and_not_billed() {
     let mut outbox = ReceiptOutbox::new(HOME);
-    let receipt = outbox.add(draft(1));
+    let receipt = outbox.add(draft("1"));
     let mut statement = Statement::default();
     // The segment of the home and that of a peer both hold it.
     for hours in [25, 26] {
@@ -261,7 +235,9 @@
 #[test]
 fn a_full_holder_rejects_batches_until_a_batch_is_saved() {
     let mut outbox = ReceiptOutbox::new(HOME);
-    let receipts: Vec<Receipt> = (0..3).map(|request| outbox.add(draft(request))).collect();
+    let receipts: Vec<Receipt> = (0..3)
+        .map(|request| outbox.add(draft(&request.to_string())))
+        .collect();
     let mut holder = HeldReceipts::new(PEER, 2);
     assert!(holder.try_hold(HOME, 1, 0, receipts[..2].to_vec()));
     assert!(!holder.try_hold(HOME, 2, 0, receipts[2..].to_vec()));
--- a/crates/receipt/tests/saving.rs
+++ b/crates/receipt/tests/saving.rs
@@ -1,34 +1,15 @@
 //! Tests of saving receipts, by their home and by the peers that hold them.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use kernel::{Incarnation, Priority};
-use receipt::{HeldReceipts, Outcome, Receipt, ReceiptDraft, ReceiptOutbox, RequestUsage, Segment};
+use common::{HOME, PEER, draft};
 
-const HOME: Incarnation = Incarnation::from_u64(1);
-const PEER: Incarnation = Incarnation::from_u64(2);
+use receipt::{HeldReceipts, Receipt, ReceiptOutbox, Segment};
 
 fn receipt(outbox: &mut ReceiptOutbox, request: &str) -> Receipt {
-    let usage = RequestUsage {
-        version: "v".into(),
-        class: "default".into(),
-        priority: Priority::Normal,
-        outcome: Outcome::Answered,
-        prompt_tokens: 1,
-        completion_tokens: 1,
-        cost_micros: 10,
-        first_token_ms: 1,
-        total_ms: 2,
-        unproven: false,
-        in_objective: true,
-        arm: None,
-    };
-    outbox.add(ReceiptDraft {
-        workspace: "w".into(),
-        request: request.into(),
-        ended_ms: 1_000,
-        usage,
-    })
+    outbox.add(draft(request))
 }
 
 #[test]
