serve, control, limits: State twice-written bounds once

Cause: that 16 instances report to all stood in control as 15 peers and in serve as 16 instances, and the number of homes in limits twice; the shortlist shuffled what it then sorted. Ruled out: a setting. Change: serve::MAX_DIRECT_INSTANCES for both, the homes follow from CACHED_CHANCES, one shuffle less. Tests of the four crates pass.

--- a/crates/control/src/load_plan.rs
+++ b/crates/control/src/load_plan.rs
@@ -10,9 +10,7 @@
 
 use kernel::Incarnation;
 use member::{Member, Status, highest_ranked};
-
-/// The largest number of peers with which an instance exchanges its own loads.
-const MAX_PEERS: usize = 15;
+use serve::MAX_DIRECT_INSTANCES;
 
 /// The interval between the reports to one peer, per peer: bounds the reports of an instance to 80 a
 /// second.
@@ -58,13 +56,13 @@
 }
 
 impl LoadPlan {
-    /// Plans the reports of `local` among the live members.
+    /// Plans the reports of `local` among the live members, itself included.
     pub(crate) fn new(local: &Member, members: &[&Member]) -> LoadPlan {
-        let mut peers = members.to_vec();
-        peers.retain(|member| member.incarnation != local.incarnation);
-        if peers.len() > MAX_PEERS {
+        if members.len() > MAX_DIRECT_INSTANCES {
             return LoadPlan::over_collectors(local, members);
         }
+        let mut peers = members.to_vec();
+        peers.retain(|member| member.incarnation != local.incarnation);
         LoadPlan {
             interval: (INTERVAL_PER_PEER * peers.len() as u32).max(MIN_INTERVAL),
             recipients: peers.iter().map(|peer| to(peer, Scope::Own)).collect(),
--- a/crates/limits/src/placement.rs
+++ b/crates/limits/src/placement.rs
@@ -6,7 +6,7 @@
 use crate::outlier::Health;
 
 /// Chance that the first, second and further endpoints by affinity cache a shared prefix.
-const CACHED_CHANCES: [f64; 2] = [1.0, 0.5];
+pub(crate) const CACHED_CHANCES: [f64; 2] = [1.0, 0.5];
 
 /// Weight of the prefill of a shared prefix that is not cached. It takes the time of other requests
 /// too, and evicts other prefixes.
--- a/crates/limits/src/shortlist.rs
+++ b/crates/limits/src/shortlist.rs
@@ -4,16 +4,13 @@
 //! candidates in view, all instances would choose the one that was least loaded a while ago.
 
 use crate::outlier::Health;
-use crate::placement::Candidate;
-
-/// Candidates by affinity that are always in the list.
-const HOMES: usize = 2;
+use crate::placement::{CACHED_CHANCES, Candidate};
 
 /// Random candidates in the list, by whether they are in the same availability zone.
 const SAME_ZONE_CHOICES: usize = 4;
 const OTHER_ZONE_CHOICES: usize = 1;
 
-/// Returns the indexes of the candidates with the highest affinity and of some random ones.
+/// Returns the indexes of the candidates that may cache the shared prefix and of some random ones.
 ///
 /// Returns all indexes if no healthy candidate has capacity.
 pub fn shortlist(candidates: &[Candidate], random: &mut fastrand::Rng) -> Vec<usize> {
@@ -25,13 +22,11 @@
     if open.is_empty() {
         return (0..candidates.len()).collect();
     }
-    random.shuffle(&mut open);
-    // The sort is stable, so candidates without affinity stay in random order.
     open.sort_by_key(|index| std::cmp::Reverse(candidates[*index].affinity));
     let mut chosen = Vec::new();
     let mut rest = Vec::new();
     for index in open {
-        if chosen.len() < HOMES && candidates[index].affinity.is_some() {
+        if chosen.len() < CACHED_CHANCES.len() && candidates[index].affinity.is_some() {
             chosen.push(index);
         } else {
             rest.push(index);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -43,6 +43,6 @@
 pub use pipeline::Pipeline;
 pub use request::{PromptPart, RequestInfo, TokenUsage};
 pub use settings::Settings;
-pub use shared_load::{EndpointLoad, LoadEntry, SharedLoads};
+pub use shared_load::{EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, SharedLoads};
 pub use version_counters::VersionCounters;
 pub use view::{Pool, RolloutStage, RolloutView, View};
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -9,15 +9,12 @@
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointKey, EndpointState, EndpointStates};
+use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
 
 /// Share of an endpoint's connections that all instances together use.
 const CONNECTION_SHARE: f64 = 0.9;
 
-/// Largest number of instances with which each chooses among all endpoints. The loads that more
-/// instances know are too old for that.
-const MAX_FULL_CHOICE_INSTANCES: usize = 16;
-
 /// The endpoint chosen for one send.
 pub(crate) struct Placement {
     pub(crate) endpoint: Arc<Endpoint>,
@@ -63,7 +60,8 @@
         available.push((endpoint, state));
     }
     let mut random = fastrand::Rng::new();
-    if view.instance_count > MAX_FULL_CHOICE_INSTANCES {
+    // The loads that the instances of a large fleet know are too old to choose among all endpoints.
+    if view.instance_count > MAX_DIRECT_INSTANCES {
         let listed = shortlist(&candidates, &mut random);
         candidates = listed.iter().map(|index| candidates[*index]).collect();
         available = listed
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -4,6 +4,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Largest number of instances that report their loads to all others. Those that the instances of a
+/// larger fleet know are older.
+pub const MAX_DIRECT_INSTANCES: usize = 16;
+
 /// Loads are stored in tenths of the load of an average request.
 const UNITS_PER_LOAD: f64 = 10.0;
 
