control: Log and count each fetch of objects from a peer

Each fetch now leaves one line with peer, revision, bytes and time, and three counters are served as metrics. What is fetched, when and how long is unchanged.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -8,11 +8,10 @@
 use async_io::Timer;
 use kernel::Incarnation;
 use member::{Member, Status};
-use wire::{Ack, Body, Envelope, Fetch, Link, LinkError, Ping};
+use wire::{Ack, Body, Envelope, Link, LinkError, Ping};
 
-use crate::convert::{
-    digest_to_wire, member_from_wire, member_to_wire, missing_since, object_from_wire,
-};
+use crate::convert::{digest_to_wire, member_from_wire, member_to_wire, missing_since};
+use crate::fetch::{PeerLink, fetch};
 use crate::reports;
 use crate::state::Control;
 
@@ -138,12 +137,12 @@
     wants_table: bool,
 ) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout).await?;
+    let mut peer = PeerLink::new(Link::connect(addr, timeout).await?);
     let ping = Envelope::new(
         control.incarnation.as_u64(),
         Body::Ping(build_update(control, wants_table)),
     );
-    let response = link.call(&ping, timeout).await?;
+    let response = peer.link.call(&ping, timeout).await?;
     let from = Incarnation::from_u64(response.from);
     let Some(Body::Ack(Ack {
         update: Some(update),
@@ -153,7 +152,8 @@
     };
     apply_update(control, from, &update);
     if let Some(since) = fetch_after_revision(control, &update) {
-        fetch(control, &mut link, since, timeout).await?;
+        let name = sender_name(&update);
+        fetch(control, &mut peer, name, since, timeout).await?;
     }
     Ok(from)
 }
@@ -186,8 +186,13 @@
         return Ok(());
     };
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout).await?;
-    fetch(control, &mut link, since, timeout).await
+    let mut peer = PeerLink::new(Link::connect(addr, timeout).await?);
+    fetch(control, &mut peer, sender_name(ping), since, timeout).await
+}
+
+/// Returns the name of the instance that sent an update, which lists itself first.
+fn sender_name(update: &Ping) -> &str {
+    update.members.first().map_or("", |member| &member.name)
 }
 
 /// Returns the revision after which this instance must fetch objects from a peer, or `None` if the
@@ -199,31 +204,6 @@
     since.filter(|_| is_lagging || control.should_fetch_from_peers())
 }
 
-async fn fetch(
-    control: &Control,
-    link: &mut Link,
-    since: u64,
-    timeout: Duration,
-) -> Result<(), LinkError> {
-    let request = Envelope::new(control.incarnation.as_u64(), Body::Fetch(Fetch { since }));
-    let response = link.call(&request, timeout).await?;
-    let Some(Body::Objects(objects)) = response.body else {
-        return Ok(());
-    };
-    let mut decoded = Vec::new();
-    for entry in &objects.objects {
-        match object_from_wire(entry) {
-            Some(object) => decoded.push(object),
-            None => tracing::warn!(path = entry.path, "member: object from a peer is not JSON"),
-        }
-    }
-    let count = decoded.len();
-    if control.apply_objects(decoded) {
-        tracing::info!(since, count, "config: taken from a peer");
-    }
-    Ok(())
-}
-
 /// Builds the update that a probe or its response carries.
 fn build_update(control: &Control, wants_table: bool) -> Ping {
     let members = control.members.borrow_mut().take_updates(MEMBERS_PER_PROBE);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod codec;
 mod convert;
 mod coordinator;
+mod fetch;
 mod gossip;
 mod load_plan;
 mod loads;
@@ -35,6 +36,7 @@
     digest_to_wire, evidence_from_wire, evidence_to_wire, member_from_wire, member_to_wire,
     missing_since, object_from_wire, object_to_wire, same_objects,
 };
+pub use fetch::FetchCounters;
 pub use registry::EndpointRegistry;
 pub use settings::Settings;
 pub use thread::{Dependencies, Handle, start};
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,6 +12,7 @@
 use store::ObjectApi;
 
 use crate::codec::{Feed, StoreCodec};
+use crate::fetch::FetchCounters;
 use crate::peer_loads::PeerLoads;
 use crate::registry::EndpointRegistry;
 use crate::settings::Settings;
@@ -53,6 +54,7 @@
     pub(crate) version_counters: Arc<VersionCounters>,
     pub(crate) shared_loads: Arc<SharedLoads>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    pub(crate) fetch_counters: Arc<FetchCounters>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
     pub(crate) replica: RefCell<Replica>,
@@ -82,6 +84,7 @@
     pub(crate) codec: Arc<dyn StoreCodec>,
     pub(crate) version_counters: Arc<VersionCounters>,
     pub(crate) shared_loads: Arc<SharedLoads>,
+    pub(crate) fetch_counters: Arc<FetchCounters>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
 }
@@ -114,6 +117,7 @@
             version_counters: components.version_counters,
             shared_loads: components.shared_loads,
             peer_loads: RefCell::default(),
+            fetch_counters: components.fetch_counters,
             view: components.view,
             published_members: components.published_members,
         }
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -18,6 +18,7 @@
 
 use crate::codec::{Feed, StoreCodec};
 use crate::coordinator;
+use crate::fetch::FetchCounters;
 use crate::gossip;
 use crate::loads;
 use crate::peers;
@@ -49,6 +50,7 @@
 pub struct Handle {
     stop: Sender<()>,
     members: Arc<ArcSwap<Vec<Member>>>,
+    fetch_counters: Arc<FetchCounters>,
     thread: JoinHandle<()>,
 }
 
@@ -58,6 +60,11 @@
         self.members.clone()
     }
 
+    /// Returns the counts of fetches from peers.
+    pub fn fetch_counters(&self) -> Arc<FetchCounters> {
+        self.fetch_counters.clone()
+    }
+
     /// Makes the instance leave: it notifies peers and removes its entry from the store.
     pub fn leave(&self) {
         // The channel has room for this message and for the second one, which ends the thread.
@@ -93,7 +100,11 @@
         }
     };
     let members: Arc<ArcSwap<Vec<Member>>> = Arc::default();
-    let published_members = members.clone();
+    let published = Published {
+        members: members.clone(),
+        fetch_counters: Arc::default(),
+    };
+    let fetch_counters = published.fetch_counters.clone();
     let (stop, stopped) = bounded(2);
     let sockets = Sockets {
         listener,
@@ -101,14 +112,21 @@
     };
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || run(settings, dependencies, published_members, sockets, stopped))?;
+        .spawn(move || run(settings, dependencies, published, sockets, stopped))?;
     Ok(Handle {
         stop,
         members,
+        fetch_counters,
         thread,
     })
 }
 
+/// What the thread publishes besides the view.
+struct Published {
+    members: Arc<ArcSwap<Vec<Member>>>,
+    fetch_counters: Arc<FetchCounters>,
+}
+
 /// The sockets on the address for other instances.
 struct Sockets {
     listener: Async<TcpListener>,
@@ -118,7 +136,7 @@
 fn run(
     settings: Settings,
     dependencies: Dependencies,
-    published_members: Arc<ArcSwap<Vec<Member>>>,
+    published: Published,
     sockets: Sockets,
     stopped: Receiver<()>,
 ) {
@@ -134,7 +152,8 @@
         version_counters: dependencies.version_counters,
         shared_loads: dependencies.shared_loads,
         view: dependencies.view,
-        published_members,
+        fetch_counters: published.fetch_counters,
+        published_members: published.members,
     }));
     control.publish_members();
     let executor = Rc::new(LocalExecutor::new());
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use control::FetchCounters;
 use kernel::Verdict;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -33,6 +34,11 @@
     route: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FetchLabel {
+    outcome: &'static str,
+}
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -41,6 +47,8 @@
     retries: Gauge<u64, AtomicU64>,
     escalated: Gauge<u64, AtomicU64>,
     dropped_log_lines: Gauge<u64, AtomicU64>,
+    fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
+    fetched_bytes: Gauge<u64, AtomicU64>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -56,6 +64,8 @@
         let retries = Gauge::default();
         let escalated = Gauge::default();
         let dropped_log_lines = Gauge::default();
+        let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
+        let fetched_bytes = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -77,6 +87,16 @@
             "Log lines dropped because the buffer was full",
             dropped_log_lines.clone(),
         );
+        registry.register(
+            "peer_fetches",
+            "Fetches of objects from other instances, by outcome",
+            fetches.clone(),
+        );
+        registry.register(
+            "peer_fetch_bytes",
+            "Bytes that fetches from other instances moved",
+            fetched_bytes.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -84,6 +104,8 @@
             retries,
             escalated,
             dropped_log_lines,
+            fetches,
+            fetched_bytes,
         }
     }
 }
@@ -97,6 +119,20 @@
         self.dropped_log_lines.set(dropped_log_lines);
     }
 
+    /// Copies the counts of fetches from other instances into the gauges.
+    pub fn sync_fetches(&self, counters: &FetchCounters) {
+        for (outcome, count) in [
+            ("completed", &counters.completed),
+            ("failed", &counters.failed),
+        ] {
+            self.fetches
+                .get_or_create(&FetchLabel { outcome })
+                .set(count.load(Ordering::Relaxed));
+        }
+        self.fetched_bytes
+            .set(counters.bytes.load(Ordering::Relaxed));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -134,6 +170,8 @@
     pub metrics: Rc<Metrics>,
     /// The pipeline's counters, copied into the metrics on each request.
     pub counters: Arc<Counters>,
+    /// The counts of fetches from other instances, copied likewise.
+    pub fetch_counters: Arc<FetchCounters>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -142,6 +180,7 @@
     fn handle(&self, _call: Request) -> LocalFuture<'_, Response> {
         self.metrics
             .sync_counters(&self.counters, (self.dropped_log_lines)());
+        self.metrics.sync_fetches(&self.fetch_counters);
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
