control: Reproduce a large configuration that is late over slow links

Thirteen instances, one of them a watcher, each behind a link that sends 10 Mbit/s, as small machines of the large deployments have.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod slow_link;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -338,7 +340,18 @@
         connection: StoreConnection,
         adjust: impl Fn(Settings) -> Settings,
     ) -> Instance {
-        let peer_addr = free_addr();
+        let listen = free_addr();
+        Instance::start_behind(name, connection, listen, listen, adjust)
+    }
+
+    /// Starts an instance that listens on `listen` and that peers reach at `peer_addr`.
+    pub fn start_behind(
+        name: &str,
+        connection: StoreConnection,
+        listen: SocketAddr,
+        peer_addr: SocketAddr,
+        adjust: impl Fn(Settings) -> Settings,
+    ) -> Instance {
         let view: Arc<ArcSwap<View>> = Arc::default();
         let settings = Settings::new(name, "z")
             .addresses(&format!("{name}:80"), &peer_addr.to_string())
@@ -353,7 +366,7 @@
             shared_loads: shared_loads.clone(),
             view: view.clone(),
         };
-        let handle = control::start(settings, peer_addr, dependencies).unwrap();
+        let handle = control::start(settings, listen, dependencies).unwrap();
         Instance {
             shared_loads,
             connection,
