control, wire, catalog: Fetch each kind of object once, compressed and as long as it arrives

Cause: a transfer between instances had 400 ms for the whole response, whatever its size, and any number of them ran at once. A configuration of 0.4 MB over a link of 10 Mbit/s takes 0.3 s alone and a second when three peers ask for it. Each attempt was given up, nothing was kept, and every probe began another one, so that the links stayed full, probes timed out and watchers counted as suspect. Class of fault: a time limit on a transfer instead of on its progress, with a retry that adds load.

Ruled out: processor time (the busiest instance used 7% of a core), the store (in memory in the tests).

Change: probes carry a digest for each kind of object; a kind is fetched by itself, from one peer at a time, on a connection of its own, so that gossip goes on meanwhile; a fetch fails when bytes stop coming, not when they are many; a value of 4 KB or more is compressed once for all peers. Instances of the build before still understand probes and fetches, and are understood. Elsewhere: the own interface's fetch (entry) has the same limit and now waits for progress too.

--- a/crates/catalog/src/object.rs
+++ b/crates/catalog/src/object.rs
@@ -17,6 +17,14 @@
     pub value: Option<Value>,
 }
 
+impl Object {
+    /// Returns the kind, which is the part of the path before the first slash.
+    pub fn kind(&self) -> &str {
+        let end = self.path.find('/').unwrap_or(self.path.len());
+        &self.path[..end]
+    }
+}
+
 /// A digest of a set of objects. Equal sets have equal digests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Digest {
@@ -29,6 +37,15 @@
 }
 
 impl Digest {
+    /// Returns the digest of two sets without common objects.
+    pub(crate) fn union(self, other: Digest) -> Digest {
+        Digest {
+            count: self.count + other.count,
+            max_revision: self.max_revision.max(other.max_revision),
+            hash: self.hash ^ other.hash,
+        }
+    }
+
     /// Adds an object to the hash, or removes it if it is part of it already.
     pub(crate) fn toggle(&mut self, path: &str, revision: u64) {
         self.hash ^= xxh3_64_with_seed(path.as_bytes(), revision);
--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -30,23 +30,24 @@
 pub struct Replica {
     objects: BTreeMap<Arc<str>, Object>,
     withdrawn: BTreeSet<Arc<str>>,
-    digest: Digest,
+    digests: BTreeMap<Arc<str>, Digest>,
 }
 
 impl Replica {
     /// Stores an object if its revision is newer than the stored one, and returns whether it was.
     pub fn apply(&mut self, object: Object) -> bool {
-        if let Some(stored) = self.objects.get(&object.path) {
-            if stored.revision >= object.revision {
-                return false;
-            }
-            let stored_revision = stored.revision;
-            self.digest.toggle(&object.path, stored_revision);
-        } else {
-            self.digest.count += 1;
+        let stored = self.objects.get(&object.path);
+        let stored_revision = stored.map(|stored| stored.revision);
+        if stored_revision >= Some(object.revision) {
+            return false;
         }
-        self.digest.toggle(&object.path, object.revision);
-        self.digest.max_revision = self.digest.max_revision.max(object.revision);
+        let digest = self.digests.entry(object.kind().into()).or_default();
+        match stored_revision {
+            Some(revision) => digest.toggle(&object.path, revision),
+            None => digest.count += 1,
+        }
+        digest.toggle(&object.path, object.revision);
+        digest.max_revision = digest.max_revision.max(object.revision);
         self.record_withdrawn(&object);
         self.objects.insert(object.path.clone(), object);
         true
@@ -82,18 +83,42 @@
         changed
     }
 
-    /// Returns the digest that instances compare with their peers.
+    /// Returns the digest over all objects, which instances compare with their peers.
     pub fn digest(&self) -> Digest {
-        self.digest
+        self.digests
+            .values()
+            .copied()
+            .fold(Digest::default(), Digest::union)
+    }
+
+    /// Returns the kinds of objects with the digest of each.
+    ///
+    /// Objects of one kind arrive in the order of their revisions, those of different kinds do not:
+    /// a small object overtakes a large one.
+    pub fn digests_by_kind(&self) -> impl Iterator<Item = (&Arc<str>, Digest)> {
+        self.digests.iter().map(|(kind, digest)| (kind, *digest))
+    }
+
+    /// Returns the digest over the objects of a kind, or over all if `kind` is empty.
+    pub fn digest_of(&self, kind: &str) -> Digest {
+        if kind.is_empty() {
+            return self.digest();
+        }
+        self.digests.get(kind).copied().unwrap_or_default()
     }
 
     /// Returns up to `limit` objects newer than a revision, oldest first, including deleted ones.
     pub fn since(&self, revision: u64, limit: usize) -> Vec<Object> {
-        let mut newer: Vec<&Object> = self
-            .objects
-            .values()
-            .filter(|object| object.revision > revision)
-            .collect();
+        self.since_of("", revision, limit)
+    }
+
+    /// Returns up to `limit` objects of a kind, or of all if `kind` is empty, that are newer than a
+    /// revision, oldest first, including deleted ones.
+    pub fn since_of(&self, kind: &str, revision: u64, limit: usize) -> Vec<Object> {
+        let is_newer = |object: &&Object| {
+            object.revision > revision && (kind.is_empty() || object.kind() == kind)
+        };
+        let mut newer: Vec<&Object> = self.objects.values().filter(is_newer).collect();
         newer.sort_by_key(|object| object.revision);
         newer.into_iter().take(limit).cloned().collect()
     }
--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -47,6 +47,7 @@
         max_revision: digest.max_revision,
         hash: digest.hash,
         complete_revision,
+        kind: String::new(),
     }
 }
 
@@ -80,14 +81,19 @@
         path: object.path.to_string(),
         revision: object.revision,
         value,
+        compressed_value: None,
     }
 }
 
 /// Converts a wire message to an object, or returns `None` when the value is not JSON.
 pub fn object_from_wire(entry: &ObjectEntry) -> Option<Object> {
-    let value = match &entry.value {
-        Some(bytes) => Some(serde_json::from_slice(bytes).ok()?),
-        None => None,
+    let value = match (&entry.value, &entry.compressed_value) {
+        (Some(bytes), _) => Some(serde_json::from_slice(bytes).ok()?),
+        (None, Some(bytes)) => {
+            let bytes = wire::decompress(bytes).ok()?;
+            Some(serde_json::from_slice(&bytes).ok()?)
+        }
+        (None, None) => None,
     };
     Some(Object {
         path: entry.path.as_str().into(),
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -2,16 +2,18 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use catalog::Digest;
 use kernel::Incarnation;
 use member::{Member, Status};
-use wire::{Ack, Body, Envelope, Link, LinkError, Ping};
+use wire::{Ack, Body, ConfigDigest, Envelope, Link, LinkError, Ping};
 
-use crate::convert::{digest_to_wire, member_from_wire, member_to_wire, missing_since};
-use crate::fetch::{PeerLink, fetch};
+use crate::convert::{digest_to_wire, member_from_wire, member_to_wire};
+use crate::fetch;
 use crate::reports;
 use crate::state::Control;
 
@@ -137,12 +139,12 @@
     wants_table: bool,
 ) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut peer = PeerLink::new(Link::connect(addr, timeout).await?);
+    let mut link = Link::connect(addr, timeout).await?;
     let ping = Envelope::new(
         control.incarnation.as_u64(),
         Body::Ping(build_update(control, wants_table)),
     );
-    let response = peer.link.call(&ping, timeout).await?;
+    let response = link.call(&ping, timeout).await?;
     let from = Incarnation::from_u64(response.from);
     let Some(Body::Ack(Ack {
         update: Some(update),
@@ -151,10 +153,6 @@
         return Ok(from);
     };
     apply_update(control, from, &update);
-    if let Some(since) = fetch_after_revision(control, &update) {
-        let name = sender_name(&update);
-        fetch(control, &mut peer, name, since, timeout).await?;
-    }
     Ok(from)
 }
 
@@ -177,40 +175,15 @@
     }
 }
 
-/// Fetches the objects that the sender of a probe holds and this instance lacks.
-pub(crate) async fn fetch_missing(control: &Control, ping: &Ping) -> Result<(), LinkError> {
-    let Some(since) = fetch_after_revision(control, ping) else {
-        return Ok(());
-    };
-    let Some(Ok(addr)) = ping.members.first().map(|member| member.peer_addr.parse()) else {
-        return Ok(());
-    };
-    let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut peer = PeerLink::new(Link::connect(addr, timeout).await?);
-    fetch(control, &mut peer, sender_name(ping), since, timeout).await
-}
-
-/// Returns the name of the instance that sent an update, which lists itself first.
-fn sender_name(update: &Ping) -> &str {
-    update.members.first().map_or("", |member| &member.name)
-}
-
-/// Returns the revision after which this instance must fetch objects from a peer, or `None` if the
-/// store's own watches are expected to deliver them in time.
-fn fetch_after_revision(control: &Control, update: &Ping) -> Option<u64> {
-    let mine = control.replica.borrow().digest();
-    let since = missing_since(update.config.as_ref()?, mine);
-    let is_lagging = control.record_lag(since.is_some(), mine.max_revision);
-    since.filter(|_| is_lagging || control.should_fetch_from_peers())
-}
-
 /// Builds the update that a probe or its response carries.
 fn build_update(control: &Control, wants_table: bool) -> Ping {
     let members = control.members.borrow_mut().take_updates(MEMBERS_PER_PROBE);
+    let replica = control.replica.borrow();
     Ping {
         members: members.iter().map(member_to_wire).collect(),
         table_digest: control.members.borrow().digest(),
-        config: Some(digest_to_wire(control.replica.borrow().digest(), 0)),
+        config: Some(digest_to_wire(replica.digest(), 0)),
+        kinds: replica.digests_by_kind().map(kind_to_wire).collect(),
         demands: Vec::new(),
         leaving: Vec::new(),
         wants_table,
@@ -218,6 +191,14 @@
     }
 }
 
+fn kind_to_wire((kind, digest): (&Arc<str>, Digest)) -> ConfigDigest {
+    ConfigDigest {
+        kind: kind.to_string(),
+        ..digest_to_wire(digest, 0)
+    }
+}
+
+/// Applies what a peer's probe or response says, and requests the objects that this instance lacks.
 fn apply_update(control: &Control, from: Incarnation, update: &Ping) {
     let now_ms = control.now_ms();
     for info in &update.members {
@@ -230,4 +211,5 @@
         .trackers
         .borrow_mut()
         .record_reports(from, &update.versions);
+    fetch::consider(control, update);
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod codec;
 mod convert;
 mod coordinator;
+mod encoded;
 mod fetch;
 mod gossip;
 mod load_plan;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -64,11 +64,6 @@
         if link.send(&envelope).await.is_err() {
             return;
         }
-        if let Body::Ping(ping) = &body
-            && let Err(err) = gossip::fetch_missing(&control, ping).await
-        {
-            tracing::debug!(error = %err, "member: cannot fetch missing objects");
-        }
     }
 }
 
@@ -80,10 +75,17 @@
             Some(Body::Ack(ack))
         }
         Body::Fetch(fetch) => {
-            let objects = control.replica.borrow().since(fetch.since, MAX_OBJECTS);
-            Some(Body::Objects(Objects {
-                objects: objects.iter().map(object_to_wire).collect(),
-            }))
+            let replica = control.replica.borrow();
+            let objects = replica.since_of(&fetch.kind, fetch.since, MAX_OBJECTS);
+            let mut encoded = control.encoded.borrow_mut();
+            let mut entries = Vec::with_capacity(objects.len());
+            for object in &objects {
+                entries.push(match fetch.accepts_compressed {
+                    true => encoded.encode(object),
+                    false => object_to_wire(object),
+                });
+            }
+            Some(Body::Objects(Objects { objects: entries }))
         }
         _ => None,
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,14 +5,18 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use async_channel::Sender;
 use catalog::{Object, Replica};
 use kernel::{Clock, Incarnation};
 use member::{Member, MemberTable as Members, MemberTableSettings, Status};
 use serve::{Pool, SharedLoads, VersionCounters, View};
 use store::ObjectApi;
+use wire::ConfigDigest;
 
 use crate::codec::{Feed, StoreCodec};
-use crate::fetch::FetchCounters;
+use crate::convert::missing_since;
+use crate::encoded::EncodedObjects;
+use crate::fetch::{FetchCounters, Offer};
 use crate::peer_loads::PeerLoads;
 use crate::registry::EndpointRegistry;
 use crate::settings::Settings;
@@ -70,8 +74,13 @@
     pub(crate) peers_tried: Cell<bool>,
     /// Whether a change has not been pushed to peers yet.
     pub(crate) has_unsent_changes: Cell<bool>,
-    /// Set from the time when a peer was first seen ahead of this replica.
-    lag: Cell<Option<ReplicaLag>>,
+    /// By kind of object, set from the time when a peer was first seen ahead of this replica.
+    lags: RefCell<BTreeMap<String, ReplicaLag>>,
+    /// Objects that peers offer.
+    pub(crate) offers: Sender<Offer>,
+    /// By kind of object that is being fetched, the latest offer since the fetch began.
+    pub(crate) next_offers: RefCell<BTreeMap<String, Option<Offer>>>,
+    pub(crate) encoded: RefCell<EncodedObjects>,
     generation: Cell<u64>,
 }
 
@@ -85,6 +94,7 @@
     pub(crate) version_counters: Arc<VersionCounters>,
     pub(crate) shared_loads: Arc<SharedLoads>,
     pub(crate) fetch_counters: Arc<FetchCounters>,
+    pub(crate) offers: Sender<Offer>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
 }
@@ -108,7 +118,10 @@
             stopping: Cell::new(false),
             peers_tried: Cell::new(false),
             has_unsent_changes: Cell::new(false),
-            lag: Cell::new(None),
+            lags: RefCell::default(),
+            offers: components.offers,
+            next_offers: RefCell::default(),
+            encoded: RefCell::default(),
             generation: Cell::new(0),
             settings: components.settings,
             clock: components.clock,
@@ -291,24 +304,33 @@
                 .any(|status| *status != FeedStatus::Available)
     }
 
-    /// Records whether a peer is ahead, and returns whether this replica has lagged for so long
-    /// that the store's watches must have stopped delivering.
-    pub(crate) fn record_lag(&self, peer_is_ahead: bool, revision: u64) -> bool {
-        if !peer_is_ahead {
+    /// Returns whether the objects of one kind must be fetched from a peer with this digest because
+    /// the store does not deliver them.
+    pub(crate) fn should_fetch(&self, theirs: &ConfigDigest) -> bool {
+        let mine = self.replica.borrow().digest_of(&theirs.kind);
+        if missing_since(theirs, mine).is_none() {
             return false;
         }
+        let is_lagging = self.record_lag(&theirs.kind, mine.max_revision);
+        is_lagging || self.should_fetch_from_peers()
+    }
+
+    /// Records that a peer is ahead, and returns whether this replica has lagged for so long that
+    /// the store's watches must have stopped delivering.
+    fn record_lag(&self, kind: &str, revision: u64) -> bool {
         let now_ms = self.now_ms();
-        let current = self.lag.get().filter(|lag| lag.revision == revision);
-        let lag = current.unwrap_or(ReplicaLag {
+        let mut lags = self.lags.borrow_mut();
+        let current = lags.get(kind).filter(|lag| lag.revision == revision);
+        let lag = current.copied().unwrap_or(ReplicaLag {
             revision,
             since_ms: now_ms,
         });
-        self.lag.set(Some(lag));
+        lags.insert(kind.to_owned(), lag);
         now_ms >= lag.since_ms + MAX_LAG_MS
     }
 
     /// Returns whether changes must be fetched from peers because the store does not deliver them.
-    pub(crate) fn should_fetch_from_peers(&self) -> bool {
+    fn should_fetch_from_peers(&self) -> bool {
         let now_ms = self.now_ms();
         let feed_statuses = self.feed_statuses.borrow();
         let is_lost = feed_statuses.values().any(|status| match status {
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use async_channel::{Receiver, Sender, bounded};
+use async_channel::{Receiver, Sender, bounded, unbounded};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::block_on;
@@ -18,7 +18,7 @@
 
 use crate::codec::{Feed, StoreCodec};
 use crate::coordinator;
-use crate::fetch::FetchCounters;
+use crate::fetch::{self, FetchCounters};
 use crate::gossip;
 use crate::loads;
 use crate::peers;
@@ -143,7 +143,9 @@
     let own_member = Member::new(Incarnation::random(), &settings.name, &settings.zone)
         .with_addresses(&settings.http_addr, &settings.peer_addr)
         .with_started_ms(dependencies.clock.wall_ms());
+    let (offers, received_offers) = unbounded();
     let control = Rc::new(Control::new(Components {
+        offers,
         settings,
         own_member,
         clock: dependencies.clock,
@@ -181,6 +183,13 @@
     executor
         .spawn(gossip::push_changes(control.clone(), executor.clone()))
         .detach();
+    executor
+        .spawn(fetch::run(
+            control.clone(),
+            received_offers,
+            executor.clone(),
+        ))
+        .detach();
     executor.spawn(registration::run(control.clone())).detach();
     executor.spawn(coordinator::run(control.clone())).detach();
     executor.spawn(expire_endpoints(control.clone())).detach();
--- a/crates/entry/benches/scale/parts.rs
+++ b/crates/entry/benches/scale/parts.rs
@@ -149,11 +149,13 @@
             max_revision: 9_000,
             hash: 7,
             complete_revision: 9_000,
+            ..ConfigDigest::default()
         }),
         demands: vec![demand; 16],
         leaving: Vec::new(),
         wants_table: false,
         versions: Vec::new(),
+        ..Ping::default()
     })
 }
 
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -218,11 +218,11 @@
 ///
 /// The highest revision held is not enough: a peer may have a later object and lack an earlier one.
 fn adopt_complete_revision(control: &ControlState, update: &Ping) {
-    let Some(theirs) = update.config else {
+    let Some(theirs) = &update.config else {
         return;
     };
     let mine = control.replica.borrow().digest();
-    if same_objects(&theirs, mine) {
+    if same_objects(theirs, mine) {
         control.set_complete_revision(theirs.complete_revision);
     }
 }
@@ -240,9 +240,12 @@
 ) -> Result<(), LinkError> {
     let request = Envelope::new(
         control.shared.incarnation.as_u64(),
-        Body::Fetch(Fetch { since }),
+        Body::Fetch(Fetch {
+            since,
+            ..Fetch::default()
+        }),
     );
-    let reply = link.call(&request, timeout).await?;
+    let reply = link.transfer(&request, timeout).await?;
     let Some(Body::Objects(objects)) = reply.body else {
         return Ok(());
     };
@@ -287,6 +290,7 @@
         leaving,
         wants_table,
         versions: Vec::new(),
+        kinds: Vec::new(),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,14 +8,16 @@
 //! ```
 //! use wire::{Body, Envelope, Fetch};
 //!
-//! let envelope = Envelope::new(7, Body::Fetch(Fetch { since: 3 }));
+//! let envelope = Envelope::new(7, Body::Fetch(Fetch::default()));
 //! let bytes = envelope.encode_frame();
 //! assert_eq!(Envelope::decode_frame(&bytes).unwrap(), envelope);
 //! ```
 
+mod compression;
 mod link;
 mod message;
 
+pub use compression::{compress, decompress};
 pub use link::{Link, LinkError, MAX_FRAME_BYTES};
 pub use message::{
     AcceptReply, Ack, Body, ClassOutcomes, ConfigDigest, Demand, EndpointInfo, Envelope,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
@@ -20,6 +20,10 @@
 /// Maximum number of bytes read from the socket at once.
 const READ_CHUNK_BYTES: usize = 8 << 10;
 
+/// The slowest rate of a transfer that is not given up, in bytes per second: a small part of the
+/// slowest link, which several transfers may share.
+const MIN_TRANSFER_BYTES_PER_S: f64 = 50_000.0;
+
 /// An error on a [`Link`].
 #[derive(Debug)]
 pub enum LinkError {
@@ -111,17 +115,31 @@
     /// an envelope.
     pub async fn receive(&mut self) -> Result<Envelope, LinkError> {
         loop {
-            if let Some(frame) = self.codec.decode(&mut self.read_buffer)? {
-                return Envelope::decode_frame(&frame).map_err(LinkError::Decode);
-            }
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            let count = self.stream.read(&mut chunk).await?;
-            if count == 0 {
-                return Err(LinkError::Closed);
+            if let Some(envelope) = self.decode_buffered()? {
+                return Ok(envelope);
             }
-            self.byte_counter.fetch_add(count as u64, Ordering::Relaxed);
-            self.read_buffer.extend_from_slice(&chunk[..count]);
+            self.fill().await?;
+        }
+    }
+
+    fn decode_buffered(&mut self) -> Result<Option<Envelope>, LinkError> {
+        let Some(frame) = self.codec.decode(&mut self.read_buffer)? else {
+            return Ok(None);
+        };
+        let envelope = Envelope::decode_frame(&frame).map_err(LinkError::Decode)?;
+        Ok(Some(envelope))
+    }
+
+    /// Reads some bytes and returns how many.
+    async fn fill(&mut self) -> Result<usize, LinkError> {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let count = self.stream.read(&mut chunk).await?;
+        if count == 0 {
+            return Err(LinkError::Closed);
         }
+        self.byte_counter.fetch_add(count as u64, Ordering::Relaxed);
+        self.read_buffer.extend_from_slice(&chunk[..count]);
+        Ok(count)
     }
 
     /// Sends an envelope and waits for the response.
@@ -139,14 +157,41 @@
             self.send(envelope).await?;
             self.receive().await
         };
-        let expire = async {
-            Timer::after(timeout).await;
-            Err(LinkError::Io(io::ErrorKind::TimedOut.into()))
-        };
-        exchange.or(expire).await
+        exchange.or(expire_at(Instant::now() + timeout)).await
+    }
+
+    /// Sends an envelope and waits for a response that may be large.
+    ///
+    /// `timeout` is the time for an empty response. Each byte received extends it, so that a large
+    /// response over a slow link ends and a peer that stops sending is given up.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Link::call`], and likewise the link must not be used again then.
+    pub async fn transfer(
+        &mut self,
+        envelope: &Envelope,
+        timeout: Duration,
+    ) -> Result<Envelope, LinkError> {
+        let began = Instant::now();
+        self.send(envelope).or(expire_at(began + timeout)).await?;
+        let mut received = 0;
+        loop {
+            if let Some(envelope) = self.decode_buffered()? {
+                return Ok(envelope);
+            }
+            let earned = Duration::from_secs_f64(received as f64 / MIN_TRANSFER_BYTES_PER_S);
+            let deadline = began + timeout + earned;
+            received += self.fill().or(expire_at(deadline)).await?;
+        }
     }
 }
 
+async fn expire_at<T>(deadline: Instant) -> Result<T, LinkError> {
+    Timer::at(deadline).await;
+    Err(LinkError::Io(io::ErrorKind::TimedOut.into()))
+}
+
 async fn with_timeout<T>(
     timeout: Duration,
     future: impl Future<Output = io::Result<T>>,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -75,7 +75,7 @@
 }
 
 /// Digest of a configuration replica, to detect differences.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ConfigDigest {
     /// Number of objects.
     #[prost(uint64, tag = "1")]
@@ -89,6 +89,9 @@
     /// Store revision up to which the replica is complete.
     #[prost(uint64, tag = "4")]
     pub complete_revision: u64,
+    /// Kind of the objects, or empty if the digest is over all kinds.
+    #[prost(string, tag = "5")]
+    pub kind: String,
 }
 
 /// The sender's estimate of the mean demand on a workspace's quota.
@@ -140,6 +143,9 @@
     /// The sender's outcome counts for the versions being rolled out.
     #[prost(message, repeated, tag = "7")]
     pub versions: Vec<VersionReport>,
+    /// Digests of the sender's configuration by kind of object.
+    #[prost(message, repeated, tag = "8")]
+    pub kinds: Vec<ConfigDigest>,
 }
 
 /// Outcome counts of one instance for a version being rolled out, summed since its start.
@@ -171,11 +177,17 @@
 }
 
 /// Requests the configuration objects that changed after a revision.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Fetch {
     /// Revision after which to send objects; 0 starts at the oldest object.
     #[prost(uint64, tag = "1")]
     pub since: u64,
+    /// Kind of the objects, or empty for all kinds.
+    #[prost(string, tag = "2")]
+    pub kind: String,
+    /// Whether the sender decodes compressed values.
+    #[prost(bool, tag = "3")]
+    pub accepts_compressed: bool,
 }
 
 /// One configuration object.
@@ -190,6 +202,9 @@
     /// Value as JSON, or `None` for a deleted object.
     #[prost(bytes = "vec", optional, tag = "3")]
     pub value: Option<Vec<u8>>,
+    /// Compressed value as JSON, in place of `value`.
+    #[prost(bytes = "vec", optional, tag = "4")]
+    pub compressed_value: Option<Vec<u8>>,
 }
 
 /// A list of configuration objects.
