platform, relay: Read a response of the store as long as it arrives

The configuration of a large deployment has up to 1 MB, 0.8 s of a link of 10 Mbit/s without other traffic, and a listing or the first watch after a failure that takes longer fails, and begins anew, for ever. Not seen in a log; found by reading.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 use crate::body::{BodyReader, BodyStatus};
 use crate::framing::Framing;
@@ -101,6 +101,26 @@
         self.body.read_to_end(&mut self.socket, max_bytes).await
     }
 
+    /// Reads the rest of the response body, however long it takes, as long as bytes keep coming.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Exchange::read_to_end`], and if no bytes arrive for `silence`.
+    pub async fn read_while_arriving(
+        &mut self,
+        max_bytes: u64,
+        silence: Duration,
+    ) -> io::Result<Bytes> {
+        let mut body = BytesMut::new();
+        while let Some(bytes) = timeout_at(Instant::now() + silence, self.next()).await? {
+            if (body.len() + bytes.len()) as u64 > max_bytes {
+                return Err(io::ErrorKind::FileTooLarge.into());
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body.freeze())
+    }
+
     /// Returns whether the response body was received completely.
     pub fn is_complete(&self) -> bool {
         self.body.status() == BodyStatus::Complete
