route: Insert each route at its place instead of sorting all again

Each route added to a host sorted all routes of that host: a table of 4,200 routes took 133 ms to build on one core (release build, one run), over a second of an instance with 0.12 of a core, on the thread that also answers probes. Inserted at its place it takes 2.7 ms. The order of routes is unchanged; a test with shuffled orders passes before and after.

--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -40,8 +40,9 @@
     /// Adds a route.
     pub fn with_route(mut self, route: Route) -> Table {
         let routes = self.hosts.entry(route.host.clone()).or_default();
-        routes.push(Arc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        // The routes of a host are kept sorted, the longest prefix first.
+        let position = routes.partition_point(|other| other.prefix.len() >= route.prefix.len());
+        routes.insert(position, Arc::new(route));
         self
     }
 
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -63,3 +63,22 @@
     assert_eq!(chosen(0.9), Some("b"));
     assert_eq!(chosen(0.999), Some("b"));
 }
+
+/// A large deployment adds thousands of routes to one host.
+#[test]
+fn the_longest_prefix_wins_in_whatever_order_routes_are_added() {
+    let prefixes = ["/", "/a/b/c/", "/a/", "/a/b/", "/a/x/", "/aa/"];
+    let mut random = fastrand::Rng::with_seed(7);
+    for _ in 0..50 {
+        let mut order = prefixes;
+        random.shuffle(&mut order);
+        let mut table = Table::new(1);
+        for prefix in order {
+            table = table.with_route(Route::new(prefix, "h", prefix));
+        }
+        for (path, expected) in [("/a/b/c/1", "/a/b/c/"), ("/a/b/1", "/a/b/"), ("/aab", "/")] {
+            let found = table.find("h", path).map(|route| &*route.name);
+            assert_eq!(found, Some(expected), "{order:?}");
+        }
+    }
+}
