serve, platform: Read the rate limit that endpoints name, and log its changes

No log line said what an endpoint named, so that none of the hypotheses could be told from another. A change leaves a line 'endpoint: rate limit'. Nothing is done with it yet.

--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -237,6 +237,7 @@
             Counters::add(&context.counters.retries);
         }
         let reply = context.endpoint_protocol.decode(&self.info, &head);
+        record_rate_limit(&endpoint, &endpoint_state, &reply);
         if reply.matches_request
             && reply.execution_status == ExecutionStatus::Answered
             && reply.sealed
@@ -360,3 +361,17 @@
         );
     }
 }
+
+fn record_rate_limit(endpoint: &Endpoint, endpoint_state: &EndpointState, reply: &Reply) {
+    // A response to another request may be old.
+    if !reply.matches_request {
+        return;
+    }
+    if endpoint_state.record_rate_limit(reply.rate_limit_per_s) {
+        tracing::info!(
+            id = &*endpoint.id,
+            limit_per_s = reply.rate_limit_per_s,
+            "endpoint: rate limit"
+        );
+    }
+}
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -41,7 +41,7 @@
 }
 
 /// Decoded head of an endpoint's response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reply {
     /// Whether the request was executed.
     pub execution_status: ExecutionStatus,
@@ -51,6 +51,8 @@
     pub sealed: bool,
     /// Confidence of the model in its answer, from 0 to 100.
     pub confidence: Option<u8>,
+    /// Requests per second that the endpoint takes from all instances together, if it names a limit.
+    pub rate_limit_per_s: Option<f64>,
 }
 
 /// Codec for one kind of endpoint. It makes no routing decisions.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -58,6 +58,7 @@
     latency_ratio: Cell<Option<f64>>,
     paused_until_ms: Cell<u64>,
     misdirected: Cell<bool>,
+    rate_limit_per_s: Cell<Option<f64>>,
     last_received_ms: Cell<u64>,
     /// Moving average of the time to the head of a response, in milliseconds.
     head_ms: Cell<Option<f64>>,
@@ -107,6 +108,11 @@
         self.outlier.borrow_mut().record(failed, now_ms);
     }
 
+    /// Records the rate limit that the endpoint names in a response, and returns whether it changed.
+    pub(crate) fn record_rate_limit(&self, limit_per_s: Option<f64>) -> bool {
+        self.rate_limit_per_s.replace(limit_per_s) != limit_per_s
+    }
+
     /// Records that bytes of any response arrived.
     pub(crate) fn record_received(&self, now_ms: u64) {
         self.last_received_ms.set(now_ms);
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -205,6 +205,10 @@
                 .headers
                 .get("x-confidence")
                 .and_then(|text| text.parse().ok()),
+            rate_limit_per_s: head
+                .headers
+                .get("x-rate-limit")
+                .and_then(|text| text.parse().ok()),
         }
     }
 }
