serve, limits, control: Keep the rate limits of endpoints over all instances

Cause: placement knew loads, health and places, and no rate.

Change: the latest that an endpoint said in any answer counts, whether it names a limit or none any more. The limit is divided without a message: instances rank themselves for the endpoint by rendezvous hashing, and as many as the limit has requests a second, and three more, share it alike; each may begin with one request. What an instance learns goes out at once with the reports of loads, so that those that have not been told hold it too; the latest observation wins. What is beyond goes to other endpoints; if those that have room are at their limits, the request is refused as not run, with a time to come back that counts those already promised. Weighed: an equal split over all instances (79 instances that each may begin with one request exceed 2 a second at once, and a seventy-ninth of 2 a second is of no use to anyone); shares by demand, as for quotas (they overcommit until they have averaged).

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -1,4 +1,4 @@
-//! Exchange of endpoint loads between instances, by datagrams.
+//! Exchange of the loads and rate limits of endpoints between instances, by datagrams.
 //!
 //! It answers loads at which one instance's own requests say little about an endpoint: each report
 //! is as fresh as a few requests, and a lost one is replaced by the next.
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use futures_lite::FutureExt;
 use kernel::Incarnation;
-use wire::{Body, Envelope, LoadReport};
+use serve::LimitEntry;
+use wire::{Body, EndpointLimit, Envelope, LoadReport};
 
 use crate::load_plan::{LoadPlan, Scope};
 use crate::state::Control;
@@ -25,7 +27,7 @@
 pub(crate) async fn send(control: Rc<Control>, socket: Rc<Async<UdpSocket>>) {
     loop {
         let interval = plan(&control).interval;
-        Timer::after(interval).await;
+        wait(&control, interval).await;
         apply_sums(&control);
         for recipient in plan(&control).recipients {
             let report = report(&control, &recipient.scope);
@@ -37,6 +39,15 @@
     }
 }
 
+/// Waits for the interval between reports, or until a rate limit changes, which must hold at the
+/// other instances soon.
+async fn wait(control: &Control, interval: Duration) {
+    let timer = async {
+        Timer::after(interval).await;
+    };
+    timer.or(control.shared_loads.limits().changed()).await;
+}
+
 fn plan(control: &Control) -> LoadPlan {
     let members = control.members.borrow();
     LoadPlan::new(members.local(), &members.live())
@@ -54,7 +65,10 @@
         let sum = sums.entry(entry.endpoint).or_default();
         *sum = sum.saturating_add(entry.units);
     }
-    let mut report = LoadReport::default();
+    let mut report = LoadReport {
+        limits: limits(control),
+        ..LoadReport::default()
+    };
     for (endpoint, units) in sums {
         report.endpoints.push(endpoint);
         report.units.push(units);
@@ -62,6 +76,29 @@
     report
 }
 
+fn limits(control: &Control) -> Vec<EndpointLimit> {
+    let mut limits = Vec::new();
+    for entry in control.shared_loads.limits().recent(control.now_ms()) {
+        limits.push(EndpointLimit {
+            endpoint: entry.endpoint,
+            limit_per_s: entry.limit_per_s,
+            age_ms: entry.age_ms,
+        });
+    }
+    limits
+}
+
+fn record_limits(control: &Control, limits: &[EndpointLimit], now_ms: u64) {
+    for limit in limits {
+        let entry = LimitEntry {
+            endpoint: limit.endpoint,
+            limit_per_s: limit.limit_per_s,
+            age_ms: limit.age_ms,
+        };
+        control.shared_loads.limits().record(entry, now_ms);
+    }
+}
+
 async fn send_report(
     control: &Control,
     socket: &Async<UdpSocket>,
@@ -94,6 +131,7 @@
             }) => {
                 let now_ms = control.now_ms();
                 let from = Incarnation::from_u64(from);
+                record_limits(&control, &loads.limits, now_ms);
                 control.peer_loads.borrow_mut().record(from, loads, now_ms);
             }
             Ok(_) => tracing::debug!(%peer, "member: datagram is no load report"),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -405,14 +405,22 @@
             .map(|member| &*member.name)
             .collect();
         tracing::info!(takes_work = names.join(","), "member: changed");
-        let instances = names.len().max(1);
         self.published_members.store(Arc::new(live));
         drop(members);
-        if self.view.load().instance_count != instances {
+        let incarnations = |members: &[Member]| -> Vec<Incarnation> {
+            members.iter().map(|m| m.incarnation).collect()
+        };
+        if incarnations(&self.accepting_members()) != incarnations(&self.view.load().members) {
             self.publish();
         }
     }
 
+    fn accepting_members(&self) -> Vec<Member> {
+        let mut members = self.published_members.load().to_vec();
+        members.retain(Member::accepts_requests);
+        members
+    }
+
     /// Publishes a new view for requests to read.
     pub(crate) fn publish(&self) {
         let now_ms = self.now_ms();
@@ -424,11 +432,7 @@
         for (service, pool) in &mut pools {
             pool.rollout = self.trackers.borrow().view(service, &self.settings.rollout);
         }
-        let members = self.published_members.load();
-        let instances = members
-            .iter()
-            .filter(|member| member.accepts_requests())
-            .count();
+        let members = self.accepting_members();
         let table = self.table.borrow().clone();
         let listed =
             self.feed_statuses.borrow().get(&Feed::Endpoints) == Some(&FeedStatus::Available);
@@ -443,7 +447,9 @@
                 .into_iter()
                 .map(|(service, pool)| (service, Arc::new(pool)))
                 .collect(),
-            instance_count: instances.max(1),
+            instance_count: members.len().max(1),
+            members: Arc::new(members),
+            incarnation: Some(self.incarnation),
             store_unreachable: self.store_unavailable(),
         }));
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use control::{
     DecodeError, Dependencies, Feed, Handle, RolloutSpec, RolloutState, Settings, StoreCodec,
 };
-use kernel::{SystemClock, Verdict};
+use kernel::{Clock, SystemClock, Verdict};
 use route::{Route, Table, Target};
 use serde_json::{Value, json};
 use serve::{Endpoint, SharedLoads, VersionCounters, View};
@@ -310,6 +310,7 @@
 
 /// A running control thread.
 pub struct Instance {
+    clock: Arc<SystemClock>,
     pub shared_loads: Arc<SharedLoads>,
     pub connection: StoreConnection,
     pub view: Arc<ArcSwap<View>>,
@@ -358,8 +359,9 @@
             .gossip_interval_ms(50);
         let settings = adjust(settings);
         let shared_loads: Arc<SharedLoads> = Arc::default();
+        let clock = Arc::new(SystemClock::new());
         let dependencies = Dependencies {
-            clock: Arc::new(SystemClock::new()),
+            clock: clock.clone(),
             store: Arc::new(connection.clone()),
             codec: Arc::new(PlainCodec),
             version_counters: Arc::new(VersionCounters::default()),
@@ -368,6 +370,7 @@
         };
         let handle = control::start(settings, listen, dependencies).unwrap();
         Instance {
+            clock,
             shared_loads,
             connection,
             view,
@@ -376,6 +379,11 @@
         }
     }
 
+    /// Returns the time of the instance's clock, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.mono_ms()
+    }
+
     /// Returns the ids of the endpoints that accept requests.
     pub fn endpoints(&self) -> Vec<String> {
         let view = self.view.load();
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -312,3 +312,42 @@
         instance.handle.shutdown();
     }
 }
+
+/// A rate limit must hold over the fleet half a second after one instance has learned it.
+#[test]
+fn a_rate_limit_that_one_instance_learned_is_known_to_all_in_time() {
+    const ENDPOINT: u64 = 7;
+    let timeout = std::time::Duration::from_millis(500);
+    for instances in [3, 18] {
+        let store = MemoryStore::default();
+        let fleet = start_fleet(&store, instances, |number, settings| {
+            settings.zone(if number % 3 == 0 { "a" } else { "b" })
+        });
+        eventually("each sees the others", || {
+            fleet.iter().all(|instance| sees(instance, instances))
+        });
+        for limit_per_s in [Some(2.5), Some(1.25), None] {
+            let entry = serve::LimitEntry {
+                endpoint: ENDPOINT,
+                limit_per_s,
+                age_ms: 0,
+            };
+            let limits = |instance: &Instance| {
+                let recent = instance.shared_loads.limits().recent(0);
+                recent.iter().any(|entry| entry.limit_per_s == limit_per_s)
+            };
+            let learned = std::time::Instant::now();
+            let now_ms = fleet[0].now_ms();
+            fleet[0].shared_loads.limits().record(entry, now_ms);
+            eventually("all know the limit", || fleet.iter().all(limits));
+            let elapsed = learned.elapsed();
+            assert!(
+                elapsed < timeout,
+                "{instances} instances, {limit_per_s:?}: {elapsed:?}"
+            );
+        }
+        for instance in fleet {
+            instance.handle.shutdown();
+        }
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod balance;
+mod endpoint_rate;
 mod outlier;
 mod placement;
 mod quota_share;
@@ -28,6 +29,7 @@
 
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
+pub use endpoint_rate::{EndpointRate, RateDivision};
 pub use outlier::{Health, OutlierDetector};
 pub use placement::{Candidate, PlacementError, PromptLoad, Selected, place};
 pub use quota_share::QuotaShare;
--- a/crates/limits/src/token_bucket.rs
+++ b/crates/limits/src/token_bucket.rs
@@ -37,16 +37,26 @@
     ///
     /// Returns the time in milliseconds until a token is available, `u64::MAX` if the rate is zero.
     pub fn try_acquire(&mut self, now_ms: u64) -> Result<(), u64> {
+        match self.wait_ms(now_ms) {
+            0 => {
+                self.tokens -= 1.0;
+                Ok(())
+            }
+            wait_ms => Err(wait_ms),
+        }
+    }
+
+    /// Returns the time in milliseconds until a token is available, `u64::MAX` if the rate is zero.
+    pub fn wait_ms(&mut self, now_ms: u64) -> u64 {
         self.refill(now_ms);
         if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
+            return 0;
         }
         if self.rate_per_s <= 0.0 {
-            return Err(u64::MAX);
+            return u64::MAX;
         }
         let missing = 1.0 - self.tokens;
-        Err((missing / self.rate_per_s * MS_PER_S).ceil() as u64)
+        (missing / self.rate_per_s * MS_PER_S).ceil() as u64
     }
 
     fn cap(&self) -> f64 {
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
 use crate::version_counters::{CallOutcome, VersionCounters};
+use crate::view::View;
 
 /// Maximum size of a response that is buffered until it is complete, in bytes.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 16 << 20;
@@ -150,12 +151,26 @@
                     "no endpoint of the service can take the request",
                 )
                 .retry_after_ms(self.retry_after_ms(NO_ENDPOINT_RETRY_AFTER_MS)),
-            PlacementError::Full => self
-                .failure(Reason::Overloaded, "all endpoints of the service are full")
-                .retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS)),
+            PlacementError::Full => self.failure_full(context, &view),
         })
     }
 
+    /// Returns the failure of a request for which no endpoint has room.
+    fn failure_full(&self, context: &RequestContext, view: &View) -> Failure {
+        let rate = placement::limited_rate(self, view, &context.endpoint_states);
+        let Some(rate_per_s) = rate else {
+            return self
+                .failure(Reason::Overloaded, "all endpoints of the service are full")
+                .retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS));
+        };
+        let delay_ms = context.reserve_retry_after(&self.service, rate_per_s);
+        self.failure(
+            Reason::Overloaded,
+            "the endpoints of the service that have room are at their rate limits",
+        )
+        .retry_after_ms(delay_ms)
+    }
+
     async fn send(
         &mut self,
         context: &Rc<RequestContext>,
@@ -237,7 +252,12 @@
             Counters::add(&context.counters.retries);
         }
         let reply = context.endpoint_protocol.decode(&self.info, &head);
-        record_rate_limit(&endpoint, &endpoint_state, &reply);
+        // A response to another request may be old.
+        if reply.matches_request {
+            let limit_per_s = reply.rate_limit_per_s;
+            let states = &context.endpoint_states;
+            states.record_rate_limit(&endpoint, limit_per_s, now_ms);
+        }
         if reply.matches_request
             && reply.execution_status == ExecutionStatus::Answered
             && reply.sealed
@@ -361,17 +381,3 @@
         );
     }
 }
-
-fn record_rate_limit(endpoint: &Endpoint, endpoint_state: &EndpointState, reply: &Reply) {
-    // A response to another request may be old.
-    if !reply.matches_request {
-        return;
-    }
-    if endpoint_state.record_rate_limit(reply.rate_limit_per_s) {
-        tracing::info!(
-            id = &*endpoint.id,
-            limit_per_s = reply.rate_limit_per_s,
-            "endpoint: rate limit"
-        );
-    }
-}
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -1,14 +1,16 @@
-//! Load, health and latency of each endpoint. All but the load come from this instance's own calls.
+//! Load, rate limit, health and latency of each endpoint. All but the first two come from this
+//! instance's own calls.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{Health, OutlierDetector, RequestLoad};
+use limits::{EndpointRate, Health, OutlierDetector, RateDivision, RequestLoad};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
+use crate::shared_limit::LimitEntry;
 use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
 
@@ -58,7 +60,8 @@
     latency_ratio: Cell<Option<f64>>,
     paused_until_ms: Cell<u64>,
     misdirected: Cell<bool>,
-    rate_limit_per_s: Cell<Option<f64>>,
+    /// This instance's part of the endpoint's rate limit, if it has one.
+    rate: RefCell<Option<EndpointRate>>,
     last_received_ms: Cell<u64>,
     /// Moving average of the time to the head of a response, in milliseconds.
     head_ms: Cell<Option<f64>>,
@@ -108,9 +111,35 @@
         self.outlier.borrow_mut().record(failed, now_ms);
     }
 
-    /// Records the rate limit that the endpoint names in a response, and returns whether it changed.
-    pub(crate) fn record_rate_limit(&self, limit_per_s: Option<f64>) -> bool {
-        self.rate_limit_per_s.replace(limit_per_s) != limit_per_s
+    /// Returns whether the endpoint's rate limit permits a request now.
+    pub(crate) fn is_within_rate(&self, now_ms: u64) -> bool {
+        let mut rate = self.rate.borrow_mut();
+        rate.as_mut().is_none_or(|rate| rate.is_open(now_ms))
+    }
+
+    /// Takes a request from the endpoint's rate limit, if it has one.
+    pub(crate) fn acquire_rate(&self, now_ms: u64) {
+        if let Some(rate) = self.rate.borrow_mut().as_mut() {
+            rate.try_acquire(now_ms);
+        }
+    }
+
+    /// Returns how the endpoint's rate limit is divided, if it has one.
+    pub(crate) fn rate_division(&self) -> Option<RateDivision> {
+        self.rate.borrow().as_ref().map(EndpointRate::division)
+    }
+
+    /// Sets how the endpoint's rate limit is divided, and returns whether the limit changed.
+    fn set_rate_division(&self, division: Option<RateDivision>, now_ms: u64) -> bool {
+        let limit = |division: RateDivision| division.limit_per_s;
+        let before = self.rate_division().map(limit);
+        let mut rate = self.rate.borrow_mut();
+        match (division, rate.as_mut()) {
+            (Some(division), Some(rate)) => rate.set_division(division, now_ms),
+            (Some(division), None) => *rate = Some(EndpointRate::new(division, now_ms)),
+            (None, _) => *rate = None,
+        }
+        before != division.map(limit)
     }
 
     /// Records that bytes of any response arrived.
@@ -199,7 +228,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointStates {
     by_key: RefCell<HashMap<EndpointKey, Rc<EndpointState>>>,
-    generation: Cell<u64>,
+    /// Generation of the view and number of limit changes that the states reflect.
+    synced: Cell<Option<(u64, u64)>>,
     shared_loads: Arc<SharedLoads>,
 }
 
@@ -216,6 +246,8 @@
             ..EndpointState::default()
         });
         states.insert(key, state.clone());
+        // Others may have reported a rate limit of this endpoint.
+        self.synced.set(None);
         state
     }
 
@@ -223,11 +255,52 @@
         self.shared_loads.clone()
     }
 
-    /// Drops the states of removed endpoints that have no call in flight.
-    pub(crate) fn sync(&self, view: &View) {
-        if self.generation.replace(view.generation) == view.generation {
+    /// Records the rate limit that an endpoint names in a response, or that it names none.
+    pub(crate) fn record_rate_limit(
+        &self,
+        endpoint: &Endpoint,
+        limit_per_s: Option<f64>,
+        now_ms: u64,
+    ) {
+        if limit_per_s.is_none() && self.of(endpoint).rate_division().is_none() {
             return;
         }
+        let entry = LimitEntry {
+            endpoint: EndpointKey::of(endpoint).shared_hash(),
+            limit_per_s,
+            age_ms: 0,
+        };
+        self.shared_loads.limits().record(entry, now_ms);
+    }
+
+    /// Drops the states of removed endpoints that have no call in flight, and divides the rate limits
+    /// of the others.
+    pub(crate) fn sync(&self, view: &View, now_ms: u64) {
+        let current = (view.generation, self.shared_loads.limits().changes());
+        if self.synced.replace(Some(current)) == Some(current) {
+            return;
+        }
+        self.drop_unlisted(view);
+        for (key, state) in self.by_key.borrow().iter() {
+            let limit_per_s = self.shared_loads.limits().limit_per_s(key.shared_hash());
+            let division = limit_per_s.map(|limit_per_s| RateDivision {
+                limit_per_s,
+                rank: view.rank_for(&key.id),
+                instances: view.instance_count,
+            });
+            if state.set_rate_division(division, now_ms) {
+                tracing::info!(
+                    id = &*key.id,
+                    limit_per_s,
+                    share_per_s = division.map(|division| division.share_per_s()),
+                    instances = view.instance_count,
+                    "endpoint: rate limit"
+                );
+            }
+        }
+    }
+
+    fn drop_unlisted(&self, view: &View) {
         let mut listed = std::collections::HashSet::new();
         for pool in view.pools.values() {
             for endpoint in &pool.endpoints {
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -67,6 +67,7 @@
                 clock,
                 view,
                 retry_windows: RefCell::default(),
+                retry_schedules: RefCell::default(),
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
                 stopped: Cell::new(false),
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -55,7 +55,7 @@
             same_zone: &*endpoint.zone == zone,
             health: state.health(now_ms),
             affinity: affinity(request, endpoint),
-            has_capacity: state.connections() < max_connections,
+            has_capacity: state.connections() < max_connections && state.is_within_rate(now_ms),
         });
         available.push((endpoint, state));
     }
@@ -71,6 +71,7 @@
     }
     let selected = place(&candidates, prompt, &mut random)?;
     let (endpoint, endpoint_state) = available.swap_remove(selected.index);
+    endpoint_state.acquire_rate(now_ms);
     Ok(Placement {
         endpoint: endpoint.clone(),
         endpoint_state,
@@ -78,6 +79,32 @@
     })
 }
 
+/// Returns the rate at which rate limits permit requests of this kind from this instance, in requests
+/// per second, or `None` if no endpoint that could take them has a limit.
+pub(crate) fn limited_rate(
+    request: &ActiveRequest,
+    view: &View,
+    endpoint_states: &EndpointStates,
+) -> Option<f64> {
+    let pool = view.pools.get(&request.service)?;
+    let mut share_per_s = 0.0;
+    let mut mean_per_s = 0.0;
+    for endpoint in pool.eligible(request.session_unit()) {
+        let Some(division) = endpoint_states.of(endpoint).rate_division() else {
+            continue;
+        };
+        share_per_s += division.share_per_s();
+        mean_per_s += division.limit_per_s / division.instances.max(1) as f64;
+    }
+    // A caller turned away by an instance without a share may come back to one that has one.
+    let rate_per_s = if share_per_s > 0.0 {
+        share_per_s
+    } else {
+        mean_per_s
+    };
+    (mean_per_s > 0.0 || share_per_s > 0.0).then_some(rate_per_s)
+}
+
 /// Returns the rendezvous-hashing weight of an endpoint for the prompt prefix that a request shares
 /// with others.
 fn affinity(request: &ActiveRequest, endpoint: &Endpoint) -> Option<u64> {
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use kernel::Clock;
-use limits::WindowedRetryBudget;
+use limits::{RetryAfterSchedule, WindowedRetryBudget};
 
 use crate::baseline::LatencyBaselines;
 use crate::caller_protocol::CallerProtocol;
@@ -34,6 +34,8 @@
     pub(crate) retry_windows: RefCell<HashMap<Arc<str>, WindowedRetryBudget>>,
     pub(crate) baselines: LatencyBaselines,
     pub(crate) size_book: SizeBook,
+    /// Times promised to callers whom rate limits turned away, by service.
+    pub(crate) retry_schedules: RefCell<HashMap<Arc<str>, RetryAfterSchedule>>,
     /// Whether new requests are refused because the instance is stopping.
     pub(crate) stopped: Cell<bool>,
 }
@@ -41,7 +43,7 @@
 impl RequestContext {
     pub(crate) fn view(&self) -> Arc<View> {
         let view = self.view.load_full();
-        self.endpoint_states.sync(&view);
+        self.endpoint_states.sync(&view, self.now_ms());
         view
     }
 
@@ -61,6 +63,14 @@
         self.with_window(service, |window| window.try_acquire(now_ms, instances))
     }
 
+    /// Reserves a time at which a caller of a service may come back, and returns the delay until then
+    /// in milliseconds.
+    pub(crate) fn reserve_retry_after(&self, service: &Arc<str>, rate_per_s: f64) -> u64 {
+        let mut schedules = self.retry_schedules.borrow_mut();
+        let schedule = schedules.entry(service.clone()).or_default();
+        schedule.next_delay_ms(self.now_ms(), rate_per_s, fastrand::f64())
+    }
+
     /// Returns the used share of a service's retry budget.
     pub(crate) fn retry_budget_used(&self, service: &Arc<str>) -> f64 {
         let now_ms = self.now_ms();
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::shared_limit::SharedLimits;
+
 /// Largest number of instances that report their loads to all others. Those that the instances of a
 /// larger fleet know are older.
 pub const MAX_DIRECT_INSTANCES: usize = 16;
@@ -40,10 +42,12 @@
     pub units: u32,
 }
 
-/// Loads of all endpoints by this instance's requests and by those of the others.
+/// Loads of all endpoints by this instance's requests and by those of the others, and their rate
+/// limits.
 #[derive(Debug, Default)]
 pub struct SharedLoads {
     by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
+    limits: SharedLimits,
 }
 
 impl SharedLoads {
@@ -76,8 +80,14 @@
         self.loads().entry(endpoint).or_default().clone()
     }
 
+    /// Returns the rate limits of the endpoints.
+    pub fn limits(&self) -> &SharedLimits {
+        &self.limits
+    }
+
     pub(crate) fn remove(&self, endpoint: u64) {
         self.loads().remove(&endpoint);
+        self.limits.remove(endpoint);
     }
 
     fn loads(&self) -> MutexGuard<'_, HashMap<u64, Arc<EndpointLoad>>> {
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use kernel::Incarnation;
+use member::Member;
 use route::Table;
 
 use crate::endpoint::Endpoint;
@@ -51,12 +53,27 @@
     pub pools: HashMap<Arc<str>, Arc<Pool>>,
     /// Number of instances that share the load.
     pub instance_count: usize,
+    /// The instances among which the rate limits of endpoints are divided.
+    pub members: Arc<Vec<Member>>,
+    /// This instance, if it is among the members.
+    pub incarnation: Option<Incarnation>,
     /// Whether this instance accepts new requests.
     pub accepting: bool,
     /// Whether the store was unreachable when the snapshot was taken.
     pub store_unreachable: bool,
 }
 
+impl View {
+    /// Returns how many instances rank before this one for an endpoint.
+    pub(crate) fn rank_for(&self, endpoint_id: &str) -> usize {
+        let Some(incarnation) = self.incarnation else {
+            return 0;
+        };
+        let members: Vec<&Member> = self.members.iter().collect();
+        member::rank(endpoint_id, incarnation, &members)
+    }
+}
+
 impl Pool {
     /// Returns the endpoints that may run a request.
     ///
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -280,8 +280,8 @@
     pub classes: Vec<ClassOutcomes>,
 }
 
-/// Loads of endpoints by the requests of one instance; both lists have the same length.
-#[derive(Clone, PartialEq, Eq, Hash, Message)]
+/// Loads of endpoints by the requests of one instance; the first two lists have the same length.
+#[derive(Clone, PartialEq, Message)]
 pub struct LoadReport {
     /// Hashes of the endpoints' identifiers and starts.
     #[prost(fixed64, repeated, tag = "1")]
@@ -289,6 +289,23 @@
     /// Loads, in tenths of an average request.
     #[prost(uint32, repeated, tag = "2")]
     pub units: Vec<u32>,
+    /// Rate limits that endpoints named.
+    #[prost(message, repeated, tag = "3")]
+    pub limits: Vec<EndpointLimit>,
+}
+
+/// What an endpoint last said of its rate limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct EndpointLimit {
+    /// Hash of the endpoint's identifier and start.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Requests per second that it takes from all instances together, or `None` if it named no limit.
+    #[prost(double, optional, tag = "2")]
+    pub limit_per_s: Option<f64>,
+    /// How long ago it said so, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 impl Envelope {
