serve: Keep a late report from bringing back a rate limit that has ended

an_endpoint_gets_from_all_gates_no_more_than_its_rate_limit failed twice (once of 4 runs, once of 12 beside each other): '8 requests in a second without a limit'. Cause: a report seems later than it is by its transit, so that one that was on its way while an answer ended the limit brought it back until the next answer. A report with another limit now has to be later by 0.1 s, and an answer of this instance always counts; an endpoint that once had a limit is recorded with each answer, so that the end of one spreads. With it: an answer ends a limit only if the endpoint vouches for it. A refusal may be short, and 421 comes from another endpoint.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -95,7 +95,7 @@
             limit_per_s: limit.limit_per_s,
             age_ms: limit.age_ms,
         };
-        control.shared_loads.limits().record(entry, now_ms);
+        control.shared_loads.limits().merge(entry, now_ms);
     }
 }
 
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -327,18 +327,16 @@
             fleet.iter().all(|instance| sees(instance, instances))
         });
         for limit_per_s in [Some(2.5), Some(1.25), None] {
-            let entry = serve::LimitEntry {
-                endpoint: ENDPOINT,
-                limit_per_s,
-                age_ms: 0,
-            };
+            // Changes of one endpoint are further apart than a report is on its way.
+            std::thread::sleep(std::time::Duration::from_millis(200));
             let limits = |instance: &Instance| {
                 let recent = instance.shared_loads.limits().recent(0);
                 recent.iter().any(|entry| entry.limit_per_s == limit_per_s)
             };
             let learned = std::time::Instant::now();
             let now_ms = fleet[0].now_ms();
-            fleet[0].shared_loads.limits().record(entry, now_ms);
+            let learning = fleet[0].shared_loads.limits();
+            learning.observe(ENDPOINT, limit_per_s, now_ms);
             eventually("all know the limit", || fleet.iter().all(limits));
             let elapsed = learned.elapsed();
             assert!(
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -252,8 +252,7 @@
             Counters::add(&context.counters.retries);
         }
         let reply = context.endpoint_protocol.decode(&self.info, &head);
-        // A response to another request may be old.
-        if reply.matches_request {
+        if reply.tells_rate_limit() {
             let limit_per_s = reply.rate_limit_per_s;
             let states = &context.endpoint_states;
             states.record_rate_limit(&endpoint, limit_per_s, now_ms);
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -55,6 +55,17 @@
     pub rate_limit_per_s: Option<f64>,
 }
 
+impl Reply {
+    /// Returns whether the response says what the endpoint's rate limit is.
+    ///
+    /// Any response to the request may name a limit. Only one that the endpoint vouches for shows that
+    /// it has none any more: refusals may be short, and one of another endpoint says nothing.
+    pub(crate) fn tells_rate_limit(&self) -> bool {
+        let is_own = self.matches_request && self.execution_status != ExecutionStatus::Misdirected;
+        is_own && (self.sealed || self.rate_limit_per_s.is_some())
+    }
+}
+
 /// Codec for one kind of endpoint. It makes no routing decisions.
 pub trait EndpointProtocol {
     /// Encodes the head of a request.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -10,7 +10,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
-use crate::shared_limit::LimitEntry;
 use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
 
@@ -262,15 +261,9 @@
         limit_per_s: Option<f64>,
         now_ms: u64,
     ) {
-        if limit_per_s.is_none() && self.of(endpoint).rate_division().is_none() {
-            return;
-        }
-        let entry = LimitEntry {
-            endpoint: EndpointKey::of(endpoint).shared_hash(),
-            limit_per_s,
-            age_ms: 0,
-        };
-        self.shared_loads.limits().record(entry, now_ms);
+        let endpoint = EndpointKey::of(endpoint).shared_hash();
+        let limits = self.shared_loads.limits();
+        limits.observe(endpoint, limit_per_s, now_ms);
     }
 
     /// Drops the states of removed endpoints that have no call in flight, and divides the rate limits
--- a/crates/serve/src/shared_limit.rs
+++ b/crates/serve/src/shared_limit.rs
@@ -10,6 +10,10 @@
 /// a limit is asked far more often than that.
 const MAX_AGE_MS: u64 = 60_000;
 
+/// How much later than another a report must be to replace it by a different limit, in milliseconds.
+/// A report seems later than it is by the time that it took to arrive.
+const MAX_TRANSIT_MS: u64 = 100;
+
 /// What an endpoint said of its rate limit, at some time of this instance's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Observation {
@@ -50,25 +54,47 @@
 }
 
 impl SharedLimits {
-    /// Records what an endpoint says in a response, or what another instance reports. The latest
-    /// observation counts.
-    pub fn record(&self, entry: LimitEntry, now_ms: u64) {
+    /// Records the limit that an endpoint names in a response to this instance, or that it names none.
+    pub fn observe(&self, endpoint: u64, limit_per_s: Option<f64>, now_ms: u64) {
+        let mut by_endpoint = self.lock();
+        let known = by_endpoint.get(&endpoint).copied();
+        if limit_per_s.is_none() && known.is_none() {
+            return;
+        }
         let observation = Observation {
+            limit_per_s,
+            observed_ms: now_ms,
+        };
+        by_endpoint.insert(endpoint, observation);
+        self.notify_if_changed(known, observation);
+    }
+
+    /// Records what another instance reports, if it is later than what is known.
+    pub fn merge(&self, entry: LimitEntry, now_ms: u64) {
+        let reported = Observation {
             limit_per_s: entry.limit_per_s,
             observed_ms: now_ms.saturating_sub(entry.age_ms),
         };
         let mut by_endpoint = self.lock();
         let known = by_endpoint.get(&entry.endpoint).copied();
-        if known.is_some_and(|known| known.observed_ms >= observation.observed_ms) {
-            return;
+        if let Some(known) = known {
+            let is_equal = known.limit_per_s == reported.limit_per_s;
+            let margin_ms = if is_equal { 0 } else { MAX_TRANSIT_MS };
+            if reported.observed_ms <= known.observed_ms + margin_ms {
+                return;
+            }
         }
-        by_endpoint.insert(entry.endpoint, observation);
-        drop(by_endpoint);
-        if known.and_then(|known| known.limit_per_s) != observation.limit_per_s {
-            self.changes.fetch_add(1, Ordering::Release);
-            // A full channel holds the notice of an earlier change.
-            let _ = self.notify.try_send(());
+        by_endpoint.insert(entry.endpoint, reported);
+        self.notify_if_changed(known, reported);
+    }
+
+    fn notify_if_changed(&self, before: Option<Observation>, after: Observation) {
+        if before.and_then(|before| before.limit_per_s) == after.limit_per_s {
+            return;
         }
+        self.changes.fetch_add(1, Ordering::Release);
+        // A full channel holds the notice of an earlier change.
+        let _ = self.notify.try_send(());
     }
 
     /// Returns the observations to report to other instances.
