serve: Count answers several times slower than usual as slow

One cause of two: an answer of a plain service was slow only beyond its latency objective. With 15 ms of work and an objective of 100 ms, one that takes eight times as long mostly is not. It is slow too now from four times the service's moving average, which the old version dominates. A good version beside endpoints that a fault slows down may be withdrawn for it; shares of slow answers on the old version still weigh against that (rollout::is_worse).

--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -40,6 +40,9 @@
 /// Timeout of a request whose caller sends no deadline, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
+/// Ratio of an answer's time to the service's baseline from which it is slow.
+const SLOW_ANSWER_RATIO: f64 = 4.0;
+
 /// Handles requests: finds their route, dispatches them to endpoints and returns the responses.
 pub struct Pipeline {
     context: Rc<RequestContext>,
@@ -346,7 +349,8 @@
         .call_guard
         .endpoint_state
         .record_latency_ratio(ratio);
-    let slow = elapsed_ms > request.route.objective_ms;
+    // A version may answer several times slower and still within the objective.
+    let slow = elapsed_ms > request.route.objective_ms || ratio >= SLOW_ANSWER_RATIO;
     let outcome = if slow {
         CallOutcome::Slow
     } else {
--- a/crates/serve/tests/versions.rs
+++ b/crates/serve/tests/versions.rs
@@ -162,3 +162,43 @@
         assert_eq!([seen.answered, seen.failed, seen.slow], expected, "{name}");
     }
 }
+
+/// Incident slow1 of glisa-seats: a version that answered eight times slower was completed, since its
+/// answers still kept the latency objective.
+#[test]
+fn answers_several_times_slower_than_usual_count_as_slow_within_the_objective() {
+    let usual = [vec![Step::Sleep(10)], answer("old")].concat();
+    let slow = [vec![Step::Sleep(120)], answer("new")].concat();
+    let old = ScriptedEndpoint::start(vec![usual]);
+    let new = ScriptedEndpoint::start(vec![slow]);
+    let endpoints = [(old.addr, "v1"), (new.addr, "v2")];
+    let rollout = |stage| {
+        Some(RolloutView {
+            target: "v2".into(),
+            stage,
+        })
+    };
+    let harness = Harness::with_versions(
+        route(RetrySafety::Idempotent),
+        &endpoints,
+        rollout(RolloutStage::Withdrawn),
+        10.0,
+    );
+    for _ in 0..20 {
+        harness.send(&[]);
+    }
+    let mut view = (**harness.view.load()).clone();
+    let mut pool = (*view.pools["app"]).clone();
+    pool.rollout = rollout(RolloutStage::Done);
+    view.pools.insert("app".into(), pool.into());
+    view.generation += 1;
+    harness.view.store(view.into());
+    for _ in 0..5 {
+        harness.send(&[]);
+    }
+    let counters = harness.pipeline.version_counters();
+    let counts = |version: &str| counters.evidence(&"app".into(), &version.into()).total();
+    assert_eq!((counts("v1").answered, counts("v1").slow), (20, 0));
+    assert_eq!(counts("v2").answered, 5);
+    assert!(counts("v2").slow >= 4, "{}", counts("v2").slow);
+}
