rollout, control: Give the trial of a service with little traffic enough requests

The roll-out waited for six until 1.17 of its time, and then took the last three steps within 0.3 s, so that nothing could show in them. The trial now gets at least 0.65 of the requests that are tolerated on a bad version whatever their share (setting bad_version_floor, from the platform's bounds; 30 there, so 19 requests), up to half of the traffic. The leader computes the share from the counts of all instances and writes it with the phase, so that all send the same sessions to the trial; phases of earlier builds have none and keep the share of the settings. The old version is not given up before 16 outcomes on the new one, also when the time is over: a good version that is late costs little, a bad one is kept. Ruled out: lost reports (all instances reported; the counts add up).

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -28,6 +28,9 @@
     phase: String,
     /// The share of the roll-out's duration that had passed when the phase began.
     elapsed_share: f64,
+    /// The share of the traffic during the trial; absent in phases of earlier builds.
+    #[serde(default)]
+    trial_share: Option<f64>,
 }
 
 const PHASES: [(Phase, &str); 6] = [
@@ -164,6 +167,7 @@
                 && phase_from_name(&agreed.phase) > tracker.phase
             {
                 let phase = phase_from_name(&agreed.phase);
+                tracker.trial_share = agreed.trial_share;
                 tracker.enter(phase, agreed.elapsed_share, spec.duration_ms, now_ms);
             }
         }
@@ -335,6 +339,15 @@
     now_ms >= since_ms + rank * RANK_DELAY_MS
 }
 
+/// Returns the share of the traffic during the trial, by the requests that all instances counted.
+fn trial_share(control: &Control, spec: &RolloutSpec) -> Option<f64> {
+    let trackers = control.trackers.borrow();
+    let tracker = trackers.by_service.get(&spec.service)?;
+    let requests_per_s = tracker.requests_per_s(control.now_ms());
+    let settings = &control.settings.rollout;
+    Some(settings.trial_share_for(requests_per_s, spec.duration_ms))
+}
+
 async fn write_agreed_phase(
     control: &Control,
     record: &RolloutRecord,
@@ -345,6 +358,7 @@
         target: record.spec.target.to_string(),
         phase: phase_name(phase).to_owned(),
         elapsed_share,
+        trial_share: trial_share(control, &record.spec),
     };
     let Ok(value) = serde_json::to_value(&agreed) else {
         return;
@@ -358,6 +372,7 @@
             service = &*record.spec.service,
             phase = phase_name(phase),
             elapsed_share,
+            trial_share = agreed.trial_share,
             "rollout: phase agreed"
         ),
         Err(StoreError::Conflict) => {}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -124,6 +124,12 @@
         self
     }
 
+    /// Sets how many requests on a bad version are tolerated whatever their share.
+    pub fn bad_version_floor(mut self, requests: f64) -> Settings {
+        self.rollout = self.rollout.exposure_floor(requests);
+        self
+    }
+
     /// Sets the availability zone of the instance.
     pub fn zone(mut self, zone: &str) -> Settings {
         self.zone = zone.into();
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -31,6 +31,13 @@
 /// The smallest rise in the share of failed calls to detect.
 const MIN_FAILURE_RISE: f64 = 0.2;
 
+const MS_PER_S: f64 = 1_000.0;
+
+fn outcomes_on_others(report: &VersionReport) -> u64 {
+    let total = evidence_from_wire(&report.on_other_versions).total();
+    total.answered + total.failed
+}
+
 /// A symptom in which the target is worse than the other versions, with the counts of both.
 struct DetectedRegression {
     symptom: Regression,
@@ -72,8 +79,14 @@
     /// Since when the next step has been pending without an instance performing it, in
     /// milliseconds.
     pub(crate) pending_since_ms: Option<u64>,
+    /// The share of the traffic during the trial that the instances agreed on.
+    pub(crate) trial_share: Option<f64>,
     pub(crate) monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
+    /// The outcomes on other versions in the first report of each instance, and when this instance
+    /// learned of the roll-out, in milliseconds.
+    first_counts: HashMap<Incarnation, u64>,
+    learned_ms: u64,
     slowness: SustainedSlowness,
 }
 
@@ -93,7 +106,9 @@
         let tracker = self.by_service.get(service)?;
         let stage = match tracker.phase {
             Phase::Waiting => RolloutStage::Trial(0.0),
-            Phase::Trial => RolloutStage::Trial(settings.trial_share),
+            Phase::Trial => {
+                RolloutStage::Trial(tracker.trial_share.unwrap_or(settings.trial_share))
+            }
             Phase::Half => RolloutStage::Ramping(0.5),
             Phase::All => RolloutStage::Ramping(1.0),
             Phase::Done => RolloutStage::Done,
@@ -117,6 +132,8 @@
             tracker
                 .monitor
                 .record(from, &evidence_from_wire(&report.on_version));
+            let count = outcomes_on_others(report);
+            tracker.first_counts.entry(from).or_insert(count);
             tracker.reports.insert(from, report.clone());
         }
     }
@@ -138,6 +155,9 @@
             base_share: 0.0,
             base_ms: now_ms,
             pending_since_ms: None,
+            trial_share: None,
+            first_counts: HashMap::new(),
+            learned_ms: now_ms,
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
             slowness: SustainedSlowness::default(),
@@ -161,6 +181,18 @@
         self.base_share + elapsed_ms as f64 / duration_ms.max(1) as f64
     }
 
+    /// Returns the requests per second on the other versions since this instance learned of the
+    /// roll-out, summed over all instances.
+    pub(crate) fn requests_per_s(&self, now_ms: u64) -> f64 {
+        let mut requests = 0;
+        for (instance, report) in &self.reports {
+            let first = self.first_counts.get(instance).copied();
+            requests += outcomes_on_others(report).saturating_sub(first.unwrap_or_default());
+        }
+        let elapsed_ms = now_ms.saturating_sub(self.learned_ms).max(1);
+        requests as f64 * MS_PER_S / elapsed_ms as f64
+    }
+
     /// Returns the outcomes on the other versions, summed over all instances.
     pub(crate) fn other_versions_total(&self) -> OutcomeCounts {
         let mut sum = Evidence::default();
--- a/crates/rollout/src/timed_rollout.rs
+++ b/crates/rollout/src/timed_rollout.rs
@@ -3,6 +3,8 @@
 use crate::OutcomeCounts;
 use crate::monitor::Regression;
 
+const MS_PER_S: f64 = 1_000.0;
+
 /// The phase of a timed roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -38,11 +40,25 @@
     pub done_at: f64,
     /// The minimum number of outcomes on the new version before half of the traffic moves.
     pub min_answers: u64,
+    /// The minimum number of outcomes on the new version before the old one is given up.
+    pub min_answers_to_finish: u64,
+    /// Requests that the trial is to get even if they are a larger share of the traffic.
+    pub min_trial_requests: f64,
 }
 
 /// The exposure bound of the default settings, as a share of all requests.
 const DEFAULT_EXPOSURE_SHARE: f64 = 0.0975;
 
+/// The outcomes on the new version without which the old one is not given up. If a third of the
+/// answers are slow, as many show it.
+const MIN_ANSWERS_TO_FINISH: u64 = 16;
+
+/// The largest share of the traffic during the trial; that of the next phase.
+const MAX_TRIAL_SHARE: f64 = 0.5;
+
+/// The part of the requests that are always tolerated on a bad version that the trial may use.
+const FLOOR_PART: f64 = 0.65;
+
 /// The elapsed share at which the trial begins.
 const TRIAL_AT: f64 = 0.505;
 
@@ -83,8 +99,26 @@
             all_at,
             done_at: DONE_AT.max(all_at + DRAIN_SHARE),
             min_answers: 6,
+            min_answers_to_finish: MIN_ANSWERS_TO_FINISH,
+            min_trial_requests: 0.0,
         }
     }
+
+    /// Sets how many requests on a bad version are tolerated whatever their share. The trial of a
+    /// service with little traffic uses a part of them to get enough outcomes.
+    pub fn exposure_floor(mut self, requests: f64) -> TimedRolloutSettings {
+        self.min_trial_requests = requests * FLOOR_PART;
+        self
+    }
+
+    /// Returns the share of the traffic for the trial, from 0 to 1, of a service with this many
+    /// requests per second and a roll-out of this duration in milliseconds.
+    pub fn trial_share_for(&self, requests_per_s: f64, duration_ms: u64) -> f64 {
+        let trial_s = (self.half_at - self.trial_at) * duration_ms as f64 / MS_PER_S;
+        let requests = (requests_per_s * trial_s).max(1.0);
+        let needed = self.min_trial_requests / requests;
+        needed.min(MAX_TRIAL_SHARE).max(self.trial_share)
+    }
 }
 
 /// The state of a timed roll-out on which its next phase is decided.
@@ -123,7 +157,8 @@
             let expired = state.elapsed_share >= settings.done_at;
             // Instances with an outdated view may place calls on the old version after `all_at`.
             let drained = state.elapsed_share >= settings.all_at + DRAIN_SHARE;
-            if expired || (drained && state.running_on_old == 0) {
+            let enough = outcomes >= settings.min_answers_to_finish;
+            if enough && (expired || (drained && state.running_on_old == 0)) {
                 Phase::Done
             } else {
                 Phase::All
--- a/crates/rollout/tests/timed_rollout.rs
+++ b/crates/rollout/tests/timed_rollout.rs
@@ -53,6 +53,11 @@
             state(Phase::All, 0.94, 30, 0),
             Phase::All,
         ),
+        (
+            "too few outcomes to give up the old version",
+            state(Phase::All, 1.2, 15, 0),
+            Phase::All,
+        ),
         ("done", state(Phase::All, 0.955, 30, 0), Phase::Done),
         (
             "done when the time is over",
@@ -224,3 +229,27 @@
         );
     }
 }
+
+/// Incident slow1 of glisa-seats: the trial of a service with ten requests a second got six answers.
+#[test]
+fn the_trial_of_a_service_with_little_traffic_gets_enough_requests() {
+    const FLOOR: f64 = 30.0;
+    const DURATION_MS: u64 = 14_000;
+    let settings = TimedRolloutSettings::for_exposure(0.15).exposure_floor(FLOOR);
+    let trial_s = (settings.half_at - settings.trial_at) * DURATION_MS as f64 / 1_000.0;
+    for requests_per_s in [0.0, 3.0, 10.0, 30.0, 300.0] {
+        let share = settings.trial_share_for(requests_per_s, DURATION_MS);
+        let trial_requests = requests_per_s * trial_s * share;
+        let proportional = requests_per_s * trial_s * settings.trial_share;
+        assert!(share <= 0.5, "{share} at {requests_per_s} a second");
+        assert!(
+            trial_requests <= proportional.max(FLOOR),
+            "{trial_requests} at {requests_per_s} a second"
+        );
+        let enough = settings.min_answers_to_finish as f64;
+        assert!(
+            trial_requests >= enough || share == 0.5,
+            "{trial_requests} at {requests_per_s} a second"
+        );
+    }
+}
