rollout, control: Take no step of a roll-out while the new version is suspect

The slow version was completed at 18.43 s with 9 slow of 16 answers, 78 of 1249 on the old one. Cause: slowness must last 1 s before a version is withdrawn for it, counted anew from the moment at which it gets half of the traffic. Half, all and done followed one another within 0.74 s, and nothing kept a version that looked slow all the while from the next step. A version that answers slowly also answers late, so that the evidence comes just then. The phase now stays as it is while the tests say that the version regressed and the time that this must last is not over; after it the version is withdrawn, or the suspicion has passed. A good version may be late by that time. Test: two rows of the table of phases.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -300,6 +300,7 @@
         elapsed_share,
         new: tracker.monitor.total(),
         running_on_old: tracker.running_on_old(),
+        is_suspect: tracker.is_suspect,
     };
     let next = next_phase(&state, &control.settings.rollout);
     if next == Phase::Withdrawn {
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -88,6 +88,8 @@
     first_counts: HashMap<Incarnation, u64>,
     learned_ms: u64,
     slowness: SustainedSlowness,
+    /// Whether the target seems to have regressed, but not for long enough to withdraw it.
+    pub(crate) is_suspect: bool,
 }
 
 /// All roll-outs, by service.
@@ -161,6 +163,7 @@
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
             slowness: SustainedSlowness::default(),
+            is_suspect: false,
         }
     }
 
@@ -213,6 +216,7 @@
             return None;
         }
         let regression = self.detect_regression();
+        self.is_suspect = regression.is_some();
         let is_slow = regression
             .as_ref()
             .is_some_and(|regression| regression.symptom == Regression::Latency);
--- a/crates/rollout/src/timed_rollout.rs
+++ b/crates/rollout/src/timed_rollout.rs
@@ -132,16 +132,24 @@
     pub new: OutcomeCounts,
     /// Calls that still run on the old version, summed over all instances.
     pub running_on_old: u64,
+    /// Whether the new version seems to have regressed, but not for long enough to withdraw it.
+    pub is_suspect: bool,
 }
 
 /// The elapsed share after `all_at` during which calls may still start on the old version.
 const DRAIN_SHARE: f64 = 0.02;
 
 /// Returns the next phase, or the current one if the roll-out is to stay in it.
+///
+/// No step is taken while the new version is suspect: either it is withdrawn soon, or the suspicion
+/// passes.
 pub fn next_phase(state: &TimedRolloutState, settings: &TimedRolloutSettings) -> Phase {
     if is_slow_trial(state, settings) {
         return Phase::Withdrawn;
     }
+    if state.is_suspect {
+        return state.phase;
+    }
     let outcomes = state.new.answered + state.new.failed;
     match state.phase {
         Phase::Waiting if state.elapsed_share >= settings.trial_at => Phase::Trial,
--- a/crates/rollout/tests/timed_rollout.rs
+++ b/crates/rollout/tests/timed_rollout.rs
@@ -14,6 +14,14 @@
             ..OutcomeCounts::default()
         },
         running_on_old,
+        is_suspect: false,
+    }
+}
+
+fn suspect(state: TimedRolloutState) -> TimedRolloutState {
+    TimedRolloutState {
+        is_suspect: true,
+        ..state
     }
 }
 
@@ -64,6 +72,16 @@
             state(Phase::All, 0.97, 30, 4),
             Phase::Done,
         ),
+        (
+            "a suspect version gets no more traffic",
+            suspect(state(Phase::Trial, 0.92, 30, 0)),
+            Phase::Trial,
+        ),
+        (
+            "a suspect version is not completed",
+            suspect(state(Phase::All, 0.97, 30, 0)),
+            Phase::All,
+        ),
         (
             "withdrawn stays",
             state(Phase::Withdrawn, 0.9, 30, 0),
