serve, control: Bound what rate limits cost, and read the change once more

Found in a second reading: a limit that differs in each answer had all instances report to all at once, without a pause (now 50 ms at least, three of which are well under the half second that a limit may take); limits of endpoints that had left were kept for ever by instances that heard of them from others (now ten minutes); a service whose endpoints take nothing told callers to come back after 0.12 s for an instance without a share (now by the rate at which such endpoints are asked).

--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches objects from peers that hold later ones.
 //!
-//! Each kind of object is fetched by itself and from one peer at a time, so that a small object does not
-//! wait behind a large one, and a large one does not cross the same link several times.
+//! Each kind of object is fetched by itself and from one peer at a time, so that a small one does
+//! not wait behind a large one, and a large one does not cross the same link several times.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -20,6 +20,10 @@
 /// The largest report, in bytes.
 const MAX_REPORT_BYTES: usize = 16 << 10;
 
+/// The shortest interval between reports when rate limits keep changing. A change crosses a large
+/// fleet in three reports.
+const MIN_LIMIT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The pause after a receive error.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -39,11 +43,13 @@
     }
 }
 
-/// Waits for the interval between reports, or until a rate limit changes, which must hold at the
+/// Waits for the interval between reports, or less if a rate limit changes, which must hold at the
 /// other instances soon.
 async fn wait(control: &Control, interval: Duration) {
+    let shortest = interval.min(MIN_LIMIT_INTERVAL);
+    Timer::after(shortest).await;
     let timer = async {
-        Timer::after(interval).await;
+        Timer::after(interval - shortest).await;
     };
     timer.or(control.shared_loads.limits().changed()).await;
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -80,9 +80,10 @@
             let mut encoded = control.encoded.borrow_mut();
             let mut entries = Vec::with_capacity(objects.len());
             for object in &objects {
-                entries.push(match fetch.accepts_compressed {
-                    true => encoded.encode(object),
-                    false => object_to_wire(object),
+                entries.push(if fetch.accepts_compressed {
+                    encoded.encode(object)
+                } else {
+                    object_to_wire(object)
                 });
             }
             Some(Body::Objects(Objects { objects: entries }))
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -407,9 +407,6 @@
         tracing::info!(takes_work = names.join(","), "member: changed");
         self.published_members.store(Arc::new(live));
         drop(members);
-        let incarnations = |members: &[Member]| -> Vec<Incarnation> {
-            members.iter().map(|m| m.incarnation).collect()
-        };
         if incarnations(&self.accepting_members()) != incarnations(&self.view.load().members) {
             self.publish();
         }
@@ -454,3 +451,7 @@
         }));
     }
 }
+
+fn incarnations(members: &[Member]) -> Vec<Incarnation> {
+    members.iter().map(|member| member.incarnation).collect()
+}
--- a/crates/limits/src/endpoint_rate.rs
+++ b/crates/limits/src/endpoint_rate.rs
@@ -9,8 +9,8 @@
 /// request, so that more of them would exceed a low rate at once.
 const EXTRA_SHARERS: usize = 3;
 
-/// The lowest rate, in requests per second: an endpoint that takes none is still asked now and then,
-/// as only its responses say that a limit has ended.
+/// The lowest rate, in requests per second: an endpoint that takes none is still asked now and
+/// then, as only its responses say that a limit has ended.
 const MIN_RATE_PER_S: f64 = 0.2;
 
 /// Requests that an instance may send at once, as a time at its share of the rate. A share of under
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -51,15 +51,16 @@
     pub sealed: bool,
     /// Confidence of the model in its answer, from 0 to 100.
     pub confidence: Option<u8>,
-    /// Requests per second that the endpoint takes from all instances together, if it names a limit.
+    /// Requests per second that the endpoint takes from all instances together, if it names a
+    /// limit.
     pub rate_limit_per_s: Option<f64>,
 }
 
 impl Reply {
     /// Returns whether the response says what the endpoint's rate limit is.
     ///
-    /// Any response to the request may name a limit. Only one that the endpoint vouches for shows that
-    /// it has none any more: refusals may be short, and one of another endpoint says nothing.
+    /// Any response to the request may name a limit. Only one that the endpoint vouches for shows
+    /// that it has none any more: refusals may be short, and one of another endpoint says nothing.
     pub(crate) fn tells_rate_limit(&self) -> bool {
         let is_own = self.matches_request && self.execution_status != ExecutionStatus::Misdirected;
         is_own && (self.sealed || self.rate_limit_per_s.is_some())
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -266,8 +266,8 @@
         limits.observe(endpoint, limit_per_s, now_ms);
     }
 
-    /// Drops the states of removed endpoints that have no call in flight, and divides the rate limits
-    /// of the others.
+    /// Drops the states of removed endpoints that have no call in flight, and divides the rate
+    /// limits of the others.
     pub(crate) fn sync(&self, view: &View, now_ms: u64) {
         let current = (view.generation, self.shared_loads.limits().changes());
         if self.synced.replace(Some(current)) == Some(current) {
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -79,20 +79,22 @@
     })
 }
 
-/// Returns the rate at which rate limits permit requests of this kind from this instance, in requests
-/// per second, or `None` if no endpoint that could take them has a limit.
+/// Returns the rate at which rate limits permit requests like this one from this instance, in
+/// requests per second, or `None` if no endpoint that could take it has a limit.
 pub(crate) fn limited_rate(
     request: &ActiveRequest,
     view: &View,
     endpoint_states: &EndpointStates,
 ) -> Option<f64> {
     let pool = view.pools.get(&request.service)?;
+    let mut is_limited = false;
     let mut share_per_s = 0.0;
     let mut mean_per_s = 0.0;
     for endpoint in pool.eligible(request.session_unit()) {
         let Some(division) = endpoint_states.of(endpoint).rate_division() else {
             continue;
         };
+        is_limited = true;
         share_per_s += division.share_per_s();
         mean_per_s += division.limit_per_s / division.instances.max(1) as f64;
     }
@@ -102,7 +104,7 @@
     } else {
         mean_per_s
     };
-    (mean_per_s > 0.0 || share_per_s > 0.0).then_some(rate_per_s)
+    is_limited.then_some(rate_per_s)
 }
 
 /// Returns the rendezvous-hashing weight of an endpoint for the prompt prefix that a request shares
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -63,8 +63,8 @@
         self.with_window(service, |window| window.try_acquire(now_ms, instances))
     }
 
-    /// Reserves a time at which a caller of a service may come back, and returns the delay until then
-    /// in milliseconds.
+    /// Reserves a time at which a caller of a service may come back, and returns the delay until
+    /// then in milliseconds.
     pub(crate) fn reserve_retry_after(&self, service: &Arc<str>, rate_per_s: f64) -> u64 {
         let mut schedules = self.retry_schedules.borrow_mut();
         let schedule = schedules.entry(service.clone()).or_default();
--- a/crates/serve/src/shared_limit.rs
+++ b/crates/serve/src/shared_limit.rs
@@ -6,12 +6,12 @@
 
 use async_channel::{Receiver, Sender, bounded};
 
-/// How long an observation is passed on to other instances, in milliseconds. An endpoint that has
-/// a limit is asked far more often than that.
-const MAX_AGE_MS: u64 = 60_000;
+/// How long an observation counts, in milliseconds. An endpoint that has a limit is asked far more
+/// often than that, so it must be gone.
+const MAX_AGE_MS: u64 = 600_000;
 
-/// How much later than another a report must be to replace it by a different limit, in milliseconds.
-/// A report seems later than it is by the time that it took to arrive.
+/// How much later than another a report must be to replace it by a different limit, in
+/// milliseconds. A report seems later than it is by the time that it took to arrive.
 const MAX_TRANSIT_MS: u64 = 100;
 
 /// What an endpoint said of its rate limit, at some time of this instance's clock.
@@ -54,7 +54,8 @@
 }
 
 impl SharedLimits {
-    /// Records the limit that an endpoint names in a response to this instance, or that it names none.
+    /// Records the limit that an endpoint names in a response to this instance, or that it names
+    /// none.
     pub fn observe(&self, endpoint: u64, limit_per_s: Option<f64>, now_ms: u64) {
         let mut by_endpoint = self.lock();
         let known = by_endpoint.get(&endpoint).copied();
@@ -100,20 +101,17 @@
     /// Returns the observations to report to other instances.
     pub fn recent(&self, now_ms: u64) -> Vec<LimitEntry> {
         let mut by_endpoint = self.lock();
-        // An endpoint without a limit need not be remembered.
-        by_endpoint.retain(|_, observation| {
-            observation.limit_per_s.is_some() || now_ms < observation.observed_ms + MAX_AGE_MS
-        });
+        let known_count = by_endpoint.len();
+        by_endpoint.retain(|_, observation| now_ms < observation.observed_ms + MAX_AGE_MS);
+        if by_endpoint.len() < known_count {
+            self.changes.fetch_add(1, Ordering::Release);
+        }
         let mut entries = Vec::new();
         for (endpoint, observation) in by_endpoint.iter() {
-            let age_ms = now_ms.saturating_sub(observation.observed_ms);
-            if age_ms >= MAX_AGE_MS {
-                continue;
-            }
             entries.push(LimitEntry {
                 endpoint: *endpoint,
                 limit_per_s: observation.limit_per_s,
-                age_ms,
+                age_ms: now_ms.saturating_sub(observation.observed_ms),
             });
         }
         entries
--- a/crates/serve/tests/versions.rs
+++ b/crates/serve/tests/versions.rs
@@ -163,8 +163,8 @@
     }
 }
 
-/// Incident slow1 of glisa-seats: a version that answered eight times slower was completed, since its
-/// answers still kept the latency objective.
+/// Incident slow1 of glisa-seats: a version that answered eight times slower was completed, since
+/// its answers still kept the latency objective.
 #[test]
 fn answers_several_times_slower_than_usual_count_as_slow_within_the_objective() {
     let usual = [vec![Step::Sleep(10)], answer("old")].concat();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -280,7 +280,8 @@
     pub classes: Vec<ClassOutcomes>,
 }
 
-/// Loads of endpoints by the requests of one instance; the first two lists have the same length.
+/// Loads of endpoints by the requests of one instance, and rate limits. The first two lists have
+/// the same length.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoadReport {
     /// Hashes of the endpoints' identifiers and starts.
@@ -300,7 +301,8 @@
     /// Hash of the endpoint's identifier and start.
     #[prost(fixed64, tag = "1")]
     pub endpoint: u64,
-    /// Requests per second that it takes from all instances together, or `None` if it named no limit.
+    /// Requests per second that it takes from all instances together, or `None` if it named no
+    /// limit.
     #[prost(double, optional, tag = "2")]
     pub limit_per_s: Option<f64>,
     /// How long ago it said so, in milliseconds.
