--- a/crates/control/tests/large_configuration.rs
+++ b/crates/control/tests/large_configuration.rs
@@ -22,10 +22,11 @@
     let mut list = Vec::new();
     for _ in 0..routes {
         list.push(json!({
-            "name": word(), "hostname": format!("{}.example", word()),
-            "path-prefix": format!("/{}/", word()), "kind": "streaming", "timeout-ms": 15_000,
-            "target-latency-ms": 2_000, "priority": 1, "sizes": [word(), word(), word()],
-            "service": word(), "max-attempts": 3, "public": false, "resumable": true,
+            "name": word(), "host": format!("{}.example", word()),
+            "prefix": format!("/{}/", word()), "retry_safety": "resumable-stream",
+            "timeout_ms": 15_000, "objective_ms": 2_000, "priority": 1,
+            "model_sizes": [word(), word(), word()], "service": word(), "max_attempts": 3,
+            "public": false, "prefix_affinity": true, "max_gap_ms": 1_000,
         }));
     }
     json!({ "version": version, "routes": list })
