--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -3,7 +3,6 @@
 //! Each kind of object is fetched by itself and from one peer at a time, so that a small one does
 //! not wait behind a large one, and a large one does not cross the same link several times.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,30 +10,12 @@
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
-use wire::{Body, ConfigDigest, Envelope, Fetch, Link, LinkError, Ping};
+use wire::{Body, Envelope, Fetch, Link, LinkError, Ping};
 
 use crate::convert::{missing_since, object_from_wire};
+use crate::offer::Offer;
 use crate::state::Control;
 
-/// Counts of fetches of objects from peers.
-#[derive(Debug, Default)]
-pub struct FetchCounters {
-    /// Fetches that ended with a response.
-    pub completed: AtomicU64,
-    /// Fetches that failed or timed out.
-    pub failed: AtomicU64,
-    /// Bytes sent and received by fetches of either kind.
-    pub bytes: AtomicU64,
-}
-
-/// Objects of one kind that a peer holds and this instance may lack.
-#[derive(Debug, Clone)]
-pub(crate) struct Offer {
-    peer_addr: SocketAddr,
-    peer_name: Arc<str>,
-    digest: ConfigDigest,
-}
-
 /// Requests a fetch of each kind of object in which the sender of an update is ahead, unless the
 /// store's own watches are expected to deliver them in time.
 pub(crate) fn consider(control: &Control, update: &Ping) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,9 +18,11 @@
 mod coordinator;
 mod encoded;
 mod fetch;
+mod fetch_counters;
 mod gossip;
 mod load_plan;
 mod loads;
+mod offer;
 mod peer_loads;
 mod peers;
 mod registration;
@@ -37,7 +39,7 @@
     digest_to_wire, evidence_from_wire, evidence_to_wire, member_from_wire, member_to_wire,
     missing_since, object_from_wire, object_to_wire, same_objects,
 };
-pub use fetch::FetchCounters;
+pub use fetch_counters::FetchCounters;
 pub use registry::EndpointRegistry;
 pub use settings::Settings;
 pub use thread::{Dependencies, Handle, start};
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -18,7 +18,8 @@
 
 use crate::codec::{Feed, StoreCodec};
 use crate::coordinator;
-use crate::fetch::{self, FetchCounters};
+use crate::fetch;
+use crate::fetch_counters::FetchCounters;
 use crate::gossip;
 use crate::loads;
 use crate::peers;
