--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -83,9 +83,9 @@
     pub(crate) trial_share: Option<f64>,
     pub(crate) monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
-    /// The outcomes on other versions in the first report of each instance, and when this instance
-    /// learned of the roll-out, in milliseconds.
+    /// The outcomes on other versions in the first report of each instance.
     first_counts: HashMap<Incarnation, u64>,
+    /// When this instance learned of the roll-out, in milliseconds.
     learned_ms: u64,
     slowness: SustainedSlowness,
     /// Whether the target seems to have regressed, but not for long enough to withdraw it.
