rollout, control, serve: Report answer times by class, and log them at each state of a roll-out

Cause: the log of a roll-out held three totals for each version. Ruled out: logging each call with its version; the lines of requests do that, but the counts that decide are sums over instances. Change: plain answers are counted by time in buckets of half a doubling, reported to peers in a field of its own (older builds ignore it), and logged by class when a state is written. No decision reads them yet.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -3,7 +3,7 @@
 use catalog::{Digest, Object};
 use kernel::Incarnation;
 use member::{Member, Status};
-use rollout::{Evidence, OutcomeCounts};
+use rollout::{Evidence, OutcomeCounts, TimeHistogram};
 use wire::{ClassOutcomes, ConfigDigest, MemberInfo, ObjectEntry};
 
 /// Converts a member to its wire message.
@@ -113,6 +113,7 @@
             answered: counts.answered,
             failed: counts.failed,
             slow: counts.slow,
+            times: times_to_wire(&counts.times),
         });
     }
     messages
@@ -128,6 +129,7 @@
             answered: counts.answered,
             failed: counts.failed,
             slow: counts.slow,
+            times: times_from_wire(&counts.times),
         };
         evidence
             .classes
@@ -135,3 +137,18 @@
     }
     evidence
 }
+
+fn times_to_wire(times: &TimeHistogram) -> Vec<u64> {
+    let used = times.counts.iter().rposition(|count| *count > 0);
+    let used = used.map_or(0, |last| last + 1);
+    times.counts[..used].to_vec()
+}
+
+/// Converts counts by time; a peer of another build may send more buckets, which are left out.
+fn times_from_wire(counts: &[u64]) -> TimeHistogram {
+    let mut times = TimeHistogram::default();
+    for (held, count) in times.counts.iter_mut().zip(counts) {
+        *held = *count;
+    }
+    times
+}
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -20,6 +20,10 @@
 /// lost the store. Writes are conditional, so two instances that act at once do no harm.
 const RANK_DELAY_MS: u64 = 600;
 
+/// The quantiles of answer times that are logged.
+const MEDIAN: f64 = 0.5;
+const HIGH_QUANTILE: f64 = 0.9;
+
 /// The phase of a roll-out that the instances agreed on, as written to the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -255,6 +259,31 @@
         old_slow = old.slow,
         "rollout: state written"
     );
+    log_classes(spec, tracker);
+}
+
+/// Logs what the instances counted for each class, with quantiles of the answer times.
+fn log_classes(spec: &RolloutSpec, tracker: &RolloutTracker) {
+    let mut old = tracker.other_versions();
+    for (class, new) in &tracker.monitor.evidence().classes {
+        let old = old.class_mut(class);
+        tracing::info!(
+            service = &*spec.service,
+            target = &*spec.target,
+            class = &**class,
+            answered = new.answered,
+            failed = new.failed,
+            slow = new.slow,
+            median_ms = new.times.quantile_ms(MEDIAN),
+            high_ms = new.times.quantile_ms(HIGH_QUANTILE),
+            old_answered = old.answered,
+            old_failed = old.failed,
+            old_slow = old.slow,
+            old_median_ms = old.times.quantile_ms(MEDIAN),
+            old_high_ms = old.times.quantile_ms(HIGH_QUANTILE),
+            "rollout: class"
+        );
+    }
 }
 
 /// The next step of a roll-out.
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -196,18 +196,18 @@
         requests as f64 * MS_PER_S / elapsed_ms as f64
     }
 
-    /// Returns the outcomes on the other versions, summed over all instances.
-    pub(crate) fn other_versions_total(&self) -> OutcomeCounts {
+    /// Returns the outcomes on the other versions by class, summed over all instances.
+    pub(crate) fn other_versions(&self) -> Evidence {
         let mut sum = Evidence::default();
-        let class: Arc<str> = "all".into();
         for report in self.reports.values() {
-            let total = evidence_from_wire(&report.on_other_versions).total();
-            let counts = sum.class_mut(&class);
-            counts.answered += total.answered;
-            counts.failed += total.failed;
-            counts.slow += total.slow;
+            sum.add(&evidence_from_wire(&report.on_other_versions));
         }
-        sum.total()
+        sum
+    }
+
+    /// Returns the outcomes on the other versions, summed over all instances and classes.
+    pub(crate) fn other_versions_total(&self) -> OutcomeCounts {
+        self.other_versions().total()
     }
 
     /// Returns why the target must be withdrawn, if it must. Slowness counts only once it lasts.
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -5,6 +5,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::time_histogram::{TIME_BUCKETS, TimeHistogram};
+
+/// The number of counts of a class without its answer times.
+const PLAIN_COUNTS: usize = 5;
+
 /// Outcomes in one request class. All counts are monotonic.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeCounts {
@@ -18,17 +23,29 @@
     pub failed: u64,
     /// Answered calls that were slow, by their latency objective or by the rate of their stream.
     pub slow: u64,
+    /// Times of the answered calls that are sent as a whole. Streams are not timed.
+    #[serde(default)]
+    pub times: TimeHistogram,
 }
 
 impl OutcomeCounts {
-    fn pairs(&mut self, other: &OutcomeCounts) -> [(&mut u64, u64); 5] {
-        [
-            (&mut self.good, other.good),
-            (&mut self.bad, other.bad),
-            (&mut self.answered, other.answered),
-            (&mut self.failed, other.failed),
-            (&mut self.slow, other.slow),
-        ]
+    fn pairs(&mut self, other: &OutcomeCounts) -> Vec<(&mut u64, u64)> {
+        let mut pairs = Vec::with_capacity(PLAIN_COUNTS + TIME_BUCKETS);
+        pairs.push((&mut self.good, other.good));
+        pairs.push((&mut self.bad, other.bad));
+        pairs.push((&mut self.answered, other.answered));
+        pairs.push((&mut self.failed, other.failed));
+        pairs.push((&mut self.slow, other.slow));
+        let others = other.times.counts.iter().copied();
+        pairs.extend(self.times.counts.iter_mut().zip(others));
+        pairs
+    }
+
+    /// Adds other counts.
+    pub fn add(&mut self, other: &OutcomeCounts) {
+        for (count, other) in self.pairs(other) {
+            *count += other;
+        }
     }
 
     /// Returns the difference to earlier counts, zero where the earlier count is higher.
@@ -63,13 +80,29 @@
         }
     }
 
+    /// Adds other evidence, class by class.
+    pub fn add(&mut self, other: &Evidence) {
+        for (class, counts) in &other.classes {
+            self.class_mut(class).add(counts);
+        }
+    }
+
+    /// Returns the difference to earlier evidence, zero where an earlier count is higher.
+    pub fn since(&self, earlier: &Evidence) -> Evidence {
+        let mut difference = self.clone();
+        for (class, counts) in &mut difference.classes {
+            if let Some(earlier) = earlier.classes.get(class) {
+                *counts = counts.since(earlier);
+            }
+        }
+        difference
+    }
+
     /// Returns the sums over all classes.
     pub fn total(&self) -> OutcomeCounts {
         let mut total = OutcomeCounts::default();
         for counts in self.classes.values() {
-            for (sum, count) in total.pairs(counts) {
-                *sum += count;
-            }
+            total.add(counts);
         }
         total
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,6 +20,7 @@
 mod step_controller;
 mod stream_progress;
 mod sustained_slowness;
+mod time_histogram;
 mod timed_rollout;
 
 pub use allowance::{allowance, exposure_cap};
@@ -29,4 +30,5 @@
 pub use step_controller::{StepAction, StepController, StepState};
 pub use stream_progress::{StreamProgress, is_slow_stream};
 pub use sustained_slowness::SustainedSlowness;
+pub use time_histogram::{TIME_BUCKETS, TimeHistogram};
 pub use timed_rollout::{Phase, TimedRolloutSettings, TimedRolloutState, is_worse, next_phase};
--- a/crates/rollout/src/monitor.rs
+++ b/crates/rollout/src/monitor.rs
@@ -180,20 +180,20 @@
         self.tests.values_mut().for_each(Cusum::begin_step);
     }
 
-    /// Returns the sums over all instances and classes.
-    pub fn total(&self) -> OutcomeCounts {
-        let mut sum = OutcomeCounts::default();
+    /// Returns the sums over all instances, by class.
+    pub fn evidence(&self) -> Evidence {
+        let mut sum = Evidence::default();
         for evidence in self.recorded.values() {
-            let total = evidence.total();
-            sum.good += total.good;
-            sum.bad += total.bad;
-            sum.answered += total.answered;
-            sum.failed += total.failed;
-            sum.slow += total.slow;
+            sum.add(evidence);
         }
         sum
     }
 
+    /// Returns the sums over all instances and classes.
+    pub fn total(&self) -> OutcomeCounts {
+        self.evidence().total()
+    }
+
     fn test_mut(&mut self, regression: Regression, class: &Arc<str>) -> &mut Cusum {
         let settings = self.settings.cusum(regression);
         self.tests
--- /dev/null
+++ b/crates/rollout/src/time_histogram.rs
@@ -0,0 +1,44 @@
+//! A histogram of answer times with buckets of equal width in octaves.
+
+use serde::{Deserialize, Serialize};
+
+/// The number of buckets. The last one begins at 13 s.
+pub const TIME_BUCKETS: usize = 28;
+
+/// Buckets for each doubling of the time.
+const BUCKETS_PER_OCTAVE: f64 = 2.0;
+
+/// Counts of answers by their time. The first bucket begins at 1 ms, and each is as wide as half a
+/// doubling.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimeHistogram {
+    /// The number of answers in each bucket.
+    pub counts: [u64; TIME_BUCKETS],
+}
+
+impl TimeHistogram {
+    /// Counts an answer that took this time, in milliseconds.
+    pub fn record(&mut self, time_ms: f64) {
+        let bucket = (BUCKETS_PER_OCTAVE * time_ms.max(1.0).log2()) as usize;
+        self.counts[bucket.min(TIME_BUCKETS - 1)] += 1;
+    }
+
+    /// Returns the number of answers.
+    pub fn total(&self) -> u64 {
+        self.counts.iter().sum()
+    }
+
+    /// Returns the lower bound of the bucket that holds this quantile, in milliseconds, or `None`
+    /// without answers.
+    pub fn quantile_ms(&self, quantile: f64) -> Option<f64> {
+        let rank = self.total() as f64 * quantile;
+        let mut below = 0;
+        for (bucket, count) in self.counts.iter().enumerate() {
+            below += count;
+            if below > 0 && below as f64 >= rank {
+                return Some((bucket as f64 / BUCKETS_PER_OCTAVE).exp2());
+            }
+        }
+        None
+    }
+}
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -40,6 +40,8 @@
 /// Timeout of a request whose caller sends no deadline, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
+const MS_PER_S: f64 = 1_000.0;
+
 /// Ratio of an answer's time to the service's baseline from which it is slow.
 const SLOW_ANSWER_RATIO: f64 = 4.0;
 
@@ -341,22 +343,30 @@
 }
 
 fn record_answered(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
-    let elapsed_ms = started.sent_at.elapsed().as_millis() as u64;
+    let elapsed = started.sent_at.elapsed();
+    let elapsed_ms = elapsed.as_secs_f64() * MS_PER_S;
     let ratio = context
         .baselines
-        .record_answer(&request.baseline_key(), elapsed_ms as f64);
+        .record_answer(&request.baseline_key(), elapsed_ms);
     started
         .call_guard
         .endpoint_state
         .record_latency_ratio(ratio);
     // A version may answer several times slower and still within the objective.
-    let slow = elapsed_ms > request.route.objective_ms || ratio >= SLOW_ANSWER_RATIO;
+    let is_late = elapsed.as_millis() > u128::from(request.route.objective_ms);
+    let slow = is_late || ratio >= SLOW_ANSWER_RATIO;
     let outcome = if slow {
         CallOutcome::Slow
     } else {
         CallOutcome::Answered
     };
     request.record_call_outcome(context, &started.endpoint, outcome);
+    context.version_counters.record_time(
+        &started.endpoint.service,
+        &started.endpoint.version,
+        &request.route.name,
+        elapsed_ms,
+    );
 }
 
 /// Starts a stream, and runs larger sizes of the model as long as their expected gain is worth it.
--- a/crates/serve/src/version_counters.rs
+++ b/crates/serve/src/version_counters.rs
@@ -52,10 +52,7 @@
                 continue;
             }
             for (class, counts) in &entry.evidence.classes {
-                let total = sum.class_mut(class);
-                total.answered += counts.answered;
-                total.failed += counts.failed;
-                total.slow += counts.slow;
+                sum.class_mut(class).add(counts);
             }
         }
         sum
@@ -101,6 +98,19 @@
         }
     }
 
+    /// Records how long an answer took that is sent as a whole, in milliseconds.
+    pub(crate) fn record_time(
+        &self,
+        service: &Arc<str>,
+        version: &Arc<str>,
+        class: &Arc<str>,
+        time_ms: f64,
+    ) {
+        let mut entries = self.entries();
+        let entry = entries.entry(key(service, version)).or_default();
+        entry.evidence.class_mut(class).times.record(time_ms);
+    }
+
     fn entries(&self) -> MutexGuard<'_, BTreeMap<VersionKey, VersionEntry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -267,6 +267,10 @@
     /// Number of answers slower than the objective.
     #[prost(uint64, tag = "6")]
     pub slow: u64,
+    /// Number of answers by their time, without the empty buckets at the end. Each bucket is as wide
+    /// as half a doubling, and the first begins at 1 ms.
+    #[prost(uint64, repeated, tag = "7")]
+    pub times: Vec<u64>,
 }
 
 /// The outcome counts of one instance, for the controller of a roll-out.
