--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -312,6 +312,7 @@
 pub struct Instance {
     clock: Arc<SystemClock>,
     pub shared_loads: Arc<SharedLoads>,
+    pub version_counters: Arc<VersionCounters>,
     pub connection: StoreConnection,
     pub view: Arc<ArcSwap<View>>,
     pub handle: Handle,
@@ -359,12 +360,13 @@
             .gossip_interval_ms(50);
         let settings = adjust(settings);
         let shared_loads: Arc<SharedLoads> = Arc::default();
+        let version_counters: Arc<VersionCounters> = Arc::default();
         let clock = Arc::new(SystemClock::new());
         let dependencies = Dependencies {
             clock: clock.clone(),
             store: Arc::new(connection.clone()),
             codec: Arc::new(PlainCodec),
-            version_counters: Arc::new(VersionCounters::default()),
+            version_counters: version_counters.clone(),
             shared_loads: shared_loads.clone(),
             view: view.clone(),
         };
@@ -372,6 +374,7 @@
         Instance {
             clock,
             shared_loads,
+            version_counters,
             connection,
             view,
             handle,
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -327,7 +327,7 @@
         }
         self.record_run(verdict);
         endpoint_state.record_outcome(true, now_ms);
-        self.record_call_outcome(context, endpoint, CallOutcome::Failed);
+        self.record_call_outcome(context, endpoint, CallOutcome::Failed, None);
     }
 
     /// Keeps an endpoint's error response for the caller, in case no retry succeeds.
@@ -358,12 +358,14 @@
         context: &RequestContext,
         endpoint: &Endpoint,
         outcome: CallOutcome,
+        time_ms: Option<f64>,
     ) {
         context.version_counters.record(
             &endpoint.service,
             &endpoint.version,
             &self.route.name,
             outcome,
+            time_ms,
         );
     }
 
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -360,13 +360,7 @@
     } else {
         CallOutcome::Answered
     };
-    request.record_call_outcome(context, &started.endpoint, outcome);
-    context.version_counters.record_time(
-        &started.endpoint.service,
-        &started.endpoint.version,
-        &request.route.name,
-        elapsed_ms,
-    );
+    request.record_call_outcome(context, &started.endpoint, outcome, Some(elapsed_ms));
 }
 
 /// Starts a stream, and runs larger sizes of the model as long as their expected gain is worth it.
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -195,7 +195,7 @@
             CallOutcome::Answered
         };
         self.request
-            .record_call_outcome(&self.context, &self.response.endpoint, outcome);
+            .record_call_outcome(&self.context, &self.response.endpoint, outcome, None);
     }
 
     /// Records the time per event, by which slow endpoints are recognised.
--- a/crates/serve/src/version_counters.rs
+++ b/crates/serve/src/version_counters.rs
@@ -28,9 +28,12 @@
 /// How an endpoint answered a call. A broken connection counts against the endpoint only: one crash
 /// ends all calls in flight, and is no evidence about the version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CallOutcome {
+pub enum CallOutcome {
+    /// With success, in the usual time.
     Answered,
+    /// With success, but late or several times slower than usual.
     Slow,
+    /// With a failure of its own.
     Failed,
 }
 
@@ -78,12 +81,14 @@
         entry.running = entry.running.saturating_sub(1);
     }
 
-    pub(crate) fn record(
+    /// Records the outcome of a call, with its time in milliseconds if the answer was sent as a whole.
+    pub fn record(
         &self,
         service: &Arc<str>,
         version: &Arc<str>,
         class: &Arc<str>,
         outcome: CallOutcome,
+        time_ms: Option<f64>,
     ) {
         let mut entries = self.entries();
         let entry = entries.entry(key(service, version)).or_default();
@@ -96,19 +101,9 @@
             }
             CallOutcome::Answered => counts.answered += 1,
         }
-    }
-
-    /// Records how long an answer took that is sent as a whole, in milliseconds.
-    pub(crate) fn record_time(
-        &self,
-        service: &Arc<str>,
-        version: &Arc<str>,
-        class: &Arc<str>,
-        time_ms: f64,
-    ) {
-        let mut entries = self.entries();
-        let entry = entries.entry(key(service, version)).or_default();
-        entry.evidence.class_mut(class).times.record(time_ms);
+        if let Some(time_ms) = time_ms {
+            counts.times.record(time_ms);
+        }
     }
 
     fn entries(&self) -> MutexGuard<'_, BTreeMap<VersionKey, VersionEntry>> {
