rollout, control: Judge a new version by all outcomes together, class by class and with their times

Cause: each symptom was held against a threshold of its own, over all classes together, on 16 outcomes or more. A class that always fails one call in seven raised the share that the old version was allowed, so it hid a fault of another class; the same class had good versions withdrawn, as a normal share of 3% was assumed for it. A slowdown by 3 stays below four times the usual time. And a failure test that fired without being worse than the old version kept the test of slowness from being looked at (Monitor::assess returns the first). Class of fault: a decision on a sum over unlike parts, with thresholds in place of evidence. Change: Comparison computes the Bayes factor of a worse version, by failures and by the distribution of answer times, in all classes or in one, against the same class on the old version since the order. VersionTest does so over the whole time and over its last parts. At 5 nats a version is withdrawn, above 2.5 it gets no more traffic, and only at 0 or below is it completed; one that is not proven when 0.985 of the time have passed is withdrawn, as a kept version cannot be. The trial gets the requests that are always tolerated beside its share, up to 45 in all, and the result is written 0.015 of the time later. Weighed: other thresholds, which trade one error for the other; a rank test, which sees a slower endpoint as a slower version. The assertion of the_trial_of_a_service_with_little_traffic_gets_enough_requests that compared the trial with the larger of two figures now holds the stated bound itself, share times requests plus floor, over all phases. rollouts.rs records the calls on the old version in the trial: recorded at the start, they were within the first report, which is of the time before the roll-out.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -113,7 +113,8 @@
             answered: counts.answered,
             failed: counts.failed,
             slow: counts.slow,
-            times: times_to_wire(&counts.times),
+            times: histogram_to_wire(&counts.times),
+            paces: histogram_to_wire(&counts.paces),
         });
     }
     messages
@@ -129,7 +130,8 @@
             answered: counts.answered,
             failed: counts.failed,
             slow: counts.slow,
-            times: times_from_wire(&counts.times),
+            times: histogram_from_wire(&counts.times),
+            paces: histogram_from_wire(&counts.paces),
         };
         evidence
             .classes
@@ -138,17 +140,17 @@
     evidence
 }
 
-fn times_to_wire(times: &TimeHistogram) -> Vec<u64> {
-    let used = times.counts.iter().rposition(|count| *count > 0);
-    let used = used.map_or(0, |last| last + 1);
-    times.counts[..used].to_vec()
+fn histogram_to_wire(histogram: &TimeHistogram) -> Vec<u64> {
+    let last = histogram.counts.iter().rposition(|count| *count > 0);
+    let used = last.map_or(0, |last| last + 1);
+    histogram.counts[..used].to_vec()
 }
 
 /// Converts counts by time; a peer of another build may send more buckets, which are left out.
-fn times_from_wire(counts: &[u64]) -> TimeHistogram {
-    let mut times = TimeHistogram::default();
-    for (held, count) in times.counts.iter_mut().zip(counts) {
+fn histogram_from_wire(counts: &[u64]) -> TimeHistogram {
+    let mut histogram = TimeHistogram::default();
+    for (held, count) in histogram.counts.iter_mut().zip(counts) {
         *held = *count;
     }
-    times
+    histogram
 }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -257,6 +257,7 @@
         old_answered = old.answered,
         old_failed = old.failed,
         old_slow = old.slow,
+        worse_nats = tracker.comparison.as_ref().map(|found| found.worse_nats),
         "rollout: state written"
     );
     log_classes(spec, tracker);
@@ -274,13 +275,17 @@
             answered = new.answered,
             failed = new.failed,
             slow = new.slow,
-            median_ms = new.times.quantile_ms(MEDIAN),
-            high_ms = new.times.quantile_ms(HIGH_QUANTILE),
+            median_ms = new.times.quantile(MEDIAN),
+            high_ms = new.times.quantile(HIGH_QUANTILE),
             old_answered = old.answered,
             old_failed = old.failed,
             old_slow = old.slow,
-            old_median_ms = old.times.quantile_ms(MEDIAN),
-            old_high_ms = old.times.quantile_ms(HIGH_QUANTILE),
+            old_median_ms = old.times.quantile(MEDIAN),
+            old_high_ms = old.times.quantile(HIGH_QUANTILE),
+            median_pace = new.paces.quantile(MEDIAN),
+            high_pace = new.paces.quantile(HIGH_QUANTILE),
+            old_median_pace = old.paces.quantile(MEDIAN),
+            old_high_pace = old.paces.quantile(HIGH_QUANTILE),
             "rollout: class"
         );
     }
@@ -330,6 +335,7 @@
         new: tracker.monitor.total(),
         running_on_old: tracker.running_on_old(),
         is_suspect: tracker.is_suspect,
+        judgement: tracker.judgement(),
     };
     let next = next_phase(&state, &control.settings.rollout);
     if next == Phase::Withdrawn {
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -6,20 +6,16 @@
 
 use kernel::Incarnation;
 use rollout::{
-    Assessment, Evidence, Monitor, MonitorSettings, OutcomeCounts, Phase, Regression,
-    SustainedSlowness, TimedRolloutSettings, is_worse,
+    Comparison, Evidence, Judgement, Monitor, MonitorSettings, OutcomeCounts, Phase, Regression,
+    SustainedSlowness, TimedRolloutSettings, VersionTest, is_worse,
 };
 use serve::{RolloutStage, RolloutView};
 use wire::VersionReport;
 
 use crate::convert::evidence_from_wire;
 
-/// The evidence, in nats, at which a version is withdrawn: three failures in a row are enough. The
-/// operator accepts a share of all requests on a bad version, plus a few dozen.
-const WITHDRAW_NATS: f64 = 5.0;
-
-/// The share of failed calls that is normal on days with faults.
-const BASELINE_FAILED_SHARE: f64 = 0.03;
+/// The evidence, in nats, at which the share of slow answers counts as raised.
+const SLOW_NATS: f64 = 5.0;
 
 /// The share of slow answers that is normal on days with faults: good versions had 0 to 0.08.
 const BASELINE_SLOW_SHARE: f64 = 0.05;
@@ -28,20 +24,14 @@
 /// are slow, and half of all answers are too short to show it.
 const MIN_SLOW_RISE: f64 = 0.2;
 
-/// The smallest rise in the share of failed calls to detect.
-const MIN_FAILURE_RISE: f64 = 0.2;
-
 const MS_PER_S: f64 = 1_000.0;
 
-fn outcomes_on_others(report: &VersionReport) -> u64 {
-    let total = evidence_from_wire(&report.on_other_versions).total();
-    total.answered + total.failed
-}
-
 /// A symptom in which the target is worse than the other versions, with the counts of both.
 struct DetectedRegression {
     symptom: Regression,
     class: Arc<str>,
+    /// The evidence of the comparison that found it, in nats.
+    worse_nats: Option<f64>,
     new: OutcomeCounts,
     old: OutcomeCounts,
 }
@@ -51,6 +41,7 @@
         let DetectedRegression {
             symptom,
             class,
+            worse_nats,
             new,
             old,
         } = self;
@@ -64,7 +55,8 @@
             old.failed,
             old.slow,
             old.answered + old.failed,
-        )
+        )?;
+        worse_nats.map_or(Ok(()), |nats| write!(f, ", evidence {nats:.1} nats"))
     }
 }
 
@@ -83,13 +75,17 @@
     pub(crate) trial_share: Option<f64>,
     pub(crate) monitor: Monitor,
     reports: HashMap<Incarnation, VersionReport>,
-    /// The outcomes on other versions in the first report of each instance.
-    first_counts: HashMap<Incarnation, u64>,
+    /// The outcomes on other versions in the first report of each instance, which are of the time
+    /// before the roll-out.
+    before: HashMap<Incarnation, Evidence>,
     /// When this instance learned of the roll-out, in milliseconds.
     learned_ms: u64,
     slowness: SustainedSlowness,
     /// Whether the target seems to have regressed, but not for long enough to withdraw it.
     pub(crate) is_suspect: bool,
+    test: VersionTest,
+    /// The target's worst comparison with the other versions so far, if there are outcomes.
+    pub(crate) comparison: Option<Comparison>,
 }
 
 /// All roll-outs, by service.
@@ -134,8 +130,8 @@
             tracker
                 .monitor
                 .record(from, &evidence_from_wire(&report.on_version));
-            let count = outcomes_on_others(report);
-            tracker.first_counts.entry(from).or_insert(count);
+            let others = evidence_from_wire(&report.on_other_versions);
+            tracker.before.entry(from).or_insert(others);
             tracker.reports.insert(from, report.clone());
         }
     }
@@ -144,11 +140,9 @@
 impl RolloutTracker {
     pub(crate) fn new(target: &Arc<str>, now_ms: u64) -> RolloutTracker {
         let settings = MonitorSettings {
-            failed_share: BASELINE_FAILED_SHARE,
-            failure_rise: MIN_FAILURE_RISE,
             slow_share: BASELINE_SLOW_SHARE,
             slow_rise: MIN_SLOW_RISE,
-            stop_nats: WITHDRAW_NATS,
+            stop_nats: SLOW_NATS,
             ..MonitorSettings::default()
         };
         RolloutTracker {
@@ -158,12 +152,14 @@
             base_ms: now_ms,
             pending_since_ms: None,
             trial_share: None,
-            first_counts: HashMap::new(),
+            before: HashMap::new(),
             learned_ms: now_ms,
             monitor: Monitor::new(settings),
             reports: HashMap::new(),
             slowness: SustainedSlowness::default(),
             is_suspect: false,
+            test: VersionTest::default(),
+            comparison: None,
         }
     }
 
@@ -187,20 +183,22 @@
     /// Returns the requests per second on the other versions since this instance learned of the
     /// roll-out, summed over all instances.
     pub(crate) fn requests_per_s(&self, now_ms: u64) -> f64 {
-        let mut requests = 0;
-        for (instance, report) in &self.reports {
-            let first = self.first_counts.get(instance).copied();
-            requests += outcomes_on_others(report).saturating_sub(first.unwrap_or_default());
-        }
+        let total = self.other_versions_total();
+        let requests = total.answered + total.failed;
         let elapsed_ms = now_ms.saturating_sub(self.learned_ms).max(1);
         requests as f64 * MS_PER_S / elapsed_ms as f64
     }
 
-    /// Returns the outcomes on the other versions by class, summed over all instances.
+    /// Returns the outcomes on the other versions by class since this instance learned of the
+    /// roll-out, summed over all instances.
     pub(crate) fn other_versions(&self) -> Evidence {
         let mut sum = Evidence::default();
-        for report in self.reports.values() {
-            sum.add(&evidence_from_wire(&report.on_other_versions));
+        for (instance, report) in &self.reports {
+            let mut counts = evidence_from_wire(&report.on_other_versions);
+            if let Some(before) = self.before.get(instance) {
+                counts = counts.since(before);
+            }
+            sum.add(&counts);
         }
         sum
     }
@@ -210,29 +208,54 @@
         self.other_versions().total()
     }
 
-    /// Returns why the target must be withdrawn, if it must. Slowness counts only once it lasts.
+    /// Returns what the outcomes on all versions permit; without outcomes, no step is ruled out.
+    pub(crate) fn judgement(&self) -> Judgement {
+        let comparison = self.comparison.as_ref();
+        comparison.map_or(Judgement::Acceptable, Comparison::judgement)
+    }
+
+    /// Returns why the target must be withdrawn, if it must. Slowness of one endpoint counts only once
+    /// it lasts.
     pub(crate) fn fault(&mut self, now_ms: u64) -> Option<String> {
         if matches!(self.phase, Phase::Done | Phase::Withdrawn) {
             return None;
         }
-        let regression = self.detect_regression();
-        self.is_suspect = regression.is_some();
-        let is_slow = regression
-            .as_ref()
-            .is_some_and(|regression| regression.symptom == Regression::Latency);
-        let lasts = self.slowness.update(is_slow, self.phase, now_ms);
-        let regression = regression.filter(|_| lasts || !is_slow)?;
+        let new = self.monitor.evidence();
+        if !new.classes.is_empty() {
+            let comparison = self.test.update(&new, &self.other_versions(), now_ms);
+            self.comparison = Some(comparison);
+        }
+        let slowness = self.detect_slowness();
+        self.is_suspect = slowness.is_some();
+        let lasts = self.slowness.update(self.is_suspect, self.phase, now_ms);
+        let regression = slowness
+            .filter(|_| lasts)
+            .or_else(|| self.detect_regression())?;
         Some(regression.to_string())
     }
 
-    /// Returns a regression that the monitor found and the other versions do not share.
+    /// Returns a regression by which the target must be withdrawn at once.
     fn detect_regression(&self) -> Option<DetectedRegression> {
-        let Assessment::Regressed(symptom, class) = self.monitor.assess() else {
+        let comparison = self.comparison.as_ref()?;
+        if comparison.judgement() < Judgement::Regressed {
             return None;
-        };
+        }
+        Some(DetectedRegression {
+            symptom: comparison.symptom,
+            class: comparison.class.clone(),
+            worse_nats: Some(comparison.worse_nats),
+            new: self.monitor.total(),
+            old: self.other_versions_total(),
+        })
+    }
+
+    /// Returns that too many answers are slow, if they are and the other versions do not share it.
+    fn detect_slowness(&self) -> Option<DetectedRegression> {
+        let symptom = Regression::Latency;
         let regression = DetectedRegression {
             symptom,
-            class,
+            class: self.monitor.regressed_class(symptom)?,
+            worse_nats: None,
             new: self.monitor.total(),
             old: self.other_versions_total(),
         };
--- a/crates/control/tests/rollouts.rs
+++ b/crates/control/tests/rollouts.rs
@@ -6,7 +6,7 @@
 
 use common::{Instance, MemoryStore, entry, eventually};
 use serde_json::json;
-use serve::{CallOutcome, RolloutStage};
+use serve::{CallOutcome, Measured, RolloutStage};
 
 /// The calls of one class on one version.
 struct Calls {
@@ -36,7 +36,7 @@
 
 fn record(instance: &Instance, version: &str, calls: &Calls) {
     for index in 0..calls.count {
-        let (outcome, time_ms) = if is_each(calls.fails_each, index) {
+        let (outcome, measured) = if is_each(calls.fails_each, index) {
             (CallOutcome::Failed, None)
         } else {
             let slowdown = if is_each(calls.slow_each, index) {
@@ -45,14 +45,14 @@
                 1.0
             };
             let time_ms = USUAL_TIMES_MS[index % USUAL_TIMES_MS.len()] * slowdown;
-            (CallOutcome::Answered, Some(time_ms))
+            (CallOutcome::Answered, Some(Measured::AnswerMs(time_ms)))
         };
         instance.version_counters.record(
             &"app".into(),
             &version.into(),
             &calls.class.into(),
             outcome,
-            time_ms,
+            measured,
         );
     }
 }
@@ -60,8 +60,8 @@
 /// Pause between the calls of two classes on the new version, in which it is judged at least once.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Plays a roll-out of 4 s and returns the state in which it ends. Calls on the old version are
-/// recorded when it begins, those on the new version in its trial, one class after the other.
+/// Plays a roll-out of 4 s and returns the state in which it ends. Calls are recorded during the
+/// trial, those on the old version first, and those on the new version one class after the other.
 fn final_state(old: &[Calls], new: &[Calls]) -> String {
     let store = MemoryStore::default();
     store.write("endpoints/old", entry("v1"));
@@ -76,13 +76,13 @@
         Some(status["state"].as_str()?.to_owned())
     };
     eventually("the roll-out runs", || state().is_some());
-    old.iter().for_each(|calls| record(&instance, "v1", calls));
     let is_trial = |stage: RolloutStage| matches!(stage, RolloutStage::Trial(share) if share > 0.0);
     eventually("the trial begins", || {
         let view = instance.view.load();
         let rollout = view.pools.get("app").and_then(|pool| pool.rollout.clone());
         rollout.is_some_and(|rollout| is_trial(rollout.stage))
     });
+    old.iter().for_each(|calls| record(&instance, "v1", calls));
     for calls in new {
         record(&instance, "v2", calls);
         std::thread::sleep(PAUSE);
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -23,21 +23,30 @@
     pub failed: u64,
     /// Answered calls that were slow, by their latency objective or by the rate of their stream.
     pub slow: u64,
-    /// Times of the answered calls that are sent as a whole. Streams are not timed.
+    /// Times of answers that are sent as a whole, in milliseconds.
     #[serde(default)]
     pub times: TimeHistogram,
+    /// Times between the events of streams, in percent of what is usual.
+    #[serde(default)]
+    pub paces: TimeHistogram,
 }
 
 impl OutcomeCounts {
     fn pairs(&mut self, other: &OutcomeCounts) -> Vec<(&mut u64, u64)> {
-        let mut pairs = Vec::with_capacity(PLAIN_COUNTS + TIME_BUCKETS);
+        let mut pairs = Vec::with_capacity(PLAIN_COUNTS + 2 * TIME_BUCKETS);
         pairs.push((&mut self.good, other.good));
         pairs.push((&mut self.bad, other.bad));
         pairs.push((&mut self.answered, other.answered));
         pairs.push((&mut self.failed, other.failed));
         pairs.push((&mut self.slow, other.slow));
-        let others = other.times.counts.iter().copied();
-        pairs.extend(self.times.counts.iter_mut().zip(others));
+        let histograms = [
+            (&mut self.times, &other.times),
+            (&mut self.paces, &other.paces),
+        ];
+        for (histogram, other) in histograms {
+            let others = other.counts.iter().copied();
+            pairs.extend(histogram.counts.iter_mut().zip(others));
+        }
         pairs
     }
 
@@ -87,7 +96,8 @@
         }
     }
 
-    /// Returns the difference to earlier evidence, zero where an earlier count is higher.
+    /// Returns the difference to earlier evidence, zero where an earlier count is higher, without the
+    /// classes in which nothing was counted since.
     pub fn since(&self, earlier: &Evidence) -> Evidence {
         let mut difference = self.clone();
         for (class, counts) in &mut difference.classes {
@@ -95,6 +105,8 @@
                 *counts = counts.since(earlier);
             }
         }
+        let is_empty = |counts: &OutcomeCounts| *counts == OutcomeCounts::default();
+        difference.classes.retain(|_, counts| !is_empty(counts));
         difference
     }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod allowance;
+mod comparison;
 mod cusum;
 mod evidence;
 mod monitor;
@@ -22,8 +23,10 @@
 mod sustained_slowness;
 mod time_histogram;
 mod timed_rollout;
+mod version_test;
 
 pub use allowance::{allowance, exposure_cap};
+pub use comparison::Comparison;
 pub use cusum::{Cusum, CusumSettings};
 pub use evidence::{Evidence, OutcomeCounts};
 pub use monitor::{Assessment, Monitor, MonitorSettings, Regression};
@@ -32,3 +35,4 @@
 pub use sustained_slowness::SustainedSlowness;
 pub use time_histogram::{TIME_BUCKETS, TimeHistogram};
 pub use timed_rollout::{Phase, TimedRolloutSettings, TimedRolloutState, is_worse, next_phase};
+pub use version_test::{Judgement, VersionTest};
--- a/crates/rollout/src/monitor.rs
+++ b/crates/rollout/src/monitor.rs
@@ -111,7 +111,7 @@
 }
 
 /// The class name of the tests over all classes together.
-const ALL_CLASSES: &str = "all";
+pub(crate) const ALL_CLASSES: &str = "all";
 
 /// The tests of one roll-out, by regression and class.
 #[derive(Debug)]
@@ -155,6 +155,13 @@
         self.recorded.insert(instance, recorded);
     }
 
+    /// Returns a class in which the version regressed in this way, if there is one.
+    pub fn regressed_class(&self, regression: Regression) -> Option<Arc<str>> {
+        let mut tests = self.tests.iter();
+        let found = tests.find(|((tested, _), test)| *tested == regression && test.is_bad());
+        found.map(|((_, class), _)| class.clone())
+    }
+
     /// Returns the result of the tests so far.
     ///
     /// A regression in one class is enough to stop; a step passes on the tests over all classes.
--- a/crates/rollout/src/stream_progress.rs
+++ b/crates/rollout/src/stream_progress.rs
@@ -23,6 +23,16 @@
     pub is_over: bool,
 }
 
+impl StreamProgress {
+    /// Returns the time per event relative to a baseline, in milliseconds, or `None` without a
+    /// baseline or with too few events.
+    pub fn relative_pace(&self, baseline_ms: Option<f64>) -> Option<f64> {
+        let baseline_ms = baseline_ms.filter(|baseline_ms| *baseline_ms > 0.0)?;
+        let event_ms = self.elapsed_ms / f64::from(self.events);
+        (self.events >= MIN_EVENTS).then_some(event_ms / baseline_ms)
+    }
+}
+
 /// Returns whether a stream is slow against the baseline time between events, in milliseconds, or
 /// `None` while it is too early to decide. Without a baseline no stream is slow.
 ///
--- a/crates/rollout/src/time_histogram.rs
+++ b/crates/rollout/src/time_histogram.rs
@@ -30,7 +30,7 @@
 
     /// Returns the lower bound of the bucket that holds this quantile, in milliseconds, or `None`
     /// without answers.
-    pub fn quantile_ms(&self, quantile: f64) -> Option<f64> {
+    pub fn quantile(&self, quantile: f64) -> Option<f64> {
         let rank = self.total() as f64 * quantile;
         let mut below = 0;
         for (bucket, count) in self.counts.iter().enumerate() {
--- a/crates/rollout/src/timed_rollout.rs
+++ b/crates/rollout/src/timed_rollout.rs
@@ -2,6 +2,7 @@
 
 use crate::OutcomeCounts;
 use crate::monitor::Regression;
+use crate::version_test::Judgement;
 
 const MS_PER_S: f64 = 1_000.0;
 
@@ -42,8 +43,8 @@
     pub min_answers: u64,
     /// The minimum number of outcomes on the new version before the old one is given up.
     pub min_answers_to_finish: u64,
-    /// Requests that the trial is to get even if they are a larger share of the traffic.
-    pub min_trial_requests: f64,
+    /// The most requests that the trial gets beside its share of the traffic.
+    pub extra_trial_requests: f64,
 }
 
 /// The exposure bound of the default settings, as a share of all requests.
@@ -59,12 +60,16 @@
 /// The part of the requests that are always tolerated on a bad version that the trial may use.
 const FLOOR_PART: f64 = 0.65;
 
+/// The requests of a trial beyond which it gets no more than its share: more would add bad answers
+/// rather than certainty.
+const ENOUGH_TRIAL_REQUESTS: f64 = 45.0;
+
 /// The elapsed share at which the trial begins.
 const TRIAL_AT: f64 = 0.505;
 
 /// The elapsed share at which the roll-out no longer waits for requests on the old version. In what is
 /// left of the time, other instances may have to write the result if the first ones lost the store.
-const DONE_AT: f64 = 0.945;
+const DONE_AT: f64 = 0.96;
 
 /// The part of the exposure bound that is used while all traffic is on the new version.
 const ALL_PART: f64 = 0.72;
@@ -100,14 +105,14 @@
             done_at: DONE_AT.max(all_at + DRAIN_SHARE),
             min_answers: 6,
             min_answers_to_finish: MIN_ANSWERS_TO_FINISH,
-            min_trial_requests: 0.0,
+            extra_trial_requests: 0.0,
         }
     }
 
-    /// Sets how many requests on a bad version are tolerated whatever their share. The trial of a
-    /// service with little traffic uses a part of them to get enough outcomes.
+    /// Sets how many requests on a bad version are tolerated beside their share. The trial uses a part
+    /// of them, so that it gets enough outcomes if the service has little traffic.
     pub fn exposure_floor(mut self, requests: f64) -> TimedRolloutSettings {
-        self.min_trial_requests = requests * FLOOR_PART;
+        self.extra_trial_requests = requests * FLOOR_PART;
         self
     }
 
@@ -116,8 +121,9 @@
     pub fn trial_share_for(&self, requests_per_s: f64, duration_ms: u64) -> f64 {
         let trial_s = (self.half_at - self.trial_at) * duration_ms as f64 / MS_PER_S;
         let requests = (requests_per_s * trial_s).max(1.0);
-        let needed = self.min_trial_requests / requests;
-        needed.min(MAX_TRIAL_SHARE).max(self.trial_share)
+        let proportional = self.trial_share * requests;
+        let extra = (ENOUGH_TRIAL_REQUESTS - proportional).clamp(0.0, self.extra_trial_requests);
+        ((proportional + extra) / requests).min(MAX_TRIAL_SHARE)
     }
 }
 
@@ -134,6 +140,8 @@
     pub running_on_old: u64,
     /// Whether the new version seems to have regressed, but not for long enough to withdraw it.
     pub is_suspect: bool,
+    /// What the outcomes on both versions permit.
+    pub judgement: Judgement,
 }
 
 /// The elapsed share after `all_at` during which calls may still start on the old version.
@@ -142,12 +150,12 @@
 /// Returns the next phase, or the current one if the roll-out is to stay in it.
 ///
 /// No step is taken while the new version is suspect: either it is withdrawn soon, or the suspicion
-/// passes.
+/// passes. If it does not until the time is nearly over, the version is withdrawn.
 pub fn next_phase(state: &TimedRolloutState, settings: &TimedRolloutSettings) -> Phase {
-    if is_slow_trial(state, settings) {
+    if is_slow_trial(state, settings) || is_unproven_at_end(state, settings) {
         return Phase::Withdrawn;
     }
-    if state.is_suspect {
+    if state.is_suspect || state.judgement >= Judgement::Doubtful {
         return state.phase;
     }
     let outcomes = state.new.answered + state.new.failed;
@@ -166,7 +174,8 @@
             // Instances with an outdated view may place calls on the old version after `all_at`.
             let drained = state.elapsed_share >= settings.all_at + DRAIN_SHARE;
             let enough = outcomes >= settings.min_answers_to_finish;
-            if enough && (expired || (drained && state.running_on_old == 0)) {
+            let proven = enough && state.judgement == Judgement::Acceptable;
+            if proven && (expired || (drained && state.running_on_old == 0)) {
                 Phase::Done
             } else {
                 Phase::All
@@ -176,6 +185,18 @@
     }
 }
 
+/// The elapsed share at which a version that has enough outcomes and is not proven is withdrawn.
+const GIVE_UP_AT: f64 = 0.985;
+
+/// Returns whether the time is nearly over and the outcomes do not permit to complete the version.
+fn is_unproven_at_end(state: &TimedRolloutState, settings: &TimedRolloutSettings) -> bool {
+    let has_traffic = matches!(state.phase, Phase::Trial | Phase::Half | Phase::All);
+    let outcomes = state.new.answered + state.new.failed;
+    let enough = outcomes >= settings.min_answers_to_finish;
+    let unproven = state.is_suspect || state.judgement > Judgement::Acceptable;
+    has_traffic && enough && unproven && state.elapsed_share >= GIVE_UP_AT
+}
+
 /// The share of slow answers over the whole trial at which a version is withdrawn. A cold endpoint
 /// or one long prompt causes far fewer slow answers on a good version.
 const TRIAL_SLOW_SHARE: f64 = 0.5;
--- a/crates/rollout/tests/time_histogram.rs
+++ b/crates/rollout/tests/time_histogram.rs
@@ -16,7 +16,7 @@
         for time_ms in times_ms {
             times.record(time_ms);
         }
-        assert_eq!(times.quantile_ms(quantile), expected, "{name}");
+        assert_eq!(times.quantile(quantile), expected, "{name}");
     }
 }
 
--- a/crates/rollout/tests/timed_rollout.rs
+++ b/crates/rollout/tests/timed_rollout.rs
@@ -1,8 +1,8 @@
 //! The phases of a timed roll-out, its exposure and its reasons to withdraw a version.
 
 use rollout::{
-    OutcomeCounts, Phase, Regression, SustainedSlowness, TimedRolloutSettings, TimedRolloutState,
-    is_worse, next_phase,
+    Judgement, OutcomeCounts, Phase, Regression, SustainedSlowness, TimedRolloutSettings,
+    TimedRolloutState, is_worse, next_phase,
 };
 
 fn state(phase: Phase, elapsed_share: f64, answers: u64, running_on_old: u64) -> TimedRolloutState {
@@ -15,6 +15,7 @@
         },
         running_on_old,
         is_suspect: false,
+        judgement: Judgement::Acceptable,
     }
 }
 
@@ -25,6 +26,10 @@
     }
 }
 
+fn judged(state: TimedRolloutState, judgement: Judgement) -> TimedRolloutState {
+    TimedRolloutState { judgement, ..state }
+}
+
 #[test]
 fn phases_advance_with_time_and_outcomes() {
     let cases = [
@@ -82,6 +87,36 @@
             suspect(state(Phase::All, 0.97, 30, 0)),
             Phase::All,
         ),
+        (
+            "an unproven version may get more traffic",
+            judged(state(Phase::Half, 0.935, 30, 0), Judgement::Unproven),
+            Phase::All,
+        ),
+        (
+            "a doubtful version gets no more traffic",
+            judged(state(Phase::Half, 0.935, 30, 0), Judgement::Doubtful),
+            Phase::Half,
+        ),
+        (
+            "an unproven version is not completed",
+            judged(state(Phase::All, 0.97, 30, 0), Judgement::Unproven),
+            Phase::All,
+        ),
+        (
+            "a version that is still unproven at the end is withdrawn",
+            judged(state(Phase::All, 0.99, 30, 0), Judgement::Unproven),
+            Phase::Withdrawn,
+        ),
+        (
+            "a version that is still suspect at the end is withdrawn",
+            suspect(state(Phase::Trial, 0.99, 30, 0)),
+            Phase::Withdrawn,
+        ),
+        (
+            "too few outcomes to withdraw an unproven version",
+            judged(state(Phase::All, 0.99, 15, 0), Judgement::Unproven),
+            Phase::All,
+        ),
         (
             "withdrawn stays",
             state(Phase::Withdrawn, 0.9, 30, 0),
@@ -252,17 +287,22 @@
 #[test]
 fn the_trial_of_a_service_with_little_traffic_gets_enough_requests() {
     const FLOOR: f64 = 30.0;
+    const EXPOSURE_SHARE: f64 = 0.15;
     const DURATION_MS: u64 = 14_000;
-    let settings = TimedRolloutSettings::for_exposure(0.15).exposure_floor(FLOOR);
+    let settings = TimedRolloutSettings::for_exposure(EXPOSURE_SHARE).exposure_floor(FLOOR);
     let trial_s = (settings.half_at - settings.trial_at) * DURATION_MS as f64 / 1_000.0;
     for requests_per_s in [0.0, 3.0, 10.0, 30.0, 300.0] {
         let share = settings.trial_share_for(requests_per_s, DURATION_MS);
         let trial_requests = requests_per_s * trial_s * share;
-        let proportional = requests_per_s * trial_s * settings.trial_share;
+        let duration_s = DURATION_MS as f64 / 1_000.0;
+        let half_s = (settings.all_at - settings.half_at) * duration_s;
+        let all_s = (1.0 - settings.all_at) * duration_s;
+        let later_requests = requests_per_s * (0.5 * half_s + all_s);
+        let bound = EXPOSURE_SHARE * requests_per_s * duration_s + FLOOR;
         assert!(share <= 0.5, "{share} at {requests_per_s} a second");
         assert!(
-            trial_requests <= proportional.max(FLOOR),
-            "{trial_requests} at {requests_per_s} a second"
+            trial_requests + later_requests <= bound,
+            "{trial_requests} and {later_requests} at {requests_per_s} a second, bound {bound}"
         );
         let enough = settings.min_answers_to_finish as f64;
         assert!(
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::outcome::Counters;
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
-use crate::version_counters::{CallOutcome, VersionCounters};
+use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
 
 /// Maximum size of a response that is buffered until it is complete, in bytes.
@@ -358,14 +358,14 @@
         context: &RequestContext,
         endpoint: &Endpoint,
         outcome: CallOutcome,
-        time_ms: Option<f64>,
+        measured: Option<Measured>,
     ) {
         context.version_counters.record(
             &endpoint.service,
             &endpoint.version,
             &self.route.name,
             outcome,
-            time_ms,
+            measured,
         );
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -46,5 +46,5 @@
 pub use settings::Settings;
 pub use shared_limit::{LimitEntry, SharedLimits};
 pub use shared_load::{EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, SharedLoads};
-pub use version_counters::{CallOutcome, VersionCounters};
+pub use version_counters::{CallOutcome, Measured, VersionCounters};
 pub use view::{Pool, RolloutStage, RolloutView, View};
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -24,7 +24,7 @@
 use crate::shared_load::SharedLoads;
 use crate::size_book::SizeBook;
 use crate::stream::Stream;
-use crate::version_counters::{CallOutcome, VersionCounters};
+use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
 
 /// Retry-after of an instance that has loaded no configuration yet, in milliseconds.
@@ -360,7 +360,8 @@
     } else {
         CallOutcome::Answered
     };
-    request.record_call_outcome(context, &started.endpoint, outcome, Some(elapsed_ms));
+    let measured = Some(Measured::AnswerMs(elapsed_ms));
+    request.record_call_outcome(context, &started.endpoint, outcome, measured);
 }
 
 /// Starts a stream, and runs larger sizes of the model as long as their expected gain is worth it.
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::outcome::Outcome;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
-use crate::version_counters::CallOutcome;
+use crate::version_counters::{CallOutcome, Measured};
 
 /// Shortest silence after which a stream is resumed at another endpoint. Callers disconnect after
 /// two seconds at the earliest.
@@ -189,13 +189,15 @@
             return;
         };
         self.is_recorded = true;
+        let pace = progress.relative_pace(baseline_ms);
+        let measured = pace.map(Measured::StreamPace);
         let outcome = if is_slow {
             CallOutcome::Slow
         } else {
             CallOutcome::Answered
         };
         self.request
-            .record_call_outcome(&self.context, &self.response.endpoint, outcome, None);
+            .record_call_outcome(&self.context, &self.response.endpoint, outcome, measured);
     }
 
     /// Records the time per event, by which slow endpoints are recognised.
--- a/crates/serve/src/version_counters.rs
+++ b/crates/serve/src/version_counters.rs
@@ -37,6 +37,17 @@
     Failed,
 }
 
+/// How fast an answer was.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Measured {
+    /// The time of an answer that was sent as a whole, in milliseconds.
+    AnswerMs(f64),
+    /// The time between the events of a stream, relative to what is usual.
+    StreamPace(f64),
+}
+
+const PERCENT: f64 = 100.0;
+
 impl VersionCounters {
     /// Returns the outcomes of calls on one version.
     pub fn evidence(&self, service: &Arc<str>, version: &Arc<str>) -> Evidence {
@@ -81,14 +92,14 @@
         entry.running = entry.running.saturating_sub(1);
     }
 
-    /// Records the outcome of a call, with its time in milliseconds if the answer was sent as a whole.
+    /// Records the outcome of a call, with what was measured if it was answered.
     pub fn record(
         &self,
         service: &Arc<str>,
         version: &Arc<str>,
         class: &Arc<str>,
         outcome: CallOutcome,
-        time_ms: Option<f64>,
+        measured: Option<Measured>,
     ) {
         let mut entries = self.entries();
         let entry = entries.entry(key(service, version)).or_default();
@@ -101,8 +112,10 @@
             }
             CallOutcome::Answered => counts.answered += 1,
         }
-        if let Some(time_ms) = time_ms {
-            counts.times.record(time_ms);
+        match measured {
+            Some(Measured::AnswerMs(time_ms)) => counts.times.record(time_ms),
+            Some(Measured::StreamPace(pace)) => counts.paces.record(pace * PERCENT),
+            None => {}
         }
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -271,6 +271,9 @@
     /// as half a doubling, and the first begins at 1 ms.
     #[prost(uint64, repeated, tag = "7")]
     pub times: Vec<u64>,
+    /// Number of streams by the time between their events in percent of what is usual, like `times`.
+    #[prost(uint64, repeated, tag = "8")]
+    pub paces: Vec<u64>,
 }
 
 /// The outcome counts of one instance, for the controller of a roll-out.
