control: Wait for the entry of an instance that leaves to be removed

By design an instance notifies its peers first and removes its entry then, so the check was a race of the test with the two steps. Ruled out: an entry that stays. Handle::leave removes it after the probes, and the second half of the test checks the case in which that fails. Change: the entry's removal is awaited like the other conditions of the test, within the same time limit.

--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -47,7 +47,9 @@
     leaves.handle.leave();
     eventually("the leaving instance is removed", || sees(&stays, 1));
     assert!(!leaves.view.load().accepting);
-    assert_eq!(store.value("instances/leaves"), None);
+    eventually("the entry of the leaving instance is removed", || {
+        store.value("instances/leaves").is_none()
+    });
     leaves.handle.shutdown();
     let dies = Instance::start("dies", &store);
     eventually("the new instance is seen", || sees(&stays, 2));
