serve: Log which answers an endpoint began shortly before a connection to it broke

Cause: the logs named endpoint, request and moment of a break, not the parts of the prompts nor how long each answer had run, so that an end caused by one part (hypothesis 1) could not be told from load (2) or from ends of their own (3). At most 256 are remembered for an endpoint.

--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sending of a request to endpoints until one responds.
 
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +17,7 @@
 use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
 use crate::outcome::Counters;
 use crate::placement::{self, Placement};
+use crate::recent_starts::PromptKey;
 use crate::request_context::RequestContext;
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
@@ -38,6 +40,18 @@
 
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Returns whether an error shows that the other side ended or closed the connection.
+fn is_broken_connection(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::UnexpectedEof
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::BrokenPipe
+    )
+}
+
 /// Guard that counts a call as running on a version until it is dropped.
 pub(crate) struct RunningCall {
     counters: Arc<VersionCounters>,
@@ -226,6 +240,7 @@
             Ok(started) => started,
             Err(err) if !err.sent => {
                 endpoint_state.record_unreachable(now_ms);
+                self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.refusals += 1;
                 self.log_send(&endpoint, "unreached", &err.to_string());
                 return SendResult::Retry;
@@ -234,6 +249,7 @@
                 self.sends += 1;
                 self.record_run(Verdict::MayHaveRun);
                 endpoint_state.record_outcome(true, now_ms);
+                self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.log_send(&endpoint, "broke", &err.to_string());
                 return SendResult::Retry;
             }
@@ -261,6 +277,9 @@
             && reply.execution_status == ExecutionStatus::Answered
             && reply.sealed
         {
+            if let Some(prompt) = PromptKey::of(&self.info) {
+                endpoint_state.record_start(prompt, now_ms);
+            }
             return SendResult::Started(Box::new(StartedResponse {
                 exchange,
                 head,
@@ -369,6 +388,31 @@
         );
     }
 
+    /// Records that a connection broke, or that the endpoint refused one, and logs the answers that it
+    /// began shortly before.
+    pub(crate) fn record_broken(
+        &self,
+        context: &RequestContext,
+        endpoint: &Endpoint,
+        endpoint_state: &EndpointState,
+        err: &io::Error,
+    ) {
+        if !is_broken_connection(err) {
+            return;
+        }
+        let now_ms = context.now_ms();
+        for start in endpoint_state.record_broken(now_ms) {
+            tracing::info!(
+                id = &*self.info.id,
+                endpoint = &*endpoint.id,
+                version = &*endpoint.version,
+                parts = ?start.prompt,
+                running_ms = now_ms.saturating_sub(start.began_ms),
+                "endpoint: broke after a start"
+            );
+        }
+    }
+
     pub(crate) fn log_send(&self, endpoint: &Endpoint, result: &str, detail: &str) {
         tracing::info!(
             id = &*self.info.id,
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
+use crate::recent_starts::{PromptKey, RecentStarts, Start};
 use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
 
@@ -62,6 +63,7 @@
     /// This instance's part of the endpoint's rate limit, if it has one.
     rate: RefCell<Option<EndpointRate>>,
     last_received_ms: Cell<u64>,
+    recent_starts: RefCell<RecentStarts>,
     /// Moving average of the time to the head of a response, in milliseconds.
     head_ms: Cell<Option<f64>>,
 }
@@ -144,6 +146,17 @@
     /// Records that bytes of any response arrived.
     pub(crate) fn record_received(&self, now_ms: u64) {
         self.last_received_ms.set(now_ms);
+        self.recent_starts.borrow_mut().lives(now_ms);
+    }
+
+    /// Records that an answer to a prompt began.
+    pub(crate) fn record_start(&self, prompt: PromptKey, now_ms: u64) {
+        self.recent_starts.borrow_mut().began(prompt, now_ms);
+    }
+
+    /// Records that a connection broke, and returns the answers that began shortly before it.
+    pub(crate) fn record_broken(&self, now_ms: u64) -> Vec<Start> {
+        self.recent_starts.borrow_mut().broke(now_ms)
     }
 
     /// Records the time to the head of a response.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -25,6 +25,7 @@
 mod outcome;
 mod pipeline;
 mod placement;
+mod recent_starts;
 mod request;
 mod request_context;
 mod request_log;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -336,6 +336,8 @@
                     .endpoint_state
                     .record_outcome(true, now_ms);
                 request.record_run(Verdict::Ran);
+                let endpoint_state = &started.call_guard.endpoint_state;
+                request.record_broken(context, &started.endpoint, endpoint_state, &err);
                 request.log_send(&started.endpoint, "response truncated", &err.to_string());
             }
         }
--- /dev/null
+++ b/crates/serve/src/recent_starts.rs
@@ -0,0 +1,115 @@
+//! The answers that an endpoint began lately, and what became of the endpoint afterwards.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+use crate::request::RequestInfo;
+
+/// How long an endpoint must live after the start of an answer for the answer to count as harmless,
+/// in milliseconds.
+const SURVIVAL_MS: u64 = 400;
+
+/// How long after a broken connection bytes may still arrive that an endpoint sent before it ended,
+/// in milliseconds.
+const LATE_BYTES_MS: u64 = 50;
+
+/// The most answers of one endpoint that are remembered.
+const MAX_STARTS: usize = 256;
+
+/// The parts of the prompt of an answer.
+#[derive(Clone, PartialEq, Eq)]
+pub(crate) struct PromptKey {
+    /// Hashes of the parts that other requests may have, in order.
+    pub(crate) shared_parts: Arc<[u64]>,
+    /// Hash of the last part, by which repetitions of a request are recognised.
+    pub(crate) own_part: u64,
+}
+
+impl PromptKey {
+    /// Returns the key of a request, or `None` if it shares no part of its prompt.
+    pub(crate) fn of(info: &RequestInfo) -> Option<PromptKey> {
+        let (own, shared) = info.prompt_parts.split_last()?;
+        if shared.is_empty() {
+            return None;
+        }
+        Some(PromptKey {
+            shared_parts: shared.iter().map(|part| part.id).collect(),
+            own_part: own.id,
+        })
+    }
+}
+
+impl fmt::Debug for PromptKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for part in self.shared_parts.iter() {
+            write!(f, "{part:x},")?;
+        }
+        write!(f, "{:x}", self.own_part)
+    }
+}
+
+/// The start of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Start {
+    pub(crate) prompt: PromptKey,
+    pub(crate) began_ms: u64,
+}
+
+/// What the bytes of a living endpoint show about answers that it began.
+#[derive(Debug, Default)]
+pub(crate) struct SignOfLife {
+    /// The endpoint has lived for long enough after these.
+    pub(crate) survived: Vec<PromptKey>,
+    /// These were taken for the cause of an end that was none.
+    pub(crate) cleared: Vec<PromptKey>,
+}
+
+/// The answers that one run of an endpoint began lately.
+#[derive(Debug, Default)]
+pub(crate) struct RecentStarts {
+    starts: VecDeque<Start>,
+    /// Those that began shortly before a connection broke.
+    suspects: Vec<PromptKey>,
+    broke_ms: u64,
+}
+
+impl RecentStarts {
+    /// Records that an answer began.
+    pub(crate) fn began(&mut self, prompt: PromptKey, now_ms: u64) {
+        if self.starts.len() == MAX_STARTS {
+            self.starts.pop_front();
+        }
+        let began_ms = now_ms;
+        self.starts.push_back(Start { prompt, began_ms });
+    }
+
+    /// Records that the endpoint sent bytes, which shows that it lives.
+    pub(crate) fn lives(&mut self, now_ms: u64) -> SignOfLife {
+        let mut sign = SignOfLife::default();
+        if !self.suspects.is_empty() && now_ms > self.broke_ms + LATE_BYTES_MS {
+            sign.cleared = std::mem::take(&mut self.suspects);
+        }
+        while let Some(start) = self.starts.front()
+            && now_ms >= start.began_ms + SURVIVAL_MS
+        {
+            sign.survived
+                .extend(self.starts.pop_front().map(|start| start.prompt));
+        }
+        sign
+    }
+
+    /// Records that a connection broke, and returns the answers that began shortly before it. Each is
+    /// returned once.
+    pub(crate) fn broke(&mut self, now_ms: u64) -> Vec<Start> {
+        self.broke_ms = now_ms;
+        let mut suspects = Vec::new();
+        for start in self.starts.drain(..) {
+            if now_ms < start.began_ms + SURVIVAL_MS {
+                self.suspects.push(start.prompt.clone());
+                suspects.push(start);
+            }
+        }
+        suspects
+    }
+}
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -143,6 +143,9 @@
             .call_guard
             .endpoint_state
             .record_outcome(true, self.context.now_ms());
+        let endpoint_state = self.response.call_guard.endpoint_state.clone();
+        self.request
+            .record_broken(&self.context, &endpoint, &endpoint_state, err);
         self.request.log_send(&endpoint, "stream broke", &why);
         self.request.record_run(Verdict::Ran);
         let failure = if self.request.may_retry() {
