rollout: Count answer times in finer buckets, and the shortest ones together

The log of classes shows why: requests of a few milliseconds took 4 in place of 2.8 ms on the new version, only because the endpoint on trial was in another zone, and each spoke for an endpoint that is slower in all answers; so did half of the slowed answers, as that allowance was as wide as half a doubling. Ruled out: too few outcomes (28 to 76 of them), and failures. Change: buckets are a third of a doubling wide, and times under 5 ms are one bucket. The allowance for a slower endpoint is one bucket of the new width, at 2 nats; neighbours share a quarter of each bucket.

--- a/crates/rollout/src/comparison.rs
+++ b/crates/rollout/src/comparison.rs
@@ -10,8 +10,8 @@
 const FAILURE_SHARES: [f64; 3] = [0.2, 0.4, 0.7];
 
 /// Slowdowns on the worse versions that are considered, in buckets of the time histogram: by factors
-/// of 2, 2.8, 4 and 8.
-const SLOWDOWN_BUCKETS: [usize; 4] = [2, 3, 4, 6];
+/// of 2, 3.2, 5 and 8.
+const SLOWDOWN_BUCKETS: [usize; 4] = [3, 5, 7, 9];
 
 /// Shares of answers that are slowed down on the worse versions that are considered.
 const SLOW_SHARES: [f64; 2] = [0.3, 0.6];
@@ -27,11 +27,11 @@
 
 /// The part of each bucket that is spread over each neighbour, so that few answers on the old
 /// version do not rule out the times between theirs.
-const SPREAD: f64 = 0.15;
+const SPREAD: f64 = 0.25;
 
 /// The evidence that a good version on a slower endpoint gives up, in nats. Such a version is slower
 /// in all answers by up to one bucket.
-const SLOWER_ENDPOINT_NATS: f64 = 3.0;
+const SLOWER_ENDPOINT_NATS: f64 = 2.0;
 
 /// The weight of the pace of one stream. Streams of one endpoint are slow together, for instance
 /// while it reads a long prompt.
--- a/crates/rollout/src/time_histogram.rs
+++ b/crates/rollout/src/time_histogram.rs
@@ -2,14 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The number of buckets. The last one begins at 13 s.
-pub const TIME_BUCKETS: usize = 28;
+/// The number of buckets. The last one begins at 5 s.
+pub const TIME_BUCKETS: usize = 32;
 
 /// Buckets for each doubling of the time.
-const BUCKETS_PER_OCTAVE: f64 = 2.0;
+const BUCKETS_PER_OCTAVE: f64 = 3.0;
 
-/// Counts of answers by their time. The first bucket begins at 1 ms, and each is as wide as half a
-/// doubling.
+/// The time at which the widths of buckets begin, in milliseconds. Shorter times are counted in the
+/// first bucket: they tell more of the way to an endpoint than of its version.
+const FIRST_MS: f64 = 4.0;
+
+/// Counts of answers by their time. The first bucket ends at 5 ms, and each further one is as wide as
+/// a third of a doubling.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimeHistogram {
     /// The number of answers in each bucket.
@@ -19,7 +23,8 @@
 impl TimeHistogram {
     /// Counts an answer that took this time, in milliseconds.
     pub fn record(&mut self, time_ms: f64) {
-        let bucket = (BUCKETS_PER_OCTAVE * time_ms.max(1.0).log2()) as usize;
+        let octaves = (time_ms / FIRST_MS).max(1.0).log2();
+        let bucket = (BUCKETS_PER_OCTAVE * octaves) as usize;
         self.counts[bucket.min(TIME_BUCKETS - 1)] += 1;
     }
 
@@ -36,7 +41,7 @@
         for (bucket, count) in self.counts.iter().enumerate() {
             below += count;
             if below > 0 && below as f64 >= rank {
-                return Some((bucket as f64 / BUCKETS_PER_OCTAVE).exp2());
+                return Some(FIRST_MS * (bucket as f64 / BUCKETS_PER_OCTAVE).exp2());
             }
         }
         None
--- a/crates/rollout/tests/time_histogram.rs
+++ b/crates/rollout/tests/time_histogram.rs
@@ -1,13 +1,19 @@
-//! Answer times are counted in buckets of half a doubling.
+//! Answer times are counted in buckets of a third of a doubling.
 
 use rollout::{Evidence, TIME_BUCKETS, TimeHistogram};
 
 #[test]
-fn quantiles_are_within_half_a_doubling_of_the_times() {
+fn quantiles_are_within_a_third_of_a_doubling_of_the_times() {
     let cases = [
         ("none", vec![], 0.5, None),
-        ("faster than the first bucket", vec![0.2], 0.5, Some(1.0)),
+        ("in the first bucket", vec![0.2], 0.5, Some(4.0)),
         ("one", vec![17.0], 0.5, Some(16.0)),
+        (
+            "the next bucket",
+            vec![21.0],
+            0.5,
+            Some(20.158_736_798_317_97),
+        ),
         ("the lower half", vec![4.0, 4.0, 64.0], 0.5, Some(4.0)),
         ("the upper tenth", vec![4.0, 4.0, 64.0], 0.9, Some(64.0)),
     ];
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -268,7 +268,7 @@
     #[prost(uint64, tag = "6")]
     pub slow: u64,
     /// Number of answers by their time, without the empty buckets at the end. Each bucket is as wide
-    /// as half a doubling, and the first begins at 1 ms.
+    /// as a third of a doubling, and the first ends at 5 ms.
     #[prost(uint64, repeated, tag = "7")]
     pub times: Vec<u64>,
     /// Number of streams by the time between their events in percent of what is usual, like `times`.
