relay, serve: Bound what an endpoint may send without end

Heads, lines and single bodies were bounded; responses before the final one, trailers, an event of a stream and the sum of all buffered bodies were not. An instance has 260 MB, and sixteen bodies of 16 MiB are that. Ruled out: a head without end, chunk sizes and single bodies, which the new test shows to have been bounded. Change: at most 16 interim responses, 64 KiB of trailers, 1 MiB for an event, and 32 MiB for all buffered bodies of the traffic thread; what exceeds them is a broken answer, and a stream resumes at another endpoint.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -10,6 +10,9 @@
 /// Maximum length of a chunk-size line or a trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4 << 10;
 
+/// Maximum length of a trailer, in bytes.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
+
 /// Whether a body was read to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyStatus {
@@ -27,7 +30,8 @@
     // Bytes left of the chunk.
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    // Bytes of the trailer so far.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -150,9 +154,10 @@
                     Some(_) => return Err(malformed()),
                     None => return Ok(None),
                 },
-                Phase::Trailer => match skip_line(socket)? {
+                Phase::Trailer(bytes) => match skip_line(socket)? {
                     Some(0) => self.phase = Phase::Done,
-                    Some(_) => {}
+                    Some(length) if bytes + length > MAX_TRAILER_BYTES => return Err(malformed()),
+                    Some(length) => self.phase = Phase::Trailer(bytes + length),
                     None => return Ok(None),
                 },
             }
@@ -174,7 +179,7 @@
             Ok(httparse::Status::Complete((length, size))) => {
                 socket.consume(length);
                 self.phase = if size == 0 {
-                    Phase::Trailer
+                    Phase::Trailer(0)
                 } else {
                     Phase::Chunk(size)
                 };
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,6 +15,9 @@
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Why a request got no usable response head.
 #[derive(Debug)]
 pub struct ExchangeError {
@@ -65,12 +68,14 @@
         let exchange = async {
             let message = [head, body].concat();
             send_request(&mut socket, &message).await?;
-            loop {
+            for _ in 0..=MAX_INTERIM_RESPONSES {
                 let response = read_head(&mut socket).await?;
                 if !matches!(response.status, 100..=199) {
                     return Ok(response);
                 }
             }
+            let message = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+            Err(io::Error::new(io::ErrorKind::InvalidData, message))
         };
         let response = timeout_at(head_deadline, exchange).await;
         let response = response.map_err(|source| ExchangeError { sent: true, source })?;
--- a/crates/relay/tests/exchange.rs
+++ b/crates/relay/tests/exchange.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -131,3 +132,67 @@
     assert_eq!(head.status, 413);
     thread.join().unwrap();
 }
+
+/// Bytes that an endpoint may send in vain before its connection is closed: those in the buffers of
+/// the sockets included.
+const MAX_ENDLESS_BYTES: u64 = 16 << 20;
+
+/// Sends `head` and then `endless` until the connection is closed, and returns the number of bytes
+/// that it took and the error of the exchange.
+fn endless(head: &'static str, endless: &'static str) -> (u64, String) {
+    let (sender, sent) = std::sync::mpsc::channel();
+    let (addr, thread) = scripted_peer(move |mut stream: TcpStream| {
+        read_until(&mut stream, "\r\n\r\n");
+        write(&mut stream, head);
+        let block = endless.repeat((64 << 10) / endless.len() + 1);
+        let mut bytes = 0;
+        while stream.write_all(block.as_bytes()).is_ok() {
+            bytes += block.len() as u64;
+            if bytes > 4 * MAX_ENDLESS_BYTES {
+                break;
+            }
+        }
+        sender.send(bytes).unwrap();
+    });
+    let error = async_io::block_on(async {
+        let deadline = Instant::now() + Duration::from_secs(5);
+        let head = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        let started = Exchange::start(addr, deadline, deadline, "GET", head, &Bytes::new()).await;
+        let (mut exchange, _) = match started {
+            Ok(started) => started,
+            Err(err) => return err.to_string(),
+        };
+        match exchange.read_to_end(1 << 20).await {
+            Ok(body) => format!("{} bytes were taken for a body", body.len()),
+            Err(err) => err.to_string(),
+        }
+    });
+    thread.join().unwrap();
+    (sent.recv().unwrap(), error)
+}
+
+/// Issue 29: bytes that are no answer may come without end until the caller closes.
+#[test]
+fn bytes_without_end_are_cut_off() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let cases = [
+        ("no head", "", "x"),
+        ("a head line", "HTTP/1.1 200 OK\r\nx-long: ", "x"),
+        ("headers", "HTTP/1.1 200 OK\r\n", "x-more: y\r\n"),
+        ("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("a body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+        ("a chunk size", chunked, "0"),
+        ("chunks", chunked, "1\r\nx\r\n"),
+        (
+            "trailers",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "x-more: y\r\n",
+        ),
+    ];
+    for (name, head, repeated) in cases {
+        let (bytes, error) = endless(head, repeated);
+        assert!(bytes <= MAX_ENDLESS_BYTES, "{name}: {bytes} bytes, {error}");
+        assert!(!error.contains("timed out"), "{name}: {error}");
+        assert!(!error.contains("were taken"), "{name}: {error}");
+    }
+}
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -21,9 +21,6 @@
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
 
-/// Maximum size of a response that is buffered until it is complete, in bytes.
-pub(crate) const MAX_BUFFERED_BYTES: u64 = 16 << 20;
-
 /// Retry-after while no endpoint can take a request, in milliseconds: the duration of a restart.
 const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 500;
 
@@ -320,7 +317,7 @@
         }
         self.record_unusable_response(context, &endpoint, &endpoint_state, &reply);
         if reply.matches_request && reply.execution_status == ExecutionStatus::Failed {
-            self.keep_failure_response(exchange, head).await;
+            self.keep_failure_response(context, exchange, head).await;
         }
         SendResult::Retry
     }
@@ -376,9 +373,16 @@
     }
 
     /// Keeps an endpoint's error response for the caller, in case no retry succeeds.
-    async fn keep_failure_response(&mut self, mut exchange: Exchange, head: ResponseHead) {
+    async fn keep_failure_response(
+        &mut self,
+        context: &RequestContext,
+        mut exchange: Exchange,
+        head: ResponseHead,
+    ) {
         let until = self.deadline.min(Instant::now() + FAILURE_BODY_TIMEOUT);
-        if let Ok(body) = relay::timeout_at(until, exchange.read_to_end(MAX_BUFFERED_BYTES)).await {
+        if let Ok(body) =
+            relay::timeout_at(until, context.buffered_bytes.read_to_end(&mut exchange)).await
+        {
             self.failure_response = Some(FailureResponse { head, body });
         }
     }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -37,6 +37,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes received of an event that is not complete yet.
+    pub fn pending_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer is empty.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod active_request;
 mod baseline;
+mod buffered_body;
 mod caller_protocol;
 mod dispatch;
 mod endpoint;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -12,8 +12,9 @@
 
 use crate::active_request::ActiveRequest;
 use crate::baseline::LatencyBaselines;
+use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
-use crate::dispatch::{MAX_BUFFERED_BYTES, StartedResponse};
+use crate::dispatch::StartedResponse;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
@@ -76,6 +77,7 @@
                 retry_schedules: RefCell::default(),
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
+                buffered_bytes: BufferedBytes::default(),
                 stopped: Cell::new(false),
             }),
         }
@@ -321,7 +323,7 @@
 ) -> Result<Response, Failure> {
     loop {
         let mut started = request.dispatch(context, None).await?;
-        let whole_body = started.exchange.read_to_end(MAX_BUFFERED_BYTES);
+        let whole_body = context.buffered_bytes.read_to_end(&mut started.exchange);
         let body = relay::timeout_at(request.deadline, whole_body).await;
         let now_ms = context.now_ms();
         match body {
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -10,6 +10,7 @@
 use limits::{RetryAfterSchedule, WindowedRetryBudget};
 
 use crate::baseline::LatencyBaselines;
+use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
@@ -36,6 +37,7 @@
     pub(crate) size_book: SizeBook,
     /// Times promised to callers whom rate limits turned away, by service.
     pub(crate) retry_schedules: RefCell<HashMap<Arc<str>, RetryAfterSchedule>>,
+    pub(crate) buffered_bytes: BufferedBytes,
     /// Whether new requests are refused because the instance is stopping.
     pub(crate) stopped: Cell<bool>,
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -24,6 +24,9 @@
 /// Silence that counts as a stall, as a multiple of the longest gap that callers accept.
 const STALL_GAPS: u32 = 2;
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Minimum number of events for a latency sample.
 const MIN_TIMED_EVENTS: u32 = 4;
 
@@ -98,6 +101,10 @@
             if let Some(event) = self.splitter.next() {
                 return self.check_order(event).map(Some);
             }
+            if self.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                let message = format!("an event exceeds {MAX_EVENT_BYTES} bytes");
+                return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+            }
             let until = if self.waits_for_deadline {
                 self.request.deadline
             } else {
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
 pub enum Step {
     /// Writes text.
     Write(String),
+    /// Writes text again and again until the connection is closed.
+    Endless(&'static str),
     /// Sleeps for some milliseconds.
     Sleep(u64),
     /// Closes the connection with a reset.
@@ -78,6 +81,8 @@
 pub struct ScriptedEndpoint {
     pub addr: SocketAddr,
     pub heads: Arc<Mutex<Vec<String>>>,
+    /// Bytes of endless texts that were written.
+    pub endless_bytes: Arc<AtomicU64>,
 }
 
 impl ScriptedEndpoint {
@@ -86,6 +91,8 @@
         let addr = listener.local_addr().unwrap();
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
         let seen = heads.clone();
+        let endless_bytes: Arc<AtomicU64> = Arc::default();
+        let written = endless_bytes.clone();
         std::thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let Ok(stream) = stream else {
@@ -93,10 +100,15 @@
                 };
                 let script = scripts[number.min(scripts.len() - 1)].clone();
                 let seen = seen.clone();
-                std::thread::spawn(move || run_script(stream, script, &seen));
+                let written = written.clone();
+                std::thread::spawn(move || run_script(stream, script, &seen, &written));
             }
         });
-        ScriptedEndpoint { addr, heads }
+        ScriptedEndpoint {
+            addr,
+            heads,
+            endless_bytes,
+        }
     }
 
     /// Returns the number of requests received.
@@ -110,7 +122,12 @@
     }
 }
 
-fn run_script(mut stream: TcpStream, script: Vec<Step>, seen: &Mutex<Vec<String>>) {
+fn run_script(
+    mut stream: TcpStream,
+    script: Vec<Step>,
+    seen: &Mutex<Vec<String>>,
+    endless_bytes: &AtomicU64,
+) {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -129,6 +146,13 @@
                     return;
                 }
             }
+            Step::Endless(text) => {
+                let block = text.repeat((64 << 10) / text.len());
+                while stream.write_all(block.as_bytes()).is_ok() {
+                    endless_bytes.fetch_add(block.len() as u64, Ordering::Relaxed);
+                }
+                return;
+            }
             Step::Sleep(ms) => std::thread::sleep(Duration::from_millis(ms)),
             Step::Reset => {
                 let socket = socket2::SockRef::from(&stream);
--- a/crates/serve/tests/retries.rs
+++ b/crates/serve/tests/retries.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
+use std::future::ready;
+use std::pin::Pin;
+use std::sync::atomic::Ordering;
+
 use common::{Harness, Received, ScriptedEndpoint, Step, answer, error_response, refusal, route};
+use futures_lite::future::zip;
 use route::RetrySafety;
 
 /// One request with two endpoints: the first follows a script and the second answers.
@@ -238,3 +243,30 @@
     };
     assert!(remaining_ms(first.head(0)) > remaining_ms(second.head(0)) + 40);
 }
+
+/// Issue 29: bytes that are no answer may come without end until the caller closes. Many such bodies
+/// must not take as much memory as each of them may alone.
+#[test]
+fn bodies_without_end_are_bounded_together() {
+    const BODIES: usize = 40;
+    // Less than the bodies may take one by one; the buffers of the sockets take a part of it.
+    const MAX_BYTES: u64 = (BODIES as u64) * (16 << 20) * 3 / 4;
+    let endless = ScriptedEndpoint::start(vec![vec![
+        Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n".to_owned()),
+        Step::Endless("x"),
+    ]]);
+    let harness = Harness::new(route(RetrySafety::NonIdempotent), &[endless.addr], 10.0);
+    let mut all: Pin<Box<dyn Future<Output = Vec<u16>>>> = Box::pin(ready(Vec::new()));
+    for _ in 0..BODIES {
+        let both = zip(all, harness.send_async(&[]));
+        all = Box::pin(async {
+            let (mut statuses, received) = both.await;
+            statuses.push(received.status);
+            statuses
+        });
+    }
+    let statuses = async_io::block_on(all);
+    assert_eq!(statuses, [502; BODIES]);
+    let bytes = endless.endless_bytes.load(Ordering::Relaxed);
+    assert!(bytes <= MAX_BYTES, "{bytes} bytes");
+}
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
+
 use common::{Harness, ScriptedEndpoint, Step, chunk, events, ids, route, stream_end, stream_head};
 use route::RetrySafety;
 
@@ -127,3 +129,50 @@
         assert_eq!(second.request_count(), 0, "{name}");
     }
 }
+
+/// Issue 29: an answer may come with neither a length nor chunks and end with its connection.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_complete_only_between_events() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\nid: 1\ndata: x\n\n";
+    let cases = [
+        ("after an event", "id: 2\ndata: x\n\n", 0),
+        ("inside an event", "id: 2\nda", 1),
+        ("before the last line of an event", "id: 2\ndata: x\n", 1),
+    ];
+    for (name, end, resumed) in cases {
+        let script = vec![Step::Write(head.to_owned()), Step::Write(end.to_owned())];
+        let first = ScriptedEndpoint::start(vec![script]);
+        let second =
+            ScriptedEndpoint::start(vec![vec![stream_head(90), events(2..=2), stream_end()]]);
+        let harness = Harness::new(
+            route(RetrySafety::ResumableStream),
+            &[first.addr, second.addr],
+            10.0,
+        );
+        let received = harness.send(&[]);
+        assert!(received.is_complete, "{name}");
+        assert_eq!(ids(&received.body), [1, 2], "{name}");
+        assert_eq!(second.request_count(), resumed, "{name}");
+    }
+}
+
+/// Issue 29: bytes that are no answer may come without end until the caller closes.
+#[test]
+fn a_stream_with_an_event_without_end_resumes_elsewhere() {
+    let first = ScriptedEndpoint::start(vec![vec![
+        Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n".to_owned()),
+        Step::Write("id: 1\ndata: x\n\nid: 2\ndata: ".to_owned()),
+        Step::Endless("x"),
+    ]]);
+    let second = ScriptedEndpoint::start(vec![vec![stream_head(90), events(2..=3), stream_end()]]);
+    let harness = Harness::new(
+        route(RetrySafety::ResumableStream),
+        &[first.addr, second.addr],
+        10.0,
+    );
+    let received = harness.send(&[]);
+    assert!(received.is_complete);
+    assert_eq!(ids(&received.body), [1, 2, 3]);
+    let bytes = first.endless_bytes.load(Ordering::Relaxed);
+    assert!(bytes <= 16 << 20, "{bytes} bytes");
+}
