serve, platform, control: Send nothing to endpoints that say they leave or want a pause

Cause: nothing read Server-Leaving, nor the Retry-After of an endpoint's refusal: it was asked again after 60 ms. An endpoint that says that it leaves, in any response, is no candidate any more for that start of it, at any instance: the hash goes out with the reports of loads. If all endpoints of a service want a pause, requests are refused at once with the time that is left. Neither counts for outlier detection or a roll-out, as refusals never did. Before: 11 and 10 requests reach two endpoints that want a pause of a minute, an endpoint that leaves gets all requests; each of the three tests failed. After: they pass, and so does the test over 3 and 18 instances. Not covered: the soak's endpoints do not give these answers yet, and a leaving endpoint that is the only one of its service gets nothing although it would serve for a moment longer.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -76,6 +76,7 @@
     }
     let mut report = LoadReport {
         limits: limits(control),
+        leaving: control.shared_loads.leaving(),
         prompt_parts: prompt_parts(control, peer_loads.prompt_parts(counts)),
         ..LoadReport::default()
     };
@@ -151,6 +152,7 @@
                 let now_ms = control.now_ms();
                 let from = Incarnation::from_u64(from);
                 record_limits(&control, &loads.limits, now_ms);
+                control.shared_loads.record_leaving(&loads.leaving);
                 control.peer_loads.borrow_mut().record(from, loads, now_ms);
             }
             Ok(_) => tracing::debug!(%peer, "member: datagram is no load report"),
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -389,3 +389,28 @@
         }
     }
 }
+
+#[test]
+fn an_endpoint_that_told_one_instance_that_it_leaves_is_known_to_leave_at_all() {
+    const ENDPOINT: u64 = 7;
+    for instances in [3, 18] {
+        let store = MemoryStore::default();
+        let fleet = start_fleet(&store, instances, |number, settings| {
+            settings.zone(if number % 3 == 0 { "a" } else { "b" })
+        });
+        eventually("each sees the others", || {
+            fleet.iter().all(|instance| sees(instance, instances))
+        });
+        for instance in &fleet {
+            assert!(!instance.shared_loads.entry(ENDPOINT).is_leaving());
+        }
+        fleet[1].shared_loads.entry(ENDPOINT).set_leaving();
+        eventually("all know that it leaves", || {
+            let knows = |instance: &Instance| instance.shared_loads.entry(ENDPOINT).is_leaving();
+            fleet.iter().all(knows)
+        });
+        for instance in fleet {
+            instance.handle.shutdown();
+        }
+    }
+}
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -48,6 +48,17 @@
     )
 }
 
+/// Records what an endpoint says in a response of the requests that it still wants.
+fn record_wishes(endpoint: &Endpoint, state: &EndpointState, reply: &Reply, now_ms: u64) {
+    if reply.tells_leaving() && state.record_leaving() {
+        tracing::info!(id = &*endpoint.id, "endpoint: leaves, by its own response");
+    }
+    if let Some(pause_ms) = reply.pause_ms {
+        state.record_wanted_pause(pause_ms, now_ms);
+        tracing::info!(id = &*endpoint.id, pause_ms, "endpoint: wants no requests");
+    }
+}
+
 /// Guard that counts a call as running on a version until it is dropped.
 pub(crate) struct RunningCall {
     counters: Arc<VersionCounters>,
@@ -194,7 +205,14 @@
 
     /// Returns the failure of a request for which no endpoint has room.
     fn failure_full(&self, context: &RequestContext, view: &View) -> Failure {
-        let rate = placement::limited_rate(self, view, &context.endpoint_states);
+        let states = &context.endpoint_states;
+        if let Some(pause_ms) = placement::shortest_pause_ms(self, view, states, context.now_ms()) {
+            let detail = "all endpoints of the service want no requests for a while";
+            return self
+                .failure(Reason::Overloaded, detail)
+                .retry_after_ms(pause_ms);
+        }
+        let rate = placement::limited_rate(self, view, states);
         let Some(rate_per_s) = rate else {
             return self
                 .failure(Reason::Overloaded, "all endpoints of the service are full")
@@ -296,6 +314,7 @@
             let states = &context.endpoint_states;
             states.record_rate_limit(&endpoint, limit_per_s, now_ms);
         }
+        record_wishes(&endpoint, &endpoint_state, &reply, now_ms);
         if reply.matches_request
             && reply.execution_status == ExecutionStatus::Answered
             && reply.sealed
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -54,9 +54,20 @@
     /// Requests per second that the endpoint takes from all instances together, if it names a
     /// limit.
     pub rate_limit_per_s: Option<f64>,
+    /// Whether the endpoint is about to leave.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no requests from this instance, in milliseconds, if it refused the
+    /// request with such a time.
+    pub pause_ms: Option<u64>,
 }
 
 impl Reply {
+    /// Returns whether the endpoint that was asked says itself that it is about to leave.
+    pub(crate) fn tells_leaving(&self) -> bool {
+        let is_own = self.matches_request && self.execution_status != ExecutionStatus::Misdirected;
+        is_own && self.is_leaving
+    }
+
     /// Returns whether the response says what the endpoint's rate limit is.
     ///
     /// Any response to the request may name a limit. Only one that the endpoint vouches for shows
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -22,6 +22,9 @@
 /// from the registry or answers again.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
 
+/// The part of a pause that an endpoint wants by which its end varies.
+const PAUSE_SPREAD_PART: u64 = 10;
+
 /// Weight of the latest sample in the moving averages.
 const SMOOTHING: f64 = 0.15;
 
@@ -60,6 +63,8 @@
     /// Moving average of the ratio of latencies to the baseline.
     latency_ratio: Cell<Option<f64>>,
     paused_until_ms: Cell<u64>,
+    /// Until when the endpoint itself wants no requests from this instance.
+    wanted_pause_until_ms: Cell<u64>,
     misdirected: Cell<bool>,
     /// This instance's part of the endpoint's rate limit, if it has one.
     rate: RefCell<Option<EndpointRate>>,
@@ -101,6 +106,30 @@
         self.misdirected.set(true);
     }
 
+    /// Returns whether the endpoint said to any instance that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.shared_load.is_leaving()
+    }
+
+    /// Records that the endpoint said that it leaves, and returns whether this is news.
+    pub(crate) fn record_leaving(&self) -> bool {
+        self.shared_load.set_leaving()
+    }
+
+    /// Returns how much longer the endpoint wants no requests, in milliseconds, or zero.
+    pub(crate) fn wanted_pause_ms(&self, now_ms: u64) -> u64 {
+        self.wanted_pause_until_ms.get().saturating_sub(now_ms)
+    }
+
+    /// Records that the endpoint wants no requests for a while. It gets them back spread over a part
+    /// of that time, since all instances that it refused would return together.
+    pub(crate) fn record_wanted_pause(&self, pause_ms: u64, now_ms: u64) {
+        let spread_ms = fastrand::u64(..=pause_ms / PAUSE_SPREAD_PART);
+        let until_ms = now_ms + pause_ms + spread_ms;
+        let latest_ms = until_ms.max(self.wanted_pause_until_ms.get());
+        self.wanted_pause_until_ms.set(latest_ms);
+    }
+
     pub(crate) fn record_full(&self, now_ms: u64) {
         self.pause_until(now_ms + FULL_PAUSE_MS);
     }
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -45,7 +45,10 @@
     let mut candidates = Vec::new();
     for endpoint in eligible {
         let state = endpoint_states.of(endpoint);
-        if state.is_misdirected() || request.tried.contains(&EndpointKey::of(endpoint)) {
+        if state.is_misdirected()
+            || state.is_leaving()
+            || request.tried.contains(&EndpointKey::of(endpoint))
+        {
             continue;
         }
         candidates.push(Candidate {
@@ -55,7 +58,9 @@
             same_zone: &*endpoint.zone == zone,
             health: state.health(now_ms),
             affinity: affinity(request, endpoint),
-            has_capacity: state.connections() < max_connections && state.is_within_rate(now_ms),
+            has_capacity: state.connections() < max_connections
+                && state.wanted_pause_ms(now_ms) == 0
+                && state.is_within_rate(now_ms),
         });
         available.push((endpoint, state));
     }
@@ -79,6 +84,24 @@
     })
 }
 
+/// Returns how long it takes until the first endpoint that could take a request like this one wants
+/// requests again, in milliseconds, or `None` if one of them does now.
+pub(crate) fn shortest_pause_ms(
+    request: &ActiveRequest,
+    view: &View,
+    endpoint_states: &EndpointStates,
+    now_ms: u64,
+) -> Option<u64> {
+    let pool = view.pools.get(&request.service)?;
+    let eligible = pool.eligible(request.session_unit());
+    let pauses = eligible
+        .into_iter()
+        .map(|endpoint| endpoint_states.of(endpoint))
+        .filter(|state| !state.is_misdirected() && !state.is_leaving())
+        .map(|state| state.wanted_pause_ms(now_ms));
+    pauses.min().filter(|pause_ms| *pause_ms > 0)
+}
+
 /// Returns the rate at which rate limits permit requests like this one from this instance, in
 /// requests per second, or `None` if no endpoint that could take it has a limit.
 pub(crate) fn limited_rate(
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -1,7 +1,7 @@
 //! Loads of endpoints, shared with the thread that exchanges them with other instances.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::shared_limit::SharedLimits;
@@ -14,11 +14,13 @@
 /// Loads are stored in tenths of the load of an average request.
 const UNITS_PER_LOAD: f64 = 10.0;
 
-/// The load of one endpoint by this instance's requests and by those of the others.
+/// The load of one endpoint by this instance's requests and by those of the others, and whether it
+/// said to any of them that it leaves.
 #[derive(Debug, Default)]
 pub struct EndpointLoad {
     own_units: AtomicU32,
     peer_units: AtomicU32,
+    is_leaving: AtomicBool,
 }
 
 impl EndpointLoad {
@@ -28,6 +30,16 @@
         self.own_units.store(units, Ordering::Relaxed);
     }
 
+    /// Returns whether the endpoint said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Records that the endpoint said that it leaves, and returns whether this is news.
+    pub fn set_leaving(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::Relaxed)
+    }
+
     /// Returns the load by the requests of the other instances, in requests of average size.
     pub fn of_peers(&self) -> f64 {
         f64::from(self.peer_units.load(Ordering::Relaxed)) / UNITS_PER_LOAD
@@ -69,6 +81,23 @@
         entries
     }
 
+    /// Returns the endpoints that said that they leave, for reports to other instances.
+    pub fn leaving(&self) -> Vec<u64> {
+        let loads = self.loads();
+        let leaving = loads.iter().filter(|(_, load)| load.is_leaving());
+        leaving.map(|(endpoint, _)| *endpoint).collect()
+    }
+
+    /// Records the endpoints that said to other instances that they leave.
+    pub fn record_leaving(&self, endpoints: &[u64]) {
+        let loads = self.loads();
+        for endpoint in endpoints {
+            if let Some(load) = loads.get(endpoint) {
+                load.set_leaving();
+            }
+        }
+    }
+
     /// Replaces the sums of the other instances' loads; endpoints without a sum get 0.
     pub fn set_peers(&self, sums: &HashMap<u64, u32>) {
         for (endpoint, load) in self.loads().iter() {
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -243,6 +243,11 @@
                 .headers
                 .get("x-rate-limit")
                 .and_then(|text| text.parse().ok()),
+            is_leaving: head.headers.get("x-leaving").is_some(),
+            pause_ms: head
+                .headers
+                .get("x-pause-ms")
+                .and_then(|text| text.parse().ok()),
         }
     }
 }
--- /dev/null
+++ b/crates/serve/tests/endpoint_wishes.rs
@@ -0,0 +1,109 @@
+//! Endpoints that say that they leave, or that they want no requests for a while, get none.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Harness, ScriptedEndpoint, Step, answer, route};
+use route::RetrySafety;
+
+fn response(status_line: &str, header: &str, body: &str) -> Vec<Step> {
+    vec![Step::Write(format!(
+        "HTTP/1.1 {status_line}\r\nx-id: 1\r\nx-seal: s\r\n{header}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))]
+}
+
+/// A refusal of an endpoint that wants no requests for some milliseconds.
+fn pause(pause_ms: u64) -> Vec<Step> {
+    let header = format!("x-not-started: 1\r\nx-pause-ms: {pause_ms}");
+    response("503 Busy", &header, "")
+}
+
+#[test]
+fn an_endpoint_that_says_that_it_leaves_gets_no_further_request() {
+    let cases = [
+        (
+            "in a success",
+            response("200 OK", "x-leaving: 1", "first"),
+            200,
+        ),
+        (
+            "in an error response",
+            response("500 Failed", "x-leaving: 1", "first"),
+            500,
+        ),
+        (
+            "in a refusal",
+            response("503 Busy", "x-not-started: 1\r\nx-leaving: 1", ""),
+            200,
+        ),
+    ];
+    for (name, script, status) in cases {
+        let leaving = ScriptedEndpoint::start(vec![script]);
+        let other = ScriptedEndpoint::start(vec![answer("other")]);
+        let harness = Harness::new(
+            route(RetrySafety::NonIdempotent),
+            &[leaving.addr, other.addr],
+            10.0,
+        );
+        // Until the first endpoint, which is nearer, has been asked.
+        while leaving.request_count() == 0 {
+            let received = harness.send(&[]);
+            let is_first = leaving.request_count() == 1;
+            assert_eq!(
+                received.status,
+                if is_first { status } else { 200 },
+                "{name}"
+            );
+        }
+        for _ in 0..20 {
+            assert_eq!(harness.send(&[]).body, "other", "{name}");
+        }
+        assert_eq!(leaving.request_count(), 1, "{name}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    const PAUSE_MS: u64 = 700;
+    let paused = ScriptedEndpoint::start(vec![pause(PAUSE_MS), answer("back")]);
+    let other = ScriptedEndpoint::start(vec![answer("other")]);
+    let harness = Harness::new(
+        route(RetrySafety::NonIdempotent),
+        &[paused.addr, other.addr],
+        10.0,
+    );
+    while paused.request_count() == 0 {
+        assert_eq!(harness.send(&[]).body, "other");
+    }
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(PAUSE_MS - 100) {
+        assert_eq!(harness.send(&[]).body, "other");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(paused.request_count(), 1);
+    std::thread::sleep(Duration::from_millis(200));
+    let bodies: Vec<String> = (0..40).map(|_| harness.send(&[]).body).collect();
+    assert!(bodies.iter().any(|body| body == "back"), "{bodies:?}");
+}
+
+#[test]
+fn a_request_is_refused_at_once_while_all_endpoints_want_a_pause() {
+    const PAUSE_MS: u64 = 60_000;
+    let endpoints = [(); 2].map(|()| ScriptedEndpoint::start(vec![pause(PAUSE_MS)]));
+    let addrs = [endpoints[0].addr, endpoints[1].addr];
+    let harness = Harness::new(route(RetrySafety::NonIdempotent), &addrs, 10.0);
+    harness.send(&[]);
+    let counts = [endpoints[0].request_count(), endpoints[1].request_count()];
+    assert_eq!(counts, [1, 1]);
+    for _ in 0..10 {
+        let began = Instant::now();
+        let received = harness.send(&[]);
+        assert_eq!(received.status, 503);
+        assert_eq!(received.verdict.as_deref(), Some("not-run"));
+        assert!(began.elapsed() < Duration::from_millis(50));
+    }
+    let counts = [endpoints[0].request_count(), endpoints[1].request_count()];
+    assert_eq!(counts, [1, 1], "no request while both want a pause");
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -303,6 +303,9 @@
     /// Prompt parts under which endpoints ended, or that are blocked for it.
     #[prost(message, repeated, tag = "4")]
     pub prompt_parts: Vec<PromptPartReport>,
+    /// Hashes of the endpoints that said that they leave.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub leaving: Vec<u64>,
 }
 
 /// What an instance saw of a prompt part under which endpoints ended.
