serve: Count calls that are given up as slow if their endpoint answers others

Cause: a call that got no response within its timeout was no outcome of the version, so the slowest answers of a slow version counted least: what is slow by 8 for 110 ms of work is given up at 2.5 objectives. Ruled out: counting every such call. Change: if the endpoint responded to any call since this one was sent, the call counts as slow, with its time. Before: the new test sees 0 slow; after: it passes, with the other tests of versions. Still lost: calls whose callers leave first (give_up), on both versions alike.

--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -21,6 +21,8 @@
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
 
+const MS_PER_S: f64 = 1_000.0;
+
 /// Retry-after while no endpoint can take a request, in milliseconds: the duration of a restart.
 const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 500;
 
@@ -290,6 +292,10 @@
                 self.sends += 1;
                 self.record_run(Verdict::MayHaveRun);
                 endpoint_state.record_outcome(true, now_ms);
+                if err.source.kind() == io::ErrorKind::TimedOut {
+                    let elapsed = sent_at.elapsed();
+                    self.record_given_up(context, &endpoint, &endpoint_state, elapsed);
+                }
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.log_send(&endpoint, "broke", &err.to_string());
                 return SendResult::Retry;
@@ -437,6 +443,25 @@
         );
     }
 
+    /// Records that a call got no response in time. It shows a slow version only if the endpoint
+    /// responded to others meanwhile.
+    fn record_given_up(
+        &self,
+        context: &RequestContext,
+        endpoint: &Endpoint,
+        endpoint_state: &EndpointState,
+        elapsed: Duration,
+    ) {
+        let sent_ms = context.now_ms().saturating_sub(elapsed.as_millis() as u64);
+        if endpoint_state.last_received_ms() <= sent_ms {
+            return;
+        }
+        let is_stream = self.route.retry_safety.is_stream();
+        let measured = Measured::AnswerMs(elapsed.as_secs_f64() * MS_PER_S);
+        let measured = (!is_stream).then_some(measured);
+        self.record_call_outcome(context, endpoint, CallOutcome::Slow, measured);
+    }
+
     /// Records that a connection broke, or that the endpoint refused one, and logs the answers that it
     /// began shortly before.
     pub(crate) fn record_broken(
--- a/crates/serve/tests/versions.rs
+++ b/crates/serve/tests/versions.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
+use std::time::Duration;
+
+use async_io::Timer;
 use common::{
     Harness, ScriptedEndpoint, Step, answer, error_response, events, route, stream_end, stream_head,
 };
+use futures_lite::future::zip;
 use route::RetrySafety;
 use serve::{RolloutStage, RolloutView};
 
@@ -202,3 +206,32 @@
     assert_eq!(counts("v2").answered, 5);
     assert!(counts("v2").slow >= 4, "{}", counts("v2").slow);
 }
+
+/// Issue 29, EXPOSURE: answers that are so slow that the call is given up left no trace, so that the
+/// slowest answers of a version counted least.
+#[test]
+fn a_call_given_up_while_its_endpoint_answers_others_counts_as_slow() {
+    let silent = vec![Step::Sleep(1_500)];
+    let quick = [vec![Step::Sleep(100)], answer("new")].concat();
+    let cases = [
+        ("an endpoint that answers others", quick, 1),
+        ("an endpoint that answers nobody", silent.clone(), 0),
+    ];
+    for (name, other_call, expected) in cases {
+        let new = ScriptedEndpoint::start(vec![silent.clone(), other_call]);
+        let harness = Harness::with_versions(
+            route(RetrySafety::Idempotent).max_attempts(2),
+            &[(new.addr, "v2")],
+            None,
+            10.0,
+        );
+        async_io::block_on(zip(harness.send_async(&[]), async {
+            Timer::after(Duration::from_millis(50)).await;
+            harness.send_async(&[]).await
+        }));
+        let counters = harness.pipeline.version_counters();
+        let seen = counters.evidence(&"app".into(), &"v2".into()).total();
+        assert!(seen.slow >= expected, "{name}: {} slow", seen.slow);
+        assert!(expected > 0 || seen.slow == 0, "{name}: {} slow", seen.slow);
+    }
+}
