control: Compare a new version with all outcomes on the old one if few are recent

An instance that starts during a roll-out takes the first report of each peer for the time before it, and has nothing to compare the new version's outcomes with, which it knows in full. Ruled out by the new test, which passes before, too: that such an instance withdraws a good version; without calls on the old version it takes half of them for usual to fail. But it takes a bad one for acceptable as well, and may be the one that completes it. Change: under 150 outcomes since it learned of the roll-out, an instance compares with all that its peers counted.

--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -24,6 +24,9 @@
 /// are slow, and half of all answers are too short to show it.
 const MIN_SLOW_RISE: f64 = 0.2;
 
+/// The outcomes on the other versions that are enough to compare a new version with.
+const MIN_RECENT_OUTCOMES: u64 = 150;
+
 const MS_PER_S: f64 = 1_000.0;
 
 /// A symptom in which the target is worse than the other versions, with the counts of both.
@@ -183,15 +186,30 @@
     /// Returns the requests per second on the other versions since this instance learned of the
     /// roll-out, summed over all instances.
     pub(crate) fn requests_per_s(&self, now_ms: u64) -> f64 {
-        let total = self.other_versions_total();
+        let total = self.other_versions_since_learned().total();
         let requests = total.answered + total.failed;
         let elapsed_ms = now_ms.saturating_sub(self.learned_ms).max(1);
         requests as f64 * MS_PER_S / elapsed_ms as f64
     }
 
-    /// Returns the outcomes on the other versions by class since this instance learned of the
-    /// roll-out, summed over all instances.
+    /// Returns the outcomes on the other versions by class, summed over all instances.
+    ///
+    /// Those since this instance learned of the roll-out are of the same time as those on the target.
+    /// An instance that learned of it late has too few of them and takes all.
     pub(crate) fn other_versions(&self) -> Evidence {
+        let recent = self.other_versions_since_learned();
+        let total = recent.total();
+        if total.answered + total.failed >= MIN_RECENT_OUTCOMES {
+            return recent;
+        }
+        let mut sum = Evidence::default();
+        for report in self.reports.values() {
+            sum.add(&evidence_from_wire(&report.on_other_versions));
+        }
+        sum
+    }
+
+    fn other_versions_since_learned(&self) -> Evidence {
         let mut sum = Evidence::default();
         for (instance, report) in &self.reports {
             let mut counts = evidence_from_wire(&report.on_other_versions);
--- a/crates/control/tests/rollouts.rs
+++ b/crates/control/tests/rollouts.rs
@@ -60,9 +60,17 @@
 /// Pause between the calls of two classes on the new version, in which it is judged at least once.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Which instances take part in a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fleet {
+    One,
+    /// A second instance starts during the trial.
+    OneThenTwo,
+}
+
 /// Plays a roll-out of 4 s and returns the state in which it ends. Calls are recorded during the
 /// trial, those on the old version first, and those on the new version one class after the other.
-fn final_state(old: &[Calls], new: &[Calls]) -> String {
+fn final_state(fleet: Fleet, old: &[Calls], new: &[Calls]) -> String {
     let store = MemoryStore::default();
     store.write("endpoints/old", entry("v1"));
     store.write("endpoints/new", entry("v2"));
@@ -87,10 +95,14 @@
         record(&instance, "v2", calls);
         std::thread::sleep(PAUSE);
     }
+    let second = (fleet == Fleet::OneThenTwo).then(|| Instance::start("b", &store));
     eventually("the roll-out ends", || {
         state().is_some_and(|state| state != "running")
     });
     instance.handle.shutdown();
+    if let Some(second) = second {
+        second.handle.shutdown();
+    }
     state().unwrap_or_default()
 }
 
@@ -108,7 +120,7 @@
         slowdown: 3.0,
         ..ALIKE
     }];
-    assert_eq!(final_state(&old, &new), "rolled-back");
+    assert_eq!(final_state(Fleet::One, &old, &new), "rolled-back");
 }
 
 /// Issue 29, EXPOSURE: a fault of one class stayed below the threshold over all classes, as another
@@ -141,7 +153,7 @@
             ..often_failing
         },
     ];
-    assert_eq!(final_state(&old, &new), "rolled-back");
+    assert_eq!(final_state(Fleet::One, &old, &new), "rolled-back");
 }
 
 /// Issue 29, EXPOSURE: 3 failures of 10 calls, all of them in a class that always fails one call in
@@ -172,5 +184,35 @@
         },
         Calls { count: 30, ..ALIKE },
     ];
-    assert_eq!(final_state(&old, &new), "succeeded");
+    assert_eq!(final_state(Fleet::One, &old, &new), "succeeded");
+}
+
+/// Guards against an instance that starts during a roll-out and compares all outcomes on the new
+/// version with the few on the old one that it has heard of.
+#[test]
+fn an_instance_that_starts_during_the_trial_does_not_withdraw_a_good_version() {
+    let often_failing = Calls {
+        class: "lookups",
+        fails_each: 7,
+        ..ALIKE
+    };
+    let old = [
+        Calls {
+            count: 500,
+            ..ALIKE
+        },
+        Calls {
+            count: 200,
+            ..often_failing
+        },
+    ];
+    let new = [
+        Calls { count: 30, ..ALIKE },
+        Calls {
+            count: 40,
+            fails_each: 5,
+            ..often_failing
+        },
+    ];
+    assert_eq!(final_state(Fleet::OneThenTwo, &old, &new), "succeeded");
 }
