serve: Move what a call's result says of its endpoint to a module of its own

dispatch.rs had grown past 500 lines with four functions that record results, beside the choice and the sending.

--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -12,17 +12,16 @@
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::active_request::{ActiveRequest, FailureResponse};
+use crate::call_record::record_wishes;
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
 use crate::outcome::Counters;
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
-use crate::version_counters::{CallOutcome, Measured, VersionCounters};
+use crate::version_counters::{CallOutcome, VersionCounters};
 use crate::view::View;
 
-const MS_PER_S: f64 = 1_000.0;
-
 /// Retry-after while no endpoint can take a request, in milliseconds: the duration of a restart.
 const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 500;
 
@@ -38,29 +37,6 @@
 
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Returns whether an error shows that the other side ended or closed the connection.
-fn is_broken_connection(err: &io::Error) -> bool {
-    matches!(
-        err.kind(),
-        io::ErrorKind::UnexpectedEof
-            | io::ErrorKind::ConnectionReset
-            | io::ErrorKind::ConnectionAborted
-            | io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::BrokenPipe
-    )
-}
-
-/// Records what an endpoint says in a response of the requests that it still wants.
-fn record_wishes(endpoint: &Endpoint, state: &EndpointState, reply: &Reply, now_ms: u64) {
-    if reply.tells_leaving() && state.record_leaving() {
-        tracing::info!(id = &*endpoint.id, "endpoint: leaves, by its own response");
-    }
-    if let Some(pause_ms) = reply.pause_ms {
-        state.record_wanted_pause(pause_ms, now_ms);
-        tracing::info!(id = &*endpoint.id, pause_ms, "endpoint: wants no requests");
-    }
-}
-
 /// Guard that counts a call as running on a version until it is dropped.
 pub(crate) struct RunningCall {
     counters: Arc<VersionCounters>,
@@ -426,80 +402,4 @@
             }
         }
     }
-
-    pub(crate) fn record_call_outcome(
-        &self,
-        context: &RequestContext,
-        endpoint: &Endpoint,
-        outcome: CallOutcome,
-        measured: Option<Measured>,
-    ) {
-        context.version_counters.record(
-            &endpoint.service,
-            &endpoint.version,
-            &self.route.name,
-            outcome,
-            measured,
-        );
-    }
-
-    /// Records that a call got no response in time. It shows a slow version only if the endpoint
-    /// responded to others meanwhile.
-    fn record_given_up(
-        &self,
-        context: &RequestContext,
-        endpoint: &Endpoint,
-        endpoint_state: &EndpointState,
-        elapsed: Duration,
-    ) {
-        let sent_ms = context.now_ms().saturating_sub(elapsed.as_millis() as u64);
-        if endpoint_state.last_received_ms() <= sent_ms {
-            return;
-        }
-        let is_stream = self.route.retry_safety.is_stream();
-        let measured = Measured::AnswerMs(elapsed.as_secs_f64() * MS_PER_S);
-        let measured = (!is_stream).then_some(measured);
-        self.record_call_outcome(context, endpoint, CallOutcome::Slow, measured);
-    }
-
-    /// Records that a connection broke, or that the endpoint refused one, and logs the answers that it
-    /// began shortly before.
-    pub(crate) fn record_broken(
-        &mut self,
-        context: &RequestContext,
-        endpoint: &Endpoint,
-        endpoint_state: &EndpointState,
-        err: &io::Error,
-    ) {
-        if !is_broken_connection(err) {
-            return;
-        }
-        let now_ms = context.now_ms();
-        for start in endpoint_state.record_broken(now_ms) {
-            if self.prompt.as_ref() == Some(&start.prompt) {
-                self.crashes += 1;
-            }
-            tracing::info!(
-                id = &*self.info.id,
-                endpoint = &*endpoint.id,
-                version = &*endpoint.version,
-                parts = ?start.prompt,
-                running_ms = now_ms.saturating_sub(start.began_ms),
-                "endpoint: broke after a start"
-            );
-        }
-    }
-
-    pub(crate) fn log_send(&self, endpoint: &Endpoint, result: &str, detail: &str) {
-        tracing::info!(
-            id = &*self.info.id,
-            endpoint = &*endpoint.id,
-            version = &*endpoint.version,
-            result,
-            detail,
-            sends = self.sends,
-            left_ms = self.remaining().as_millis() as u64,
-            "send: no answer"
-        );
-    }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod active_request;
 mod baseline;
 mod buffered_body;
+mod call_record;
 mod caller_protocol;
 mod dispatch;
 mod endpoint;
