serve, limits: Take an endpoint for alive only well after an answer began, and report the worst parts

Cause: (1) an instance short of processor time may read bytes that an endpoint sent before its end 0.25 s after an answer began, before it reads that the connections broke; the part that ended it would have survived, at all instances. (2) Joined reports of collectors were still cut off by hash. Ruled out for a fleet of up to 16: (2), where only own parts are reported. Change: a start counts as survived when bytes arrive 0.6 s after it, and as a cause up to 0.25 s; in between it says nothing. Reports are joined with the blocked parts and those with most ends first.

--- a/crates/limits/src/prompt_guard.rs
+++ b/crates/limits/src/prompt_guard.rs
@@ -150,7 +150,8 @@
 }
 
 impl ReportedPart {
-    /// Joins the reports on the same part, and leaves out those beyond the most that are reported.
+    /// Joins the reports on the same part, and leaves out those with the fewest crashes beyond the most
+    /// that are reported.
     pub fn join(reports: impl IntoIterator<Item = ReportedPart>) -> Vec<ReportedPart> {
         let mut by_part: BTreeMap<u64, ReportedPart> = BTreeMap::new();
         for report in reports {
@@ -164,7 +165,13 @@
                 known.block = report.block;
             }
         }
-        by_part.into_values().take(MAX_REPORTED).collect()
+        let mut joined: Vec<ReportedPart> = by_part.into_values().collect();
+        joined.sort_by_key(|report| {
+            let crashes = report.history.crashes_in_row();
+            Reverse((report.block.is_some(), crashes))
+        });
+        joined.truncate(MAX_REPORTED);
+        joined
     }
 }
 
--- a/crates/limits/tests/prompt_guard.rs
+++ b/crates/limits/tests/prompt_guard.rs
@@ -262,3 +262,20 @@
     assert!(guard.is_suspect(&[SHARED, BAD], 2_100));
     assert!(!guard.is_suspect(&[SHARED, 20], 2_100));
 }
+
+#[test]
+fn parts_with_the_most_crashes_are_reported_first() {
+    let report = |part: u64, crashes: u64| ReportedPart {
+        part,
+        history: PartHistory {
+            crashes_ms: (1..=crashes).map(|crash| crash * 1_000).collect(),
+            survived_ms: None,
+        },
+        block: None,
+    };
+    let mut reports: Vec<ReportedPart> = (0..200).map(|part| report(part, 1)).collect();
+    reports.push(report(999, 2));
+    let joined = ReportedPart::join(reports);
+    assert_eq!(joined[0].part, 999);
+    assert!(joined.len() <= 64, "{}", joined.len());
+}
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -6,9 +6,13 @@
 
 use crate::request::RequestInfo;
 
-/// How long an endpoint must live after the start of an answer for the answer to count as harmless,
-/// in milliseconds.
-const SURVIVAL_MS: u64 = 250;
+/// How long after the start of an answer the answer may be what ended its endpoint, in milliseconds.
+const CRASH_WINDOW_MS: u64 = 250;
+
+/// How long after the start of an answer bytes of its endpoint show that it survived, in
+/// milliseconds. An instance that is short of processor time reads bytes late, also those that were
+/// sent before an end that it has not seen yet.
+const SURVIVAL_MS: u64 = 600;
 
 /// How long after a broken connection bytes may still be read that an endpoint sent before it ended,
 /// in milliseconds: an instance that is short of processor time reads its other connections late.
@@ -112,7 +116,7 @@
         self.broke_ms = now_ms;
         let mut suspects = Vec::new();
         for start in self.starts.drain(..) {
-            if now_ms < start.began_ms + SURVIVAL_MS {
+            if now_ms < start.began_ms + CRASH_WINDOW_MS {
                 self.suspects.push(start.prompt.clone());
                 suspects.push(start);
             }
