rollout, docs: Write the result of a roll-out no later than before

Ruled out: a loss of evidence for plain services, which are done as soon as nothing runs on the old version. Change: back to 0.945.

--- a/crates/rollout/src/timed_rollout.rs
+++ b/crates/rollout/src/timed_rollout.rs
@@ -69,7 +69,7 @@
 
 /// The elapsed share at which the roll-out no longer waits for requests on the old version. In what is
 /// left of the time, other instances may have to write the result if the first ones lost the store.
-const DONE_AT: f64 = 0.96;
+const DONE_AT: f64 = 0.945;
 
 /// The part of the exposure bound that is used while all traffic is on the new version.
 const ALL_PART: f64 = 0.72;
