serve: Log the content of a request and the time of a send that got no answer

Change: a hash of method, host, target, caller, prompt and body in the line of a send without an answer, and the time since it was sent.

--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -16,6 +16,7 @@
 use crate::recent_starts::PromptKey;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
+use crate::request_key::RequestKey;
 
 /// Refusals by endpoints after which the caller is told to retry later.
 const MAX_REFUSALS: u32 = 4;
@@ -51,6 +52,7 @@
 pub(crate) struct ActiveRequest {
     pub(crate) inbound: Request,
     pub(crate) info: RequestInfo,
+    pub(crate) key: RequestKey,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) max_connections: u32,
--- a/crates/serve/src/call_record.rs
+++ b/crates/serve/src/call_record.rs
@@ -1,7 +1,7 @@
 //! What the result of a call says about its endpoint and its version.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
@@ -104,9 +104,18 @@
         }
     }
 
-    pub(crate) fn log_send(&self, endpoint: &Endpoint, result: &str, detail: &str) {
+    /// Logs a send that brought no answer, with the time that it took.
+    pub(crate) fn log_send(
+        &self,
+        endpoint: &Endpoint,
+        result: &str,
+        detail: &str,
+        sent_at: Instant,
+    ) {
         tracing::info!(
             id = &*self.info.id,
+            content = ?self.key,
+            elapsed_ms = sent_at.elapsed().as_millis() as u64,
             endpoint = &*endpoint.id,
             version = &*endpoint.version,
             result,
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -261,7 +261,7 @@
                 endpoint_state.record_unreachable(now_ms);
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.refusals += 1;
-                self.log_send(&endpoint, "unreached", &err.to_string());
+                self.log_send(&endpoint, "unreached", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
             Err(err) => {
@@ -273,7 +273,7 @@
                     self.record_given_up(context, &endpoint, &endpoint_state, elapsed);
                 }
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
-                self.log_send(&endpoint, "broke", &err.to_string());
+                self.log_send(&endpoint, "broke", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
         };
@@ -316,7 +316,7 @@
                 reading_ms,
             }));
         }
-        self.record_unusable_response(context, &endpoint, &endpoint_state, &reply);
+        self.record_unusable_response(context, &endpoint, &endpoint_state, &reply, sent_at);
         if reply.matches_request && reply.execution_status == ExecutionStatus::Failed {
             self.keep_failure_response(context, exchange, head).await;
         }
@@ -330,6 +330,7 @@
         endpoint: &Arc<Endpoint>,
         endpoint_state: &EndpointState,
         reply: &Reply,
+        sent_at: Instant,
     ) {
         let now_ms = context.now_ms();
         let (result, detail, verdict) = match reply.execution_status {
@@ -359,7 +360,7 @@
                 Verdict::MayHaveRun,
             ),
         };
-        self.log_send(endpoint, result, detail);
+        self.log_send(endpoint, result, detail, sent_at);
         if verdict == Verdict::NotRun {
             self.refusals += 1;
             match reply.execution_status {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -31,6 +31,7 @@
 mod recent_starts;
 mod request;
 mod request_context;
+mod request_key;
 mod request_log;
 mod settings;
 mod shared_limit;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -21,6 +21,7 @@
 use crate::recent_starts::PromptKey;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
+use crate::request_key::RequestKey;
 use crate::request_log::RequestLog;
 use crate::settings::Settings;
 use crate::shared_load::SharedLoads;
@@ -288,8 +289,11 @@
     let remaining_ms = info.remaining_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
     let deadline = inbound.received_at + Duration::from_millis(remaining_ms.min(timeout_ms));
+    let caller = workspace.map(|workspace| &*workspace.name);
+    let key = RequestKey::of(info, &inbound, caller);
     Ok(ActiveRequest {
         info: info.clone(),
+        key,
         route: route.clone(),
         service: target.service.clone(),
         max_connections: max_connections(table, &target.service),
@@ -346,7 +350,13 @@
                 request.record_run(Verdict::Ran);
                 let endpoint_state = &started.call_guard.endpoint_state;
                 request.record_broken(context, &started.endpoint, endpoint_state, &err);
-                request.log_send(&started.endpoint, "response truncated", &err.to_string());
+                let sent_at = started.sent_at;
+                request.log_send(
+                    &started.endpoint,
+                    "response truncated",
+                    &err.to_string(),
+                    sent_at,
+                );
             }
         }
     }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -153,7 +153,9 @@
         let endpoint_state = self.response.call_guard.endpoint_state.clone();
         self.request
             .record_broken(&self.context, &endpoint, &endpoint_state, err);
-        self.request.log_send(&endpoint, "stream broke", &why);
+        let sent_at = self.response.sent_at;
+        self.request
+            .log_send(&endpoint, "stream broke", &why, sent_at);
         self.request.record_run(Verdict::Ran);
         let failure = if self.request.may_retry() {
             match self.request.dispatch(&self.context, self.last_id).await {
