--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -352,6 +352,11 @@
 
     /// Sends a request without blocking the thread, so that several can run concurrently.
     pub async fn send_async(&self, fields: &[(&str, &str)]) -> Received {
+        self.send_to("/x/1", fields).await
+    }
+
+    /// Sends a request for a target.
+    pub async fn send_to(&self, target: &str, fields: &[(&str, &str)]) -> Received {
         let mut headers = Headers::default();
         for (name, value) in fields {
             headers.push(name, value);
@@ -359,7 +364,7 @@
         let request = Request {
             head: RequestHead {
                 method: "GET".to_owned(),
-                target: "/x/1".to_owned(),
+                target: target.to_owned(),
                 minor_version: 1,
                 headers,
             },
