limits, serve, control: Refuse requests under which endpoints keep ending, plain ones too

Callers saw a plain service lose all its endpoints within 300 ms, again and again, each time one request came back.

Cause: the guard of prompts knew requests by shared prompt parts only, and watched answers that had begun; a plain request has neither. Class of fault: a retry spreads a fault that travels with the request.

Ruled out: endpoints that fail by themselves, as the test ends them under one request only and all 8 sends of it went out.

Change: one guard for requests, known by their content, and prompt parts. Ends are told apart by endpoint, so that three within 260 ms count as three and one that several instances see counts as one. Three ends in a row block a request, five if it survived lately; requests with all ends in common are blocked for five seconds and tried apart; a request explains all ends but one of its parts. Survivals are kept in a set of bounded size and only subjects with ends have a history, so that requests without number do not fill it. Peers are told of both kinds with the endpoints that ended; older builds read the parts.

The same cause elsewhere: a response of another endpoint at the address (421) counted as a sign of life of the one that ended, and took its end back; it does no longer. A response on a connection opened after the end clears at once, not after 0.5 s.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -2,10 +2,10 @@
 
 use catalog::{Digest, Object};
 use kernel::Incarnation;
-use limits::{PartBlock, PartHistory, ReportedPart};
+use limits::{Crash, CrashBlock, CrashHistory, CrashReport, Subject};
 use member::{Member, Status};
 use rollout::{Evidence, OutcomeCounts, TimeHistogram};
-use wire::{ClassOutcomes, ConfigDigest, MemberInfo, ObjectEntry, PromptPartReport};
+use wire::{ClassOutcomes, ConfigDigest, MemberInfo, ObjectEntry};
 
 /// Converts a member to its wire message.
 pub fn member_to_wire(member: &Member) -> MemberInfo {
@@ -156,36 +156,49 @@
     histogram
 }
 
-/// Converts what is known of a prompt part to its wire message, with ages at `now_ms`.
-pub(crate) fn prompt_part_to_wire(report: &ReportedPart, now_ms: u64) -> PromptPartReport {
+/// Converts what is known of a request or prompt part to its wire message, with ages at `now_ms`.
+pub(crate) fn crash_to_wire(report: &CrashReport, now_ms: u64) -> wire::CrashReport {
     let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
     let history = &report.history;
-    let left_ms = |block: PartBlock| block.until_ms as i64 - now_ms as i64;
-    PromptPartReport {
-        part: report.part,
-        crash_ages_ms: history.crashes_ms.iter().map(|ms| age_ms(*ms)).collect(),
-        survival_age_ms: history.survived_ms.map(age_ms),
+    let crashes = history.crashes();
+    let left_ms = |block: CrashBlock| block.until_ms as i64 - now_ms as i64;
+    let (is_request, subject) = match history.subject() {
+        Subject::Request(hash) => (true, hash),
+        Subject::Part(hash) => (false, hash),
+    };
+    wire::CrashReport {
+        subject,
+        is_request,
+        crash_ages_ms: crashes.iter().map(|crash| age_ms(crash.at_ms)).collect(),
+        crash_endpoints: crashes.iter().map(|crash| crash.endpoint).collect(),
+        survival_age_ms: history.survived_ms().map(age_ms),
         block_left_ms: report.block.map(left_ms),
         block_length_ms: report.block.map_or(0, |block| block.length_ms),
     }
 }
 
-/// Converts a wire message on a prompt part that arrived at `received_ms`.
-pub(crate) fn prompt_part_from_wire(report: &PromptPartReport, received_ms: u64) -> ReportedPart {
+/// Converts a wire message on a request or prompt part that arrived at `received_ms`. A peer of an
+/// older build names no endpoints.
+pub(crate) fn crash_from_wire(report: &wire::CrashReport, received_ms: u64) -> CrashReport {
     let at_ms = |age_ms: u64| received_ms.saturating_sub(age_ms);
-    let mut history = PartHistory {
-        crashes_ms: Vec::new(),
-        survived_ms: report.survival_age_ms.map(at_ms),
-    };
-    for age_ms in &report.crash_ages_ms {
-        history.add_crash(at_ms(*age_ms));
+    let mut history = CrashHistory::new(if report.is_request {
+        Subject::Request(report.subject)
+    } else {
+        Subject::Part(report.subject)
+    });
+    history.add_survival(report.survival_age_ms.map(at_ms));
+    for (index, age_ms) in report.crash_ages_ms.iter().enumerate() {
+        let endpoint = report.crash_endpoints.get(index);
+        history.add_crash(Crash {
+            endpoint: endpoint.copied().unwrap_or_default(),
+            at_ms: at_ms(*age_ms),
+        });
     }
-    let block = |left_ms: i64| PartBlock {
+    let block = |left_ms: i64| CrashBlock {
         until_ms: received_ms.saturating_add_signed(left_ms),
         length_ms: report.block_length_ms,
     };
-    ReportedPart {
-        part: report.part,
+    CrashReport {
         history,
         block: report.block_left_ms.map(block),
     }
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -1,5 +1,5 @@
-//! Exchange of the loads and rate limits of endpoints, and of the prompt parts that crash them,
-//! between instances, by datagrams.
+//! Exchange of the loads and rate limits of endpoints, and of the requests and prompt parts that crash
+//! them, between instances, by datagrams.
 //!
 //! It answers loads at which one instance's own requests say little about an endpoint: each report
 //! is as fresh as a few requests, and a lost one is replaced by the next.
@@ -11,11 +11,11 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use kernel::Incarnation;
-use limits::ReportedPart;
+use limits::CrashReport;
 use serve::LimitEntry;
-use wire::{Body, EndpointLimit, Envelope, LoadReport, PromptPartReport};
+use wire::{Body, EndpointLimit, Envelope, LoadReport};
 
-use crate::convert::prompt_part_to_wire;
+use crate::convert::crash_to_wire;
 use crate::load_plan::{LoadPlan, Scope};
 use crate::state::Control;
 
@@ -77,7 +77,7 @@
     let mut report = LoadReport {
         limits: limits(control),
         leaving: control.shared_loads.leaving(),
-        prompt_parts: prompt_parts(control, peer_loads.prompt_parts(counts)),
+        crashes: crashes(control, peer_loads.crashes(counts)),
         ..LoadReport::default()
     };
     for (endpoint, units) in sums {
@@ -99,12 +99,12 @@
     limits
 }
 
-/// Joins what this instance knows of prompt parts with what peers report.
-fn prompt_parts(control: &Control, of_peers: Vec<ReportedPart>) -> Vec<PromptPartReport> {
+/// Joins what this instance knows of crashes with what peers report.
+fn crashes(control: &Control, of_peers: Vec<CrashReport>) -> Vec<wire::CrashReport> {
     let now_ms = control.now_ms();
-    let own = control.shared_loads.prompts().reported(now_ms);
-    let joined = ReportedPart::join(own.into_iter().chain(of_peers));
-    let to_wire = |report: &ReportedPart| prompt_part_to_wire(report, now_ms);
+    let own = control.shared_loads.crashes().reported(now_ms);
+    let joined = CrashReport::join(own.into_iter().chain(of_peers));
+    let to_wire = |report: &CrashReport| crash_to_wire(report, now_ms);
     joined.iter().map(to_wire).collect()
 }
 
@@ -165,7 +165,7 @@
     let mut peer_loads = control.peer_loads.borrow_mut();
     peer_loads.expire(control.now_ms());
     control.shared_loads.set_peers(&peer_loads.sums(|_| true));
-    let reports = peer_loads.prompt_parts(|_| true);
-    let prompts = control.shared_loads.prompts();
-    prompts.set_peers(&reports, control.now_ms());
+    let reports = peer_loads.crashes(|_| true);
+    let crashes = control.shared_loads.crashes();
+    crashes.set_peers(&reports, control.now_ms());
 }
--- a/crates/control/src/peer_loads.rs
+++ b/crates/control/src/peer_loads.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 
 use kernel::Incarnation;
-use limits::ReportedPart;
+use limits::CrashReport;
 use wire::LoadReport;
 
-use crate::convert::prompt_part_from_wire;
+use crate::convert::crash_from_wire;
 
 /// How long a report counts, in milliseconds: several intervals of the largest exchange.
 const REPORT_LIFETIME_MS: u64 = 600;
@@ -39,18 +39,18 @@
             .retain(|_, report| now_ms < report.received_ms + REPORT_LIFETIME_MS);
     }
 
-    /// Returns what the peers that `counts` selects report on prompt parts.
-    pub(crate) fn prompt_parts(&self, counts: impl Fn(Incarnation) -> bool) -> Vec<ReportedPart> {
-        let mut parts = Vec::new();
+    /// Returns what the peers that `counts` selects report on crashes.
+    pub(crate) fn crashes(&self, counts: impl Fn(Incarnation) -> bool) -> Vec<CrashReport> {
+        let mut crashes = Vec::new();
         for (peer, report) in &self.reports {
             if !counts(*peer) {
                 continue;
             }
-            for part in &report.loads.prompt_parts {
-                parts.push(prompt_part_from_wire(part, report.received_ms));
+            for crash in &report.loads.crashes {
+                crashes.push(crash_from_wire(crash, report.received_ms));
             }
         }
-        parts
+        crashes
     }
 
     /// Returns the sums by endpoint over the reports of the peers that `counts` selects.
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use common::{Instance, MemoryStore, StoreConnection, entry, eventually};
 use control::Settings;
-use limits::Admittance;
+use limits::{Admittance, Crash, Subject};
 use serde_json::json;
 
 fn sees(instance: &Instance, count: usize) -> bool {
@@ -356,8 +356,8 @@
 /// Issue 29, BUDGET: three crashes at different instances must block the part at all within a second.
 #[test]
 fn a_prompt_part_that_crashed_endpoints_of_several_instances_is_blocked_at_all_in_time() {
-    const BAD: u64 = 66;
-    const SHARED: u64 = 1;
+    const BAD: Subject = Subject::Part(66);
+    const SHARED: Subject = Subject::Part(1);
     let timeout = std::time::Duration::from_secs(1);
     for instances in [3, 18] {
         let store = MemoryStore::default();
@@ -367,15 +367,19 @@
         eventually("each sees the others", || {
             fleet.iter().all(|instance| sees(instance, instances))
         });
-        for instance in &fleet[..3] {
+        for (number, instance) in fleet[..3].iter().enumerate() {
             std::thread::sleep(std::time::Duration::from_millis(250));
-            let prompts = instance.shared_loads.prompts();
-            prompts.record_crash(&[SHARED, BAD], instance.now_ms());
-            prompts.record_survival(&[SHARED], instance.now_ms());
+            let crashes = instance.shared_loads.crashes();
+            let crash = |at_ms: u64| Crash {
+                endpoint: number as u64 + 1,
+                at_ms,
+            };
+            crashes.record_crash(&[SHARED, BAD], crash(instance.now_ms()));
+            crashes.record_survival(&[SHARED], instance.now_ms());
         }
-        let is_blocked = |instance: &Instance, part: u64| {
-            let prompts = instance.shared_loads.prompts();
-            prompts.admit(&[part], |_| true, instance.now_ms()) != Admittance::Admitted
+        let is_blocked = |instance: &Instance, subject: Subject| {
+            let crashes = instance.shared_loads.crashes();
+            crashes.admit(&[subject], |_| true, instance.now_ms()) != Admittance::Admitted
         };
         let crashed = std::time::Instant::now();
         eventually("all block the part", || {
--- a/crates/kernel/src/failure.rs
+++ b/crates/kernel/src/failure.rs
@@ -42,8 +42,8 @@
     NotReady,
     /// The receipt could be neither saved nor held by a peer.
     ReceiptNotDurable,
-    /// Endpoints crash on a part of the prompt.
-    PromptBlocked,
+    /// Endpoints crash on the request or on a part of its prompt.
+    CrashesEndpoints,
 }
 
 /// The wire name and HTTP status of a reason.
@@ -79,7 +79,7 @@
     info(Reason::StoreUnavailable, "store-unavailable", 503),
     info(Reason::NotReady, "not-ready", 503),
     info(Reason::ReceiptNotDurable, "receipt-not-durable", 503),
-    info(Reason::PromptBlocked, "prompt-blocked", 503),
+    info(Reason::CrashesEndpoints, "crashes-endpoints", 503),
 ];
 
 impl Reason {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -16,11 +16,13 @@
 
 mod admission;
 mod balance;
+mod crash_guard;
+mod crash_history;
 mod endpoint_rate;
 mod outlier;
 mod placement;
-mod prompt_guard;
 mod quota_share;
+mod recent_times;
 mod request_load;
 mod retry_after;
 mod shortlist;
@@ -30,10 +32,11 @@
 
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
+pub use crash_guard::{Admittance, CrashGuard};
+pub use crash_history::{Crash, CrashBlock, CrashHistory, CrashReport, Subject};
 pub use endpoint_rate::{EndpointRate, RateDivision};
 pub use outlier::{Health, OutlierDetector};
 pub use placement::{Candidate, PlacementError, PromptLoad, Selected, place};
-pub use prompt_guard::{Admittance, PartBlock, PartHistory, PromptGuard, ReportedPart};
 pub use quota_share::QuotaShare;
 pub use request_load::RequestLoad;
 pub use retry_after::RetryAfterSchedule;
--- a/crates/limits/tests/prompt_storm.rs
+++ b/crates/limits/tests/crash_storm.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use fastrand::Rng;
-use limits::{Admittance, PromptGuard, ReportedPart};
+use limits::{Admittance, Crash, CrashGuard, CrashReport, Subject};
 
 const INSTANCES: usize = 6;
 const ENDPOINTS: usize = 9;
@@ -36,12 +36,22 @@
 #[derive(Debug, Clone)]
 struct Call {
     instance: usize,
+    /// Number of the caller's request.
+    request: u64,
     parts: [u64; 2],
     attempts: u32,
     /// When the answer begins, in milliseconds.
     begins_ms: u64,
 }
 
+impl Call {
+    fn subjects(&self) -> [Subject; 3] {
+        let [first, second] = self.parts;
+        let request = Subject::Request(self.request);
+        [request, Subject::Part(first), Subject::Part(second)]
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Endpoint {
     back_ms: u64,
@@ -62,9 +72,10 @@
     /// The share of ends of endpoints that an instance does not see, from 0 to 1.
     unseen_share: f64,
     rng: Rng,
-    guards: Vec<PromptGuard>,
+    guards: Vec<CrashGuard>,
     endpoints: Vec<Endpoint>,
     waiting: Vec<Call>,
+    next_request: u64,
     crash_times_ms: Vec<u64>,
     outcome: Outcome,
 }
@@ -74,9 +85,10 @@
         Storm {
             unseen_share,
             rng: Rng::with_seed(seed),
-            guards: (0..INSTANCES).map(|_| PromptGuard::default()).collect(),
+            guards: (0..INSTANCES).map(|_| CrashGuard::default()).collect(),
             endpoints: vec![Endpoint::default(); ENDPOINTS],
             waiting: Vec::new(),
+            next_request: 0,
             crash_times_ms: Vec::new(),
             outcome: Outcome {
                 bad_starts: 0,
@@ -101,7 +113,9 @@
         }
         for part in 0..2_000 {
             for guard in &mut self.guards {
-                if guard.admit(&[part], |_| false, DURATION_MS) != Admittance::Admitted {
+                if guard.admit(&[Subject::Part(part)], |_| false, DURATION_MS)
+                    != Admittance::Admitted
+                {
                     self.outcome.blocked.insert(part);
                 }
             }
@@ -122,8 +136,10 @@
     }
 
     fn ask(&mut self, part: u64, now_ms: u64) {
+        self.next_request += 1;
         let call = Call {
             instance: self.rng.usize(..INSTANCES),
+            request: self.next_request,
             parts: [self.rng.u64(1..20), part],
             attempts: 0,
             begins_ms: now_ms + self.rng.u64(20..200),
@@ -142,8 +158,8 @@
                 .collect();
             let is_bad = call.parts[1] == BAD_PART;
             let guard = &mut self.guards[call.instance];
-            let suspect = call.attempts > 0 && guard.is_suspect(&call.parts, now_ms);
-            let admitted = guard.admit(&call.parts, |_| false, now_ms) == Admittance::Admitted;
+            let suspect = call.attempts > 0 && guard.is_suspect(&call.subjects(), now_ms);
+            let admitted = guard.admit(&call.subjects(), |_| false, now_ms) == Admittance::Admitted;
             if up.is_empty() || suspect || !admitted {
                 self.outcome.sound_refused += usize::from(!is_bad && !admitted);
                 continue;
@@ -168,7 +184,7 @@
             endpoint.running.retain(|call| {
                 let survived = now_ms >= call.begins_ms + SURVIVAL_MS;
                 if survived {
-                    guards[call.instance].record_survival(&call.parts, now_ms);
+                    guards[call.instance].record_survival(&call.subjects(), now_ms);
                 }
                 !survived
             });
@@ -191,7 +207,11 @@
                 // An instance that has no connection there any more does not see the end.
                 let is_recent = now_ms < call.begins_ms + CRASH_WINDOW_MS;
                 if is_recent && self.rng.f64() >= self.unseen_share {
-                    self.guards[call.instance].record_crash(&call.parts, now_ms);
+                    let crash = Crash {
+                        endpoint: index as u64 + 100 * now_ms,
+                        at_ms: now_ms,
+                    };
+                    self.guards[call.instance].record_crash(&call.subjects(), crash);
                 }
                 if call.attempts < MAX_ATTEMPTS {
                     call.begins_ms = now_ms + self.rng.u64(20..200);
@@ -202,7 +222,7 @@
     }
 
     fn exchange(&mut self, now_ms: u64) {
-        let reports: Vec<Vec<ReportedPart>> = self
+        let reports: Vec<Vec<CrashReport>> = self
             .guards
             .iter_mut()
             .map(|guard| guard.reported(now_ms))
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use relay::{Handler, LocalFuture, Request, Response};
-use serve::{Counters, Observer, Outcome, SharedPrompts};
+use serve::{Counters, Observer, Outcome, SharedCrashes};
 
 /// The upper bound of the first bucket of request times, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -49,6 +49,7 @@
     dropped_log_lines: Gauge<u64, AtomicU64>,
     fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
     fetched_bytes: Gauge<u64, AtomicU64>,
+    blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
 }
 
@@ -67,6 +68,7 @@
         let dropped_log_lines = Gauge::default();
         let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
         let fetched_bytes = Gauge::default();
+        let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
@@ -99,6 +101,11 @@
             "Bytes that fetches from other instances moved",
             fetched_bytes.clone(),
         );
+        registry.register(
+            "blocked_requests",
+            "Requests that are refused because they crash endpoints",
+            blocked_requests.clone(),
+        );
         registry.register(
             "blocked_prompt_parts",
             "Prompt parts whose requests are refused because they crash endpoints",
@@ -113,6 +120,7 @@
             dropped_log_lines,
             fetches,
             fetched_bytes,
+            blocked_requests,
             blocked_prompt_parts,
         }
     }
@@ -141,10 +149,11 @@
             .set(counters.bytes.load(Ordering::Relaxed));
     }
 
-    /// Copies the number of blocked prompt parts into the gauge.
-    pub fn sync_prompts(&self, prompts: &SharedPrompts) {
+    /// Copies the numbers of blocked requests and prompt parts into the gauges.
+    pub fn sync_crashes(&self, crashes: &SharedCrashes) {
+        self.blocked_requests.set(crashes.blocked_requests() as u64);
         self.blocked_prompt_parts
-            .set(prompts.blocked_count() as u64);
+            .set(crashes.blocked_parts() as u64);
     }
 
     /// Returns all metrics in the Prometheus text format.
@@ -187,7 +196,7 @@
     /// The counts of fetches from other instances, copied likewise.
     pub fetch_counters: Arc<FetchCounters>,
     /// The prompt parts that crash endpoints, counted likewise.
-    pub prompts: Arc<SharedPrompts>,
+    pub crashes: Arc<SharedCrashes>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -197,7 +206,7 @@
         self.metrics
             .sync_counters(&self.counters, (self.dropped_log_lines)());
         self.metrics.sync_fetches(&self.fetch_counters);
-        self.metrics.sync_prompts(&self.prompts);
+        self.metrics.sync_crashes(&self.crashes);
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -13,7 +13,6 @@
 use crate::baseline::BaselineKey;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointKey, EndpointState};
-use crate::recent_starts::PromptKey;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_key::RequestKey;
@@ -66,9 +65,7 @@
     pub(crate) runs: u32,
     pub(crate) refusals: u32,
     pub(crate) verdict: Verdict,
-    /// The parts of the prompt, if it shares any with other requests.
-    pub(crate) prompt: Option<PromptKey>,
-    /// Endpoints that ended just after they had begun to answer the request.
+    /// Endpoints that ended just after they had begun the request.
     pub(crate) crashes: u32,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
--- a/crates/serve/src/call_record.rs
+++ b/crates/serve/src/call_record.rs
@@ -90,20 +90,34 @@
         }
         let now_ms = context.now_ms();
         for start in endpoint_state.record_broken(now_ms) {
-            if self.prompt.as_ref() == Some(&start.prompt) {
+            if self.key.is_same_request(&start.key) {
                 self.crashes += 1;
             }
             tracing::info!(
                 id = &*self.info.id,
                 endpoint = &*endpoint.id,
                 version = &*endpoint.version,
-                parts = ?start.prompt,
+                content = ?start.key,
                 running_ms = now_ms.saturating_sub(start.began_ms),
                 "endpoint: broke after a start"
             );
         }
     }
 
+    /// Records that the connection broke before the answer began: the endpoint may have ended under the
+    /// request.
+    pub(crate) fn record_broken_before_start(
+        &mut self,
+        context: &RequestContext,
+        endpoint_state: &EndpointState,
+        err: &io::Error,
+    ) {
+        if is_broken_connection(err) {
+            self.crashes += 1;
+            endpoint_state.record_broken_before_start(&self.key, context.now_ms());
+        }
+    }
+
     /// Logs a send that brought no answer, with the time that it took.
     pub(crate) fn log_send(
         &self,
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use kernel::{Failure, Reason, Verdict};
-use limits::{Admittance, PlacementError, RequestLoad};
+use limits::{Admittance, PlacementError, RequestLoad, Subject};
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::active_request::{ActiveRequest, FailureResponse};
@@ -105,7 +105,7 @@
                 );
                 return Err(failure.retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS)));
             }
-            self.check_prompt(context)?;
+            self.check_crashes(context)?;
             let placement = self.place(context)?;
             if self.sends > 0 && !context.try_acquire_retry(&self.service) {
                 let failure = self.failure(
@@ -121,27 +121,24 @@
         }
     }
 
-    /// Checks that no part of the prompt is known to crash endpoints.
+    /// Checks that neither the request nor a part of its prompt is known to crash endpoints.
     ///
     /// # Errors
     ///
-    /// Fails if a part is blocked, or if an endpoint ended under the request and a part is suspect.
-    fn check_prompt(&self, context: &RequestContext) -> Result<(), Failure> {
-        let Some(prompt) = &self.prompt else {
-            return Ok(());
-        };
+    /// Fails if one of them is blocked, or if an endpoint ended under the request and one is suspect.
+    fn check_crashes(&self, context: &RequestContext) -> Result<(), Failure> {
         let now_ms = context.now_ms();
-        let prompts = context.endpoint_states.prompts();
+        let crashes = context.endpoint_states.crashes();
+        let subjects = self.key.subjects();
         let view = context.view.load();
-        let is_first = |part: u64| view.rank_for(&format!("{part:x}")) == 0;
-        if let Admittance::Blocked(left_ms) = prompts.admit(&prompt.shared_parts, is_first, now_ms)
-        {
-            let detail = "the prompt has a part that crashes endpoints";
-            let failure = self.failure(Reason::PromptBlocked, detail);
+        let is_first = |subject: Subject| view.rank_for(&format!("{subject:x?}")) == 0;
+        if let Admittance::Blocked(left_ms) = crashes.admit(subjects, is_first, now_ms) {
+            let detail = "the request or a part of its prompt crashes endpoints";
+            let failure = self.failure(Reason::CrashesEndpoints, detail);
             return Err(failure.retry_after_ms(left_ms));
         }
-        if self.crashes > 0 && prompts.is_suspect(&prompt.shared_parts, now_ms) {
-            let detail = "an endpoint ended under the request, and its prompt may be the cause";
+        if self.crashes > 0 && crashes.is_suspect(subjects, now_ms) {
+            let detail = "an endpoint ended under the request, which may be the cause";
             return Err(self.failure(Reason::EndpointFailed, detail));
         }
         Ok(())
@@ -273,12 +270,16 @@
                     self.record_given_up(context, &endpoint, &endpoint_state, elapsed);
                 }
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
+                self.record_broken_before_start(context, &endpoint_state, &err.source);
                 self.log_send(&endpoint, "broke", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
         };
         let time_to_head = sent_at.elapsed();
-        endpoint_state.record_head(time_to_head.as_millis() as u64, now_ms);
+        let reply = context.endpoint_protocol.decode(&self.info, &head);
+        if reply.execution_status != ExecutionStatus::Misdirected {
+            endpoint_state.record_head(time_to_head.as_millis() as u64, now_ms);
+        }
         context.baselines.record_prompt(
             &self.baseline_key(),
             self.info.token_usage.prompt_tokens,
@@ -290,7 +291,6 @@
         if self.sends > 1 {
             Counters::add(&context.counters.retries);
         }
-        let reply = context.endpoint_protocol.decode(&self.info, &head);
         if reply.tells_rate_limit() {
             let limit_per_s = reply.rate_limit_per_s;
             let states = &context.endpoint_states;
@@ -301,9 +301,7 @@
             && reply.execution_status == ExecutionStatus::Answered
             && reply.sealed
         {
-            if let Some(prompt) = &self.prompt {
-                endpoint_state.record_start(prompt.clone(), now_ms);
-            }
+            endpoint_state.record_start(self.key.clone(), now_ms);
             return SendResult::Started(Box::new(StartedResponse {
                 exchange,
                 head,
@@ -318,6 +316,7 @@
         }
         self.record_unusable_response(context, &endpoint, &endpoint_state, &reply, sent_at);
         if reply.matches_request && reply.execution_status == ExecutionStatus::Failed {
+            endpoint_state.record_survival(&self.key, now_ms);
             self.keep_failure_response(context, exchange, head).await;
         }
         SendResult::Retry
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{EndpointRate, Health, OutlierDetector, RateDivision, RequestLoad};
+use limits::{Crash, EndpointRate, Health, OutlierDetector, RateDivision, RequestLoad};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
-use crate::recent_starts::{PromptKey, RecentStarts, Start};
+use crate::recent_starts::{RecentStarts, Start};
+use crate::request_key::RequestKey;
+use crate::shared_crashes::SharedCrashes;
 use crate::shared_load::{EndpointLoad, SharedLoads};
-use crate::shared_prompts::SharedPrompts;
 use crate::view::View;
 
 /// Pause after an endpoint refuses a request as full, in milliseconds: a few plain requests.
@@ -70,7 +71,9 @@
     rate: RefCell<Option<EndpointRate>>,
     last_received_ms: Cell<u64>,
     recent_starts: RefCell<RecentStarts>,
-    prompts: Arc<SharedPrompts>,
+    crashes: Arc<SharedCrashes>,
+    /// Hash of the run of the endpoint.
+    shared_hash: u64,
     /// Moving average of the time to the head of a response, in milliseconds.
     head_ms: Cell<Option<f64>>,
 }
@@ -176,41 +179,68 @@
 
     /// Records that bytes of any response arrived.
     pub(crate) fn record_received(&self, now_ms: u64) {
+        self.record_life(None, now_ms);
+    }
+
+    /// Records that bytes arrived on a connection opened at a time, in milliseconds, if it is known.
+    fn record_life(&self, opened_ms: Option<u64>, now_ms: u64) {
         self.last_received_ms.set(now_ms);
-        let sign = self.recent_starts.borrow_mut().lives(now_ms);
-        for prompt in sign.survived {
-            self.prompts.record_survival(&prompt.shared_parts, now_ms);
+        let sign = self.recent_starts.borrow_mut().lives(opened_ms, now_ms);
+        for key in sign.survived {
+            self.crashes.record_survival(key.subjects(), now_ms);
         }
-        for prompt in sign.cleared {
-            self.prompts.retract_crash(&prompt.shared_parts, now_ms);
+        for key in sign.cleared {
+            self.crashes.retract_crash(key.subjects(), now_ms);
         }
     }
 
-    /// Records that an answer to a prompt began.
-    pub(crate) fn record_start(&self, prompt: PromptKey, now_ms: u64) {
-        self.recent_starts.borrow_mut().began(prompt, now_ms);
+    /// Records that an answer to a request began.
+    pub(crate) fn record_start(&self, key: RequestKey, now_ms: u64) {
+        self.recent_starts.borrow_mut().began(key, now_ms);
     }
 
-    /// Records that an answer to a prompt ended as it should.
-    pub(crate) fn record_completed(&self, prompt: &PromptKey, now_ms: u64) {
-        if self.recent_starts.borrow_mut().completed(prompt) {
-            self.prompts.record_survival(&prompt.shared_parts, now_ms);
+    /// Records that an answer to a request ended as it should.
+    pub(crate) fn record_completed(&self, key: &RequestKey, now_ms: u64) {
+        if self.recent_starts.borrow_mut().completed(key) {
+            self.crashes.record_survival(key.subjects(), now_ms);
         }
     }
 
+    /// Records that the endpoint has run a request and lives.
+    pub(crate) fn record_survival(&self, key: &RequestKey, now_ms: u64) {
+        self.crashes.record_survival(key.subjects(), now_ms);
+    }
+
     /// Records that a connection broke, and returns the answers that began shortly before it.
     pub(crate) fn record_broken(&self, now_ms: u64) -> Vec<Start> {
         let suspects = self.recent_starts.borrow_mut().broke(now_ms);
         for start in &suspects {
-            self.prompts
-                .record_crash(&start.prompt.shared_parts, now_ms);
+            self.crashes
+                .record_crash(start.key.subjects(), self.crash(now_ms));
         }
         suspects
     }
 
+    /// Records that the connection of a request broke before its answer began.
+    pub(crate) fn record_broken_before_start(&self, key: &RequestKey, now_ms: u64) {
+        let key = key.without_parts();
+        self.crashes
+            .record_crash(key.subjects(), self.crash(now_ms));
+        self.recent_starts
+            .borrow_mut()
+            .broke_before_start(key, now_ms);
+    }
+
+    fn crash(&self, now_ms: u64) -> Crash {
+        Crash {
+            endpoint: self.shared_hash,
+            at_ms: now_ms,
+        }
+    }
+
     /// Records the time to the head of a response.
     pub(crate) fn record_head(&self, head_ms: u64, now_ms: u64) {
-        self.record_received(now_ms);
+        self.record_life(Some(now_ms.saturating_sub(head_ms)), now_ms);
         let head_ms = head_ms as f64;
         let mean = self.head_ms.get().unwrap_or(head_ms);
         self.head_ms.set(Some(mean + SMOOTHING * (head_ms - mean)));
@@ -304,7 +334,8 @@
         }
         let state = Rc::new(EndpointState {
             shared_load: self.shared_loads.entry(key.shared_hash()),
-            prompts: self.shared_loads.prompts().clone(),
+            crashes: self.shared_loads.crashes().clone(),
+            shared_hash: key.shared_hash(),
             ..EndpointState::default()
         });
         states.insert(key, state.clone());
@@ -313,9 +344,9 @@
         state
     }
 
-    /// Returns the prompt parts that crash endpoints.
-    pub(crate) fn prompts(&self) -> &SharedPrompts {
-        self.shared_loads.prompts()
+    /// Returns what crashes endpoints.
+    pub(crate) fn crashes(&self) -> &SharedCrashes {
+        self.shared_loads.crashes()
     }
 
     pub(crate) fn shared_loads(&self) -> Arc<SharedLoads> {
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -18,7 +18,6 @@
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
-use crate::recent_starts::PromptKey;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_key::RequestKey;
@@ -304,7 +303,6 @@
         runs: 0,
         refusals: 0,
         verdict: Verdict::NotRun,
-        prompt: PromptKey::of(info),
         crashes: 0,
         size: None,
         unsure_size: None,
@@ -334,10 +332,8 @@
             Ok(body) => {
                 let endpoint_state = &started.call_guard.endpoint_state;
                 endpoint_state.record_outcome(false, now_ms);
-                if let Some(prompt) = &request.prompt
-                    && !started.exchange.ends_with_connection()
-                {
-                    endpoint_state.record_completed(prompt, now_ms);
+                if !started.exchange.ends_with_connection() {
+                    endpoint_state.record_completed(&request.key, now_ms);
                 }
                 record_answered(context, request, &started);
                 return Ok(forward_head(&started.head).body(body));
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -1,10 +1,8 @@
-//! The answers that an endpoint began lately, and what became of the endpoint afterwards.
+//! The requests that an endpoint began lately, and what became of the endpoint afterwards.
 
 use std::collections::VecDeque;
-use std::fmt;
-use std::sync::Arc;
 
-use crate::request::RequestInfo;
+use crate::request_key::RequestKey;
 
 /// How long after the start of an answer the answer may be what ended its endpoint, in milliseconds.
 const CRASH_WINDOW_MS: u64 = 250;
@@ -21,42 +19,10 @@
 /// The most answers of one endpoint that are remembered.
 const MAX_STARTS: usize = 256;
 
-/// The parts of the prompt of an answer.
-#[derive(Clone, PartialEq, Eq)]
-pub(crate) struct PromptKey {
-    /// Hashes of the parts that other requests may have, in order.
-    pub(crate) shared_parts: Arc<[u64]>,
-    /// Hash of the last part, by which repetitions of a request are recognised.
-    pub(crate) own_part: u64,
-}
-
-impl PromptKey {
-    /// Returns the key of a request, or `None` if it shares no part of its prompt.
-    pub(crate) fn of(info: &RequestInfo) -> Option<PromptKey> {
-        let (own, shared) = info.prompt_parts.split_last()?;
-        if shared.is_empty() {
-            return None;
-        }
-        Some(PromptKey {
-            shared_parts: shared.iter().map(|part| part.id).collect(),
-            own_part: own.id,
-        })
-    }
-}
-
-impl fmt::Debug for PromptKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for part in self.shared_parts.iter() {
-            write!(f, "{part:x},")?;
-        }
-        write!(f, "{:x}", self.own_part)
-    }
-}
-
 /// The start of an answer.
 #[derive(Debug, Clone)]
 pub(crate) struct Start {
-    pub(crate) prompt: PromptKey,
+    pub(crate) key: RequestKey,
     pub(crate) began_ms: u64,
 }
 
@@ -64,9 +30,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct SignOfLife {
     /// The endpoint has lived for long enough after these.
-    pub(crate) survived: Vec<PromptKey>,
+    pub(crate) survived: Vec<RequestKey>,
     /// These were taken for the cause of an end that was none.
-    pub(crate) cleared: Vec<PromptKey>,
+    pub(crate) cleared: Vec<RequestKey>,
 }
 
 /// The answers that one run of an endpoint began lately.
@@ -74,42 +40,51 @@
 pub(crate) struct RecentStarts {
     starts: VecDeque<Start>,
     /// Those that began shortly before a connection broke.
-    suspects: Vec<PromptKey>,
+    suspects: Vec<RequestKey>,
     broke_ms: u64,
 }
 
 impl RecentStarts {
     /// Records that an answer began.
-    pub(crate) fn began(&mut self, prompt: PromptKey, now_ms: u64) {
+    pub(crate) fn began(&mut self, key: RequestKey, now_ms: u64) {
         if self.starts.len() == MAX_STARTS {
             self.starts.pop_front();
         }
         let began_ms = now_ms;
-        self.starts.push_back(Start { prompt, began_ms });
+        self.starts.push_back(Start { key, began_ms });
     }
 
     /// Records that an answer ended as it should, which it would not if it had crashed the endpoint.
     /// Returns whether its outcome was not known before.
-    pub(crate) fn completed(&mut self, prompt: &PromptKey) -> bool {
-        let found = self.starts.iter().position(|start| start.prompt == *prompt);
+    pub(crate) fn completed(&mut self, key: &RequestKey) -> bool {
+        let found = self.starts.iter().position(|start| start.key == *key);
         found.is_some_and(|index| self.starts.remove(index).is_some())
     }
 
-    /// Records that the endpoint sent bytes, which shows that it lives.
-    pub(crate) fn lives(&mut self, now_ms: u64) -> SignOfLife {
+    /// Records that the endpoint sent bytes on a connection opened at a time, in milliseconds, which
+    /// shows that it lives.
+    pub(crate) fn lives(&mut self, opened_ms: Option<u64>, now_ms: u64) -> SignOfLife {
         let mut sign = SignOfLife::default();
-        if !self.suspects.is_empty() && now_ms > self.broke_ms + LATE_BYTES_MS {
+        let opened_later = opened_ms.is_some_and(|opened_ms| opened_ms > self.broke_ms);
+        let is_late = now_ms > self.broke_ms + LATE_BYTES_MS;
+        if !self.suspects.is_empty() && (opened_later || is_late) {
             sign.cleared = std::mem::take(&mut self.suspects);
         }
         while let Some(start) = self.starts.front()
             && now_ms >= start.began_ms + SURVIVAL_MS
         {
             sign.survived
-                .extend(self.starts.pop_front().map(|start| start.prompt));
+                .extend(self.starts.pop_front().map(|start| start.key));
         }
         sign
     }
 
+    /// Records that the connection of a request broke before its answer began.
+    pub(crate) fn broke_before_start(&mut self, key: RequestKey, now_ms: u64) {
+        self.broke_ms = now_ms;
+        self.suspects.push(key);
+    }
+
     /// Records that a connection broke, and returns the answers that began shortly before it. Each is
     /// returned once.
     pub(crate) fn broke(&mut self, now_ms: u64) -> Vec<Start> {
@@ -117,7 +92,7 @@
         let mut suspects = Vec::new();
         for start in self.starts.drain(..) {
             if now_ms < start.began_ms + CRASH_WINDOW_MS {
-                self.suspects.push(start.prompt.clone());
+                self.suspects.push(start.key.clone());
                 suspects.push(start);
             }
         }
--- a/crates/serve/src/request_key.rs
+++ b/crates/serve/src/request_key.rs
@@ -3,19 +3,20 @@
 use std::fmt;
 use std::sync::Arc;
 
+use limits::Subject;
 use relay::Request;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::request::RequestInfo;
 
 /// Identity of a request by its content, and the prompt parts that it shares with others.
+///
+/// The content is a hash of method, host, target, caller, prompt and body. It is the same on all
+/// instances, and for a repetition of the request under another id.
 #[derive(Clone, PartialEq, Eq)]
 pub(crate) struct RequestKey {
-    /// Hash of method, host, target, caller, prompt and body. It is the same on all instances, and for
-    /// a repetition of the request under another id.
-    pub(crate) content: u64,
-    /// Hashes of the prompt parts that other requests may have, in order.
-    pub(crate) shared_parts: Arc<[u64]>,
+    /// The request by its content, then the prompt parts that other requests may have, in order.
+    subjects: Arc<[Subject]>,
 }
 
 impl RequestKey {
@@ -37,22 +38,41 @@
             content.update(&part.id.to_le_bytes());
         }
         content.update(&inbound.body);
-        let shared = match info.prompt_parts.split_last() {
-            Some((_, shared)) => shared,
-            None => &[],
-        };
+        let mut subjects = vec![Subject::Request(content.digest())];
+        if let Some((_, shared)) = info.prompt_parts.split_last() {
+            subjects.extend(shared.iter().map(|part| Subject::Part(part.id)));
+        }
         RequestKey {
-            content: content.digest(),
-            shared_parts: shared.iter().map(|part| part.id).collect(),
+            subjects: subjects.into(),
         }
     }
+
+    /// Returns what may crash an endpoint that has begun to answer the request.
+    pub(crate) fn subjects(&self) -> &[Subject] {
+        &self.subjects
+    }
+
+    /// Returns the key without the parts of the prompt, for an endpoint that may not have read them.
+    pub(crate) fn without_parts(&self) -> RequestKey {
+        RequestKey {
+            subjects: self.subjects[..1].into(),
+        }
+    }
+
+    /// Returns whether both keys are of the same request.
+    pub(crate) fn is_same_request(&self, other: &RequestKey) -> bool {
+        self.subjects[0] == other.subjects[0]
+    }
 }
 
 impl fmt::Debug for RequestKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for part in self.shared_parts.iter() {
-            write!(f, "{part:x},")?;
+        for subject in self.subjects.iter() {
+            match subject {
+                Subject::Request(content) => write!(f, "{content:x}")?,
+                Subject::Part(part) => write!(f, ",{part:x}")?,
+            }
         }
-        write!(f, "{:x}", self.content)
+        Ok(())
     }
 }
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::shared_crashes::SharedCrashes;
 use crate::shared_limit::SharedLimits;
-use crate::shared_prompts::SharedPrompts;
 
 /// Largest number of instances that report their loads to all others. Those that the instances of a
 /// larger fleet know are older.
@@ -56,12 +56,12 @@
 }
 
 /// Loads of all endpoints by this instance's requests and by those of the others, their rate limits,
-/// and the prompt parts that crash them.
+/// and the requests and prompt parts that crash them.
 #[derive(Debug, Default)]
 pub struct SharedLoads {
     by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
     limits: SharedLimits,
-    prompts: Arc<SharedPrompts>,
+    crashes: Arc<SharedCrashes>,
 }
 
 impl SharedLoads {
@@ -116,9 +116,9 @@
         &self.limits
     }
 
-    /// Returns the prompt parts that crash endpoints.
-    pub fn prompts(&self) -> &Arc<SharedPrompts> {
-        &self.prompts
+    /// Returns the requests and prompt parts that crash endpoints.
+    pub fn crashes(&self) -> &Arc<SharedCrashes> {
+        &self.crashes
     }
 
     pub(crate) fn remove(&self, endpoint: u64) {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -237,10 +237,8 @@
         endpoint_state.record_outcome(false, now_ms);
         // The end of the connection may also be that of its endpoint.
         let ended_by_itself = !self.response.exchange.ends_with_connection();
-        if let Some(prompt) = &self.request.prompt
-            && ended_by_itself
-        {
-            endpoint_state.record_completed(prompt, now_ms);
+        if ended_by_itself {
+            endpoint_state.record_completed(&self.request.key, now_ms);
         }
         let outcome = Outcome::Answered(self.response.head.status);
         self.log.write(&self.context, Some(&self.request), &outcome);
--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -160,8 +160,8 @@
         view.generation += 1;
         self.harness.view.store(view.into());
         // The control thread does this at each report of the others.
-        let prompts = self.harness.pipeline.shared_loads().prompts().clone();
-        prompts.set_peers(&[], self.harness.clock.mono_ms());
+        let crashes = self.harness.pipeline.shared_loads().crashes().clone();
+        crashes.set_peers(&[], self.harness.clock.mono_ms());
         self.harness.send(&[("x-parts", parts)])
     }
 
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -155,11 +155,11 @@
                 if std::ptr::eq(sender, receiver) {
                     continue;
                 }
-                let prompts = sender.pipeline.shared_loads().prompts().clone();
-                reports.extend(prompts.reported(sender.clock.mono_ms()));
+                let crashes = sender.pipeline.shared_loads().crashes().clone();
+                reports.extend(crashes.reported(sender.clock.mono_ms()));
             }
-            let prompts = receiver.pipeline.shared_loads().prompts().clone();
-            prompts.set_peers(&reports, receiver.clock.mono_ms());
+            let crashes = receiver.pipeline.shared_loads().crashes().clone();
+            crashes.set_peers(&reports, receiver.clock.mono_ms());
         }
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -300,32 +300,38 @@
     /// Rate limits that endpoints named.
     #[prost(message, repeated, tag = "3")]
     pub limits: Vec<EndpointLimit>,
-    /// Prompt parts under which endpoints ended, or that are blocked for it.
+    /// Requests and prompt parts under which endpoints ended, or that are blocked for it.
     #[prost(message, repeated, tag = "4")]
-    pub prompt_parts: Vec<PromptPartReport>,
+    pub crashes: Vec<CrashReport>,
     /// Hashes of the endpoints that said that they leave.
     #[prost(fixed64, repeated, tag = "5")]
     pub leaving: Vec<u64>,
 }
 
-/// What an instance saw of a prompt part under which endpoints ended.
+/// What an instance saw of a request or prompt part under which endpoints ended.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
-pub struct PromptPartReport {
-    /// Hash of the part.
+pub struct CrashReport {
+    /// Hash of the part, or of the content of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub subject: u64,
     /// How long ago endpoints ended, in milliseconds.
     #[prost(uint64, repeated, tag = "2")]
     pub crash_ages_ms: Vec<u64>,
-    /// How long ago an endpoint was seen to survive the part, in milliseconds.
+    /// How long ago an endpoint was seen to survive, in milliseconds.
     #[prost(uint64, optional, tag = "3")]
     pub survival_age_ms: Option<u64>,
-    /// How much longer the part is blocked, in milliseconds, if it is; negative after the block.
+    /// How much longer the subject is blocked, in milliseconds, if it is; negative after the block.
     #[prost(sint64, optional, tag = "4")]
     pub block_left_ms: Option<i64>,
     /// The length of the block, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub block_length_ms: u64,
+    /// Whether the subject is a request and not a prompt part.
+    #[prost(bool, tag = "6")]
+    pub is_request: bool,
+    /// Hashes of the endpoints that ended, in the order of `crash_ages_ms`.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub crash_endpoints: Vec<u64>,
 }
 
 /// What an endpoint last said of its rate limit.
