serve, observe: Log and count the endpoints that are out of reach

Change: an endpoint is out of reach from the first connection that is not established until one is; bytes on connections from before do not count. Nothing decides on it yet.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use relay::{Handler, LocalFuture, Request, Response};
-use serve::{Counters, Observer, Outcome, SharedCrashes};
+use serve::{Counters, Observer, Outcome, SharedLoads};
 
 /// The upper bound of the first bucket of request times, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -49,6 +49,7 @@
     dropped_log_lines: Gauge<u64, AtomicU64>,
     fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
     fetched_bytes: Gauge<u64, AtomicU64>,
+    endpoints_out_of_reach: Gauge<u64, AtomicU64>,
     blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
 }
@@ -68,6 +69,7 @@
         let dropped_log_lines = Gauge::default();
         let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
         let fetched_bytes = Gauge::default();
+        let endpoints_out_of_reach = Gauge::default();
         let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
@@ -101,6 +103,11 @@
             "Bytes that fetches from other instances moved",
             fetched_bytes.clone(),
         );
+        registry.register(
+            "endpoints_out_of_reach",
+            "Endpoints to which the last connection was not established",
+            endpoints_out_of_reach.clone(),
+        );
         registry.register(
             "blocked_requests",
             "Requests that are refused because they crash endpoints",
@@ -120,6 +127,7 @@
             dropped_log_lines,
             fetches,
             fetched_bytes,
+            endpoints_out_of_reach,
             blocked_requests,
             blocked_prompt_parts,
         }
@@ -149,8 +157,11 @@
             .set(counters.bytes.load(Ordering::Relaxed));
     }
 
-    /// Copies the numbers of blocked requests and prompt parts into the gauges.
-    pub fn sync_crashes(&self, crashes: &SharedCrashes) {
+    /// Copies what is known of the endpoints into the gauges.
+    pub fn sync_endpoints(&self, loads: &SharedLoads) {
+        self.endpoints_out_of_reach
+            .set(loads.out_of_reach().len() as u64);
+        let crashes = loads.crashes();
         self.blocked_requests.set(crashes.blocked_requests() as u64);
         self.blocked_prompt_parts
             .set(crashes.blocked_parts() as u64);
@@ -195,8 +206,8 @@
     pub counters: Arc<Counters>,
     /// The counts of fetches from other instances, copied likewise.
     pub fetch_counters: Arc<FetchCounters>,
-    /// The prompt parts that crash endpoints, counted likewise.
-    pub crashes: Arc<SharedCrashes>,
+    /// What is known of endpoints, counted likewise.
+    pub shared_loads: Arc<SharedLoads>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -206,7 +217,7 @@
         self.metrics
             .sync_counters(&self.counters, (self.dropped_log_lines)());
         self.metrics.sync_fetches(&self.fetch_counters);
-        self.metrics.sync_crashes(&self.crashes);
+        self.metrics.sync_endpoints(&self.shared_loads);
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -12,7 +12,7 @@
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::active_request::{ActiveRequest, FailureResponse};
-use crate::call_record::record_wishes;
+use crate::call_record::{record_connected, record_unreachable, record_wishes};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
@@ -233,6 +233,7 @@
         };
         let bytes = context.endpoint_protocol.encode(&attempt);
         let sent_at = Instant::now();
+        let sent_ms = context.now_ms();
         let connect_until = sent_at + Duration::from_millis(context.settings.connect_timeout_ms);
         let running = RunningCall::start(&context.version_counters, &endpoint);
         let exchange = Exchange::start(
@@ -255,13 +256,14 @@
         let (exchange, head) = match started {
             Ok(started) => started,
             Err(err) if !err.sent => {
-                endpoint_state.record_unreachable(now_ms);
+                record_unreachable(&endpoint, &endpoint_state, now_ms);
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.refusals += 1;
                 self.log_send(&endpoint, "unreached", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
             Err(err) => {
+                record_connected(&endpoint, &endpoint_state, sent_ms);
                 self.sends += 1;
                 self.record_run(Verdict::MayHaveRun);
                 endpoint_state.record_outcome(true, now_ms);
@@ -275,6 +277,7 @@
                 return SendResult::Retry;
             }
         };
+        record_connected(&endpoint, &endpoint_state, sent_ms);
         let time_to_head = sent_at.elapsed();
         let reply = context.endpoint_protocol.decode(&self.info, &head);
         if reply.execution_status != ExecutionStatus::Misdirected {
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -70,6 +70,8 @@
     /// This instance's part of the endpoint's rate limit, if it has one.
     rate: RefCell<Option<EndpointRate>>,
     last_received_ms: Cell<u64>,
+    /// Since when no connection to the endpoint was established, if the last one was not.
+    out_of_reach_since_ms: Cell<Option<u64>>,
     recent_starts: RefCell<RecentStarts>,
     crashes: Arc<SharedCrashes>,
     /// Hash of the run of the endpoint.
@@ -137,9 +139,33 @@
         self.pause_until(now_ms + FULL_PAUSE_MS);
     }
 
-    pub(crate) fn record_unreachable(&self, now_ms: u64) {
+    /// Records that a connection to the endpoint was not established, and returns whether this is news.
+    pub(crate) fn record_unreachable(&self, now_ms: u64) -> bool {
         self.pause_until(now_ms + UNREACHABLE_PAUSE_MS);
         self.record_outcome(true, now_ms);
+        if self.is_out_of_reach() {
+            return false;
+        }
+        self.out_of_reach_since_ms.set(Some(now_ms));
+        self.shared_load.set_out_of_reach(true);
+        true
+    }
+
+    /// Records that a connection opened at a time, in milliseconds, was established, and returns whether
+    /// the endpoint was out of reach.
+    pub(crate) fn record_connected(&self, opened_ms: u64) -> bool {
+        let since_ms = self.out_of_reach_since_ms.get();
+        let is_news = since_ms.is_some_and(|since_ms| opened_ms > since_ms);
+        if is_news {
+            self.out_of_reach_since_ms.set(None);
+            self.shared_load.set_out_of_reach(false);
+        }
+        is_news
+    }
+
+    /// Returns whether no connection to the endpoint was established since one was not.
+    pub(crate) fn is_out_of_reach(&self) -> bool {
+        self.out_of_reach_since_ms.get().is_some()
     }
 
     pub(crate) fn record_outcome(&self, failed: bool, now_ms: u64) {
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -21,6 +21,7 @@
     own_units: AtomicU32,
     peer_units: AtomicU32,
     is_leaving: AtomicBool,
+    is_out_of_reach: AtomicBool,
 }
 
 impl EndpointLoad {
@@ -40,6 +41,16 @@
         !self.is_leaving.swap(true, Ordering::Relaxed)
     }
 
+    /// Returns whether this instance establishes no connection to the endpoint.
+    pub fn is_out_of_reach(&self) -> bool {
+        self.is_out_of_reach.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this instance establishes no connection to the endpoint.
+    pub fn set_out_of_reach(&self, out_of_reach: bool) {
+        self.is_out_of_reach.store(out_of_reach, Ordering::Relaxed);
+    }
+
     /// Returns the load by the requests of the other instances, in requests of average size.
     pub fn of_peers(&self) -> f64 {
         f64::from(self.peer_units.load(Ordering::Relaxed)) / UNITS_PER_LOAD
@@ -88,6 +99,13 @@
         leaving.map(|(endpoint, _)| *endpoint).collect()
     }
 
+    /// Returns the endpoints to which this instance establishes no connection.
+    pub fn out_of_reach(&self) -> Vec<u64> {
+        let loads = self.loads();
+        let unreached = loads.iter().filter(|(_, load)| load.is_out_of_reach());
+        unreached.map(|(endpoint, _)| *endpoint).collect()
+    }
+
     /// Records the endpoints that said to other instances that they leave.
     pub fn record_leaving(&self, endpoints: &[u64]) {
         let loads = self.loads();
