--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use async_executor::LocalExecutor;
 use bytes::Bytes;
 use kernel::{Failure, SystemClock};
 use limits::WindowedRetrySettings;
@@ -377,6 +378,29 @@
     }
 }
 
+/// Several instances, each with its own addresses of the endpoints.
+pub struct Fleet {
+    pub instances: Vec<Harness>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Fleet {
+    /// Creates an instance for each list of endpoint addresses.
+    pub fn new(route: &Route, addresses: &[Vec<SocketAddr>]) -> Fleet {
+        let instance = |addrs: &Vec<SocketAddr>| Harness::new(route.clone(), addrs, 1_000.0);
+        Fleet {
+            instances: addresses.iter().map(instance).collect(),
+            executor: Rc::default(),
+        }
+    }
+
+    /// Sends a request to one of the instances and reads the whole response.
+    pub fn send(&self, instance: usize, target: &str) -> Received {
+        let sending = self.instances[instance].send_to(target, &[]);
+        async_io::block_on(self.executor.run(sending))
+    }
+}
+
 async fn read(response: Response) -> Received {
     let verdict = response.headers.get("x-verdict").map(str::to_owned);
     let mut received = Received {
