serve, control, platform: Have a peer carry the requests of an instance that reaches no endpoint

Callers of instances that had lost their paths to the endpoints were refused nearly every request, for as long as the cut lasted, while the other instances served all.

Class of fault: what a peer could do is not known, and not asked for.

Ruled out: that the instance does not know that it is cut off. The callers' way: the instance's log has as many requests as the others'.

Change: as set in docs/DESIGN.md, "Requests carried by peers". Endpoints out of reach are told to peers with the loads and probed by connections; a request is handed over once all its endpoints are out of reach or two did not answer, over HTTP to a listener of its own, with an order (time and attempts left, event and size of a stream that goes on, version of the configuration) and a report that says what became of it. If nobody reaches an endpoint, it is refused at once as not run. Admission is a module of its own.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -15,6 +15,7 @@
         zone: member.zone.to_string(),
         http_addr: member.http_addr.to_string(),
         peer_addr: member.peer_addr.to_string(),
+        carry_addr: member.carry_addr.to_string(),
         started_ms: member.started_ms,
         version: member.version,
         status: member.status as u32,
@@ -30,6 +31,7 @@
         zone: info.zone.as_str().into(),
         http_addr: info.http_addr.as_str().into(),
         peer_addr: info.peer_addr.as_str().into(),
+        carry_addr: info.carry_addr.as_str().into(),
         started_ms: info.started_ms,
         version: info.version,
         status: match info.status {
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -77,6 +77,7 @@
     let mut report = LoadReport {
         limits: limits(control),
         leaving: control.shared_loads.leaving(),
+        out_of_reach: control.shared_loads.out_of_reach(),
         crashes: crashes(control, peer_loads.crashes(counts)),
         ..LoadReport::default()
     };
@@ -165,6 +166,7 @@
     let mut peer_loads = control.peer_loads.borrow_mut();
     peer_loads.expire(control.now_ms());
     control.shared_loads.set_peers(&peer_loads.sums(|_| true));
+    control.shared_loads.set_peer_reach(peer_loads.reach());
     let reports = peer_loads.crashes(|_| true);
     let crashes = control.shared_loads.crashes();
     crashes.set_peers(&reports, control.now_ms());
--- a/crates/control/src/peer_loads.rs
+++ b/crates/control/src/peer_loads.rs
@@ -4,6 +4,7 @@
 
 use kernel::Incarnation;
 use limits::CrashReport;
+use serve::PeerReach;
 use wire::LoadReport;
 
 use crate::convert::crash_from_wire;
@@ -39,6 +40,18 @@
             .retain(|_, report| now_ms < report.received_ms + REPORT_LIFETIME_MS);
     }
 
+    /// Returns what each peer reports of the endpoints that it does not reach.
+    pub(crate) fn reach(&self) -> HashMap<Incarnation, PeerReach> {
+        let reach = |report: &PeerReport| PeerReach {
+            received_ms: report.received_ms,
+            out_of_reach: report.loads.out_of_reach.iter().copied().collect(),
+        };
+        let reports = self.reports.iter();
+        reports
+            .map(|(peer, report)| (*peer, reach(report)))
+            .collect()
+    }
+
     /// Returns what the peers that `counts` selects report on crashes.
     pub(crate) fn crashes(&self, counts: impl Fn(Incarnation) -> bool) -> Vec<CrashReport> {
         let mut crashes = Vec::new();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -14,6 +14,8 @@
     pub http_addr: String,
     /// The address on which other instances connect.
     pub peer_addr: String,
+    /// The address for requests that peers cannot serve themselves, or empty.
+    pub carry_addr: String,
     /// Addresses of instances to join while no other is known; not all need be running.
     pub peers: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time, so that no callers wait.
@@ -71,6 +73,7 @@
             zone: zone.into(),
             http_addr: String::new(),
             peer_addr: String::new(),
+            carry_addr: String::new(),
             peers: Vec::new(),
             first_start: false,
             gossip_interval_ms: GOSSIP_INTERVAL_MS,
@@ -91,6 +94,12 @@
         self
     }
 
+    /// Sets the address for requests that peers cannot serve themselves.
+    pub fn carry_addr(mut self, carry_addr: &str) -> Settings {
+        self.carry_addr = carry_addr.to_owned();
+        self
+    }
+
     /// Sets the addresses of instances to join while no other is known.
     pub fn peers(mut self, peers: &[SocketAddr]) -> Settings {
         self.peers = peers.to_vec();
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -143,6 +143,7 @@
 ) {
     let own_member = Member::new(Incarnation::random(), &settings.name, &settings.zone)
         .with_addresses(&settings.http_addr, &settings.peer_addr)
+        .with_carry_addr(&settings.carry_addr)
         .with_started_ms(dependencies.clock.wall_ms());
     let (offers, received_offers) = unbounded();
     let control = Rc::new(Control::new(Components {
--- a/crates/entry/benches/scale/parts.rs
+++ b/crates/entry/benches/scale/parts.rs
@@ -132,6 +132,7 @@
         zone: "lakes-east-1".to_owned(),
         http_addr: "10.1.2.3:7001".to_owned(),
         peer_addr: "10.1.2.3:7501".to_owned(),
+        carry_addr: String::new(),
         started_ms: 1_796_334_435_998,
         version: 1,
         status: 0,
--- a/crates/kernel/src/failure.rs
+++ b/crates/kernel/src/failure.rs
@@ -95,6 +95,12 @@
         self.info().name
     }
 
+    /// Parses a name as [`Reason::as_str`] returns it.
+    pub fn parse(text: &str) -> Option<Reason> {
+        let known = REASONS.iter().find(|info| info.name == text);
+        known.map(|info| info.reason)
+    }
+
     /// Returns the HTTP status code of the response.
     pub fn status(self) -> u16 {
         self.info().status
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -28,6 +28,8 @@
     pub http_addr: Arc<str>,
     /// Address for gossip with peers.
     pub peer_addr: Arc<str>,
+    /// Address for requests that peers cannot serve themselves, or empty.
+    pub carry_addr: Arc<str>,
     /// When the incarnation started, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Incremented only by the instance itself, when it refutes a suspicion or starts to leave.
@@ -47,6 +49,7 @@
             zone: zone.into(),
             http_addr: "".into(),
             peer_addr: "".into(),
+            carry_addr: "".into(),
             started_ms: 0,
             version: 0,
             status: Status::Alive,
@@ -61,6 +64,12 @@
         self
     }
 
+    /// Sets the address for requests that peers cannot serve themselves.
+    pub fn with_carry_addr(mut self, carry_addr: &str) -> Member {
+        self.carry_addr = carry_addr.into();
+        self
+    }
+
     /// Sets the start time, in milliseconds since the Unix epoch.
     pub fn with_started_ms(mut self, started_ms: u64) -> Member {
         self.started_ms = started_ms;
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -45,6 +45,8 @@
     requests: Family<RequestLabels, Counter>,
     durations: Family<RouteLabel, Histogram>,
     retries: Gauge<u64, AtomicU64>,
+    handed_over: Gauge<u64, AtomicU64>,
+    carried: Gauge<u64, AtomicU64>,
     escalated: Gauge<u64, AtomicU64>,
     dropped_log_lines: Gauge<u64, AtomicU64>,
     fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
@@ -65,6 +67,8 @@
         let durations: Family<RouteLabel, Histogram> =
             Family::new_with_constructor(duration_histogram);
         let retries = Gauge::default();
+        let handed_over = Gauge::default();
+        let carried = Gauge::default();
         let escalated = Gauge::default();
         let dropped_log_lines = Gauge::default();
         let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
@@ -83,6 +87,16 @@
             "Retries: sends of a request beyond the first",
             retries.clone(),
         );
+        registry.register(
+            "handed_over",
+            "Requests handed over to a peer, once for each peer",
+            handed_over.clone(),
+        );
+        registry.register(
+            "carried",
+            "Requests that peers handed over to this instance",
+            carried.clone(),
+        );
         registry.register(
             "escalations",
             "Answers of small models that were discarded for a larger model",
@@ -123,6 +137,8 @@
             requests,
             durations,
             retries,
+            handed_over,
+            carried,
             escalated,
             dropped_log_lines,
             fetches,
@@ -138,6 +154,9 @@
     /// Copies the pipeline's counters and the number of dropped log lines into the gauges.
     pub fn sync_counters(&self, counters: &Counters, dropped_log_lines: u64) {
         self.retries.set(counters.retries.load(Ordering::Relaxed));
+        self.handed_over
+            .set(counters.handed_over.load(Ordering::Relaxed));
+        self.carried.set(counters.carried.load(Ordering::Relaxed));
         self.escalated
             .set(counters.escalated.load(Ordering::Relaxed));
         self.dropped_log_lines.set(dropped_log_lines);
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -76,6 +76,14 @@
         false
     }
 
+    /// Removes all values of a field, and returns the first one if it is text.
+    pub fn remove(&mut self, name: &str) -> Option<String> {
+        let value = self.get(name).map(str::to_owned);
+        self.fields
+            .retain(|field| !field.name.eq_ignore_ascii_case(name));
+        value
+    }
+
     /// Returns the fields to forward: all but the hop-by-hop fields, those named in `Connection`,
     /// and those that frame the body.
     pub fn end_to_end(&self) -> Headers {
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use kernel::{Failure, Reason, Verdict};
+use kernel::{Failure, Incarnation, Reason, Verdict};
 use limits::{PromptLoad, RequestLoad};
 use relay::{Request, ResponseHead};
 use route::{Route, Workspace};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::baseline::BaselineKey;
+use crate::carried::Carried;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointKey, EndpointState};
 use crate::request::RequestInfo;
@@ -64,7 +65,18 @@
     /// Endpoints that may have run the request.
     pub(crate) runs: u32,
     pub(crate) refusals: u32,
+    /// Endpoints to which no connection was established.
+    pub(crate) unreached: u32,
     pub(crate) verdict: Verdict,
+    /// Whom the request is carried for, if a peer handed it over.
+    pub(crate) carried: Option<Carried>,
+    /// Peers that the request was handed over to, and the name of the last one.
+    pub(crate) peers_asked: Vec<Incarnation>,
+    pub(crate) carried_by: Option<Arc<str>>,
+    /// Why the last peer did not serve the request.
+    pub(crate) peer_failure: Option<Failure>,
+    /// Whether the request is a stream that goes on after events of an earlier run.
+    pub(crate) is_resumed: bool,
     /// Endpoints that ended just after they had begun the request.
     pub(crate) crashes: u32,
     /// Index of the model size in the route.
@@ -135,7 +147,12 @@
 
     /// Records that an endpoint may have run the request.
     pub(crate) fn record_run(&mut self, verdict: Verdict) {
-        self.runs += 1;
+        self.record_runs(verdict, 1);
+    }
+
+    /// Records that several endpoints may have run the request.
+    pub(crate) fn record_runs(&mut self, verdict: Verdict, runs: u32) {
+        self.runs += runs;
         self.verdict = self.verdict.join(verdict);
     }
 
--- /dev/null
+++ b/crates/serve/src/carry.rs
@@ -0,0 +1,248 @@
+//! Handing a request over to a peer that reaches the endpoints which this instance does not.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kernel::{Failure, Reason, Verdict};
+use limits::RequestLoad;
+use relay::{Exchange, RequestHead};
+
+use crate::active_request::ActiveRequest;
+use crate::carry_message::{CarryOrder, CarryReport};
+use crate::dispatch::{SendResult, StartedResponse};
+use crate::endpoint::Endpoint;
+use crate::endpoint_protocol::{ExecutionStatus, Reply};
+use crate::endpoint_state::{CallGuard, EndpointState};
+use crate::outcome::Counters;
+use crate::peer_choice::{Peer, PeerCall, choose_peer};
+use crate::reach::{self, PROBE_INTERVAL_MS};
+use crate::request_context::RequestContext;
+use crate::view::View;
+
+/// Endpoints that a request may not reach before a peer is asked.
+const MAX_UNREACHED: u32 = 2;
+
+/// Peers that may turn a request down.
+const MAX_PEERS: usize = 2;
+
+/// The peer makes the attempts that the timeout of an endpoint is for, and the hop adds to it.
+const PEER_TIMEOUT_FACTOR: u32 = 2;
+
+/// A call that a peer carries.
+#[derive(Debug)]
+pub(crate) struct CarriedCall {
+    /// Endpoints that the peer may have run the request on.
+    pub(crate) granted_runs: u32,
+    _in_flight: PeerCall,
+}
+
+impl ActiveRequest {
+    /// Returns the peer to which the request is handed over, or `None` if an endpoint is to be tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails if neither this instance nor a peer reaches an endpoint.
+    pub(crate) fn choose_carrier(
+        &self,
+        context: &RequestContext,
+        view: &View,
+    ) -> Result<Option<Peer>, Failure> {
+        let states = &context.endpoint_states;
+        let is_cut_off = reach::is_cut_off(self, view, states);
+        if !is_cut_off && self.unreached < MAX_UNREACHED {
+            return Ok(None);
+        }
+        let may_ask = self.carried.is_none() && self.peers_asked.len() < MAX_PEERS;
+        let peer = may_ask.then(|| {
+            let zone = &context.settings.zone;
+            choose_peer(
+                self,
+                view,
+                states,
+                &context.peer_states,
+                zone,
+                context.now_ms(),
+            )
+        });
+        match peer.flatten() {
+            Some(peer) => Ok(Some(peer)),
+            None if !is_cut_off => Ok(None),
+            None => Err(self.out_of_reach_failure()),
+        }
+    }
+
+    fn out_of_reach_failure(&self) -> Failure {
+        if let Some(failure) = &self.peer_failure {
+            return failure.clone();
+        }
+        let detail = "neither this instance nor a peer reaches an endpoint of the service";
+        self.failure(Reason::NoEndpoint, detail)
+            .retry_after_ms(self.retry_after_ms(PROBE_INTERVAL_MS))
+    }
+
+    /// Hands the request over to a peer and waits for its response.
+    pub(crate) async fn send_to_peer(
+        &mut self,
+        context: &Rc<RequestContext>,
+        view: &View,
+        peer: Peer,
+        resume_after: Option<u64>,
+    ) -> SendResult {
+        Counters::add(&context.counters.handed_over);
+        self.peers_asked.push(peer.incarnation);
+        self.carried_by = Some(peer.name.clone());
+        let order = self.order(context, view, resume_after);
+        let granted_runs = order.attempts;
+        let in_flight = context.peer_states.start_call(peer.incarnation);
+        let bytes = self.encode(&order);
+        let sent_at = Instant::now();
+        let connect_until = sent_at + Duration::from_millis(context.settings.connect_timeout_ms);
+        let exchange = Exchange::start(
+            peer.addr,
+            connect_until.min(self.deadline),
+            sent_at + self.peer_timeout(),
+            &self.inbound.head.method,
+            &bytes,
+            &self.inbound.body,
+        );
+        let (exchange, mut head) = match exchange.await {
+            Ok(started) => started,
+            Err(err) => {
+                if err.sent {
+                    self.sends += 1;
+                    self.record_runs(Verdict::MayHaveRun, granted_runs);
+                }
+                self.pause_peer(context, &peer, &err.to_string(), sent_at);
+                return SendResult::Retry;
+            }
+        };
+        let Some(report) = CarryReport::take_from(&mut head.headers) else {
+            self.sends += 1;
+            self.record_runs(Verdict::MayHaveRun, granted_runs);
+            self.pause_peer(context, &peer, "the response bears no report", sent_at);
+            return SendResult::Retry;
+        };
+        self.sends += report.sends;
+        if let Some(failure) = report.failure() {
+            self.record_peer_failure(context, &peer, &report, failure, sent_at);
+            return SendResult::Retry;
+        }
+        if !(200..=299).contains(&head.status) {
+            self.record_runs(Verdict::Ran, report.runs + 1);
+            self.keep_failure_response(context, exchange, head).await;
+            return SendResult::Retry;
+        }
+        self.size = report.size;
+        SendResult::Started(Box::new(StartedResponse {
+            exchange,
+            reply: answered(),
+            head,
+            endpoint: Arc::new(stand_in(&peer, &self.service)),
+            call_guard: CallGuard::new(Rc::default(), RequestLoad::from_prefill(0.0)),
+            _running: None,
+            carried: Some(CarriedCall {
+                granted_runs,
+                _in_flight: in_flight,
+            }),
+            sent_at,
+            time_to_head: sent_at.elapsed(),
+            reading_ms: 0.0,
+        }))
+    }
+
+    /// Returns what the peer is asked. A stream keeps an attempt for going on at another peer.
+    fn order(
+        &self,
+        context: &RequestContext,
+        view: &View,
+        resume_after: Option<u64>,
+    ) -> CarryOrder {
+        let left = self.route.max_attempts.saturating_sub(self.runs);
+        CarryOrder {
+            home: context.settings.name.to_string(),
+            remaining_ms: (self.remaining().as_millis() as u64).max(1),
+            attempts: left.saturating_sub(1).max(1),
+            resume_after,
+            size: self.size.filter(|_| self.is_resumed),
+            config: view.table.as_ref().map_or(0, |table| table.version()),
+        }
+    }
+
+    fn encode(&self, order: &CarryOrder) -> Vec<u8> {
+        let mut headers = self.inbound.head.headers.end_to_end();
+        order.set_in(&mut headers);
+        headers.push("Content-Length", self.inbound.body.len().to_string());
+        let head = RequestHead {
+            method: self.inbound.head.method.clone(),
+            target: self.inbound.head.target.clone(),
+            minor_version: 1,
+            headers,
+        };
+        head.to_bytes()
+    }
+
+    fn peer_timeout(&self) -> Duration {
+        let timeout = self.endpoint_timeout(&EndpointState::default());
+        (timeout * PEER_TIMEOUT_FACTOR).min(self.remaining())
+    }
+
+    fn record_peer_failure(
+        &mut self,
+        context: &RequestContext,
+        peer: &Peer,
+        report: &CarryReport,
+        failure: Failure,
+        sent_at: Instant,
+    ) {
+        if failure.verdict == Verdict::NotRun {
+            self.refusals += 1;
+        } else {
+            self.record_runs(failure.verdict, report.runs.max(1));
+        }
+        self.pause_peer(context, peer, &failure.to_string(), sent_at);
+        self.peer_failure = Some(failure);
+    }
+
+    /// Asks a peer no more for a while, and logs why.
+    fn pause_peer(&self, context: &RequestContext, peer: &Peer, detail: &str, sent_at: Instant) {
+        context
+            .peer_states
+            .pause(peer.incarnation, &self.service, context.now_ms());
+        tracing::info!(
+            id = &*self.info.id,
+            peer = &*peer.name,
+            detail,
+            elapsed_ms = sent_at.elapsed().as_millis() as u64,
+            sends = self.sends,
+            "carry: no answer"
+        );
+    }
+}
+
+/// What is known of an endpoint's answer that came by way of a peer, which has checked it.
+fn answered() -> Reply {
+    Reply {
+        execution_status: ExecutionStatus::Answered,
+        matches_request: true,
+        sealed: true,
+        confidence: None,
+        rate_limit_per_s: None,
+        is_leaving: false,
+        pause_ms: None,
+    }
+}
+
+/// Returns an endpoint that stands for a peer. The peer records what concerns the real one.
+fn stand_in(peer: &Peer, service: &Arc<str>) -> Endpoint {
+    Endpoint {
+        id: peer.name.clone(),
+        started_ms: None,
+        service: service.clone(),
+        addr: peer.addr,
+        zone: "".into(),
+        version: "".into(),
+        slots: 0,
+        draining: false,
+    }
+}
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -13,10 +13,12 @@
 
 use crate::active_request::{ActiveRequest, FailureResponse};
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
+use crate::carry::CarriedCall;
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
 use crate::outcome::Counters;
+use crate::peer_choice::Peer;
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
 use crate::version_counters::{CallOutcome, VersionCounters};
@@ -67,7 +69,9 @@
     pub(crate) reply: Reply,
     pub(crate) endpoint: Arc<Endpoint>,
     pub(crate) call_guard: CallGuard,
-    pub(crate) _running: RunningCall,
+    pub(crate) _running: Option<RunningCall>,
+    /// The call of the peer that carries the request, if one does.
+    pub(crate) carried: Option<CarriedCall>,
     pub(crate) sent_at: Instant,
     /// Time from the send to the response head.
     pub(crate) time_to_head: Duration,
@@ -76,12 +80,18 @@
 }
 
 /// Result of one send.
-enum SendResult {
+pub(crate) enum SendResult {
     Started(Box<StartedResponse>),
     /// No usable response; another endpoint may take the request.
     Retry,
 }
 
+/// Where a request is sent.
+enum Way {
+    Endpoint(Placement),
+    Peer(Peer),
+}
+
 impl ActiveRequest {
     /// Sends the request to one endpoint after another until one responds.
     ///
@@ -106,7 +116,11 @@
                 return Err(failure.retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS)));
             }
             self.check_crashes(context)?;
-            let placement = self.place(context)?;
+            let view = context.view();
+            let way = match self.choose_carrier(context, &view)? {
+                Some(peer) => Way::Peer(peer),
+                None => Way::Endpoint(self.place(context, &view)?),
+            };
             if self.sends > 0 && !context.try_acquire_retry(&self.service) {
                 let failure = self.failure(
                     Reason::Overloaded,
@@ -114,7 +128,10 @@
                 );
                 return Err(failure.retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS)));
             }
-            let result = self.send(context, placement, resume_after).await;
+            let result = match way {
+                Way::Endpoint(placement) => self.send(context, placement, resume_after).await,
+                Way::Peer(peer) => self.send_to_peer(context, &view, peer, resume_after).await,
+            };
             if let SendResult::Started(started) = result {
                 return Ok(started);
             }
@@ -144,13 +161,12 @@
         Ok(())
     }
 
-    fn place(&mut self, context: &Rc<RequestContext>) -> Result<Placement, Failure> {
-        let view = context.view();
+    fn place(&mut self, context: &Rc<RequestContext>, view: &View) -> Result<Placement, Failure> {
         let prompt = self.prompt_load(context);
         let choose = |request: &ActiveRequest| {
             placement::choose_endpoint(
                 request,
-                &view,
+                view,
                 &context.endpoint_states,
                 &context.settings.zone,
                 &prompt,
@@ -174,7 +190,7 @@
                     "no endpoint of the service can take the request",
                 )
                 .retry_after_ms(self.retry_after_ms(NO_ENDPOINT_RETRY_AFTER_MS)),
-            PlacementError::Full => self.failure_full(context, &view),
+            PlacementError::Full => self.failure_full(context, view),
         })
     }
 
@@ -259,6 +275,7 @@
                 record_unreachable(&endpoint, &endpoint_state, now_ms);
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.refusals += 1;
+                self.unreached += 1;
                 self.log_send(&endpoint, "unreached", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
@@ -311,7 +328,8 @@
                 reply,
                 endpoint,
                 call_guard,
-                _running: running,
+                _running: Some(running),
+                carried: None,
                 sent_at,
                 time_to_head,
                 reading_ms,
@@ -377,7 +395,7 @@
     }
 
     /// Keeps an endpoint's error response for the caller, in case no retry succeeds.
-    async fn keep_failure_response(
+    pub(crate) async fn keep_failure_response(
         &mut self,
         context: &RequestContext,
         mut exchange: Exchange,
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -72,6 +72,7 @@
     last_received_ms: Cell<u64>,
     /// Since when no connection to the endpoint was established, if the last one was not.
     out_of_reach_since_ms: Cell<Option<u64>>,
+    probed_ms: Cell<u64>,
     recent_starts: RefCell<RecentStarts>,
     crashes: Arc<SharedCrashes>,
     /// Hash of the run of the endpoint.
@@ -159,10 +160,27 @@
         if is_news {
             self.out_of_reach_since_ms.set(None);
             self.shared_load.set_out_of_reach(false);
+            // Failures for want of a path say nothing of the endpoint.
+            self.paused_until_ms.set(0);
+            *self.outlier.borrow_mut() = OutlierDetector::default();
         }
         is_news
     }
 
+    /// Returns when the endpoint was last probed, in milliseconds.
+    pub(crate) fn probed_ms(&self) -> u64 {
+        self.probed_ms.get()
+    }
+
+    pub(crate) fn set_probed_ms(&self, now_ms: u64) {
+        self.probed_ms.set(now_ms);
+    }
+
+    /// Returns the hash of this run of the endpoint, which is the same on all instances.
+    pub(crate) fn shared_hash(&self) -> u64 {
+        self.shared_hash
+    }
+
     /// Returns whether no connection to the endpoint was established since one was not.
     pub(crate) fn is_out_of_reach(&self) -> bool {
         self.out_of_reach_since_ms.get().is_some()
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -14,10 +14,14 @@
 //! ```
 
 mod active_request;
+mod admission;
 mod baseline;
 mod buffered_body;
 mod call_record;
 mod caller_protocol;
+mod carried;
+mod carry;
+mod carry_message;
 mod dispatch;
 mod endpoint;
 mod endpoint_protocol;
@@ -26,8 +30,10 @@
 mod escalation;
 mod events;
 mod outcome;
+mod peer_choice;
 mod pipeline;
 mod placement;
+mod reach;
 mod recent_starts;
 mod request;
 mod request_context;
@@ -43,6 +49,7 @@
 mod view;
 
 pub use caller_protocol::CallerProtocol;
+pub use carried::CarryHandler;
 pub use endpoint::Endpoint;
 pub use endpoint_protocol::{Attempt, EndpointProtocol, ExecutionStatus, Reply};
 pub use endpoint_values::{parse_rate_per_s, requested_pause_ms};
@@ -53,6 +60,6 @@
 pub use settings::Settings;
 pub use shared_crashes::SharedCrashes;
 pub use shared_limit::{LimitEntry, SharedLimits};
-pub use shared_load::{EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, SharedLoads};
+pub use shared_load::{EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, PeerReach, SharedLoads};
 pub use version_counters::{CallOutcome, Measured, VersionCounters};
 pub use view::{Pool, RolloutStage, RolloutView, View};
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -38,6 +38,10 @@
     pub retries: AtomicU64,
     /// Answers of smaller models that were discarded for the largest one.
     pub escalated: AtomicU64,
+    /// Requests handed over to a peer, once for each peer.
+    pub handed_over: AtomicU64,
+    /// Requests that peers handed over to this instance.
+    pub carried: AtomicU64,
 }
 
 /// Receives the outcome of every request, for instance for histograms.
@@ -57,6 +61,9 @@
     pub(crate) size: Option<usize>,
     pub(crate) confidence: Option<u8>,
     pub(crate) sends: u32,
+    /// Names of the instances that the request was handed over to or by.
+    pub(crate) carried_by: Option<&'a str>,
+    pub(crate) carried_for: Option<&'a str>,
     /// Version of the configuration and generation of the view that applied.
     pub(crate) config: u64,
     pub(crate) view: u64,
@@ -99,6 +106,8 @@
             detail = failure.map(|failure| &*failure.detail),
             retry_after_ms = failure.and_then(|failure| failure.retry_after_ms),
             sends = record.sends,
+            carried_by = record.carried_by,
+            carried_for = record.carried_for,
             config = record.config,
             view = record.view,
             store_away = record.store_unreachable,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -3,24 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use kernel::{Clock, Failure, Reason, Verdict};
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
-use route::{KeyError, Table};
 
 use crate::active_request::ActiveRequest;
+use crate::admission::admit;
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
+use crate::carried::CarriedCount;
+use crate::carry_message::CarryOrder;
 use crate::dispatch::StartedResponse;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
+use crate::reach;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
-use crate::request_key::RequestKey;
 use crate::request_log::RequestLog;
 use crate::settings::Settings;
 use crate::shared_load::SharedLoads;
@@ -29,9 +30,6 @@
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
 
-/// Retry-after of an instance that has loaded no configuration yet, in milliseconds.
-const NO_CONFIG_RETRY_AFTER_MS: u64 = 300;
-
 /// Statuses by which callers conclude that a request did not run. They are not forwarded from an
 /// endpoint that ran it.
 const NOT_RUN_STATUSES: &[u16] = &[408, 421, 429, 503];
@@ -39,9 +37,6 @@
 /// Retry-after of a stopping instance, in milliseconds. The retry goes to another instance.
 const STOPPING_RETRY_AFTER_MS: u64 = 50;
 
-/// Timeout of a request whose caller sends no deadline, in milliseconds.
-const DEFAULT_TIMEOUT_MS: u64 = 60_000;
-
 const MS_PER_S: f64 = 1_000.0;
 
 /// Ratio of an answer's time to the service's baseline from which it is slow.
@@ -78,6 +73,8 @@
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
                 buffered_bytes: BufferedBytes::default(),
+                peer_states: Rc::default(),
+                carried_count: CarriedCount::default(),
                 stopped: Cell::new(false),
             }),
         }
@@ -103,7 +100,13 @@
         self.context.counters.clone()
     }
 
-    async fn serve(&self, inbound: Request) -> Response {
+    /// Probes endpoints that may be out of reach, as long as it is polled.
+    pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
+        reach::probe(self.context.clone())
+    }
+
+    /// Serves a request of a caller, or one that a peer handed over.
+    pub(crate) async fn serve(&self, inbound: Request, order: Option<CarryOrder>) -> Response {
         let context = &self.context;
         let view = context.view();
         let log = RequestLog {
@@ -115,7 +118,7 @@
         let info = match context.caller_protocol.decode(&inbound.head) {
             Ok(info) => info,
             Err(failure) => {
-                let response = context.caller_protocol.encode_failure(None, &failure);
+                let response = self.encode_failure(order.is_some(), None, None, &failure);
                 log.write(context, None, &Outcome::Failed(failure));
                 return response;
             }
@@ -124,19 +127,20 @@
             let failure = Failure::not_run(Reason::NotReady, "this instance is stopping");
             Err(failure.retry_after_ms(STOPPING_RETRY_AFTER_MS))
         } else {
-            admit(&view, &info, inbound)
+            admit(context, &view, &info, inbound, order.clone())
         };
         let mut request = match admitted {
             Ok(request) => request,
             Err(failure) => {
-                let response = context
-                    .caller_protocol
-                    .encode_failure(Some(&info), &failure);
+                let is_carried = order.is_some();
+                let response = self.encode_failure(is_carried, Some(&info), None, &failure);
                 log.write_request(context, Some(&info), None, &Outcome::Failed(failure));
                 return response;
             }
         };
-        context.record_request(&request.service);
+        if request.carried.is_none() {
+            context.record_request(&request.service);
+        }
         if request.route.retry_safety.is_stream() {
             return self.serve_stream(request, log).await;
         }
@@ -154,8 +158,9 @@
     ) -> Response {
         let context = &self.context;
         match answered {
-            Ok(response) => {
+            Ok(mut response) => {
                 log.write(context, Some(request), &Outcome::Answered(response.status));
+                request.add_report(&mut response);
                 response
             }
             Err(failure) => {
@@ -165,17 +170,36 @@
                 if let Some(error) = forwarded {
                     let status = error.head.status;
                     log.write(context, Some(request), &Outcome::Answered(status));
-                    return forward_head(&error.head).body(error.body.clone());
+                    let mut response = forward_head(&error.head).body(error.body.clone());
+                    request.add_report(&mut response);
+                    return response;
                 }
-                let response = context
-                    .caller_protocol
-                    .encode_failure(Some(&request.info), &failure);
+                let is_carried = request.carried.is_some();
+                let info = Some(&request.info);
+                let response = self.encode_failure(is_carried, info, Some(request), &failure);
                 log.write(context, Some(request), &Outcome::Failed(failure));
                 response
             }
         }
     }
 
+    /// Encodes a failure for the caller, or for the peer that handed the request over.
+    fn encode_failure(
+        &self,
+        is_carried: bool,
+        info: Option<&RequestInfo>,
+        request: Option<&ActiveRequest>,
+        failure: &Failure,
+    ) -> Response {
+        if !is_carried {
+            return self.context.caller_protocol.encode_failure(info, failure);
+        }
+        let report = request.map(ActiveRequest::report).unwrap_or_default();
+        let mut response = Response::new(failure.reason.status());
+        report.with_failure(failure).set_in(&mut response.headers);
+        response
+    }
+
     async fn serve_stream(&self, mut request: ActiveRequest, log: RequestLog) -> Response {
         let context = &self.context;
         let guard = DisconnectGuard::new(context, &log, &request);
@@ -184,6 +208,7 @@
         match started {
             Ok(started) => {
                 let mut response = forward_head(&started.head);
+                request.add_report(&mut response);
                 let stream = Stream::new(context.clone(), request, started, log);
                 response.body = Body::Stream(Box::new(stream));
                 response
@@ -195,7 +220,7 @@
 
 impl Handler for Pipeline {
     fn handle(&self, inbound: Request) -> LocalFuture<'_, Response> {
-        Box::pin(self.serve(inbound))
+        Box::pin(self.serve(inbound, None))
     }
 
     fn limits(&self) -> Limits {
@@ -259,65 +284,6 @@
     }
 }
 
-/// Determines the route, service, workspace and deadline of a request.
-///
-/// # Errors
-///
-/// Fails if one of them cannot be determined; the request did not run then.
-fn admit(view: &View, info: &RequestInfo, inbound: Request) -> Result<ActiveRequest, Failure> {
-    let Some(table) = &view.table else {
-        let failure = Failure::not_run(Reason::NotReady, "no configuration is loaded yet");
-        return Err(failure.retry_after_ms(NO_CONFIG_RETRY_AFTER_MS));
-    };
-    let Some(route) = table.find(&info.host, &info.path) else {
-        let detail = format!("no route for host '{}' and path '{}'", info.host, info.path);
-        return Err(Failure::not_run(Reason::NotFound, detail));
-    };
-    let workspace = table.workspace(route, info.key.as_deref());
-    let workspace = workspace.map_err(|err| {
-        let detail = match err {
-            KeyError::Missing => "the request carries no API key",
-            KeyError::Unknown => "no workspace holds the request's key",
-        };
-        Failure::not_run(Reason::Unauthorized, detail)
-    })?;
-    let Some(target) = route.choose_target(fastrand::f64()) else {
-        let detail = format!("route '{}' has no service", route.name);
-        return Err(Failure::not_run(Reason::NoEndpoint, detail));
-    };
-    let remaining_ms = info.remaining_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-    let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
-    let deadline = inbound.received_at + Duration::from_millis(remaining_ms.min(timeout_ms));
-    let caller = workspace.map(|workspace| &*workspace.name);
-    let key = RequestKey::of(info, &inbound, caller);
-    Ok(ActiveRequest {
-        info: info.clone(),
-        key,
-        route: route.clone(),
-        service: target.service.clone(),
-        max_connections: max_connections(table, &target.service),
-        workspace: workspace.cloned(),
-        deadline,
-        tried: Vec::new(),
-        sends: 0,
-        runs: 0,
-        refusals: 0,
-        verdict: Verdict::NotRun,
-        crashes: 0,
-        size: None,
-        unsure_size: None,
-        confidence: None,
-        last_endpoint: None,
-        failure_response: None,
-        inbound,
-    })
-}
-
-fn max_connections(table: &Table, service: &Arc<str>) -> u32 {
-    let service = table.service(service);
-    service.map_or(u32::MAX, |service| service.max_connections)
-}
-
 /// Runs a request whose response is forwarded once it is complete.
 async fn run_buffered(
     context: &Rc<RequestContext>,
@@ -343,7 +309,8 @@
                     .call_guard
                     .endpoint_state
                     .record_outcome(true, now_ms);
-                request.record_run(Verdict::Ran);
+                let carried = started.carried.as_ref();
+                request.record_runs(Verdict::Ran, carried.map_or(1, |call| call.granted_runs));
                 let endpoint_state = &started.call_guard.endpoint_state;
                 request.record_broken(context, &started.endpoint, endpoint_state, &err);
                 let sent_at = started.sent_at;
@@ -359,6 +326,9 @@
 }
 
 fn record_answered(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
+    if started.carried.is_some() {
+        return;
+    }
     let elapsed = started.sent_at.elapsed();
     let elapsed_ms = elapsed.as_secs_f64() * MS_PER_S;
     let ratio = context
@@ -385,11 +355,13 @@
     context: &Rc<RequestContext>,
     request: &mut ActiveRequest,
 ) -> Result<Box<StartedResponse>, Failure> {
-    request.size = request.choose_first_size(context);
+    let carried = request.carried.as_ref();
+    let ordered_size = carried.and_then(|carried| carried.order.size);
+    request.size = ordered_size.or_else(|| request.choose_first_size(context));
     let resume_after = request.info.resume_after;
     loop {
         let started = request.dispatch(context, resume_after).await?;
-        if request.size.is_none() {
+        if request.size.is_none() || ordered_size.is_some() || started.carried.is_some() {
             return Ok(started);
         }
         request.confidence = started.reply.confidence;
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -12,9 +12,11 @@
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
+use crate::carried::CarriedCount;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer};
+use crate::peer_choice::PeerStates;
 use crate::settings::Settings;
 use crate::size_book::SizeBook;
 use crate::version_counters::VersionCounters;
@@ -38,6 +40,8 @@
     /// Times promised to callers whom rate limits turned away, by service.
     pub(crate) retry_schedules: RefCell<HashMap<Arc<str>, RetryAfterSchedule>>,
     pub(crate) buffered_bytes: BufferedBytes,
+    pub(crate) peer_states: Rc<PeerStates>,
+    pub(crate) carried_count: CarriedCount,
     /// Whether new requests are refused because the instance is stopping.
     pub(crate) stopped: Cell<bool>,
 }
--- a/crates/serve/src/request_log.rs
+++ b/crates/serve/src/request_log.rs
@@ -41,6 +41,7 @@
         let elapsed = self.received.elapsed();
         let route = request.map(|request| &request.route.name);
         let endpoint = request.and_then(|request| request.last_endpoint.as_ref());
+        let carried = request.and_then(|request| request.carried.as_ref());
         let record = LogRecord {
             info,
             route,
@@ -49,6 +50,8 @@
             size: request.and_then(|request| request.size),
             confidence: request.and_then(|request| request.confidence),
             sends: request.map_or(0, |request| request.sends),
+            carried_by: request.and_then(|request| request.carried_by.as_deref()),
+            carried_for: carried.map(|carried| &*carried.order.home),
             config: self.config,
             view: self.view,
             store_unreachable: self.store_unreachable,
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -7,6 +7,8 @@
 /// Settings of the pipeline, fixed at start.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// Name of this instance.
+    pub name: Arc<str>,
     /// Availability zone of this instance.
     pub zone: Arc<str>,
     /// Retry window of each service.
@@ -27,6 +29,7 @@
     /// Creates settings for a zone.
     pub fn new(zone: &str, retry_window: WindowedRetrySettings) -> Settings {
         Settings {
+            name: "".into(),
             zone: zone.into(),
             retry_window,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
@@ -34,6 +37,12 @@
         }
     }
 
+    /// Sets the name of this instance.
+    pub fn name(mut self, name: &str) -> Settings {
+        self.name = name.into();
+        self
+    }
+
     /// Sets the cost of one run of a model's largest size on idle engines, in good answers.
     pub fn largest_run_cost(mut self, cost: f64) -> Settings {
         self.largest_run_cost = cost;
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -1,10 +1,12 @@
 //! Loads of endpoints, shared with the thread that exchanges them with other instances.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::shared_crashes::SharedCrashes;
+use kernel::Incarnation;
+
 use crate::shared_limit::SharedLimits;
 
 /// Largest number of instances that report their loads to all others. Those that the instances of a
@@ -66,6 +68,15 @@
     pub units: u32,
 }
 
+/// What a peer reports of the endpoints that it does not reach.
+#[derive(Debug, Clone, Default)]
+pub struct PeerReach {
+    /// When the report arrived, in milliseconds on this instance's clock.
+    pub received_ms: u64,
+    /// Hashes of the endpoints to which the peer establishes no connection.
+    pub out_of_reach: HashSet<u64>,
+}
+
 /// Loads of all endpoints by this instance's requests and by those of the others, their rate limits,
 /// and the requests and prompt parts that crash them.
 #[derive(Debug, Default)]
@@ -73,6 +84,7 @@
     by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
     limits: SharedLimits,
     crashes: Arc<SharedCrashes>,
+    peer_reach: Mutex<HashMap<Incarnation, PeerReach>>,
 }
 
 impl SharedLoads {
@@ -124,6 +136,21 @@
         }
     }
 
+    /// Replaces what the peers report of the endpoints that they do not reach.
+    pub fn set_peer_reach(&self, reach: HashMap<Incarnation, PeerReach>) {
+        *self.lock_reach() = reach;
+    }
+
+    /// Returns what a peer reports of the endpoints that it does not reach, if it does.
+    pub(crate) fn peer_reach(&self, peer: Incarnation) -> Option<PeerReach> {
+        self.lock_reach().get(&peer).cloned()
+    }
+
+    fn lock_reach(&self) -> MutexGuard<'_, HashMap<Incarnation, PeerReach>> {
+        let reach = self.peer_reach.lock();
+        reach.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the load of the endpoint with this hash, which is created if there is none yet.
     pub fn entry(&self, endpoint: u64) -> Arc<EndpointLoad> {
         self.loads().entry(endpoint).or_default().clone()
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -24,6 +24,9 @@
 /// Silence that counts as a stall, as a multiple of the longest gap that callers accept.
 const STALL_GAPS: u32 = 2;
 
+/// Time in which a peer resumes a stream that stalled.
+const PEER_RESUME_TIME: Duration = Duration::from_millis(600);
+
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -58,6 +61,7 @@
     ) -> Stream {
         let gap = Duration::from_millis(request.route.max_gap_ms.unwrap_or_default());
         let last_id = request.info.resume_after;
+        let is_recorded = response.carried.is_some();
         Stream {
             context,
             request,
@@ -66,7 +70,7 @@
             last_id,
             events: 0,
             run_started: Instant::now(),
-            is_recorded: false,
+            is_recorded,
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
             waits_for_deadline: false,
             log,
@@ -108,7 +112,7 @@
             let until = if self.waits_for_deadline {
                 self.request.deadline
             } else {
-                (Instant::now() + self.stall_timeout).min(self.request.deadline)
+                (Instant::now() + self.stall_timeout()).min(self.request.deadline)
             };
             match timeout_at(until, self.response.exchange.next()).await? {
                 Some(bytes) => {
@@ -124,6 +128,17 @@
         }
     }
 
+    /// Returns the silence that counts as a stall. A peer that carries the request notices it first.
+    fn stall_timeout(&self) -> Duration {
+        let is_carried = self.response.carried.is_some();
+        let extra = if is_carried {
+            PEER_RESUME_TIME
+        } else {
+            Duration::ZERO
+        };
+        self.stall_timeout + extra
+    }
+
     /// Checks that no event is missing or duplicated.
     fn check_order(&self, event: Event) -> io::Result<Event> {
         let (Some(id), Some(last)) = (event.id, self.last_id) else {
@@ -156,7 +171,10 @@
         let sent_at = self.response.sent_at;
         self.request
             .log_send(&endpoint, "stream broke", &why, sent_at);
-        self.request.record_run(Verdict::Ran);
+        let carried = self.response.carried.as_ref();
+        let runs = carried.map_or(1, |call| call.granted_runs);
+        self.request.record_runs(Verdict::Ran, runs);
+        self.request.is_resumed = true;
         let failure = if self.request.may_retry() {
             match self.request.dispatch(&self.context, self.last_id).await {
                 Ok(response) => {
@@ -176,11 +194,11 @@
     }
 
     fn switch_to(&mut self, response: Box<StartedResponse>) {
+        self.is_recorded = response.carried.is_some();
         self.response = response;
         self.splitter.clear();
         self.events = 0;
         self.run_started = Instant::now();
-        self.is_recorded = false;
     }
 
     /// Records the outcome of the current run for its version, once its latency is conclusive.
@@ -214,7 +232,7 @@
 
     /// Records the time per event, by which slow endpoints are recognised.
     fn record_event_latency(&self) {
-        if self.events < MIN_TIMED_EVENTS {
+        if self.events < MIN_TIMED_EVENTS || self.response.carried.is_some() {
             return;
         }
         let event_ms = self.run_started.elapsed().as_millis() as f64 / f64::from(self.events);
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -2,12 +2,17 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{Fleet, ScriptedEndpoint, Step, answer, events, ids, route, stream_end, stream_head};
-use route::RetrySafety;
+use common::{
+    Fleet, ScriptedEndpoint, Step, answer, error_response, events, ids, route, stream_end,
+    stream_head,
+};
+use route::{RetrySafety, Route, Service, Table, Target};
 use socket2::{Domain, SockRef, Socket, Type};
 
 /// Time in which a request is answered once its instance knows that it is cut off.
@@ -126,3 +131,146 @@
         resumes.head(0)
     );
 }
+
+/// Starts two instances, of which the first reaches no endpoint and the second these.
+fn fleet_with_cut(route: &Route, reached: Vec<SocketAddr>) -> (Fleet, Vec<CutAddr>) {
+    let cut_off: Vec<CutAddr> = reached.iter().map(|_| CutAddr::new(Cut::Refuse)).collect();
+    let unreached = cut_off.iter().map(|found| found.addr).collect();
+    (Fleet::new(route, &[unreached, reached]), cut_off)
+}
+
+#[test]
+fn requests_are_refused_at_once_as_not_run_if_no_instance_reaches_an_endpoint() {
+    let cut_off: Vec<CutAddr> = (0..4).map(|_| CutAddr::new(Cut::Hang)).collect();
+    let addrs: Vec<SocketAddr> = cut_off.iter().map(|found| found.addr).collect();
+    let route = route(RetrySafety::NonIdempotent);
+    let fleet = Fleet::new(&route, &[addrs[..2].to_vec(), addrs[2..].to_vec()]);
+    for instance in [0, 1] {
+        fleet.send(instance, "/x/1");
+    }
+    for instance in [0, 1] {
+        let began = Instant::now();
+        let refused = fleet.send(instance, "/x/1");
+        assert_eq!(refused.status, 503);
+        assert_eq!(refused.verdict.as_deref(), Some("not-run"));
+        assert!(began.elapsed() < CARRIED_TIME, "{:?}", began.elapsed());
+    }
+}
+
+#[test]
+fn the_end_of_a_cut_is_found_without_requests() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    // The endpoint listens at its address only after the cut.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let route = route(RetrySafety::Idempotent);
+    let fleet = Fleet::new(&route, &[vec![addr], vec![endpoint.addr]]);
+    assert_eq!(fleet.send(0, "/x/1").status, 200);
+    let loads = fleet.instances[0].pipeline.shared_loads();
+    assert_eq!(loads.out_of_reach().len(), 1);
+    let back = TcpListener::bind(addr).unwrap();
+    fleet.run_for(Duration::from_millis(700));
+    assert!(loads.out_of_reach().is_empty());
+    assert_eq!(endpoint.request_count(), 1);
+    let sent_nothing = |stream: TcpStream| {
+        stream.set_nonblocking(true).unwrap();
+        let mut bytes = Vec::new();
+        drop((&stream).read_to_end(&mut bytes));
+        bytes.is_empty()
+    };
+    let (probe, _) = back.accept().unwrap();
+    assert!(sent_nothing(probe));
+}
+
+/// Starts a peer that takes a request and breaks its connection, and returns its address.
+fn start_breaking_peer(requests: &Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let requests = requests.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut byte = [0];
+            assert_eq!(stream.read(&mut byte).unwrap(), 1);
+            requests.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    addr
+}
+
+#[test]
+fn a_request_that_was_handed_over_is_sent_again_only_if_it_may_run_twice() {
+    for (retry_safety, status, served) in [
+        (RetrySafety::NonIdempotent, 502, 0),
+        (RetrySafety::Idempotent, 200, 1),
+    ] {
+        let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+        let route = route(retry_safety).max_attempts(3);
+        let cut_off = CutAddr::new(Cut::Refuse);
+        let addrs = [vec![cut_off.addr], vec![endpoint.addr], vec![endpoint.addr]];
+        let mut fleet = Fleet::new(&route, &addrs);
+        let taken: Arc<AtomicUsize> = Arc::default();
+        let breaking = start_breaking_peer(&taken).to_string();
+        fleet.members[1] = fleet.members[1].clone().with_carry_addr(&breaking);
+        // The other peer is in another zone and is asked later.
+        fleet.members[2].zone = "there".into();
+        fleet.publish_members();
+        let received = fleet.send(0, "/x/1");
+        assert_eq!(received.status, status, "{retry_safety:?}");
+        assert_eq!(taken.load(Ordering::SeqCst), 1, "{retry_safety:?}");
+        assert_eq!(endpoint.request_count(), served, "{retry_safety:?}");
+    }
+}
+
+#[test]
+fn a_carried_request_runs_on_no_more_endpoints_than_its_route_allows() {
+    for max_attempts in [1, 2, 3] {
+        let failing: Vec<ScriptedEndpoint> = (0..4)
+            .map(|_| ScriptedEndpoint::start(vec![error_response()]))
+            .collect();
+        let reached = failing.iter().map(|found| found.addr).collect();
+        let route = route(RetrySafety::Idempotent).max_attempts(max_attempts);
+        let (fleet, _cut_off) = fleet_with_cut(&route, reached);
+        let received = fleet.send(0, "/x/1");
+        assert_eq!(received.status, 500, "{max_attempts} attempts");
+        let ran: usize = failing.iter().map(ScriptedEndpoint::request_count).sum();
+        assert!(ran <= max_attempts as usize, "{ran} of {max_attempts}");
+    }
+}
+
+#[test]
+fn a_peer_with_an_older_configuration_carries_nothing() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    let route = route(RetrySafety::Idempotent);
+    let (fleet, _cut_off) = fleet_with_cut(&route, vec![endpoint.addr]);
+    let mut view = (**fleet.instances[0].view.load()).clone();
+    let service = Service {
+        name: "app".into(),
+        health_path: "/".into(),
+        max_connections: 1_000,
+        engine: None,
+    };
+    let newer = Table::new(2).with_route(route.with_target(Target::new("app", 1)));
+    view.table = Some(Arc::new(newer.with_service(service)));
+    view.generation += 1;
+    fleet.instances[0].view.store(view.into());
+    let refused = fleet.send(0, "/x/1");
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.verdict.as_deref(), Some("not-run"));
+    assert_eq!(endpoint.request_count(), 0);
+}
+
+/// Guards against callers that pretend to be peers: their order is replaced.
+#[test]
+fn an_order_of_a_caller_is_not_followed() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    let route = route(RetrySafety::Idempotent);
+    let (fleet, _cut_off) = fleet_with_cut(&route, vec![endpoint.addr]);
+    let forged = r#"{"home":"x","remaining_ms":0,"attempts":0,"config":9}"#;
+    fleet.exchange_reach();
+    let fields = [("Rosemary-Carry", forged)];
+    let sending = fleet.instances[0].send_to("/x/1", &fields);
+    let received = async_io::block_on(fleet.executor.run(sending));
+    assert_eq!(received.status, 200);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -72,6 +72,9 @@
     /// Whether the instance is shutting down and takes no new requests.
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    /// Address for requests that peers cannot serve themselves, as `host:port`, or empty.
+    #[prost(string, tag = "10")]
+    pub carry_addr: String,
 }
 
 /// Digest of a configuration replica, to detect differences.
@@ -306,6 +309,9 @@
     /// Hashes of the endpoints that said that they leave.
     #[prost(fixed64, repeated, tag = "5")]
     pub leaving: Vec<u64>,
+    /// Hashes of the endpoints to which the sender establishes no connection.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub out_of_reach: Vec<u64>,
 }
 
 /// What an instance saw of a request or prompt part under which endpoints ended.
