--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -349,6 +349,20 @@
         }
     }
 
+    /// Lists all endpoints with this many slots.
+    pub fn list_slots(&self, slots: u32) {
+        let mut view = (**self.view.load()).clone();
+        let mut pool = (*view.pools["app"]).clone();
+        for listed in &mut pool.endpoints {
+            let mut updated = (**listed).clone();
+            updated.slots = slots;
+            *listed = updated.into();
+        }
+        view.pools.insert("app".into(), pool.into());
+        view.generation += 1;
+        self.view.store(view.into());
+    }
+
     /// Sends a request with these headers and reads the whole response.
     pub fn send(&self, fields: &[(&str, &str)]) -> Received {
         async_io::block_on(self.send_async(fields))
@@ -361,27 +375,31 @@
 
     /// Sends a request for a target.
     pub async fn send_to(&self, target: &str, fields: &[(&str, &str)]) -> Received {
-        let mut headers = Headers::default();
-        headers.push("Host", "h");
-        for (name, value) in fields {
-            headers.push(name, value);
-        }
-        let request = Request {
-            head: RequestHead {
-                method: "GET".to_owned(),
-                target: target.to_owned(),
-                minor_version: 1,
-                headers,
-            },
-            body: Bytes::new(),
-            peer_addr: "127.0.0.1:1".parse().unwrap(),
-            received_at: Instant::now(),
-        };
-        let response = self.pipeline.handle(request).await;
+        let response = self.pipeline.handle(request(target, fields)).await;
         read(response).await
     }
 }
 
+/// A request for a target with these headers.
+pub fn request(target: &str, fields: &[(&str, &str)]) -> Request {
+    let mut headers = Headers::default();
+    headers.push("Host", "h");
+    for (name, value) in fields {
+        headers.push(name, value);
+    }
+    Request {
+        head: RequestHead {
+            method: "GET".to_owned(),
+            target: target.to_owned(),
+            minor_version: 1,
+            headers,
+        },
+        body: Bytes::new(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        received_at: Instant::now(),
+    }
+}
+
 /// Several instances, each with its own addresses of the endpoints.
 pub struct Fleet {
     pub instances: Vec<Harness>,
@@ -451,6 +469,22 @@
         }
     }
 
+    /// Tells each instance the loads of the others.
+    pub fn exchange_loads(&self) {
+        for receiver in &self.instances {
+            let mut sums: HashMap<u64, u32> = HashMap::new();
+            for sender in &self.instances {
+                if std::ptr::eq(sender, receiver) {
+                    continue;
+                }
+                for entry in sender.pipeline.shared_loads().own() {
+                    *sums.entry(entry.endpoint).or_default() += entry.units;
+                }
+            }
+            receiver.pipeline.shared_loads().set_peers(&sums);
+        }
+    }
+
     /// Lets the instances work for a while.
     pub fn run_for(&self, time: Duration) {
         let end = async_io::Timer::after(time);
@@ -465,7 +499,8 @@
     }
 }
 
-async fn read(response: Response) -> Received {
+/// Reads a whole response.
+pub async fn read(response: Response) -> Received {
     let verdict = response.headers.get("x-verdict").map(str::to_owned);
     let mut received = Received {
         status: response.status,
