relay: Derive the user timeout of connections from the keep-alive probes

Cause: the users' pages say now what Linux does: a TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. The two agreed, at 3 s, as two constants that had to be changed together.

Ruled out: that a sound endpoint which is silent for a second loses connections by it; the kernel of such an endpoint answers probes, and 3 s are longer. No other socket of the project sets either, and no library that is used does by itself.

Change: one constant follows from the other; the value stays, 3 s.

--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -21,8 +21,10 @@
 /// Unanswered keep-alive probes after which the connection is dead.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Time that sent data may stay unacknowledged, equal to the time that keep-alive takes to fail.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time that sent data may stay unacknowledged. Linux also ends a connection by it whose keep-alive
+/// probes are unanswered, whatever their number, so it is the time that these take.
+const TCP_USER_TIMEOUT: Duration =
+    KEEPALIVE_IDLE.saturating_add(KEEPALIVE_INTERVAL.saturating_mul(KEEPALIVE_PROBES));
 
 /// Runs a future with a deadline.
 ///
