serve, control, wire: Keep a rate limit that has ended from living on in reports

Cause: instances report each limit that they know, whoever heard it, with its age. A report seems later by its transit, so that a limit which two instances report to one another seemed as late as the present if a report took longer than the interval of reports; it then won over an endpoint's own answer without a limit.

Ruled out: the instance that hears the endpoint. It takes the answer at once.

Change: a report says how many instances passed it on, and goes no further than over two (the collectors of two zones); one that says the same as a shorter one does not replace it. What an instance heard itself is kept apart and ends all earlier reports.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -91,10 +91,14 @@
 fn limits(control: &Control) -> Vec<EndpointLimit> {
     let mut limits = Vec::new();
     for entry in control.shared_loads.limits().recent(control.now_ms()) {
+        if !entry.may_be_passed_on() {
+            continue;
+        }
         limits.push(EndpointLimit {
             endpoint: entry.endpoint,
             limit_per_s: entry.limit_per_s,
             age_ms: entry.age_ms,
+            hops: entry.hops,
         });
     }
     limits
@@ -115,6 +119,7 @@
             endpoint: limit.endpoint,
             limit_per_s: limit.limit_per_s,
             age_ms: limit.age_ms,
+            hops: limit.hops,
         };
         control.shared_loads.limits().merge(entry, now_ms);
     }
--- a/crates/serve/src/shared_limit.rs
+++ b/crates/serve/src/shared_limit.rs
@@ -14,11 +14,48 @@
 /// milliseconds. A report seems later than it is by the time that it took to arrive.
 const MAX_TRANSIT_MS: u64 = 100;
 
+/// Instances that pass a report on in a large fleet: the collectors of two zones. A report that went on
+/// and on would seem later each time.
+const MAX_HOPS: u32 = 2;
+
 /// What an endpoint said of its rate limit, at some time of this instance's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Observation {
     limit_per_s: Option<f64>,
     observed_ms: u64,
+    /// Instances that passed it on.
+    hops: u32,
+}
+
+impl Observation {
+    /// Returns whether it was made after another, as far as reports tell. One that was passed on more
+    /// often and says the same may be the same one.
+    fn is_after(&self, other: &Observation) -> bool {
+        if self.limit_per_s == other.limit_per_s {
+            return self.hops <= other.hops && self.observed_ms > other.observed_ms;
+        }
+        self.observed_ms > other.observed_ms + MAX_TRANSIT_MS
+    }
+}
+
+/// What is known of the rate limit of one endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+struct Known {
+    own: Option<Observation>,
+    reported: Option<Observation>,
+}
+
+impl Known {
+    fn latest(&self) -> Option<Observation> {
+        match (self.own, self.reported) {
+            (Some(own), Some(reported)) if reported.is_after(&own) => Some(reported),
+            (own, reported) => own.or(reported),
+        }
+    }
+
+    fn limit_per_s(&self) -> Option<f64> {
+        self.latest()?.limit_per_s
+    }
 }
 
 /// What an endpoint said of its rate limit, as instances report it to one another.
@@ -30,12 +67,21 @@
     pub limit_per_s: Option<f64>,
     /// How long ago it said so, in milliseconds.
     pub age_ms: u64,
+    /// Instances that passed this on; 0 if the reporter heard it itself.
+    pub hops: u32,
+}
+
+impl LimitEntry {
+    /// Returns whether this instance may report it to others.
+    pub fn may_be_passed_on(&self) -> bool {
+        self.hops <= MAX_HOPS
+    }
 }
 
 /// The latest that any instance heard from each endpoint that has or had a rate limit.
 #[derive(Debug)]
 pub struct SharedLimits {
-    by_endpoint: Mutex<HashMap<u64, Observation>>,
+    by_endpoint: Mutex<HashMap<u64, Known>>,
     changes: AtomicU64,
     notify: Sender<()>,
     notified: Receiver<()>,
@@ -58,16 +104,19 @@
     /// none.
     pub fn observe(&self, endpoint: u64, limit_per_s: Option<f64>, now_ms: u64) {
         let mut by_endpoint = self.lock();
-        let known = by_endpoint.get(&endpoint).copied();
-        if limit_per_s.is_none() && known.is_none() {
+        if limit_per_s.is_none() && !by_endpoint.contains_key(&endpoint) {
             return;
         }
-        let observation = Observation {
+        let known = by_endpoint.entry(endpoint).or_default();
+        let before = known.limit_per_s();
+        known.own = Some(Observation {
             limit_per_s,
             observed_ms: now_ms,
-        };
-        by_endpoint.insert(endpoint, observation);
-        self.notify_if_changed(known, observation);
+            hops: 0,
+        });
+        // Whatever was reported until now is older.
+        known.reported = None;
+        self.notify_if_changed(before, known.limit_per_s());
     }
 
     /// Records what another instance reports, if it is later than what is known.
@@ -75,22 +124,20 @@
         let reported = Observation {
             limit_per_s: entry.limit_per_s,
             observed_ms: now_ms.saturating_sub(entry.age_ms),
+            hops: entry.hops + 1,
         };
         let mut by_endpoint = self.lock();
-        let known = by_endpoint.get(&entry.endpoint).copied();
-        if let Some(known) = known {
-            let is_equal = known.limit_per_s == reported.limit_per_s;
-            let margin_ms = if is_equal { 0 } else { MAX_TRANSIT_MS };
-            if reported.observed_ms <= known.observed_ms + margin_ms {
-                return;
-            }
+        let known = by_endpoint.entry(entry.endpoint).or_default();
+        let before = known.limit_per_s();
+        let latest = known.latest();
+        if latest.is_none_or(|latest| reported.is_after(&latest)) {
+            known.reported = Some(reported);
         }
-        by_endpoint.insert(entry.endpoint, reported);
-        self.notify_if_changed(known, reported);
+        self.notify_if_changed(before, known.limit_per_s());
     }
 
-    fn notify_if_changed(&self, before: Option<Observation>, after: Observation) {
-        if before.and_then(|before| before.limit_per_s) == after.limit_per_s {
+    fn notify_if_changed(&self, before: Option<f64>, after: Option<f64>) {
+        if before == after {
             return;
         }
         self.changes.fetch_add(1, Ordering::Release);
@@ -98,20 +145,27 @@
         let _ = self.notify.try_send(());
     }
 
-    /// Returns the observations to report to other instances.
+    /// Returns the latest observations of all instances.
     pub fn recent(&self, now_ms: u64) -> Vec<LimitEntry> {
         let mut by_endpoint = self.lock();
         let known_count = by_endpoint.len();
-        by_endpoint.retain(|_, observation| now_ms < observation.observed_ms + MAX_AGE_MS);
+        by_endpoint.retain(|_, known| {
+            let latest = known.latest();
+            latest.is_some_and(|latest| now_ms < latest.observed_ms + MAX_AGE_MS)
+        });
         if by_endpoint.len() < known_count {
             self.changes.fetch_add(1, Ordering::Release);
         }
         let mut entries = Vec::new();
-        for (endpoint, observation) in by_endpoint.iter() {
+        for (endpoint, known) in by_endpoint.iter() {
+            let Some(latest) = known.latest() else {
+                continue;
+            };
             entries.push(LimitEntry {
                 endpoint: *endpoint,
-                limit_per_s: observation.limit_per_s,
-                age_ms: now_ms.saturating_sub(observation.observed_ms),
+                limit_per_s: latest.limit_per_s,
+                age_ms: now_ms.saturating_sub(latest.observed_ms),
+                hops: latest.hops,
             });
         }
         entries
@@ -130,14 +184,14 @@
 
     /// Returns the rate limit of an endpoint, in requests per second.
     pub(crate) fn limit_per_s(&self, endpoint: u64) -> Option<f64> {
-        self.lock().get(&endpoint)?.limit_per_s
+        self.lock().get(&endpoint)?.limit_per_s()
     }
 
     pub(crate) fn remove(&self, endpoint: u64) {
         self.lock().remove(&endpoint);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Observation>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Known>> {
         self.by_endpoint
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/serve/tests/shared_limits.rs
+++ b/crates/serve/tests/shared_limits.rs
@@ -15,6 +15,7 @@
         endpoint: ENDPOINT,
         limit_per_s,
         age_ms,
+        hops: 0,
     }
 }
 
@@ -57,3 +58,42 @@
     assert_eq!(known(&limits, 600_000), Some(Some(2.0)));
     assert_eq!(known(&limits, 601_000), None);
 }
+
+/// Issue 25: reports that passed an ended limit on to one another made it seem later each time, so that
+/// it came back from instances that had not seen its end.
+#[test]
+fn a_limit_that_has_ended_does_not_live_on_in_reports_alone() {
+    const REPORT_INTERVAL_MS: u64 = 60;
+    const TRANSIT_MS: u64 = 90;
+    const ENDED_MS: u64 = 10_000;
+    const LAST_MS: u64 = 12_000;
+    let instances: Vec<SharedLimits> = (0..3).map(|_| SharedLimits::default()).collect();
+    for limits in &instances {
+        limits.observe(ENDPOINT, Some(2.0), 0);
+    }
+    let mut now_ms = 0;
+    while now_ms < LAST_MS {
+        now_ms += REPORT_INTERVAL_MS;
+        let reports: Vec<Vec<LimitEntry>> = instances
+            .iter()
+            .map(|limits| limits.recent(now_ms))
+            .collect();
+        for (receiver, limits) in instances.iter().enumerate() {
+            for (sender, report) in reports.iter().enumerate() {
+                if sender == receiver {
+                    continue;
+                }
+                for entry in report.iter().filter(|entry| entry.may_be_passed_on()) {
+                    limits.merge(*entry, now_ms + TRANSIT_MS);
+                }
+            }
+        }
+        // One instance sees the end of the limit, and only now and then.
+        if now_ms >= ENDED_MS && now_ms % (5 * REPORT_INTERVAL_MS) == 0 {
+            instances[0].observe(ENDPOINT, None, now_ms);
+        }
+    }
+    for (number, limits) in instances.iter().enumerate() {
+        assert_eq!(known(limits, LAST_MS), Some(None), "instance {number}");
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -353,6 +353,9 @@
     /// How long ago it said so, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Instances that passed this on.
+    #[prost(uint32, tag = "4")]
+    pub hops: u32,
 }
 
 impl Envelope {
