limits: Block prompt parts with the same crashes together, and not for long

Cause: of two parts with the same crashes the first by hash was blocked, which explained those of the other; if that was the bad one, it needed as many crashes again.

Change: subjects of a kind are decided on together, parts as requests, and tied ones are blocked for 5 s and then tried apart.

Test: parts_that_may_each_have_crashed_the_endpoints_are_blocked_together_and_not_for_long failed before.

--- a/crates/limits/src/crash_guard.rs
+++ b/crates/limits/src/crash_guard.rs
@@ -51,7 +51,7 @@
 /// crashes an endpoint again.
 const FIRST_BLOCK_MS: u64 = 60_000;
 
-/// The length of the block of several requests of which any may have caused the crashes, in
+/// The length of the block of several subjects of which any may have caused the crashes, in
 /// milliseconds: those without fault are tried again soon.
 const TIED_BLOCK_MS: u64 = 5_000;
 
@@ -357,24 +357,19 @@
         let suspects = self.all_suspects().into_iter();
         let (requests, parts): (Vec<Subject>, Vec<Subject>) =
             suspects.partition(|subject| subject.is_request());
-        let mut due = Vec::new();
-        for request in &requests {
-            if let Some(length_ms) = self.due_block_ms(*request, &requests, now_ms) {
-                due.push((*request, length_ms));
-            }
-        }
         let mut blocked = Vec::new();
-        // Requests with the same crashes are blocked together, as one would explain those of the other.
-        for (request, length_ms) in due {
-            if self.block_new(request, length_ms, now_ms) {
-                blocked.push(request);
+        for kind in [requests, parts] {
+            // Those with the same crashes are blocked together, as one would explain those of the other.
+            let mut due = Vec::new();
+            for subject in &kind {
+                if let Some(length_ms) = self.due_block_ms(*subject, &kind, now_ms) {
+                    due.push((*subject, length_ms));
+                }
             }
-        }
-        for part in &parts {
-            if let Some(length_ms) = self.due_block_ms(*part, &parts, now_ms)
-                && self.block_new(*part, length_ms, now_ms)
-            {
-                blocked.push(*part);
+            for (subject, length_ms) in due {
+                if self.block_new(subject, length_ms, now_ms) {
+                    blocked.push(subject);
+                }
             }
         }
         blocked
@@ -406,7 +401,7 @@
         if subject.is_request() {
             return Some(TIED_BLOCK_MS);
         }
-        (crashes.len() >= needed + TIED_CRASHES).then_some(FIRST_BLOCK_MS)
+        (crashes.len() >= needed + TIED_CRASHES).then_some(TIED_BLOCK_MS)
     }
 
     /// Returns the crashes in a row under a subject that no blocked one explains, without those that
--- a/crates/limits/tests/crash_guard.rs
+++ b/crates/limits/tests/crash_guard.rs
@@ -402,3 +402,25 @@
     }
     assert!(is_blocked(&mut guard, BAD, 12_000));
 }
+
+#[test]
+fn parts_that_may_each_have_crashed_the_endpoints_are_blocked_together_and_not_for_long() {
+    let mut guard = CrashGuard::default();
+    for number in 0..6 {
+        let at_ms = 1_000 * (number + 1);
+        guard.record_crash(&[Request(number), SOUND, BAD], crash(at_ms));
+        guard.set_peers(&[], at_ms + 200);
+    }
+    assert!(is_blocked(&mut guard, BAD, 6_300));
+    assert!(is_blocked(&mut guard, SOUND, 6_300));
+    let tried_ms = 11_500;
+    assert_eq!(
+        guard.admit(&[SOUND], |_| true, tried_ms),
+        Admittance::Admitted
+    );
+    guard.record_survival(&[SOUND], tried_ms + 600);
+    guard.record_crash(&[Request(9), BAD], crash(tried_ms + 700));
+    guard.set_peers(&[], tried_ms + 900);
+    assert!(!is_blocked(&mut guard, SOUND, tried_ms + 1_000));
+    assert!(is_blocked(&mut guard, BAD, tried_ms + 59_000));
+}
