serve: Count bodies without end at the same time, and not what waits in sockets

Cause: the test counts the bytes that endpoints write, for those that the instance reads. Beside other work the 40 bodies came one after the other, each as large as one alone may be, and megabytes waited in the send buffers of each socket. The instance keeps its bound.

Ruled out: the bound of all bodies together in the product; with the bodies at the same time and small send buffers the bytes stay under the test's bound, which is unchanged.

Change: the endpoint waits until all 40 requests are there before it writes, and its send buffers are 64 KiB. The check is as strict: the same bytes, the same bound, and now all bodies are under way together.

--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -24,6 +24,9 @@
     TokenUsage, View,
 };
 
+/// Size of the send buffer of an endpoint that writes without end.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// What a scripted endpoint does on one connection.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -33,6 +36,8 @@
     Endless(&'static str),
     /// Sleeps for some milliseconds.
     Sleep(u64),
+    /// Waits until the endpoint has received this many requests.
+    AwaitRequests(usize),
     /// Closes the connection with a reset.
     Reset,
 }
@@ -151,6 +156,9 @@
                 }
             }
             Step::Endless(text) => {
+                // What is written counts as read, so little may wait in the socket.
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
                 let block = text.repeat((64 << 10) / text.len());
                 while stream.write_all(block.as_bytes()).is_ok() {
                     endless_bytes.fetch_add(block.len() as u64, Ordering::Relaxed);
@@ -158,6 +166,11 @@
                 return;
             }
             Step::Sleep(ms) => std::thread::sleep(Duration::from_millis(ms)),
+            Step::AwaitRequests(count) => {
+                while seen.lock().unwrap().len() < count {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+            }
             Step::Reset => {
                 let socket = socket2::SockRef::from(&stream);
                 socket.set_linger(Some(Duration::ZERO)).unwrap();
--- a/crates/serve/tests/retries.rs
+++ b/crates/serve/tests/retries.rs
@@ -253,6 +253,8 @@
     const MAX_BYTES: u64 = (BODIES as u64) * (16 << 20) * 3 / 4;
     let endless = ScriptedEndpoint::start(vec![vec![
         Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n".to_owned()),
+        // Bodies that come one after the other may each be as large as one alone.
+        Step::AwaitRequests(BODIES),
         Step::Endless("x"),
     ]]);
     let harness = Harness::new(route(RetrySafety::NonIdempotent), &[endless.addr], 10.0);
