serve: Let the latency ratio of an endpoint without requests approach the usual

Cause: an endpoint whose last few answers were slow kept the average of that time. Others were chosen before it, so that no answer corrected the average, for as long as the load was low.

Found behind an_endpoint_gets_from_all_gates_no_more_than_its_rate_limit, which said "5 requests in a second without a limit": with the requests of all endpoints in the message, the second had [7, 45, 31], [3, 45, 33] and [8, 9, 64]. The limit had ended, and one endpoint got most requests, also at the expense of one that never had a limit.

Ruled out: too little load (83 to 85 requests in each of these seconds), and the reports of limits.

Change: the distance of the ratio from 1 halves each second without a sample; the average is a type of its own.

--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
+use crate::latency_ratio::LatencyRatio;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
 use crate::shared_crashes::SharedCrashes;
@@ -32,10 +33,6 @@
 /// Weight of the latest sample in the moving averages.
 const SMOOTHING: f64 = 0.15;
 
-/// Bounds on the effect of a single sample, relative to the baseline.
-const MIN_LATENCY_RATIO: f64 = 0.25;
-const MAX_LATENCY_RATIO: f64 = 8.0;
-
 /// Identity of one run of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct EndpointKey {
@@ -64,8 +61,7 @@
     load: Cell<f64>,
     shared_load: Arc<EndpointLoad>,
     outlier: RefCell<OutlierDetector>,
-    /// Moving average of the ratio of latencies to the baseline.
-    latency_ratio: Cell<Option<f64>>,
+    latency: LatencyRatio,
     paused_until_ms: Cell<u64>,
     /// Until when the endpoint itself wants no requests from this instance.
     wanted_pause_until_ms: Cell<u64>,
@@ -96,9 +92,9 @@
         self.connections.get()
     }
 
-    /// Returns the moving average of the ratio of latencies to the baseline.
-    pub(crate) fn latency_ratio(&self) -> f64 {
-        self.latency_ratio.get().unwrap_or(1.0)
+    /// Returns the ratio of latencies to the baseline.
+    pub(crate) fn latency_ratio(&self, now_ms: u64) -> f64 {
+        self.latency.ratio(now_ms)
     }
 
     pub(crate) fn health(&self, now_ms: u64) -> Health {
@@ -328,11 +324,8 @@
     }
 
     /// Records the ratio of a latency to the baseline.
-    pub(crate) fn record_latency_ratio(&self, ratio: f64) {
-        let mean = self.latency_ratio.get().unwrap_or(1.0);
-        let ratio = ratio.clamp(MIN_LATENCY_RATIO, MAX_LATENCY_RATIO);
-        self.latency_ratio
-            .set(Some(mean + SMOOTHING * (ratio - mean)));
+    pub(crate) fn record_latency_ratio(&self, ratio: f64, now_ms: u64) {
+        self.latency.record(ratio, now_ms);
     }
 
     /// Returns the average time to the head of a response, in milliseconds.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -29,6 +29,7 @@
 mod endpoint_values;
 mod escalation;
 mod events;
+mod latency_ratio;
 mod outcome;
 mod peer_choice;
 mod pipeline;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -337,7 +337,7 @@
     started
         .call_guard
         .endpoint_state
-        .record_latency_ratio(ratio);
+        .record_latency_ratio(ratio, context.now_ms());
     // A version may answer several times slower and still within the objective.
     let is_late = elapsed.as_millis() > u128::from(request.route.objective_ms);
     let slow = is_late || ratio >= SLOW_ANSWER_RATIO;
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -54,7 +54,7 @@
         candidates.push(Candidate {
             load: state.load(),
             slots: endpoint.slots,
-            latency_ratio: state.latency_ratio(),
+            latency_ratio: state.latency_ratio(now_ms),
             same_zone: &*endpoint.zone == zone,
             health: state.health(now_ms),
             affinity: affinity(request, endpoint),
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -243,7 +243,7 @@
         self.response
             .call_guard
             .endpoint_state
-            .record_latency_ratio(ratio);
+            .record_latency_ratio(ratio, self.context.now_ms());
     }
 
     fn finish(&mut self) {
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -368,11 +368,20 @@
 
     /// Lists all endpoints with this many slots.
     pub fn list_slots(&self, slots: u32) {
+        self.list(|endpoint| endpoint.slots = slots);
+    }
+
+    /// Lists all endpoints in the zone of the instance.
+    pub fn list_all_in_zone(&self) {
+        self.list(|endpoint| endpoint.zone = "here".into());
+    }
+
+    fn list(&self, change: impl Fn(&mut Endpoint)) {
         let mut view = (**self.view.load()).clone();
         let mut pool = (*view.pools["app"]).clone();
         for listed in &mut pool.endpoints {
             let mut updated = (**listed).clone();
-            updated.slots = slots;
+            change(&mut updated);
             *listed = updated.into();
         }
         view.pools.insert("app".into(), pool.into());
