serve: Keep the verdict of earlier runs when a peer refuses a request

Cause: if no other peer was left, the refusal of the last one was the request's own answer, with its verdict. A request that an endpoint may have run before the cut was then refused as not run. Found by reading the diff.

Change: the failure takes its verdict from all that became of the request, and reason and time from the peer. Once a peer has begun an answer, all peers may be asked again to go on with the stream.

Test: a_peer_that_refuses_does_not_take_back_that_a_request_may_have_run failed before (503 not-run where 502 may-have-run is expected).

--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -73,8 +73,11 @@
     }
 
     fn out_of_reach_failure(&self) -> Failure {
-        if let Some(failure) = &self.peer_failure {
-            return failure.clone();
+        if let Some(of_peer) = &self.peer_failure {
+            // An endpoint may have run the request before the peer refused it.
+            let mut failure = self.failure(of_peer.reason, &*of_peer.detail);
+            failure.retry_after_ms = of_peer.retry_after_ms;
+            return failure;
         }
         let detail = "neither this instance nor a peer reaches an endpoint of the service";
         self.failure(Reason::NoEndpoint, detail)
@@ -134,6 +137,9 @@
             return SendResult::Retry;
         }
         self.size = report.size;
+        // Each may be asked again to go on with a stream.
+        self.peers_asked.clear();
+        self.peer_failure = None;
         SendResult::Started(Box::new(StartedResponse {
             exchange,
             reply: answered(),
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -274,3 +274,28 @@
     let received = async_io::block_on(fleet.executor.run(sending));
     assert_eq!(received.status, 200);
 }
+
+/// Starts an endpoint that takes one request, breaks its connection and is out of reach from then on.
+fn start_endpoint_that_is_cut_off_at_once() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        drop(listener);
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).unwrap(), 1);
+    });
+    addr
+}
+
+/// Guards against a refusal by a peer that says "not run" of a request that an endpoint may have run.
+#[test]
+fn a_peer_that_refuses_does_not_take_back_that_a_request_may_have_run() {
+    let breaks = start_endpoint_that_is_cut_off_at_once();
+    let cut_off = CutAddr::new(Cut::Refuse);
+    let route = route(RetrySafety::Idempotent).max_attempts(3);
+    let fleet = Fleet::new(&route, &[vec![breaks], vec![cut_off.addr]]);
+    let received = fleet.send(0, "/x/1");
+    assert_eq!(received.status, 502);
+    assert_eq!(received.verdict.as_deref(), Some("may-have-run"));
+}
