serve, route: Carry a request to the service that its home chose

Cause: where a route leads to several services by weight, the peer chose one anew. A stream that went on by way of a peer could go on at another service, with other events. Found by reading the diff.

Change: the order names the service; a peer whose configuration does not lead there turns the request down as not run.

Test: a_carried_request_goes_to_the_service_that_its_home_chose failed before (503; the peer chose a service without endpoints).

--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -146,6 +146,12 @@
         self
     }
 
+    /// Returns the target that is a service, if the route leads there.
+    pub fn target(&self, service: &str) -> Option<&Target> {
+        let mut targets = self.targets.iter();
+        targets.find(|target| *target.service == *service && target.weight > 0)
+    }
+
     /// Chooses a target by weight.
     ///
     /// `uniform` is a random number in `[0, 1)`. Returns `None` if no target has a weight above 0.
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -55,8 +55,13 @@
         };
         Failure::not_run(Reason::Unauthorized, detail)
     })?;
-    let Some(target) = route.choose_target(fastrand::f64()) else {
-        let detail = format!("route '{}' has no service", route.name);
+    let target = match &order {
+        Some(order) => route.target(&order.service),
+        None => route.choose_target(fastrand::f64()),
+    };
+    let Some(target) = target else {
+        let wanted = order.as_ref().map_or("any", |order| &order.service);
+        let detail = format!("route '{}' leads to no service '{wanted}'", route.name);
         return Err(Failure::not_run(Reason::NoEndpoint, detail));
     };
     let mut info = info.clone();
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -167,6 +167,7 @@
         let left = self.route.max_attempts.saturating_sub(self.runs);
         CarryOrder {
             home: context.settings.name.to_string(),
+            service: self.service.to_string(),
             remaining_ms: (self.remaining().as_millis() as u64).max(1),
             attempts: left.saturating_sub(1).max(1),
             resume_after,
--- a/crates/serve/src/carry_message.rs
+++ b/crates/serve/src/carry_message.rs
@@ -17,6 +17,8 @@
 pub(crate) struct CarryOrder {
     /// Name of the home.
     pub(crate) home: String,
+    /// Service that the home chose.
+    pub(crate) service: String,
     /// Time to the deadline, in milliseconds.
     pub(crate) remaining_ms: u64,
     /// Endpoints that may run the request.
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -239,22 +239,46 @@
     }
 }
 
+/// Sets the version of an instance's configuration and the services to which its route leads.
+fn set_targets(fleet: &Fleet, instance: usize, version: u64, route: Route, targets: &[Target]) {
+    let view = &fleet.instances[instance].view;
+    let mut changed = (**view.load()).clone();
+    let mut route = route;
+    let mut table = Table::new(version);
+    for target in targets {
+        table = table.with_service(Service {
+            name: target.service.clone(),
+            health_path: "/".into(),
+            max_connections: 1_000,
+            engine: None,
+        });
+        route = route.with_target(target.clone());
+    }
+    changed.table = Some(Arc::new(table.with_route(route)));
+    changed.generation += 1;
+    view.store(changed.into());
+}
+
+/// Guards against a stream that goes on at another service, where a route leads to several.
+#[test]
+fn a_carried_request_goes_to_the_service_that_its_home_chose() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    let route = route(RetrySafety::Idempotent);
+    let (fleet, _cut_off) = fleet_with_cut(&route, vec![endpoint.addr]);
+    let split = [Target::new("app", 1), Target::new("other", 1_000)];
+    set_targets(&fleet, 1, 1, route, &split);
+    for number in 0..5 {
+        assert_eq!(fleet.send(0, "/x/1").status, 200, "request {number}");
+    }
+    assert_eq!(endpoint.request_count(), 5);
+}
+
 #[test]
 fn a_peer_with_an_older_configuration_carries_nothing() {
     let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
     let route = route(RetrySafety::Idempotent);
     let (fleet, _cut_off) = fleet_with_cut(&route, vec![endpoint.addr]);
-    let mut view = (**fleet.instances[0].view.load()).clone();
-    let service = Service {
-        name: "app".into(),
-        health_path: "/".into(),
-        max_connections: 1_000,
-        engine: None,
-    };
-    let newer = Table::new(2).with_route(route.with_target(Target::new("app", 1)));
-    view.table = Some(Arc::new(newer.with_service(service)));
-    view.generation += 1;
-    fleet.instances[0].view.store(view.into());
+    set_targets(&fleet, 0, 2, route, &[Target::new("app", 1)]);
     let refused = fleet.send(0, "/x/1");
     assert_eq!(refused.status, 503);
     assert_eq!(refused.verdict.as_deref(), Some("not-run"));
