--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -39,7 +39,10 @@
 }
 
 /// An endpoint to probe.
-type Target = (Arc<Endpoint>, Rc<EndpointState>);
+struct Target {
+    endpoint: Arc<Endpoint>,
+    state: Rc<EndpointState>,
+}
 
 /// Probes endpoints that may be out of reach by connections without a request, so that callers' requests
 /// are not needed to learn of the begin and the end of a cut.
@@ -67,18 +70,17 @@
     let view = context.view();
     let mut targets = Vec::new();
     for pool in view.pools.values() {
-        let state = |endpoint: &Arc<Endpoint>| context.endpoint_states.of(endpoint);
-        let known: Vec<Target> = pool
-            .endpoints
-            .iter()
-            .map(|endpoint| (endpoint.clone(), state(endpoint)))
-            .collect();
-        let unreached = known.iter().filter(|(_, state)| state.is_out_of_reach());
+        let target = |endpoint: &Arc<Endpoint>| Target {
+            endpoint: endpoint.clone(),
+            state: context.endpoint_states.of(endpoint),
+        };
+        let known: Vec<Target> = pool.endpoints.iter().map(target).collect();
+        let unreached = known.iter().filter(|known| known.state.is_out_of_reach());
         let unreached_count = unreached.count();
         if unreached_count < SUSPICIOUS_COUNT.min(known.len()).max(1) {
             continue;
         }
-        targets.extend(known.into_iter().filter(|(_, state)| {
+        targets.extend(known.into_iter().filter(|Target { state, .. }| {
             let is_silent = now_ms >= state.last_received_ms() + RECENT_MS;
             (state.is_out_of_reach() || is_silent)
                 && now_ms >= state.probed_ms() + PROBE_INTERVAL_MS
@@ -87,7 +89,8 @@
     targets
 }
 
-async fn probe_one(context: Rc<RequestContext>, (endpoint, state): Target) {
+async fn probe_one(context: Rc<RequestContext>, target: Target) {
+    let Target { endpoint, state } = target;
     let opened_ms = context.now_ms();
     state.set_probed_ms(opened_ms);
     let addr: SocketAddr = endpoint.addr;
