serve, fakes: Split what carries requests, without circular imports, and move the fault proxy

Change: the limit on carried requests, the handler, the choice of a peer and what is known of peers are modules of their own; the proxy that injects faults is in crates/fakes; the fleet of the tests is a file.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -23,6 +23,7 @@
 mod faults;
 mod objects;
 mod platform;
+mod proxy;
 mod ratings;
 mod state;
 
@@ -31,4 +32,5 @@
 pub use cli::{Args, args, run};
 pub use faults::{EndpointFault, EndpointFaults, FaultInjector, PlatformFaults};
 pub use objects::ObjectStore;
+pub use proxy::{PROXY_MODES, Proxy, ProxyMode};
 pub use state::FakeState;
--- a/platform/soak/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -23,7 +23,7 @@
 }
 
 /// All modes, for a random choice.
-pub(crate) const PROXY_MODES: [ProxyMode; 5] = [
+pub const PROXY_MODES: [ProxyMode; 5] = [
     ProxyMode::Forward,
     ProxyMode::Delay,
     ProxyMode::Reset,
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -15,7 +15,8 @@
 use crate::endpoint_protocol::{ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointState};
 use crate::outcome::Counters;
-use crate::peer_choice::{Peer, PeerCall, choose_peer};
+use crate::peer_choice::{Peer, choose_peer};
+use crate::peer_states::CarriedCall;
 use crate::reach::{self, PROBE_INTERVAL_MS};
 use crate::request_context::RequestContext;
 use crate::view::View;
@@ -29,14 +30,6 @@
 /// The peer makes the attempts that the timeout of an endpoint is for, and the hop adds to it.
 const PEER_TIMEOUT_FACTOR: u32 = 2;
 
-/// A call that a peer carries.
-#[derive(Debug)]
-pub(crate) struct CarriedCall {
-    /// Endpoints that the peer may have run the request on.
-    pub(crate) granted_runs: u32,
-    _in_flight: PeerCall,
-}
-
 impl ActiveRequest {
     /// Returns the peer to which the request is handed over, or `None` if an endpoint is to be tried.
     ///
@@ -147,10 +140,7 @@
             endpoint: Arc::new(stand_in(&peer, &self.service)),
             call_guard: CallGuard::new(Rc::default(), RequestLoad::from_prefill(0.0)),
             _running: None,
-            carried: Some(CarriedCall {
-                granted_runs,
-                _in_flight: in_flight,
-            }),
+            carried: Some(CarriedCall::new(in_flight, granted_runs)),
             sent_at,
             time_to_head: sent_at.elapsed(),
             reading_ms: 0.0,
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -13,12 +13,12 @@
 
 use crate::active_request::{ActiveRequest, FailureResponse};
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
-use crate::carry::CarriedCall;
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
 use crate::outcome::Counters;
 use crate::peer_choice::Peer;
+use crate::peer_states::CarriedCall;
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
 use crate::version_counters::{CallOutcome, VersionCounters};
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -16,7 +16,7 @@
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer};
-use crate::peer_choice::PeerStates;
+use crate::peer_states::PeerStates;
 use crate::settings::Settings;
 use crate::size_book::SizeBook;
 use crate::version_counters::VersionCounters;
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -2,7 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::HashMap;
+pub mod fleet;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -11,17 +12,14 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use async_executor::LocalExecutor;
 use bytes::Bytes;
-use kernel::{Clock, Failure, Incarnation, SystemClock};
+use kernel::{Failure, SystemClock};
 use limits::WindowedRetrySettings;
-use member::Member;
-use relay::{Body, Handler, Headers, Request, RequestHead, Response, ResponseHead, Server};
+use relay::{Body, Handler, Headers, Request, RequestHead, Response, ResponseHead};
 use route::{Route, Service, Table, Target};
 use serve::{
-    Attempt, CallerProtocol, CarryHandler, Endpoint, EndpointProtocol, ExecutionStatus, Observer,
-    Outcome, PeerReach, Pipeline, Pool, PromptPart, Reply, RequestInfo, RolloutView, Settings,
-    TokenUsage, View,
+    Attempt, CallerProtocol, Endpoint, EndpointProtocol, ExecutionStatus, Observer, Outcome,
+    Pipeline, Pool, PromptPart, Reply, RequestInfo, RolloutView, Settings, TokenUsage, View,
 };
 
 /// Size of the send buffer of an endpoint that writes without end.
@@ -452,105 +450,6 @@
     }
 }
 
-/// Several instances, each with its own addresses of the endpoints.
-pub struct Fleet {
-    pub instances: Vec<Harness>,
-    pub members: Vec<Member>,
-    pub executor: Rc<LocalExecutor<'static>>,
-}
-
-impl Fleet {
-    /// Creates an instance for each list of endpoint addresses.
-    pub fn new(route: &Route, addresses: &[Vec<SocketAddr>]) -> Fleet {
-        let instance = |addrs: &Vec<SocketAddr>| Harness::new(route.clone(), addrs, 1_000.0);
-        let mut fleet = Fleet {
-            instances: addresses.iter().map(instance).collect(),
-            members: Vec::new(),
-            executor: Rc::default(),
-        };
-        for index in 0..addresses.len() {
-            fleet.start_carrying(index);
-        }
-        fleet.publish_members();
-        fleet
-    }
-
-    /// Starts the listener of an instance for the requests that others hand over.
-    fn start_carrying(&mut self, index: usize) {
-        let handler = CarryHandler::new(self.instances[index].pipeline.clone());
-        let any = "127.0.0.1:0".parse().unwrap();
-        let server = Server::bind(any, Rc::new(handler), Rc::default()).unwrap();
-        let addr = server.local_addr().unwrap().to_string();
-        let member = Member::new(Incarnation::random(), &format!("i{index}"), "here");
-        self.members.push(member.with_carry_addr(&addr));
-        self.executor
-            .spawn(server.run(self.executor.clone()))
-            .detach();
-        let probing = self.instances[index].pipeline.probe_endpoints();
-        self.executor.spawn(probing).detach();
-    }
-
-    /// Makes the members known to all instances.
-    pub fn publish_members(&self) {
-        for (index, instance) in self.instances.iter().enumerate() {
-            let mut view = (**instance.view.load()).clone();
-            view.members = Arc::new(self.members.clone());
-            view.incarnation = Some(self.members[index].incarnation);
-            view.instance_count = self.members.len();
-            view.generation += 1;
-            instance.view.store(view.into());
-        }
-    }
-
-    /// Does what the control threads do at each report of the others.
-    pub fn exchange_reach(&self) {
-        for receiver in &self.instances {
-            let mut reach = HashMap::new();
-            for (sender, member) in self.instances.iter().zip(&self.members) {
-                if std::ptr::eq(sender, receiver) {
-                    continue;
-                }
-                let out_of_reach = sender.pipeline.shared_loads().out_of_reach();
-                let report = PeerReach {
-                    received_ms: receiver.clock.mono_ms(),
-                    out_of_reach: out_of_reach.into_iter().collect(),
-                };
-                reach.insert(member.incarnation, report);
-            }
-            receiver.pipeline.shared_loads().set_peer_reach(reach);
-        }
-    }
-
-    /// Tells each instance the loads of the others.
-    pub fn exchange_loads(&self) {
-        for receiver in &self.instances {
-            let mut sums: HashMap<u64, u32> = HashMap::new();
-            for sender in &self.instances {
-                if std::ptr::eq(sender, receiver) {
-                    continue;
-                }
-                for entry in sender.pipeline.shared_loads().own() {
-                    *sums.entry(entry.endpoint).or_default() += entry.units;
-                }
-            }
-            receiver.pipeline.shared_loads().set_peers(&sums);
-        }
-    }
-
-    /// Lets the instances work for a while.
-    pub fn run_for(&self, time: Duration) {
-        let end = async_io::Timer::after(time);
-        async_io::block_on(self.executor.run(async { _ = end.await }));
-    }
-
-    /// Sends a request to one of the instances and reads the whole response.
-    pub fn send(&self, instance: usize, target: &str) -> Received {
-        self.exchange_reach();
-        let sending = self.instances[instance].send_to(target, &[]);
-        async_io::block_on(self.executor.run(sending))
-    }
-}
-
 /// Reads a whole response.
 pub async fn read(response: Response) -> Received {
     let verdict = response.headers.get("x-verdict").map(str::to_owned);
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -8,9 +8,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use common::fleet::Fleet;
 use common::{
-    Fleet, ScriptedEndpoint, Step, answer, error_response, events, ids, route, stream_end,
-    stream_head,
+    ScriptedEndpoint, Step, answer, error_response, events, ids, route, stream_end, stream_head,
 };
 use route::{RetrySafety, Route, Service, Table, Target};
 use socket2::{Domain, SockRef, Socket, Type};
--- a/crates/serve/tests/fragile_endpoints.rs
+++ b/crates/serve/tests/fragile_endpoints.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use common::{Fleet, listen, read, read_head, request, route};
+use common::fleet::Fleet;
+use common::{listen, read, read_head, request, route};
 use relay::Handler;
 use route::RetrySafety;
 
--- a/crates/serve/tests/silent_endpoints.rs
+++ b/crates/serve/tests/silent_endpoints.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use common::fleet::Fleet;
 use common::{
-    Fleet, Harness, ScriptedEndpoint, Step, events, ids, listen, read, read_head, request, route,
+    Harness, ScriptedEndpoint, Step, events, ids, listen, read, read_head, request, route,
     stream_end, stream_head,
 };
 use relay::Handler;
