--- a/crates/control/tests/common/slow_link.rs
+++ b/crates/control/tests/common/slow_link.rs
@@ -17,6 +17,13 @@
 }
 
 impl Link {
+    fn new(bytes_per_s: f64) -> Link {
+        Link {
+            bytes_per_s,
+            free_at: Arc::new(Mutex::new(Instant::now())),
+        }
+    }
+
     /// Waits until the link has sent some bytes, behind those of other connections.
     fn send(&self, bytes: usize) {
         let duration = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
@@ -32,12 +39,18 @@
 /// Listens on an address of its own and forwards connections to `target`. All bytes that the target
 /// sends share the bandwidth.
 pub fn start(target: SocketAddr, bytes_per_s: f64) -> SocketAddr {
+    let link = Link::new(bytes_per_s);
+    forward(target, move || link.clone())
+}
+
+/// Like [`start`], but each connection has the bandwidth for itself, as on a link that loses packets.
+pub fn start_lossy(target: SocketAddr, bytes_per_s: f64) -> SocketAddr {
+    forward(target, move || Link::new(bytes_per_s))
+}
+
+fn forward(target: SocketAddr, link: impl Fn() -> Link + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let link = Link {
-        bytes_per_s,
-        free_at: Arc::new(Mutex::new(Instant::now())),
-    };
     thread::spawn(move || {
         for client in listener.incoming().flatten() {
             let Ok(server) = TcpStream::connect(target) else {
@@ -46,7 +59,7 @@
             let (client_in, server_out) =
                 (client.try_clone().unwrap(), server.try_clone().unwrap());
             thread::spawn(move || copy(client_in, server_out, None));
-            let link = link.clone();
+            let link = link();
             thread::spawn(move || copy(server, client, Some(link)));
         }
     });
--- a/crates/control/tests/large_configuration.rs
+++ b/crates/control/tests/large_configuration.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use common::{Instance, MemoryStore, StoreConnection, entry, eventually, slow_link};
@@ -34,10 +35,21 @@
 
 /// Starts a fleet of which one instance watches the store, and waits until it is complete.
 fn start_fleet(store: &MemoryStore) -> Vec<Instance> {
+    let link = |_, listen| slow_link::start(listen, LINK_BYTES_PER_S);
+    start_fleet_behind(store, 1, link)
+}
+
+/// Starts a fleet of which some instances watch the store, each behind a link, and waits until it is
+/// complete.
+fn start_fleet_behind(
+    store: &MemoryStore,
+    watchers: usize,
+    link: impl Fn(usize, SocketAddr) -> SocketAddr,
+) -> Vec<Instance> {
     let mut fleet = Vec::new();
     for number in 0..INSTANCES {
         let listen = common::free_addr();
-        let peer_addr = slow_link::start(listen, LINK_BYTES_PER_S);
+        let peer_addr = link(number, listen);
         let connection = StoreConnection::to(store);
         let name = format!("i{number}");
         fleet.push(Instance::start_behind(
@@ -45,7 +57,7 @@
             connection,
             listen,
             peer_addr,
-            |settings| settings.watchers(4, 1).gossip_interval_ms(400),
+            |settings| settings.watchers(4, watchers).gossip_interval_ms(400),
         ));
     }
     eventually("every instance sees all", || {
@@ -107,3 +119,36 @@
         instance.handle.shutdown();
     }
 }
+
+/// Issue 43: a fetch stayed with the peer that it began with while others held the value.
+#[test]
+fn instances_on_sound_links_do_not_wait_for_a_peer_on_a_lossy_one() {
+    const LOSSY: usize = 4;
+    const LOSSY_BYTES_PER_S: f64 = 55_000.0;
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let fleet = start_fleet_behind(&store, 4, |number, listen| {
+        if number < LOSSY {
+            slow_link::start_lossy(listen, LOSSY_BYTES_PER_S)
+        } else {
+            slow_link::start(listen, LINK_BYTES_PER_S)
+        }
+    });
+    for (version, routes) in [(2, 2_800), (3, 2_800), (4, 4_200)] {
+        store.write("config/main", configuration(version, routes));
+        let written = Instant::now();
+        eventually(
+            "every instance on a sound link has the configuration",
+            || {
+                fleet[LOSSY..]
+                    .iter()
+                    .all(|instance| instance.version() == Some(version))
+            },
+        );
+        let elapsed = written.elapsed();
+        assert!(elapsed < APPLY_TIMEOUT, "version {version}: {elapsed:?}");
+    }
+    for instance in fleet {
+        instance.handle.shutdown();
+    }
+}
