control, entry: Let a member table take as long as it arrives

An instance that joins a large fleet over a slow or lossy link never got the table: it came in the response to a probe, which had 400 ms whatever its size, and each retry asked for all of it again.

Ruled out: the table itself (0.05 s without the slow link).

Change: the response to a probe is read like that of a fetch: it may last as long as 50 kB arrive in a second. The own interface's probes have the same line; no test of their own plays that.

Conclusion: a small response ends as before, as it earns 20 ms a kilobyte.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -144,7 +144,8 @@
         control.incarnation.as_u64(),
         Body::Ping(build_update(control, wants_table)),
     );
-    let response = link.call(&ping, timeout).await?;
+    // A member table takes as long as it arrives.
+    let response = link.transfer(&ping, timeout).await?;
     let from = Incarnation::from_u64(response.from);
     let Some(Body::Ack(Ack {
         update: Some(update),
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -133,7 +133,8 @@
         control.shared.incarnation.as_u64(),
         Body::Ping(build_update(control, wants_table)),
     );
-    let reply = link.call(&ping, timeout).await?;
+    // A member table takes as long as it arrives.
+    let reply = link.transfer(&ping, timeout).await?;
     control.record_contact();
     let from = Incarnation::from_u64(reply.from);
     let Some(Body::Ack(Ack {
