control, docs: Log how long an instance lagged when a configuration comes into force

Ruled out: that other lines tell them apart. `taken from a peer` gives the duration of a fetch that ended, not the time before it.

Change: `config: in force` has `behind_ms`, the time since a peer was first seen ahead in that kind of object. Long: the fetch was slow. Short or absent on a late instance: it heard late.

Figures: none; no decision reads it.

Conclusion: the two hypotheses can be told apart from one line.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -160,11 +160,12 @@
     pub(crate) fn apply_objects(&self, objects: Vec<Object>) -> bool {
         let mut changed = false;
         for object in objects {
+            let behind_ms = self.behind_ms(&object);
             if !self.replica.borrow_mut().apply(object.clone()) {
                 continue;
             }
             changed = true;
-            self.apply_object(&object);
+            self.apply_object(&object, behind_ms);
         }
         if changed {
             self.has_unsent_changes.set(true);
@@ -194,23 +195,23 @@
                 .collect()
         };
         for object in listed {
-            self.apply_object(&object);
+            self.apply_object(&object, None);
         }
         self.has_unsent_changes.set(true);
         self.publish();
     }
 
     /// Decodes one changed object and updates the table or the registry with it.
-    fn apply_object(&self, object: &Object) {
+    fn apply_object(&self, object: &Object, behind_ms: Option<u64>) {
         let is_in = |feed| object.path.starts_with(self.codec.prefix(feed));
         if is_in(Feed::Config) {
-            self.apply_config(object);
+            self.apply_config(object, behind_ms);
         } else if is_in(Feed::Endpoints) {
             self.apply_endpoint(object);
         }
     }
 
-    fn apply_config(&self, object: &Object) {
+    fn apply_config(&self, object: &Object, behind_ms: Option<u64>) {
         if object.value.is_none() || object.revision <= self.table_revision.get() {
             return;
         }
@@ -224,6 +225,7 @@
                 tracing::info!(
                     version = table.version(),
                     revision = object.revision,
+                    behind_ms,
                     "config: in force"
                 );
                 *self.table.borrow_mut() = Some(Arc::new(table));
@@ -373,6 +375,14 @@
         now_ms >= lag.since_ms + MAX_LAG_MS
     }
 
+    /// Returns how long ago a peer was first seen ahead in an object's kind, if one was.
+    fn behind_ms(&self, object: &Object) -> Option<u64> {
+        let mine = self.replica.borrow().digest_of(object.kind());
+        let lags = self.lags.borrow();
+        let lag = lags.get(object.kind())?;
+        (lag.revision == mine.max_revision).then(|| self.now_ms() - lag.since_ms)
+    }
+
     /// Returns whether changes must be fetched from peers because the store does not deliver them.
     fn should_fetch_from_peers(&self) -> bool {
         let now_ms = self.now_ms();
