control, observe: Fetch from another peer as well while little arrives

Cause: a kind of object is fetched from one peer at a time, and the fetch stays with it for as long as 50 kB/s arrive. A peer on a link that loses packets, or that is slowed or busy, holds an instance with a sound link to a version that is old everywhere else.

Ruled out: a higher rate below which a fetch is given up.

Change: while less than a fifth of the slowest link's rate arrives, another peer that offers the same kind is asked as well, one more every 0.3 s, five at most. The first to arrive ends the others. A link that is full carries a value once, as enough arrives then. A fetch that is dropped is logged and counted as abandoned.

Conclusion: an instance waits for the fastest of the peers that hold a value, and full links see no more load.

--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -1,8 +1,11 @@
 //! Fetches objects from peers that hold later ones.
 //!
-//! Each kind of object is fetched by itself and from one peer at a time, so that a small one does
-//! not wait behind a large one, and a large one does not cross the same link several times.
+//! Each kind of object is fetched by itself, so that a small one does not wait behind a large one.
+//! It is fetched from one peer, as several transfers would fill the links, and from others as well
+//! only while little arrives: the peer may be busy or on a link that loses packets.
 
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,11 +13,24 @@
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use wire::{Body, Envelope, Fetch, Link, LinkError, Ping};
 
 use crate::convert::{missing_since, object_from_wire};
 use crate::offer::Offer;
 use crate::state::Control;
+use crate::transfer::Transfer;
+
+/// How often the bytes that arrived are counted.
+const RATE_WINDOW: Duration = Duration::from_millis(300);
+
+/// Another peer is asked if fewer bytes arrive in a window: a fifth of what the slowest link carries,
+/// so that a link that is full carries the value only once.
+const SLOW_BYTES_PER_WINDOW: u64 = 75_000;
+
+/// The maximum number of peers from which one kind of object is fetched at the same time.
+const MAX_SOURCES: usize = 5;
 
 /// Requests a fetch of each kind of object in which the sender of an update is ahead, unless the
 /// store's own watches are expected to deliver them in time.
@@ -71,10 +87,7 @@
     let kind = first.digest.kind.clone();
     let mut next = Some(first);
     while let Some(offer) = next {
-        let mine = control.replica.borrow().digest_of(&kind);
-        if let Some(since) = missing_since(&offer.digest, mine) {
-            fetch(control, &offer, since).await;
-        }
+        fetch_from_any(control, offer, Vec::new()).await;
         let mut next_offers = control.next_offers.borrow_mut();
         next = next_offers.get_mut(&kind).and_then(Option::take);
         if next.is_none() {
@@ -83,41 +96,104 @@
     }
 }
 
-/// Fetches and applies the objects that a peer holds after a revision.
-async fn fetch(control: &Control, offer: &Offer, since: u64) {
-    let began_ms = control.now_ms();
-    let bytes: Arc<AtomicU64> = Arc::default();
-    let result = request(control, offer, since, &bytes).await;
-    let bytes = bytes.load(Ordering::Relaxed);
-    let elapsed_ms = control.now_ms() - began_ms;
-    let peer = &*offer.peer_name;
-    let kind = &*offer.digest.kind;
-    let counters = &control.fetch_counters;
-    counters.bytes.fetch_add(bytes, Ordering::Relaxed);
-    match result {
+/// A peer from which a fetch is under way.
+struct Source {
+    peer_addr: SocketAddr,
+    /// Bytes sent and received so far.
+    bytes: Arc<AtomicU64>,
+}
+
+/// What comes first while a fetch is under way.
+enum Event {
+    /// The end of the fetch, and whether it succeeded.
+    Ended(bool),
+    /// An offer of another peer while little arrives.
+    Offered(Offer),
+}
+
+/// Fetches the objects of an offer, from other peers as well while little arrives, and returns whether
+/// they arrived. `sources` holds the fetches that are already under way.
+fn fetch_from_any(
+    control: &Control,
+    offer: Offer,
+    mut sources: Vec<Source>,
+) -> Pin<Box<dyn Future<Output = bool> + '_>> {
+    Box::pin(async move {
+        let bytes: Arc<AtomicU64> = Arc::default();
+        sources.push(Source {
+            peer_addr: offer.peer_addr,
+            bytes: bytes.clone(),
+        });
+        let kind = &offer.digest.kind;
+        let mut fetch = pin!(fetch(control, &offer, bytes));
+        if sources.len() == MAX_SOURCES {
+            return fetch.await;
+        }
+        let end = async { Event::Ended(fetch.as_mut().await) };
+        let offered = async { Event::Offered(other_offer(control, kind, &sources).await) };
+        match end.or(offered).await {
+            Event::Ended(has_succeeded) => has_succeeded,
+            Event::Offered(other) => {
+                first_success(fetch, fetch_from_any(control, other, sources)).await
+            }
+        }
+    })
+}
+
+/// Waits until little arrives from the sources and another peer offers the same kind of object.
+async fn other_offer(control: &Control, kind: &str, sources: &[Source]) -> Offer {
+    let received = || {
+        let counts = sources.iter().map(|source| &source.bytes);
+        counts.map(|bytes| bytes.load(Ordering::Relaxed)).sum()
+    };
+    let is_other = |offer: &mut Offer| {
+        let mut addrs = sources.iter().map(|source| source.peer_addr);
+        addrs.all(|addr| addr != offer.peer_addr)
+    };
+    let mut before: u64 = received();
+    loop {
+        Timer::after(RATE_WINDOW).await;
+        let is_slow = received() < before + SLOW_BYTES_PER_WINDOW;
+        before = received();
+        if is_slow
+            && let Some(next) = control.next_offers.borrow_mut().get_mut(kind)
+            && let Some(offer) = next.take_if(is_other)
+        {
+            return offer;
+        }
+    }
+}
+
+/// Waits until one of two fetches succeeds, or both have failed, and returns whether one succeeded.
+async fn first_success(
+    mut first: Pin<&mut impl Future<Output = bool>>,
+    mut second: Pin<Box<dyn Future<Output = bool> + '_>>,
+) -> bool {
+    let first_ended = async { (first.as_mut().await, true) };
+    let second_ended = async { (second.as_mut().await, false) };
+    match first_ended.or(second_ended).await {
+        (true, _) => true,
+        (false, true) => second.await,
+        (false, false) => first.await,
+    }
+}
+
+/// Fetches and applies the objects of an offer that this replica lacks, and returns whether it has
+/// them now.
+async fn fetch(control: &Control, offer: &Offer, bytes: Arc<AtomicU64>) -> bool {
+    let mine = control.replica.borrow().digest_of(&offer.digest.kind);
+    let Some(since) = missing_since(&offer.digest, mine) else {
+        return true;
+    };
+    let transfer = Transfer::new(control, offer, since, bytes.clone());
+    match request(control, offer, since, &bytes).await {
         Ok(count) => {
-            counters.completed.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(
-                peer,
-                kind,
-                since,
-                count,
-                bytes,
-                elapsed_ms,
-                "config: taken from a peer"
-            );
+            transfer.complete(count);
+            true
         }
         Err(err) => {
-            counters.failed.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(
-                peer,
-                kind,
-                since,
-                bytes,
-                elapsed_ms,
-                error = %err,
-                "config: fetch failed"
-            );
+            transfer.fail(&err);
+            false
         }
     }
 }
--- a/crates/control/src/fetch_counters.rs
+++ b/crates/control/src/fetch_counters.rs
@@ -9,6 +9,8 @@
     pub completed: AtomicU64,
     /// Fetches that failed or timed out.
     pub failed: AtomicU64,
-    /// Bytes sent and received by fetches of either kind.
+    /// Fetches that were given up because another peer was faster.
+    pub abandoned: AtomicU64,
+    /// Bytes sent and received by all fetches.
     pub bytes: AtomicU64,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -32,6 +32,7 @@
 mod state;
 mod thread;
 mod tracker;
+mod transfer;
 mod watch;
 
 pub use codec::{DecodeError, Feed, RolloutSpec, RolloutState, StoreCodec};
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -188,6 +188,7 @@
         for (outcome, count) in [
             ("completed", &counters.completed),
             ("failed", &counters.failed),
+            ("abandoned", &counters.abandoned),
         ] {
             self.fetches
                 .get_or_create(&FetchLabel { outcome })
