member, control: Keep an instance watching that the store answers

Cause: others watched in place of each watcher that said that the store does not answer it, up to 16; once 16 had said so, the first four of all watched again, and one that was answered stopped.

Ruled out: that the landed rule keeps it. In a trial with that rule the new test gives the first two as watchers where the sixth of nine is the only one that is answered among the first eight.

Change: the choice moves to `member::store_watchers`, testable by itself: the first four, once all of those have lost the store the first eight, then 16. A fleet in which one watcher is answered calls in no others. What an instance said expires only while it does not call the store.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -31,13 +31,10 @@
 /// second call fails by then.
 const HAND_OVER_MS: u64 = 250;
 
-/// How long an instance that handed over counts as one that the store does not answer, in milliseconds,
-/// since it does not call it.
+/// How long an instance that no longer calls the store counts as one that it does not answer, in
+/// milliseconds.
 const LOST_STORE_MS: u64 = 10_000;
 
-/// Times the number of watchers that try the store in turn. If none of them reaches it, it is away for all.
-const MAX_HAND_OVERS: usize = 4;
-
 /// The path suffix of status objects; the rest is the path of the object that they describe.
 pub(crate) const STATUS_SUFFIX: &str = "/status";
 
@@ -315,13 +312,15 @@
             FeedStatus::Available => false,
             FeedStatus::UnavailableSince(since_ms) => now_ms >= since_ms + HAND_OVER_MS,
         });
-        let is_answered = !statuses.is_empty()
+        let is_calling = !statuses.is_empty();
+        let is_answered = is_calling
             && statuses
                 .values()
                 .all(|status| *status == FeedStatus::Available);
         drop(statuses);
         let said_ms = self.lost_store_ms.get();
-        let has_expired = said_ms.is_some_and(|said_ms| now_ms >= said_ms + LOST_STORE_MS);
+        let has_expired =
+            !is_calling && said_ms.is_some_and(|said_ms| now_ms >= said_ms + LOST_STORE_MS);
         if is_lost && said_ms.is_none() && self.has_non_watchers() {
             self.lost_store_ms.set(Some(now_ms));
         } else if said_ms.is_some() && (is_answered || has_expired) {
@@ -415,15 +414,7 @@
         let mut alive = members.live();
         alive.retain(|member| member.status == Status::Alive);
         if alive.len() > self.settings.full_watch_max_instances {
-            let mut count = self.settings.watchers;
-            let lost = alive.iter().filter(|member| member.lost_store).count();
-            let most = MAX_HAND_OVERS * self.settings.watchers;
-            if lost < most && lost < alive.len() {
-                alive.retain(|member| !member.lost_store);
-                // The more are turned away, the more of the next ones may be.
-                count = (count + lost).min(most - lost);
-            }
-            alive = member::spread_over_zones(&alive, count);
+            alive = member::store_watchers(&alive, self.settings.watchers);
         }
         alive.into_iter().cloned().collect()
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -20,5 +20,7 @@
 mod table;
 
 pub use member::{Member, Status};
-pub use selection::{highest_ranked, members_for_caller, rank, receipt_holders, spread_over_zones};
+pub use selection::{
+    highest_ranked, members_for_caller, rank, receipt_holders, spread_over_zones, store_watchers,
+};
 pub use table::{MemberTable, MemberTableSettings};
--- a/crates/member/src/selection.rs
+++ b/crates/member/src/selection.rs
@@ -7,6 +7,10 @@
 
 use crate::member::Member;
 
+/// Times the fewest watchers of the store that watch, one after the other until the store answers one of
+/// them.
+const WATCHER_FACTORS: [usize; 3] = [1, 2, 4];
+
 fn weight(key: &str, incarnation: Incarnation) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), incarnation.as_u64())
 }
@@ -66,6 +70,22 @@
     rounds.into_iter().map(|(_, member)| member).collect()
 }
 
+/// Returns the members of a large fleet that watch the store, from those alive in order of rank: the
+/// fewest possible, or more if the store answers none of those.
+///
+/// It answers a store that turns away some instances. The others are left out as long as one watcher
+/// hears of changes, since each one calls the store for all that it holds when it begins.
+pub fn store_watchers<'a>(alive: &[&'a Member], fewest: usize) -> Vec<&'a Member> {
+    for factor in WATCHER_FACTORS {
+        let watchers = spread_over_zones(alive, factor * fewest);
+        if watchers.iter().any(|member| !member.lost_store) {
+            return watchers;
+        }
+    }
+    // The store is away for all.
+    spread_over_zones(alive, fewest)
+}
+
 /// Returns up to `count` members for a caller: one of its zone first, then those of other zones,
 /// then the rest, each group in random order.
 pub fn members_for_caller<'a>(
