--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod slow_fleet;
 pub mod slow_link;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/control/tests/large_configuration.rs
+++ b/crates/control/tests/large_configuration.rs
@@ -2,71 +2,17 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{Instance, MemoryStore, StoreConnection, entry, eventually, slow_link};
-use serde_json::{Value, json};
+use common::slow_fleet::{APPLY_TIMEOUT, configuration, sound_link, start_fleet_behind};
+use common::{Instance, MemoryStore, entry, eventually, slow_link};
+use serde_json::json;
 
 const INSTANCES: usize = 13;
 
-/// 10 Mbit/s.
-const LINK_BYTES_PER_S: f64 = 1_250_000.0;
-
-/// The time within which a configuration must be in force on the large deployments.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(3_000);
-
-/// Returns a configuration of about a quarter of a kilobyte a route.
-fn configuration(version: u64, routes: usize) -> Value {
-    let mut random = fastrand::Rng::with_seed(version);
-    let mut word = || -> String { (0..9).map(|_| random.alphanumeric()).collect() };
-    let mut list = Vec::new();
-    for _ in 0..routes {
-        list.push(json!({
-            "name": word(), "host": format!("{}.example", word()),
-            "prefix": format!("/{}/", word()), "retry_safety": "resumable-stream",
-            "timeout_ms": 15_000, "objective_ms": 2_000, "priority": 1,
-            "model_sizes": [word(), word(), word()], "service": word(), "max_attempts": 3,
-            "public": false, "prefix_affinity": true, "max_gap_ms": 1_000,
-        }));
-    }
-    json!({ "version": version, "routes": list })
-}
-
 /// Starts a fleet of which one instance watches the store, and waits until it is complete.
 fn start_fleet(store: &MemoryStore) -> Vec<Instance> {
-    let link = |_, listen| slow_link::start(listen, LINK_BYTES_PER_S);
-    start_fleet_behind(store, 1, link)
-}
-
-/// Starts a fleet of which some instances watch the store, each behind a link, and waits until it is
-/// complete.
-fn start_fleet_behind(
-    store: &MemoryStore,
-    watchers: usize,
-    link: impl Fn(usize, SocketAddr) -> SocketAddr,
-) -> Vec<Instance> {
-    let mut fleet = Vec::new();
-    for number in 0..INSTANCES {
-        let listen = common::free_addr();
-        let peer_addr = link(number, listen);
-        let connection = StoreConnection::to(store);
-        let name = format!("i{number}");
-        fleet.push(Instance::start_behind(
-            &name,
-            connection,
-            listen,
-            peer_addr,
-            |settings| settings.watchers(4, watchers).gossip_interval_ms(400),
-        ));
-    }
-    eventually("every instance sees all", || {
-        let sees_all = |instance: &Instance| instance.handle.members().load().len() == INSTANCES;
-        fleet.iter().all(sees_all)
-    });
-    // Watches that started before the fleet was complete end by themselves.
-    std::thread::sleep(common::MAX_WATCH_WAIT + Duration::from_millis(500));
-    fleet
+    start_fleet_behind(store, INSTANCES, 1, sound_link)
 }
 
 /// The time within which a leaving endpoint must get no more requests there.
@@ -127,11 +73,11 @@
     const LOSSY_BYTES_PER_S: f64 = 55_000.0;
     let store = MemoryStore::default();
     store.write("config/main", json!({ "version": 1 }));
-    let fleet = start_fleet_behind(&store, 4, |number, listen| {
+    let fleet = start_fleet_behind(&store, INSTANCES, 4, |number, listen| {
         if number < LOSSY {
             slow_link::start_lossy(listen, LOSSY_BYTES_PER_S)
         } else {
-            slow_link::start(listen, LINK_BYTES_PER_S)
+            sound_link(number, listen)
         }
     });
     for (version, routes) in [(2, 2_800), (3, 2_800), (4, 4_200)] {
