catalog, control: Read the objects of a replica without copying their values

An instance copied a whole configuration for each response to a peer and once more to apply it. No change in what is sent or kept; the tests of control and catalog are the same and pass.

--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -108,19 +108,20 @@
     }
 
     /// Returns up to `limit` objects newer than a revision, oldest first, including deleted ones.
-    pub fn since(&self, revision: u64, limit: usize) -> Vec<Object> {
+    pub fn since(&self, revision: u64, limit: usize) -> Vec<&Object> {
         self.since_of("", revision, limit)
     }
 
     /// Returns up to `limit` objects of a kind, or of all if `kind` is empty, that are newer than a
     /// revision, oldest first, including deleted ones.
-    pub fn since_of(&self, kind: &str, revision: u64, limit: usize) -> Vec<Object> {
+    pub fn since_of(&self, kind: &str, revision: u64, limit: usize) -> Vec<&Object> {
         let is_newer = |object: &&Object| {
             object.revision > revision && (kind.is_empty() || object.kind() == kind)
         };
         let mut newer: Vec<&Object> = self.objects.values().filter(is_newer).collect();
         newer.sort_by_key(|object| object.revision);
-        newer.into_iter().take(limit).cloned().collect()
+        newer.truncate(limit);
+        newer
     }
 
     /// Returns all objects that are not deleted.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -79,7 +79,7 @@
             let objects = replica.since_of(&fetch.kind, fetch.since, MAX_OBJECTS);
             let mut encoded = control.encoded.borrow_mut();
             let mut entries = Vec::with_capacity(objects.len());
-            for object in &objects {
+            for object in objects {
                 entries.push(if fetch.accepts_compressed {
                     encoded.encode(object)
                 } else {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -159,11 +159,14 @@
         let mut changed = false;
         for object in objects {
             let behind_ms = self.behind_ms(&object);
-            if !self.replica.borrow_mut().apply(object.clone()) {
+            let path = object.path.clone();
+            if !self.replica.borrow_mut().apply(object) {
                 continue;
             }
             changed = true;
-            self.apply_object(&object, behind_ms);
+            if let Some(object) = self.replica.borrow().get(&path) {
+                self.apply_object(object, behind_ms);
+            }
         }
         if changed {
             self.has_unsent_changes.set(true);
@@ -184,16 +187,10 @@
             return;
         }
         tracing::info!(?feed, revision, before, "config: listing applied");
-        let listed: Vec<Object> = {
-            let replica = self.replica.borrow();
-            let newer = replica.since(0, usize::MAX);
-            newer
-                .into_iter()
-                .filter(|object| object.path.starts_with(&prefix))
-                .collect()
-        };
-        for object in listed {
-            self.apply_object(&object, None);
+        for object in self.replica.borrow().since(0, usize::MAX) {
+            if object.path.starts_with(&prefix) {
+                self.apply_object(object, None);
+            }
         }
         self.has_unsent_changes.set(true);
         self.publish();
--- a/crates/entry/src/control/peer_requests.rs
+++ b/crates/entry/src/control/peer_requests.rs
@@ -44,9 +44,10 @@
             Some(Body::Ack(ack))
         }
         Body::Fetch(fetch) => {
-            let objects = control.replica.borrow().since(fetch.since, MAX_OBJECTS);
+            let replica = control.replica.borrow();
+            let objects = replica.since(fetch.since, MAX_OBJECTS);
             Some(Body::Objects(Objects {
-                objects: objects.iter().map(object_to_wire).collect(),
+                objects: objects.into_iter().map(object_to_wire).collect(),
             }))
         }
         Body::Evidence(report) => Some(Body::AcceptReply(record_evidence(control, from, &report))),
