control: Send large responses to peers one after the other, and keep every offer until it is used

Causes, from times printed for every fetch of a run. A holder served all peers at once, so that the first of them was done 1.0 s after the value was there and the next holder began that much later.

Now a holder sends large responses in turns, which end when the peer closes the connection or after the time of the bytes at 10 Mbit/s, and builds a response when its turn comes, so that outdated versions are skipped.

--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -4,17 +4,16 @@
 //! It is fetched from one peer, as several transfers would fill the links, and from others as well
 //! only while little arrives: the peer may be busy or on a link that loses packets.
 
-use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use async_channel::Receiver;
-use async_executor::LocalExecutor;
+use async_channel::{Receiver, Sender, unbounded};
+use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use wire::{Body, Envelope, Fetch, Link, LinkError, Ping};
 
 use crate::convert::{missing_since, object_from_wire};
@@ -25,13 +24,23 @@
 /// How often the bytes that arrived are counted.
 const RATE_WINDOW: Duration = Duration::from_millis(300);
 
-/// Another peer is asked if fewer bytes arrive in a window: a fifth of what the slowest link carries,
+/// Another peer is asked if fewer bytes arrive in a window: a fifth of what a link of 10 Mbit/s carries,
 /// so that a link that is full carries the value only once.
 const SLOW_BYTES_PER_WINDOW: u64 = 75_000;
 
 /// The maximum number of peers from which one kind of object is fetched at the same time.
 const MAX_SOURCES: usize = 5;
 
+/// The size from which a response counts as begun, in bytes: more than that of a request.
+const MIN_RESPONSE_BYTES: u64 = 1_000;
+
+/// How often a fetch from one peer may fail before its offer is dropped.
+const MAX_FAILURES: u32 = 3;
+
+/// How many times as long as for a probe a peer may take to begin its response: others may have their
+/// turn before.
+const TURN_TIMEOUT_FACTOR: u32 = 3;
+
 /// Requests a fetch of each kind of object in which the sender of an update is ahead, unless the
 /// store's own watches are expected to deliver them in time.
 pub(crate) fn consider(control: &Control, update: &Ping) {
@@ -55,128 +64,215 @@
             peer_addr,
             peer_name: sender.name.as_str().into(),
             digest: digest.clone(),
+            failure_count: 0,
         };
         // The channel is unbounded and closes only when the thread ends.
         let _ = control.offers.try_send(offer);
     }
 }
 
-/// Performs the requested fetches, one of each kind of object at a time.
+/// Performs the requested fetches, those of each kind of object in a task of its own.
 pub(crate) async fn run(
     control: Rc<Control>,
     offers: Receiver<Offer>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let mut kinds: HashMap<String, Sender<Offer>> = HashMap::new();
     while let Ok(offer) = offers.recv().await {
-        let kind = offer.digest.kind.clone();
-        if let Some(next) = control.next_offers.borrow_mut().get_mut(&kind) {
-            // They are taken up after the fetch under way, or beside it if little arrives.
-            next.retain(|held| held.peer_addr != offer.peer_addr);
-            next.push(offer);
-            continue;
-        }
-        control.next_offers.borrow_mut().insert(kind, Vec::new());
-        let control = control.clone();
-        executor
-            .spawn(async move { fetch_kind(&control, offer).await })
-            .detach();
-    }
-}
-
-/// Fetches the objects of an offer, and of those of the same kind that come meanwhile.
-async fn fetch_kind(control: &Control, first: Offer) {
-    let kind = first.digest.kind.clone();
-    let mut next = Some(first);
-    while let Some(offer) = next {
-        fetch_from_any(control, offer, Vec::new()).await;
-        let mut next_offers = control.next_offers.borrow_mut();
-        next = next_offers.get_mut(&kind).and_then(Vec::pop);
-        if next.is_none() {
-            next_offers.remove(&kind);
-        }
+        let kind = kinds.entry(offer.digest.kind.clone()).or_insert_with(|| {
+            let (sender, receiver) = unbounded();
+            let fetches = KindFetches::new(control.clone(), executor.clone());
+            executor.spawn(fetches.run(receiver)).detach();
+            sender
+        });
+        // The channel is unbounded and closes only when the thread ends.
+        let _ = kind.try_send(offer);
     }
 }
 
-/// A peer from which a fetch is under way.
+/// A fetch from one peer that is under way. It is given up when this is dropped.
 struct Source {
-    peer_addr: SocketAddr,
+    offer: Offer,
     /// Bytes sent and received so far.
     bytes: Arc<AtomicU64>,
+    /// Those of them that were there at the end of the last window.
+    counted_bytes: u64,
+    _task: Task<()>,
+}
+
+impl Source {
+    /// Whether nothing but the request has been sent so far.
+    fn awaits_response(&self) -> bool {
+        self.bytes.load(Ordering::Relaxed) < MIN_RESPONSE_BYTES
+    }
 }
 
-/// What comes first while a fetch is under way.
+/// The end of a fetch from one peer.
+struct Ending {
+    offer: Offer,
+    has_succeeded: bool,
+}
+
+/// What the fetches of one kind of object wait for.
 enum Event {
-    /// The end of the fetch, and whether it succeeded.
-    Ended(bool),
-    /// An offer of another peer while little arrives.
     Offered(Offer),
+    Ended(Ending),
+    WindowEnded,
 }
 
-/// Fetches the objects of an offer, from other peers as well while little arrives, and returns whether
-/// they arrived. `sources` holds the fetches that are already under way.
-fn fetch_from_any(
-    control: &Control,
-    offer: Offer,
-    mut sources: Vec<Source>,
-) -> Pin<Box<dyn Future<Output = bool> + '_>> {
-    Box::pin(async move {
-        let bytes: Arc<AtomicU64> = Arc::default();
-        sources.push(Source {
-            peer_addr: offer.peer_addr,
-            bytes: bytes.clone(),
-        });
-        let kind = &offer.digest.kind;
-        let mut fetch = pin!(fetch(control, &offer, bytes));
-        if sources.len() == MAX_SOURCES {
-            return fetch.await;
+/// The fetches of one kind of object.
+struct KindFetches {
+    control: Rc<Control>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Offers that are not taken up, at most one of each peer, the latest last.
+    offers: Vec<Offer>,
+    sources: Vec<Source>,
+    window_end: Instant,
+    ended: Sender<Ending>,
+    endings: Receiver<Ending>,
+}
+
+impl KindFetches {
+    fn new(control: Rc<Control>, executor: Rc<LocalExecutor<'static>>) -> KindFetches {
+        let (ended, endings) = unbounded();
+        KindFetches {
+            control,
+            executor,
+            offers: Vec::new(),
+            sources: Vec::new(),
+            window_end: Instant::now(),
+            ended,
+            endings,
         }
-        let end = async { Event::Ended(fetch.as_mut().await) };
-        let offered = async { Event::Offered(other_offer(control, kind, &sources).await) };
-        match end.or(offered).await {
-            Event::Ended(has_succeeded) => has_succeeded,
-            Event::Offered(other) => {
-                first_success(fetch, fetch_from_any(control, other, sources)).await
+    }
+
+    async fn run(mut self, offers: Receiver<Offer>) {
+        loop {
+            match self.next_event(&offers).await {
+                Some(Event::Offered(offer)) => self.keep(offer),
+                Some(Event::Ended(ending)) => self.end(ending),
+                Some(Event::WindowEnded) => self.end_window(),
+                None => return,
+            }
+            if self.sources.is_empty() {
+                self.window_end = Instant::now() + RATE_WINDOW;
+                self.begin();
             }
         }
-    })
-}
+    }
 
-/// Waits until little arrives from the sources and another peer offers the same kind of object.
-async fn other_offer(control: &Control, kind: &str, sources: &[Source]) -> Offer {
-    let received = || {
-        let counts = sources.iter().map(|source| &source.bytes);
-        counts.map(|bytes| bytes.load(Ordering::Relaxed)).sum()
-    };
-    let is_other = |offer: &Offer| {
-        let mut addrs = sources.iter().map(|source| source.peer_addr);
-        addrs.all(|addr| addr != offer.peer_addr)
-    };
-    let mut before: u64 = received();
-    loop {
-        Timer::after(RATE_WINDOW).await;
-        let is_slow = received() < before + SLOW_BYTES_PER_WINDOW;
-        before = received();
-        if is_slow
-            && let Some(next) = control.next_offers.borrow_mut().get_mut(kind)
-            && let Some(position) = next.iter().rposition(is_other)
-        {
-            return next.remove(position);
+    /// Returns `None` when the thread ends.
+    async fn next_event(&self, offers: &Receiver<Offer>) -> Option<Event> {
+        let offered = async { offers.recv().await.ok().map(Event::Offered) };
+        let ended = async { self.endings.recv().await.ok().map(Event::Ended) };
+        let window_ended = async {
+            if self.sources.is_empty() {
+                future::pending::<()>().await;
+            }
+            Timer::at(self.window_end).await;
+            Some(Event::WindowEnded)
+        };
+        ended.or(offered).or(window_ended).await
+    }
+
+    /// Keeps an offer in place of the earlier one of its peer.
+    fn keep(&mut self, offer: Offer) {
+        for source in &mut self.sources {
+            // Its response holds what the peer holds once it begins.
+            if source.offer.peer_addr == offer.peer_addr && source.awaits_response() {
+                source.offer = offer;
+                return;
+            }
+        }
+        self.offers.retain(|held| held.peer_addr != offer.peer_addr);
+        self.offers.push(offer);
+    }
+
+    fn end(&mut self, ending: Ending) {
+        let Ending {
+            mut offer,
+            has_succeeded,
+        } = ending;
+        self.sources
+            .retain(|source| source.offer.peer_addr != offer.peer_addr);
+        if has_succeeded {
+            let control = &self.control;
+            self.sources.retain(|source| lacks(control, &source.offer));
+            return;
+        }
+        offer.failure_count += 1;
+        let has_later = self
+            .offers
+            .iter()
+            .any(|held| held.peer_addr == offer.peer_addr);
+        if offer.failure_count < MAX_FAILURES && !has_later {
+            self.offers.insert(0, offer);
+        }
+    }
+
+    /// Asks another peer if little arrived in the window.
+    fn end_window(&mut self) {
+        self.window_end = Instant::now() + RATE_WINDOW;
+        let mut arrived_bytes = 0;
+        for source in &mut self.sources {
+            let bytes = source.bytes.load(Ordering::Relaxed);
+            arrived_bytes += bytes - source.counted_bytes;
+            source.counted_bytes = bytes;
+        }
+        if arrived_bytes < SLOW_BYTES_PER_WINDOW && self.sources.len() < MAX_SOURCES {
+            self.begin();
         }
     }
-}
 
-/// Waits until one of two fetches succeeds, or both have failed, and returns whether one succeeded.
-async fn first_success(
-    mut first: Pin<&mut impl Future<Output = bool>>,
-    mut second: Pin<Box<dyn Future<Output = bool> + '_>>,
-) -> bool {
-    let first_ended = async { (first.as_mut().await, true) };
-    let second_ended = async { (second.as_mut().await, false) };
-    match first_ended.or(second_ended).await {
-        (true, _) => true,
-        (false, true) => second.await,
-        (false, false) => first.await,
+    /// Begins a fetch from another peer that offers what this replica lacks.
+    fn begin(&mut self) {
+        let Some(offer) = self.take_offer() else {
+            return;
+        };
+        let bytes: Arc<AtomicU64> = Arc::default();
+        let fetch = {
+            let (control, offer) = (self.control.clone(), offer.clone());
+            let (bytes, ended) = (bytes.clone(), self.ended.clone());
+            async move {
+                let has_succeeded = fetch(&control, &offer, bytes).await;
+                let ending = Ending {
+                    offer,
+                    has_succeeded,
+                };
+                // The channel is unbounded and closes only when the thread ends.
+                let _ = ended.try_send(ending);
+            }
+        };
+        self.sources.push(Source {
+            offer,
+            bytes,
+            counted_bytes: 0,
+            _task: self.executor.spawn(fetch),
+        });
     }
+
+    /// Returns the latest offer of the latest objects by a peer that is not a source yet.
+    fn take_offer(&mut self) -> Option<Offer> {
+        let control = &self.control;
+        self.offers.retain(|offer| lacks(control, offer));
+        let mut best: Option<usize> = None;
+        for (position, offer) in self.offers.iter().enumerate() {
+            let mut sources = self.sources.iter();
+            if sources.any(|source| source.offer.peer_addr == offer.peer_addr) {
+                continue;
+            }
+            let revision = offer.digest.max_revision;
+            if best.is_none_or(|best| self.offers[best].digest.max_revision <= revision) {
+                best = Some(position);
+            }
+        }
+        Some(self.offers.remove(best?))
+    }
+}
+
+fn lacks(control: &Control, offer: &Offer) -> bool {
+    let mine = control.replica.borrow().digest_of(&offer.digest.kind);
+    missing_since(&offer.digest, mine).is_some()
 }
 
 /// Fetches and applies the objects of an offer that this replica lacks, and returns whether it has
@@ -214,7 +310,10 @@
         accepts_compressed: true,
     };
     let request = Envelope::new(control.incarnation.as_u64(), Body::Fetch(fetch));
-    let response = link.metered(bytes).transfer(&request, timeout).await?;
+    let response = link
+        .metered(bytes)
+        .transfer(&request, timeout * TURN_TIMEOUT_FACTOR)
+        .await?;
     let Some(Body::Objects(objects)) = response.body else {
         return Ok(0);
     };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -33,6 +33,7 @@
 mod thread;
 mod tracker;
 mod transfer;
+mod uplink;
 mod watch;
 
 pub use codec::{DecodeError, Feed, RolloutSpec, RolloutState, StoreCodec};
--- a/crates/control/src/offer.rs
+++ b/crates/control/src/offer.rs
@@ -11,4 +11,6 @@
     pub(crate) peer_addr: SocketAddr,
     pub(crate) peer_name: Arc<str>,
     pub(crate) digest: ConfigDigest,
+    /// How often a fetch of this offer has failed.
+    pub(crate) failure_count: u32,
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::convert::object_to_wire;
 use crate::gossip;
 use crate::state::Control;
+use crate::uplink::{LARGE_RESPONSE_BYTES, Turn, Uplink};
 
 /// The pause before accepting again after an error.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -29,11 +30,13 @@
     listener: Async<TcpListener>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let uplink = Rc::new(Uplink::new(executor.clone()));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let link = Link::new(stream);
-                executor.spawn(serve(control.clone(), link)).detach();
+                let serving = serve(control.clone(), uplink.clone(), link);
+                executor.spawn(serving).detach();
             }
             Err(err) => {
                 tracing::warn!(error = %err, "member: accept failed");
@@ -43,36 +46,62 @@
     }
 }
 
-async fn serve(control: Rc<Control>, mut link: Link) {
-    loop {
-        let receive = async { link.receive().await.ok() };
-        let expire = async {
-            Timer::after(IDLE_TIMEOUT).await;
-            None
-        };
-        let Some(envelope) = receive.or(expire).await else {
-            return;
-        };
+async fn serve(control: Rc<Control>, uplink: Rc<Uplink>, mut link: Link) {
+    let mut turn = None;
+    while let Some(envelope) = receive(&mut link).await {
+        // The peer has the whole response once it asks again or closes the connection.
+        drop(turn.take());
         let from = Incarnation::from_u64(envelope.from);
         let Some(body) = envelope.body else {
             return;
         };
-        let Some(response) = respond(&control, from, &body) else {
+        let Some(mut response) = respond(&control, from, &body) else {
             return;
         };
-        let envelope = Envelope::new(control.incarnation.as_u64(), response);
-        if link.send(&envelope).await.is_err() {
+        let bytes = response.frame_bytes();
+        if matches!(body, Body::Fetch(_)) && bytes >= LARGE_RESPONSE_BYTES {
+            turn = wait_for_turn(&uplink, &mut link, bytes).await;
+            if turn.is_none() {
+                return;
+            }
+            // Later objects may have come meanwhile.
+            let Some(latest) = respond(&control, from, &body) else {
+                return;
+            };
+            response = latest;
+        }
+        if link.send(&response).await.is_err() {
             return;
         }
     }
 }
 
-fn respond(control: &Control, from: Incarnation, body: &Body) -> Option<Body> {
-    match body {
+/// Waits for the turn of a large response, and returns `None` if the peer leaves before.
+async fn wait_for_turn(uplink: &Uplink, link: &mut Link, bytes: usize) -> Option<Turn> {
+    let granted = async { Some(uplink.turn(bytes).await) };
+    let left = async {
+        drop(link.receive().await);
+        None
+    };
+    granted.or(left).await
+}
+
+/// Waits for the next request, and returns `None` if there is none in time.
+async fn receive(link: &mut Link) -> Option<Envelope> {
+    let receive = async { link.receive().await.ok() };
+    let expire = async {
+        Timer::after(IDLE_TIMEOUT).await;
+        None
+    };
+    receive.or(expire).await
+}
+
+fn respond(control: &Control, from: Incarnation, body: &Body) -> Option<Envelope> {
+    let response = match body {
         Body::Ping(ping) => {
             let ack = gossip::respond(control, from, ping);
             control.publish_members();
-            Some(Body::Ack(ack))
+            Body::Ack(ack)
         }
         Body::Fetch(fetch) => {
             let replica = control.replica.borrow();
@@ -86,8 +115,9 @@
                     object_to_wire(object)
                 });
             }
-            Some(Body::Objects(Objects { objects: entries }))
+            Body::Objects(Objects { objects: entries })
         }
-        _ => None,
-    }
+        _ => return None,
+    };
+    Some(Envelope::new(control.incarnation.as_u64(), response))
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -89,9 +89,6 @@
     lags: RefCell<BTreeMap<String, ReplicaLag>>,
     /// Objects that peers offer.
     pub(crate) offers: Sender<Offer>,
-    /// By kind of object that is being fetched, the latest offer of each peer since the fetch began, the
-    /// latest of all last.
-    pub(crate) next_offers: RefCell<BTreeMap<String, Vec<Offer>>>,
     pub(crate) encoded: RefCell<EncodedObjects>,
     generation: Cell<u64>,
 }
@@ -133,7 +130,6 @@
             has_unsent_changes: Cell::new(false),
             lags: RefCell::default(),
             offers: components.offers,
-            next_offers: RefCell::default(),
             encoded: RefCell::default(),
             generation: Cell::new(0),
             settings: components.settings,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -373,6 +373,11 @@
         }
     }
 
+    /// Returns the length of the encoded envelope in bytes.
+    pub fn frame_bytes(&self) -> usize {
+        self.encoded_len()
+    }
+
     /// Encodes the envelope, without the length prefix of the frame.
     pub fn encode_frame(&self) -> Vec<u8> {
         self.encode_to_vec()
