serve: Keep a stream that takes no time from becoming the usual time

A stream whose events all arrive within a millisecond gives 0 ms an event, and each later stream of the service counts as slow, so that a good version would be withdrawn.

Now an average bounds samples only once it is settled, after 20 samples, and if it is above 0, and one of 0 is no baseline.

--- a/crates/serve/src/baseline.rs
+++ b/crates/serve/src/baseline.rs
@@ -57,7 +57,13 @@
         let previous_ms = self.mean_ms.unwrap_or(time_ms);
         self.sample_count = self.sample_count.saturating_add(1);
         let weight = SMOOTHING.max(1.0 / f64::from(self.sample_count));
-        let sample_ms = time_ms.min(previous_ms * MAX_SAMPLE_RATIO);
+        // An average of few samples, or of none that took any time, bounds nothing.
+        let is_settled = weight <= SMOOTHING && previous_ms > 0.0;
+        let sample_ms = if is_settled {
+            time_ms.min(previous_ms * MAX_SAMPLE_RATIO)
+        } else {
+            time_ms
+        };
         self.mean_ms = Some(previous_ms + weight * (sample_ms - previous_ms));
         if previous_ms > 0.0 {
             time_ms / previous_ms
@@ -98,9 +104,11 @@
         baseline.event.record(event_ms)
     }
 
-    /// Returns the baseline of the time per event, in milliseconds.
+    /// Returns the baseline of the time per event, in milliseconds, or `None` while no stream took any.
     pub(crate) fn event_ms(&self, key: &BaselineKey) -> Option<f64> {
-        self.by_key.borrow().get(key)?.event.mean_ms
+        let baselines = self.by_key.borrow();
+        let event_ms = baselines.get(key)?.event.mean_ms;
+        event_ms.filter(|event_ms| *event_ms > 0.0)
     }
 
     /// Records the time to the first event of a prompt, of which `new_tokens` were certainly not
--- a/crates/serve/tests/versions.rs
+++ b/crates/serve/tests/versions.rs
@@ -167,6 +167,29 @@
     }
 }
 
+/// A stream that arrives at once takes no time by the clock, and was kept as the usual time.
+#[test]
+fn a_stream_that_arrives_at_once_does_not_make_the_others_slow() {
+    const STREAMS: usize = 6;
+    let at_once = vec![stream_head(90), events(1..=6), stream_end()];
+    let mut usual = vec![stream_head(90)];
+    for id in 1..=6 {
+        usual.push(events(id..=id));
+        usual.push(Step::Sleep(4));
+    }
+    usual.push(stream_end());
+    let endpoint = ScriptedEndpoint::start(vec![at_once, usual]);
+    let endpoints = [(endpoint.addr, "v2")];
+    let route = route(RetrySafety::NonIdempotentStream);
+    let harness = Harness::with_versions(route, &endpoints, None, 10.0);
+    for _ in 0..STREAMS {
+        harness.send(&[]);
+    }
+    let counters = harness.pipeline.version_counters();
+    let seen = counters.evidence(&"app".into(), &"v2".into()).total();
+    assert!(seen.slow <= 1, "{seen:?}");
+}
+
 /// Incident slow1 of glisa-seats: a version that answered eight times slower was completed, since
 /// its answers still kept the latency objective.
 #[test]
