serve, relay: Log framing, last event and runs of a stream when it ends

Its line now says how the endpoint framed the last response, the last event that was forwarded, how many events the last run brought and how many runs brought some; that tells a body that ended with its connection from a resumed run without events. A stream that is open when the instance stops was logged as if its caller had left; the line now says that the instance stopped.

Ruled out: a line for each event, which would be hundreds a second. Logs only; no decision changes.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub struct BodyReader {
     phase: Phase,
-    ends_with_connection: bool,
+    framing: Framing,
 }
 
 impl BodyReader {
@@ -52,16 +52,12 @@
             Framing::Chunked => Phase::ChunkSize,
             Framing::UntilClose => Phase::UntilClose,
         };
-        BodyReader {
-            phase,
-            ends_with_connection: phase == Phase::UntilClose,
-        }
+        BodyReader { phase, framing }
     }
 
-    /// Returns whether only the end of the connection ends the body, so that one that was cut short
-    /// looks complete.
-    pub fn ends_with_connection(&self) -> bool {
-        self.ends_with_connection
+    /// Returns how the end of the body is determined.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Returns whether the body was received completely.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -126,9 +126,15 @@
         Ok(body.freeze())
     }
 
-    /// Returns whether only the end of the connection ends the response body.
+    /// Returns how the end of the response body is determined.
+    pub fn framing(&self) -> Framing {
+        self.body.framing()
+    }
+
+    /// Returns whether only the end of the connection ends the response body, so that one that was cut
+    /// short looks complete.
     pub fn ends_with_connection(&self) -> bool {
-        self.body.ends_with_connection()
+        self.framing() == Framing::UntilClose
     }
 
     /// Returns whether the response body was received completely.
--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -44,6 +44,16 @@
 impl std::error::Error for FramingError {}
 
 impl Framing {
+    /// Returns the name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Framing::None => "none",
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "until-close",
+        }
+    }
+
     /// Returns the framing of a request.
     ///
     /// # Errors
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -54,6 +54,18 @@
     fn request_ended(&self, route: Option<&Arc<str>>, outcome: &Outcome, elapsed: Duration);
 }
 
+/// What the log says of a stream when it ends.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct StreamRecord {
+    /// Framing of the endpoint's last response.
+    pub(crate) framing: &'static str,
+    /// Number of the last event that was forwarded.
+    pub(crate) last_event: Option<u64>,
+    /// Events of the last run, and runs that brought a part of the stream.
+    pub(crate) run_events: u32,
+    pub(crate) runs: u32,
+}
+
 /// Log record of one request.
 pub(crate) struct LogRecord<'a> {
     pub(crate) info: Option<&'a RequestInfo>,
@@ -65,6 +77,8 @@
     pub(crate) size: Option<usize>,
     pub(crate) confidence: Option<u8>,
     pub(crate) sends: u32,
+    /// How far a stream got, if the response is one.
+    pub(crate) stream: Option<StreamRecord>,
     /// Names of the instances that the request was handed over to or by.
     pub(crate) carried_by: Option<&'a str>,
     pub(crate) carried_for: Option<&'a str>,
@@ -110,6 +124,10 @@
             detail = failure.map(|failure| &*failure.detail),
             retry_after_ms = failure.and_then(|failure| failure.retry_after_ms),
             sends = record.sends,
+            framing = record.stream.map(|stream| stream.framing),
+            last_event = record.stream.and_then(|stream| stream.last_event),
+            run_events = record.stream.map(|stream| stream.run_events),
+            runs = record.stream.map(|stream| stream.runs),
             carried_by = record.carried_by,
             carried_for = record.carried_for,
             config = record.config,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -115,6 +115,7 @@
             config: view.table.as_ref().map_or(0, |table| table.version()),
             view: view.generation,
             store_unreachable: view.store_unreachable,
+            stream: None,
         };
         let info = match context.caller_protocol.decode(&inbound.head) {
             Ok(info) => info,
--- a/crates/serve/src/request_log.rs
+++ b/crates/serve/src/request_log.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use crate::active_request::ActiveRequest;
-use crate::outcome::{LogRecord, Outcome};
+use crate::outcome::{LogRecord, Outcome, StreamRecord};
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 
@@ -14,6 +14,8 @@
     pub(crate) config: u64,
     pub(crate) view: u64,
     pub(crate) store_unreachable: bool,
+    /// How far a stream got.
+    pub(crate) stream: Option<StreamRecord>,
 }
 
 impl RequestLog {
@@ -50,6 +52,7 @@
             size: request.and_then(|request| request.size),
             confidence: request.and_then(|request| request.confidence),
             sends: request.map_or(0, |request| request.sends),
+            stream: self.stream,
             carried_by: request.and_then(|request| request.carried_by.as_deref()),
             carried_for: carried.map(|carried| &*carried.order.home),
             config: self.config,
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -12,7 +12,7 @@
 use crate::active_request::ActiveRequest;
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
-use crate::outcome::Outcome;
+use crate::outcome::{Outcome, StreamRecord};
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
@@ -43,6 +43,8 @@
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
+    /// Earlier runs that brought events.
+    earlier_runs: u32,
     /// Whether the outcome of the current run was recorded for its version.
     is_recorded: bool,
     stall_timeout: Duration,
@@ -70,6 +72,7 @@
             last_id,
             events: 0,
             run_started: Instant::now(),
+            earlier_runs: 0,
             is_recorded,
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
             waits_for_deadline: false,
@@ -197,6 +200,7 @@
         self.is_recorded = response.carried.is_some();
         self.response = response;
         self.splitter.clear();
+        self.earlier_runs += u32::from(self.events > 0);
         self.events = 0;
         self.run_started = Instant::now();
     }
@@ -258,14 +262,22 @@
         if ended_by_itself {
             endpoint_state.record_completed(&self.request.key, now_ms);
         }
-        let outcome = Outcome::Answered(self.response.head.status);
-        self.log.write(&self.context, Some(&self.request), &outcome);
+        self.write_log(&Outcome::Answered(self.response.head.status));
+    }
+
+    fn write_log(&mut self, outcome: &Outcome) {
+        self.log.stream = Some(StreamRecord {
+            framing: self.response.exchange.framing().as_str(),
+            last_event: self.last_id,
+            run_events: self.events,
+            runs: self.earlier_runs + u32::from(self.events > 0),
+        });
+        self.log.write(&self.context, Some(&self.request), outcome);
     }
 
     fn abort(&mut self, why: &str) -> BodyError {
         self.ended = true;
-        let outcome = Outcome::StreamBroken(why.to_owned());
-        self.log.write(&self.context, Some(&self.request), &outcome);
+        self.write_log(&Outcome::StreamBroken(why.to_owned()));
         BodyError {
             message: why.to_owned(),
         }
@@ -280,12 +292,14 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if !self.ended {
-            self.log.write(
-                &self.context,
-                Some(&self.request),
-                &Outcome::CallerDisconnected,
-            );
+        if self.ended {
+            return;
         }
+        let outcome = if self.context.stopped.get() {
+            Outcome::StreamBroken("the instance stopped".to_owned())
+        } else {
+            Outcome::CallerDisconnected
+        };
+        self.write_log(&outcome);
     }
 }
