relay: Reset a stream that is not complete when its process ends

Callers of an instance that was killed, or whose planned stop was over before their streams were, saw the end of the connection as it also comes after a complete answer: the kernel closes the sockets of a process with FIN.

Now a streamed response begins with a zero linger time, which the kernel honours also for the sockets of a process that ends, and goes back to a regular close just before the last chunk. Ruled out: a reset at the planned stop alone, which leaves kills.

a_process_that_ends_resets_the_streams_that_are_not_complete failed before with Ok(0), a FIN, in place of ConnectionReset, and passes now; a complete stream still closes with FIN (same test).

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -205,6 +205,7 @@
             send_sized(socket, &response, &body, bytes.len(), close, limits).await
         }
         Body::Stream(_) => {
+            socket.reset_on_close();
             let head = encode_head(&response, close, "Transfer-Encoding", "chunked");
             socket.write_all(&head, limits.write_timeout()).await?;
             let Body::Stream(mut stream) = response.body else {
@@ -252,8 +253,8 @@
     out
 }
 
-/// Sends a stream with the chunked coding. If the stream fails, the last chunk is not sent, so that
-/// the response is not taken for complete.
+/// Sends a stream with the chunked coding. If the stream fails or the process ends, the last chunk is not
+/// sent and the connection is reset, so that the response is not taken for complete.
 async fn send_stream(
     socket: &mut Socket,
     stream: &mut dyn BodyStream,
@@ -272,11 +273,14 @@
                 chunk.extend_from_slice(b"\r\n");
                 socket.write_all(&chunk, limits.write_timeout()).await?;
             }
-            Some(Ok(None)) => return socket.write_all(b"0\r\n\r\n", limits.write_timeout()).await,
+            Some(Ok(None)) => break,
             Some(Err(BodyError { message })) => return Err(io::Error::other(message)),
             None => return Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
+    socket.close_regularly();
+    let last_chunk = b"0\r\n\r\n";
+    socket.write_all(last_chunk, limits.write_timeout()).await
 }
 
 /// Returns the reason phrase of the status codes that the router sends itself.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -165,11 +165,21 @@
         drop(self.stream.get_ref().shutdown(std::net::Shutdown::Write));
     }
 
-    /// Makes the connection close with a reset, so that the peer cannot mistake a truncated
-    /// response for a complete one.
+    /// Makes the connection close with a reset, also when the process ends, so that the peer cannot
+    /// mistake a truncated response for a complete one.
     pub fn reset_on_close(&self) {
-        let options = SockRef::from(self.stream.get_ref());
-        drop(options.set_linger(Some(Duration::ZERO)));
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    /// Makes the connection close regularly again, after all written data.
+    pub fn close_regularly(&self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) {
+        if let Err(err) = SockRef::from(self.stream.get_ref()).set_linger(linger) {
+            tracing::debug!(error = %err, "connection: how it closes was not set");
+        }
     }
 }
 
