serve: Take an answer that ends with its endpoint's process for truncated

Callers got a stream that ended as complete before its last event, or half an answer framed as whole. An answer with neither length nor chunks ends with its connection, and the kernel of a process that is killed closes the connection in the same way, with FIN.

Class of fault: the end of a connection taken for the end of a message. Ruled out for the other framings: a length and a last chunk show the cut. Considered: passing the end on without the last chunk, by FIN as it came, which leaves the caller as unknowing; asking another endpoint to resume after the last event of each such stream, which reads its prompt again and takes from the retry budget.

When such an answer ends, the router opens a connection to the endpoint. A process that ended accepts none, as the kernel closes its listener too; then the answer counts as truncated: a stream resumes elsewhere after its last event or breaks off, a plain answer is retried or reported as may have run, an error is replaced by the router's own. An endpoint that ends such an answer early and lives can't be told by this, nor one that is back within the time to connect.

The three tests failed before: (200, "half of") in place of "whole" from the second endpoint, events 1 to 3 as a complete stream in place of 1 to 6, and an error's half body passed on with 500. They pass now, beside cases in which the endpoint lives and all stays as it was.

--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -102,7 +102,7 @@
             &bytes,
             &self.inbound.body,
         );
-        let (exchange, mut head) = match exchange.await {
+        let (mut exchange, mut head) = match exchange.await {
             Ok(started) => started,
             Err(err) => {
                 if err.sent {
@@ -126,7 +126,8 @@
         }
         if !(200..=299).contains(&head.status) {
             self.record_runs(Verdict::Ran, report.runs + 1);
-            self.keep_failure_response(context, exchange, head).await;
+            self.keep_failure_response(context, &mut exchange, head)
+                .await;
             return SendResult::Retry;
         }
         self.size = report.size;
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -12,6 +12,7 @@
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::active_request::{ActiveRequest, FailureResponse};
+use crate::answer_end::check_end;
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
@@ -270,7 +271,7 @@
         self.tried.push(EndpointKey::of(&endpoint));
         self.last_endpoint = Some(endpoint.clone());
         let now_ms = context.now_ms();
-        let (exchange, head) = match started {
+        let (mut exchange, head) = match started {
             Ok(started) => started,
             Err(err) if !err.sent => {
                 record_unreachable(&endpoint, &endpoint_state, sent_ms, now_ms);
@@ -339,7 +340,12 @@
         self.record_unusable_response(context, &endpoint, &endpoint_state, &reply, sent_at);
         if reply.matches_request && reply.execution_status == ExecutionStatus::Failed {
             endpoint_state.record_survival(&self.key, now_ms);
-            self.keep_failure_response(context, exchange, head).await;
+            self.keep_failure_response(context, &mut exchange, head)
+                .await;
+            if let Err(err) = check_end(context, &exchange, &endpoint, &endpoint_state).await {
+                self.log_send(&endpoint, "error truncated", &err.to_string(), sent_at);
+                self.failure_response = None;
+            }
         }
         SendResult::Retry
     }
@@ -399,12 +405,12 @@
     pub(crate) async fn keep_failure_response(
         &mut self,
         context: &RequestContext,
-        mut exchange: Exchange,
+        exchange: &mut Exchange,
         head: ResponseHead,
     ) {
         let until = self.deadline.min(Instant::now() + FAILURE_BODY_TIMEOUT);
         if let Ok(body) =
-            relay::timeout_at(until, context.buffered_bytes.read_to_end(&mut exchange)).await
+            relay::timeout_at(until, context.buffered_bytes.read_to_end(exchange)).await
         {
             self.failure_response = Some(FailureResponse { head, body });
         }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod active_request;
 mod admission;
+mod answer_end;
 mod baseline;
 mod buffered_body;
 mod call_record;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -10,6 +10,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::admission::admit;
+use crate::answer_end::check_end;
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
@@ -293,12 +294,18 @@
 ) -> Result<Response, Failure> {
     loop {
         let mut started = request.dispatch(context, None).await?;
-        let whole_body = context.buffered_bytes.read_to_end(&mut started.exchange);
+        let endpoint_state = started.call_guard.endpoint_state.clone();
+        let whole_body = async {
+            let buffered_bytes = &context.buffered_bytes;
+            let body = buffered_bytes.read_to_end(&mut started.exchange).await?;
+            let exchange = &started.exchange;
+            check_end(context, exchange, &started.endpoint, &endpoint_state).await?;
+            Ok(body)
+        };
         let body = relay::timeout_at(request.deadline, whole_body).await;
         let now_ms = context.now_ms();
         match body {
             Ok(body) => {
-                let endpoint_state = &started.call_guard.endpoint_state;
                 endpoint_state.record_outcome(false, now_ms);
                 if !started.exchange.ends_with_connection() {
                     endpoint_state.record_completed(&request.key, now_ms);
@@ -307,14 +314,10 @@
                 return Ok(forward_head(&started.head).body(body));
             }
             Err(err) => {
-                started
-                    .call_guard
-                    .endpoint_state
-                    .record_outcome(true, now_ms);
+                endpoint_state.record_outcome(true, now_ms);
                 let carried = started.carried.as_ref();
                 request.record_runs(Verdict::Ran, carried.map_or(1, |call| call.granted_runs));
-                let endpoint_state = &started.call_guard.endpoint_state;
-                request.record_broken(context, &started.endpoint, endpoint_state, &err);
+                request.record_broken(context, &started.endpoint, &endpoint_state, &err);
                 let sent_at = started.sent_at;
                 request.log_send(
                     &started.endpoint,
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -1,6 +1,6 @@
 //! Whether this instance reaches the endpoints of a service, and how it finds that it does again.
 
-use std::net::SocketAddr;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -129,13 +129,32 @@
 
 async fn probe_one(context: Rc<RequestContext>, target: Target) {
     let Target { endpoint, state } = target;
+    state.set_probed_ms(context.now_ms());
+    // The result is recorded for the endpoint.
+    drop(connect(&context, &endpoint, &state).await);
+}
+
+/// Opens a connection to an endpoint without a request, and records whether it is in reach.
+///
+/// # Errors
+///
+/// Fails if the connection is refused or not established in time.
+pub(crate) async fn connect(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+) -> io::Result<()> {
     let opened_ms = context.now_ms();
-    state.set_probed_ms(opened_ms);
     Counters::add(&context.counters.connections_for_probes);
-    let addr: SocketAddr = endpoint.addr;
     let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
-    match Socket::connect(addr, Instant::now() + timeout).await {
-        Ok(_) => record_connected(&endpoint, &state, opened_ms),
-        Err(_) => record_unreachable(&endpoint, &state, opened_ms, context.now_ms()),
+    match Socket::connect(endpoint.addr, Instant::now() + timeout).await {
+        Ok(_) => {
+            record_connected(endpoint, state, opened_ms);
+            Ok(())
+        }
+        Err(err) => {
+            record_unreachable(endpoint, state, opened_ms, context.now_ms());
+            Err(err)
+        }
     }
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -10,6 +10,7 @@
 use rollout::{StreamProgress, is_slow_stream};
 
 use crate::active_request::ActiveRequest;
+use crate::answer_end::check_end;
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
 use crate::outcome::{Outcome, StreamRecord};
@@ -125,12 +126,31 @@
                         .record_received(self.context.now_ms());
                     self.splitter.push(&bytes);
                 }
-                None if self.splitter.is_empty() => return Ok(None),
+                None if self.splitter.is_empty() => {
+                    self.check_end().await?;
+                    return Ok(None);
+                }
                 None => return Err(io::ErrorKind::UnexpectedEof.into()),
             }
         }
     }
 
+    async fn check_end(&self) -> io::Result<()> {
+        let StartedResponse {
+            exchange,
+            endpoint,
+            call_guard,
+            ..
+        } = &*self.response;
+        check_end(
+            &self.context,
+            exchange,
+            endpoint,
+            &call_guard.endpoint_state,
+        )
+        .await
+    }
+
     /// Returns the silence that counts as a stall. A peer that carries the request notices it first.
     fn stall_timeout(&self) -> Duration {
         let is_carried = self.response.carried.is_some();
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -38,6 +38,8 @@
     AwaitRequests(usize),
     /// Closes the connection with a reset.
     Reset,
+    /// Ends the endpoint as the kernel ends a process: its listener and then its connection are closed.
+    Exit,
 }
 
 /// A complete sealed response.
@@ -70,8 +72,11 @@
 
 /// Events as one chunk.
 pub fn events(ids: std::ops::RangeInclusive<u64>) -> Step {
-    let text: String = ids.map(|id| format!("id: {id}\ndata: x\n\n")).collect();
-    chunk(&text)
+    chunk(&events_text(ids))
+}
+
+fn events_text(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: x\n\n")).collect()
 }
 
 /// Text as one chunk.
@@ -79,6 +84,16 @@
     Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
 }
 
+/// The head of a stream with neither length nor chunks.
+pub fn unframed_head() -> Step {
+    Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n".to_owned())
+}
+
+/// Events of a stream with neither length nor chunks.
+pub fn unframed_events(ids: std::ops::RangeInclusive<u64>) -> Step {
+    Step::Write(events_text(ids))
+}
+
 /// The end of a stream.
 pub fn stream_end() -> Step {
     Step::Write("0\r\n\r\n".to_owned())
@@ -100,6 +115,7 @@
         let seen = heads.clone();
         let endless_bytes: Arc<AtomicU64> = Arc::default();
         let written = endless_bytes.clone();
+        let listener = Arc::new(listener);
         std::thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let Ok(stream) = stream else {
@@ -108,7 +124,8 @@
                 let script = scripts[number.min(scripts.len() - 1)].clone();
                 let seen = seen.clone();
                 let written = written.clone();
-                std::thread::spawn(move || run_script(stream, script, &seen, &written));
+                let listener = listener.clone();
+                std::thread::spawn(move || run_script(stream, script, &seen, &written, &listener));
             }
         });
         ScriptedEndpoint {
@@ -161,6 +178,7 @@
     script: Vec<Step>,
     seen: &Mutex<Vec<String>>,
     endless_bytes: &AtomicU64,
+    listener: &TcpListener,
 ) {
     let Some(head) = read_head(&mut stream) else {
         return;
@@ -194,6 +212,12 @@
                 socket.set_linger(Some(Duration::ZERO)).unwrap();
                 return;
             }
+            Step::Exit => {
+                // On Linux this ends a pending accept, and further connections are refused.
+                let socket = socket2::SockRef::from(listener);
+                socket.shutdown(std::net::Shutdown::Both).unwrap();
+                return;
+            }
         }
     }
 }
