serve: Test answers that are cut on their way through a peer

An answer that a peer carries is ended with FIN and with a reset at every byte, at the endpoint and between the peer and the home. The peer is a real one with a listener; where the connection to the home is cut, its recorded answer is replayed.

--- /dev/null
+++ b/crates/serve/tests/carried_answers.rs
@@ -0,0 +1,300 @@
+//! Answers that are cut on their way through a peer: at the endpoint, or between the peer and the home.
+
+mod common;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use common::cuts::{
+    BodyEnd, Close, Responder, SEALED, WholeAnswer, event_text, resumed_stream, resumed_stream_with,
+};
+use common::outcomes::{answers, cut_everywhere};
+use common::{Harness, Received, route};
+use kernel::{Clock, Incarnation};
+use member::Member;
+use relay::{Handler, LocalFuture, Request, Response, Server};
+use route::{RetrySafety, Route};
+use serve::{CarryHandler, PeerReach};
+use socket2::{Domain, Socket, Type};
+
+const RETRY_SAFETIES: [RetrySafety; 4] = [
+    RetrySafety::Idempotent,
+    RetrySafety::NonIdempotent,
+    RetrySafety::ResumableStream,
+    RetrySafety::NonIdempotentStream,
+];
+
+/// Time without bytes after which a peer's answer is whole.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A route whose requests may run once more at the peer and once more at another.
+fn carried_route(retry_safety: RetrySafety) -> Route {
+    route(retry_safety).max_attempts(3)
+}
+
+/// An address at which connections are refused.
+struct RefusingAddr {
+    addr: SocketAddr,
+    _held: Socket,
+}
+
+impl RefusingAddr {
+    fn new() -> RefusingAddr {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        RefusingAddr {
+            addr: socket.local_addr().unwrap().as_socket().unwrap(),
+            _held: socket,
+        }
+    }
+}
+
+/// Creates an instance that reaches no endpoint and knows peers at these addresses, nearest first.
+fn home(route: Route, unreached: SocketAddr, peers: &[SocketAddr]) -> Harness {
+    let home = Harness::new(route, &[unreached, unreached], 1_000.0);
+    let own = Incarnation::random();
+    let mut members = vec![Member::new(own, "home", "here")];
+    let mut reach = HashMap::new();
+    for (index, addr) in peers.iter().enumerate() {
+        let incarnation = Incarnation::random();
+        let zone = if index == 0 { "here" } else { "there" };
+        let peer = Member::new(incarnation, &format!("peer{index}"), zone);
+        members.push(peer.with_carry_addr(&addr.to_string()));
+        let report = PeerReach {
+            received_ms: home.clock.mono_ms(),
+            out_of_reach: Default::default(),
+        };
+        reach.insert(incarnation, report);
+    }
+    home.pipeline.shared_loads().set_peer_reach(reach);
+    let mut view = (**home.view.load()).clone();
+    view.instance_count = members.len();
+    view.members = Arc::new(members);
+    view.incarnation = Some(own);
+    view.generation += 1;
+    home.view.store(view.into());
+    home
+}
+
+/// Passes requests on to a pipeline that can be replaced.
+#[derive(Default)]
+struct Replaceable {
+    current: RefCell<Option<Rc<CarryHandler>>>,
+}
+
+impl Handler for Replaceable {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        let current = self.current.borrow().clone().unwrap();
+        Box::pin(async move { current.handle(request).await })
+    }
+}
+
+/// A peer that carries requests, over a real listener.
+struct Carrier {
+    addr: SocketAddr,
+    handler: Rc<Replaceable>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Carrier {
+    fn start() -> Carrier {
+        let handler: Rc<Replaceable> = Rc::default();
+        let executor: Rc<LocalExecutor<'static>> = Rc::default();
+        let any = "127.0.0.1:0".parse().unwrap();
+        let server = Server::bind(any, handler.clone(), Rc::default()).unwrap();
+        let addr = server.local_addr().unwrap();
+        executor.spawn(server.run(executor.clone())).detach();
+        Carrier {
+            addr,
+            handler,
+            executor,
+        }
+    }
+
+    /// Sends a request by way of a peer, at `peer_addr`, that knows nothing of these endpoints yet.
+    fn send(&self, route: &Route, peer_addr: SocketAddr, endpoints: &[SocketAddr]) -> Received {
+        let peer = Harness::new(route.clone(), endpoints, 1_000.0);
+        let handler = CarryHandler::new(peer.pipeline.clone());
+        *self.handler.current.borrow_mut() = Some(Rc::new(handler));
+        let unreached = RefusingAddr::new();
+        let home = home(route.clone(), unreached.addr, &[peer_addr]);
+        async_io::block_on(self.executor.run(home.send_async(&[])))
+    }
+}
+
+fn second_answer(retry_safety: RetrySafety, fields: String) -> impl Fn(&str) -> Vec<u8> + Clone {
+    let whole = WholeAnswer::new(&fields, BodyEnd::Length, &["second"]).bytes;
+    move |head: &str| {
+        if retry_safety.is_stream() {
+            resumed_stream_with(&fields, head, 3)
+        } else {
+            whole.clone()
+        }
+    }
+}
+
+fn cut_at_endpoint(retry_safety: RetrySafety) {
+    let carrier = Carrier::start();
+    let first = Responder::start(|_| Vec::new());
+    let second = Responder::start(second_answer(retry_safety, SEALED.to_owned()));
+    let route = carried_route(retry_safety);
+    cut_everywhere(retry_safety, &answers(retry_safety), |answer, close| {
+        first.set(answer, close);
+        drop(second.take_heads());
+        let received = carrier.send(&route, carrier.addr, &[first.addr, second.addr]);
+        (received, second.take_heads().len())
+    });
+}
+
+#[test]
+fn an_idempotent_request_whose_answer_is_cut_at_the_endpoint_runs_elsewhere() {
+    cut_at_endpoint(RetrySafety::Idempotent);
+}
+
+#[test]
+fn a_non_idempotent_request_whose_answer_is_cut_at_the_endpoint_fails() {
+    cut_at_endpoint(RetrySafety::NonIdempotent);
+}
+
+#[test]
+fn a_resumable_stream_that_is_cut_at_the_endpoint_has_each_event_once() {
+    cut_at_endpoint(RetrySafety::ResumableStream);
+}
+
+#[test]
+fn a_stream_that_is_cut_at_the_endpoint_and_cannot_resume_is_incomplete() {
+    cut_at_endpoint(RetrySafety::NonIdempotentStream);
+}
+
+/// Reads until no more bytes come for a while.
+fn read_while_arriving(stream: &mut TcpStream) -> Vec<u8> {
+    stream.set_read_timeout(Some(SILENCE_TIMEOUT)).unwrap();
+    let mut bytes = Vec::new();
+    let mut block = [0; 1024];
+    while let Ok(count @ 1..) = stream.read(&mut block) {
+        bytes.extend_from_slice(&block[..count]);
+    }
+    bytes
+}
+
+/// Returns the answer of a real peer to the home of a request.
+fn record_carried_answer(retry_safety: RetrySafety) -> WholeAnswer {
+    let whole = if retry_safety.is_stream() {
+        resumed_stream("", 3)
+    } else {
+        WholeAnswer::new(SEALED, BodyEnd::Chunked, &["abcdef"]).bytes
+    };
+    let endpoint = Responder::start(move |_| whole.clone());
+    let carrier = Carrier::start();
+    let recorded: Arc<Mutex<Vec<u8>>> = Arc::default();
+    let recording = recorded.clone();
+    let peer_addr = carrier.addr;
+    let recorder = Responder::start(move |head| {
+        let mut stream = TcpStream::connect(peer_addr).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        let bytes = read_while_arriving(&mut stream);
+        *recording.lock().unwrap() = bytes.clone();
+        bytes
+    });
+    let route = carried_route(retry_safety);
+    let received = carrier.send(&route, recorder.addr, &[endpoint.addr]);
+    assert!(received.is_complete, "{received:?}");
+    let bytes = recorded.lock().unwrap().clone();
+    parse_answer(retry_safety, &bytes)
+}
+
+fn parse_answer(retry_safety: RetrySafety, bytes: &[u8]) -> WholeAnswer {
+    let text = String::from_utf8(bytes.to_vec()).unwrap();
+    let (head, _) = text.split_once("\r\n\r\n").unwrap();
+    let lines: Vec<&str> = head.split("\r\n").collect();
+    let fields: String = lines[1..lines.len() - 1]
+        .iter()
+        .map(|line| format!("{line}\r\n"))
+        .collect();
+    let events = [event_text(1..=1), event_text(2..=2), event_text(3..=3)];
+    let answer = if retry_safety.is_stream() {
+        let pieces = [&*events[0], &*events[1], &*events[2]];
+        WholeAnswer::new(&fields, BodyEnd::Chunked, &pieces)
+    } else {
+        WholeAnswer::new(&fields, BodyEnd::Length, &["abcdef"])
+    };
+    assert_eq!(String::from_utf8_lossy(&answer.bytes), text);
+    answer
+}
+
+/// Returns the fields that a peer adds to the fields of an endpoint's answer.
+fn carried_fields(answer: &WholeAnswer) -> String {
+    let head = String::from_utf8_lossy(&answer.bytes[..answer.head_bytes]);
+    let report = head
+        .lines()
+        .find(|line| line.starts_with("Rosemary-Carried: "));
+    format!("{SEALED}{}\r\n", report.unwrap())
+}
+
+/// Cuts the connection from a peer to the home: the next request to a peer gets a whole answer.
+fn cut_at_peer(retry_safety: RetrySafety) {
+    let answer = record_carried_answer(retry_safety);
+    let next = second_answer(retry_safety, carried_fields(&answer));
+    let unreached = RefusingAddr::new();
+    let first = Responder::start(|_| Vec::new());
+    let second = Responder::start(|_| Vec::new());
+    let answers = [(BodyEnd::Length, answer)];
+    cut_everywhere(retry_safety, &answers, |answer, close| {
+        // The home may ask the same peer once more.
+        let cut = Mutex::new(Some(answer.to_vec()));
+        let whole = next.clone();
+        let answering = move |head: &str| {
+            let cut = cut.lock().unwrap().take();
+            cut.unwrap_or_else(|| whole(head))
+        };
+        first.set_with(answering, close);
+        second.set_with(next.clone(), Close::Fin);
+        let peers = [first.addr, second.addr];
+        let home = home(carried_route(retry_safety), unreached.addr, &peers);
+        let received = home.send(&[]);
+        let sends = first.take_heads().len() + second.take_heads().len();
+        (received, sends - 1)
+    });
+}
+
+#[test]
+fn an_idempotent_request_whose_answer_is_cut_at_the_peer_runs_elsewhere() {
+    cut_at_peer(RetrySafety::Idempotent);
+}
+
+#[test]
+fn a_non_idempotent_request_whose_answer_is_cut_at_the_peer_fails() {
+    cut_at_peer(RetrySafety::NonIdempotent);
+}
+
+#[test]
+fn a_resumable_stream_that_is_cut_at_the_peer_has_each_event_once() {
+    cut_at_peer(RetrySafety::ResumableStream);
+}
+
+#[test]
+fn a_stream_that_is_cut_at_the_peer_and_cannot_resume_is_incomplete() {
+    cut_at_peer(RetrySafety::NonIdempotentStream);
+}
+
+/// Guards against an answer without a report that is taken for an endpoint's: the head of another's.
+#[test]
+fn an_answer_of_a_peer_without_a_report_is_none() {
+    for retry_safety in RETRY_SAFETIES {
+        let unreached = RefusingAddr::new();
+        let answer = second_answer(retry_safety, SEALED.to_owned());
+        let peer = Responder::start(answer);
+        let home = home(carried_route(retry_safety), unreached.addr, &[peer.addr]);
+        let received = home.send(&[]);
+        assert_eq!(received.status, 502, "{retry_safety:?}");
+        let verdict = received.verdict.as_deref();
+        assert_eq!(verdict, Some("may-have-run"), "{retry_safety:?}");
+    }
+}
--- a/crates/serve/tests/common/cuts.rs
+++ b/crates/serve/tests/common/cuts.rs
@@ -178,6 +178,11 @@
 /// Returns a stream in chunks that goes on after the event that the head of a request names, and ends
 /// after `last`.
 pub fn resumed_stream(head: &str, last: u64) -> Vec<u8> {
+    resumed_stream_with(SEALED_EVENTS, head, last)
+}
+
+/// Returns such a stream with these header fields.
+pub fn resumed_stream_with(fields: &str, head: &str, last: u64) -> Vec<u8> {
     let after = number_after(head, "x-after: ")
         .or_else(|| number_after(head, "\"resume_after\":"))
         .unwrap_or_default();
@@ -188,7 +193,7 @@
         chunk_text(&text)
     };
     let end = written(&stream_end());
-    let head = format!("HTTP/1.1 200 OK\r\n{SEALED_EVENTS}Transfer-Encoding: chunked\r\n\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
     format!("{head}{body}{end}").into_bytes()
 }
 
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cuts;
 pub mod fleet;
+pub mod outcomes;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
