--- a/crates/serve/tests/cut_answers.rs
+++ b/crates/serve/tests/cut_answers.rs
@@ -155,3 +155,79 @@
     }
     assert_none(&faults, cases);
 }
+
+/// A refusal or an error answer, and what its cuts are worth for a request that may run only once.
+struct ErrorCase {
+    name: &'static str,
+    answer: &'static str,
+    /// Status, verdict and sends to the second endpoint, once the head has arrived and once all has.
+    after_head: (u16, Option<&'static str>, usize),
+    whole: (u16, Option<&'static str>, usize),
+}
+
+const ERROR_CASES: &[ErrorCase] = &[
+    ErrorCase {
+        name: "a refusal",
+        answer: "HTTP/1.1 503 Full\r\nx-not-started: 1\r\nContent-Length: 4\r\n\r\nfull",
+        after_head: (200, None, 1),
+        whole: (200, None, 1),
+    },
+    ErrorCase {
+        name: "misdirected",
+        answer: "HTTP/1.1 421 Other\r\nContent-Length: 5\r\n\r\nother",
+        after_head: (200, None, 1),
+        whole: (200, None, 1),
+    },
+    ErrorCase {
+        name: "an error",
+        answer: "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\nContent-Length: 4\r\n\r\noops",
+        after_head: (502, Some("ran"), 0),
+        whole: (500, None, 0),
+    },
+    ErrorCase {
+        name: "an error in chunks",
+        answer: "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n",
+        after_head: (502, Some("ran"), 0),
+        whole: (500, None, 0),
+    },
+    ErrorCase {
+        name: "a 503 of a request that ran",
+        answer: "HTTP/1.1 503 No\r\nx-id: 1\r\nContent-Length: 4\r\n\r\noops",
+        after_head: (502, Some("ran"), 0),
+        whole: (502, Some("ran"), 0),
+    },
+];
+
+/// Guards against a part of a refusal that is taken for one, and a part of an error that is forwarded.
+#[test]
+fn a_refusal_or_an_error_that_is_cut_is_worth_what_its_whole_head_says() {
+    let mut faults = Vec::new();
+    let mut cases = 0;
+    for retry_safety in [RetrySafety::NonIdempotent, RetrySafety::NonIdempotentStream] {
+        let endpoints = Endpoints::start(retry_safety);
+        for case in ERROR_CASES {
+            let head_bytes = case.answer.find("\r\n\r\n").unwrap() + 4;
+            for cut in 0..=case.answer.len() {
+                for close in CLOSES {
+                    let expected = match cut {
+                        cut if cut < head_bytes => (502, Some("may-have-run"), 0),
+                        cut if cut < case.answer.len() => case.after_head,
+                        _ => case.whole,
+                    };
+                    let bytes = &case.answer.as_bytes()[..cut];
+                    let (received, sends) = endpoints.send(retry_safety, bytes, close);
+                    cases += 1;
+                    let found = (received.status, received.verdict.as_deref(), sends);
+                    let body_is_whole = received.status != 500 || received.body == "oops";
+                    if found != expected || !received.is_complete || !body_is_whole {
+                        let name = case.name;
+                        let case = format!("{retry_safety:?}, {name}, {close:?} after {cut} bytes");
+                        faults.push(format!("{case}: expected {expected:?}, {found:?}"));
+                    }
+                }
+            }
+        }
+    }
+    assert_none(&faults, cases);
+}
