--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod cuts;
 pub mod fleet;
+pub mod outcomes;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
