serve: Go on with a broken stream only by numbered events that follow

The router asked of the run that resumes only a sealed success. An empty one (204, Content-Length 0, no chunk) ended the stream as complete, and events without a number passed the check of their order.

Now a response goes on with a stream if its status is that of the first and its content type, where both have one, is the same; its events must be numbered, but for comments; and a run after the first that brings no event does not complete the stream. Otherwise the stream goes on elsewhere or breaks off.

An empty success is true if the break fell after the last event. The two can't be told apart, and a stream that ends as complete too early is worse for its caller than one that breaks off after its last event.

--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -11,6 +11,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether this is a comment, which only keeps the connection alive.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+    }
+}
+
 /// Splits bytes into complete events and buffers the incomplete rest.
 ///
 /// # Examples
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use kernel::Verdict;
-use relay::{BodyError, BodyStream, LocalFuture, timeout_at};
+use relay::{BodyError, BodyStream, LocalFuture, ResponseHead, timeout_at};
 use rollout::{StreamProgress, is_slow_stream};
 
 use crate::active_request::ActiveRequest;
@@ -41,6 +41,8 @@
     response: Box<StartedResponse>,
     splitter: EventSplitter,
     last_id: Option<u64>,
+    /// Whether the current run goes on after an earlier one.
+    is_continuation: bool,
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
@@ -71,6 +73,7 @@
             response,
             splitter: EventSplitter::default(),
             last_id,
+            is_continuation: false,
             events: 0,
             run_started: Instant::now(),
             earlier_runs: 0,
@@ -86,13 +89,12 @@
         loop {
             let err = match self.read_event().await {
                 Ok(Some(event)) => {
-                    self.events += 1;
-                    self.record_version_outcome(false);
-                    if event.id.is_some() {
-                        self.last_id = event.id;
-                    }
+                    self.record_event(&event);
                     return Ok(Some(event.bytes));
                 }
+                Ok(None) if self.is_continuation && self.events == 0 => {
+                    invalid("the run that resumes brings no event".to_owned())
+                }
                 Ok(None) => {
                     self.finish();
                     return Ok(None);
@@ -103,6 +105,15 @@
         }
     }
 
+    fn record_event(&mut self, event: &Event) {
+        if event.is_comment() {
+            return;
+        }
+        self.events += 1;
+        self.record_version_outcome(false);
+        self.last_id = event.id.or(self.last_id);
+    }
+
     /// Reads the next complete event of the current run.
     async fn read_event(&mut self) -> io::Result<Option<Event>> {
         loop {
@@ -111,7 +122,7 @@
             }
             if self.splitter.pending_bytes() > MAX_EVENT_BYTES {
                 let message = format!("an event exceeds {MAX_EVENT_BYTES} bytes");
-                return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+                return Err(invalid(message));
             }
             let until = if self.waits_for_deadline {
                 self.request.deadline
@@ -162,16 +173,17 @@
         self.stall_timeout + extra
     }
 
-    /// Checks that no event is missing or duplicated.
+    /// Checks that no event is missing or duplicated, and that a run which resumes brings numbered events.
     fn check_order(&self, event: Event) -> io::Result<Event> {
-        let (Some(id), Some(last)) = (event.id, self.last_id) else {
-            return Ok(event);
-        };
-        if id == last + 1 {
-            return Ok(event);
+        match (event.id, self.last_id) {
+            (Some(id), Some(last)) if id != last + 1 => {
+                Err(invalid(format!("event {id} follows event {last}")))
+            }
+            (None, Some(last)) if self.is_continuation && !event.is_comment() => Err(invalid(
+                format!("an event without a number follows event {last} in a run that resumes"),
+            )),
+            _ => Ok(event),
         }
-        let message = format!("event {id} follows event {last}");
-        Err(io::Error::new(io::ErrorKind::InvalidData, message))
     }
 
     /// Resumes at another endpoint after the last event that the caller received.
@@ -198,16 +210,9 @@
         let runs = carried.map_or(1, |call| call.granted_runs);
         self.request.record_runs(Verdict::Ran, runs);
         self.request.is_resumed = true;
-        let failure = if self.request.may_retry() {
-            match self.request.dispatch(&self.context, self.last_id).await {
-                Ok(response) => {
-                    self.switch_to(response);
-                    return Ok(());
-                }
-                Err(failure) => failure.to_string(),
-            }
-        } else {
-            why
+        let failure = match self.start_next_run(why).await {
+            Ok(()) => return Ok(()),
+            Err(failure) => failure,
         };
         if is_silent {
             self.waits_for_deadline = true;
@@ -216,11 +221,46 @@
         Err(self.abort(&failure))
     }
 
+    /// Starts a run that goes on after the last event, or returns why there is none; `why` the last run
+    /// broke, if no other is allowed.
+    async fn start_next_run(&mut self, why: String) -> Result<(), String> {
+        if !self.request.may_retry() {
+            return Err(why);
+        }
+        loop {
+            let dispatched = self.request.dispatch(&self.context, self.last_id).await;
+            let response = dispatched.map_err(|failure| failure.to_string())?;
+            let Some(mismatch) = continuation_mismatch(&self.response.head, &response.head) else {
+                self.switch_to(response);
+                return Ok(());
+            };
+            self.reject_run(&response, &mismatch);
+        }
+    }
+
+    /// Records a response that does not go on with the stream.
+    fn reject_run(&mut self, response: &StartedResponse, mismatch: &str) {
+        let endpoint_state = &response.call_guard.endpoint_state;
+        endpoint_state.record_outcome(true, self.context.now_ms());
+        let runs = response
+            .carried
+            .as_ref()
+            .map_or(1, |call| call.granted_runs);
+        self.request.record_runs(Verdict::Ran, runs);
+        self.request.log_send(
+            &response.endpoint,
+            "no continuation",
+            mismatch,
+            response.sent_at,
+        );
+    }
+
     fn switch_to(&mut self, response: Box<StartedResponse>) {
         self.is_recorded = response.carried.is_some();
         self.response = response;
         self.splitter.clear();
         self.earlier_runs += u32::from(self.events > 0);
+        self.is_continuation = true;
         self.events = 0;
         self.run_started = Instant::now();
     }
@@ -304,6 +344,26 @@
     }
 }
 
+fn invalid(message: String) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, message)
+}
+
+/// Returns why a response cannot go on with a stream that began with the head `first`, or `None` if it can.
+fn continuation_mismatch(first: &ResponseHead, next: &ResponseHead) -> Option<String> {
+    if next.status != first.status {
+        return Some(format!("status {} after {}", next.status, first.status));
+    }
+    let (expected, found) = media_type(first).zip(media_type(next))?;
+    let matches = found.eq_ignore_ascii_case(expected);
+    (!matches).then(|| format!("content type \"{found}\" after \"{expected}\""))
+}
+
+/// Returns the content type of a response without its parameters.
+fn media_type(head: &ResponseHead) -> Option<&str> {
+    let value = head.headers.get("content-type")?;
+    Some(value.split(';').next().unwrap_or_default().trim())
+}
+
 impl BodyStream for Stream {
     fn next(&mut self) -> LocalFuture<'_, Result<Option<Bytes>, BodyError>> {
         Box::pin(self.next_event())
