serve: Break off a stream of events without numbers instead of starting it again

A stream that broke after events without a number was sent to another endpoint without the event to resume after, and began anew: the caller got its first events twice, as one complete stream.

A stream that has brought an event without a number, other than a comment, is no longer resumed. a_broken_stream_of_events_without_numbers_is_not_started_again failed before (complete in place of broken off) and passes now.

--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -41,6 +41,8 @@
     response: Box<StartedResponse>,
     splitter: EventSplitter,
     last_id: Option<u64>,
+    /// Whether the caller received an event that a run which resumes could repeat, as it has no number.
+    has_unnumbered: bool,
     /// Whether the current run goes on after an earlier one.
     is_continuation: bool,
     /// Events of the current run, and its start.
@@ -73,6 +75,7 @@
             response,
             splitter: EventSplitter::default(),
             last_id,
+            has_unnumbered: false,
             is_continuation: false,
             events: 0,
             run_started: Instant::now(),
@@ -111,6 +114,7 @@
         }
         self.events += 1;
         self.record_version_outcome(false);
+        self.has_unnumbered |= event.id.is_none();
         self.last_id = event.id.or(self.last_id);
     }
 
@@ -224,6 +228,9 @@
     /// Starts a run that goes on after the last event, or returns why there is none; `why` the last run
     /// broke, if no other is allowed.
     async fn start_next_run(&mut self, why: String) -> Result<(), String> {
+        if self.has_unnumbered {
+            return Err(format!("{why}; events without a number cannot be resumed"));
+        }
         if !self.request.may_retry() {
             return Err(why);
         }
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -176,3 +176,40 @@
     let bytes = first.endless_bytes.load(Ordering::Relaxed);
     assert!(bytes <= 16 << 20, "{bytes} bytes");
 }
+
+/// A run that resumes can't be told where to go on, and would repeat events.
+#[test]
+fn a_broken_stream_of_events_without_numbers_is_not_started_again() {
+    let unnumbered = || chunk("data: a\n\n");
+    let keep_alive = || chunk(": still here\n\n");
+    let cases = [
+        ("no number", vec![unnumbered()], false, ""),
+        (
+            "one of several",
+            vec![events(1..=1), unnumbered()],
+            false,
+            "1",
+        ),
+        (
+            "a comment",
+            vec![events(1..=1), keep_alive()],
+            true,
+            "1, 2, 3",
+        ),
+    ];
+    for (name, script, is_complete, expected) in cases {
+        let script = [vec![stream_head(90)], script].concat();
+        let first = ScriptedEndpoint::start(vec![script]);
+        let second = vec![stream_head(90), keep_alive(), events(2..=3), stream_end()];
+        let second = ScriptedEndpoint::start(vec![second]);
+        let harness = Harness::new(
+            route(RetrySafety::ResumableStream),
+            &[first.addr, second.addr],
+            10.0,
+        );
+        let received = harness.send(&[]);
+        let numbers: Vec<String> = ids(&received.body).iter().map(u64::to_string).collect();
+        assert_eq!(received.is_complete, is_complete, "{name}");
+        assert_eq!(numbers.join(", "), expected, "{name}");
+    }
+}
