serve: Test streams that a peer goes on with

The connection to the peer that carries a stream breaks after the third event, and the endpoints of the peer that goes on give the answers that resumed_answers.rs gives directly.

--- a/crates/serve/tests/carried_answers.rs
+++ b/crates/serve/tests/carried_answers.rs
@@ -2,26 +2,18 @@
 
 mod common;
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
+use common::carrier::{Carrier, RefusingAddr, home};
 use common::cuts::{
     BodyEnd, Close, Responder, SEALED, WholeAnswer, event_text, resumed_stream, resumed_stream_with,
 };
 use common::outcomes::{answers, cut_everywhere};
-use common::{Harness, Received, route};
-use kernel::{Clock, Incarnation};
-use member::Member;
-use relay::{Handler, LocalFuture, Request, Response, Server};
+use common::route;
 use route::{RetrySafety, Route};
-use serve::{CarryHandler, PeerReach};
-use socket2::{Domain, Socket, Type};
 
 const RETRY_SAFETIES: [RetrySafety; 4] = [
     RetrySafety::Idempotent,
@@ -38,97 +30,6 @@
     route(retry_safety).max_attempts(3)
 }
 
-/// An address at which connections are refused.
-struct RefusingAddr {
-    addr: SocketAddr,
-    _held: Socket,
-}
-
-impl RefusingAddr {
-    fn new() -> RefusingAddr {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        socket.bind(&any.into()).unwrap();
-        RefusingAddr {
-            addr: socket.local_addr().unwrap().as_socket().unwrap(),
-            _held: socket,
-        }
-    }
-}
-
-/// Creates an instance that reaches no endpoint and knows peers at these addresses, nearest first.
-fn home(route: Route, unreached: SocketAddr, peers: &[SocketAddr]) -> Harness {
-    let home = Harness::new(route, &[unreached, unreached], 1_000.0);
-    let own = Incarnation::random();
-    let mut members = vec![Member::new(own, "home", "here")];
-    let mut reach = HashMap::new();
-    for (index, addr) in peers.iter().enumerate() {
-        let incarnation = Incarnation::random();
-        let zone = if index == 0 { "here" } else { "there" };
-        let peer = Member::new(incarnation, &format!("peer{index}"), zone);
-        members.push(peer.with_carry_addr(&addr.to_string()));
-        let report = PeerReach {
-            received_ms: home.clock.mono_ms(),
-            out_of_reach: Default::default(),
-        };
-        reach.insert(incarnation, report);
-    }
-    home.pipeline.shared_loads().set_peer_reach(reach);
-    let mut view = (**home.view.load()).clone();
-    view.instance_count = members.len();
-    view.members = Arc::new(members);
-    view.incarnation = Some(own);
-    view.generation += 1;
-    home.view.store(view.into());
-    home
-}
-
-/// Passes requests on to a pipeline that can be replaced.
-#[derive(Default)]
-struct Replaceable {
-    current: RefCell<Option<Rc<CarryHandler>>>,
-}
-
-impl Handler for Replaceable {
-    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
-        let current = self.current.borrow().clone().unwrap();
-        Box::pin(async move { current.handle(request).await })
-    }
-}
-
-/// A peer that carries requests, over a real listener.
-struct Carrier {
-    addr: SocketAddr,
-    handler: Rc<Replaceable>,
-    executor: Rc<LocalExecutor<'static>>,
-}
-
-impl Carrier {
-    fn start() -> Carrier {
-        let handler: Rc<Replaceable> = Rc::default();
-        let executor: Rc<LocalExecutor<'static>> = Rc::default();
-        let any = "127.0.0.1:0".parse().unwrap();
-        let server = Server::bind(any, handler.clone(), Rc::default()).unwrap();
-        let addr = server.local_addr().unwrap();
-        executor.spawn(server.run(executor.clone())).detach();
-        Carrier {
-            addr,
-            handler,
-            executor,
-        }
-    }
-
-    /// Sends a request by way of a peer, at `peer_addr`, that knows nothing of these endpoints yet.
-    fn send(&self, route: &Route, peer_addr: SocketAddr, endpoints: &[SocketAddr]) -> Received {
-        let peer = Harness::new(route.clone(), endpoints, 1_000.0);
-        let handler = CarryHandler::new(peer.pipeline.clone());
-        *self.handler.current.borrow_mut() = Some(Rc::new(handler));
-        let unreached = RefusingAddr::new();
-        let home = home(route.clone(), unreached.addr, &[peer_addr]);
-        async_io::block_on(self.executor.run(home.send_async(&[])))
-    }
-}
-
 fn second_answer(retry_safety: RetrySafety, fields: String) -> impl Fn(&str) -> Vec<u8> + Clone {
     let whole = WholeAnswer::new(&fields, BodyEnd::Length, &["second"]).bytes;
     move |head: &str| {
--- /dev/null
+++ b/crates/serve/tests/common/carrier.rs
@@ -0,0 +1,113 @@
+//! A peer that carries requests over a real listener, and the home of these requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_executor::LocalExecutor;
+use kernel::{Clock, Incarnation};
+use member::Member;
+use relay::{Handler, LocalFuture, Request, Response, Server};
+use route::Route;
+use serve::{CarryHandler, PeerReach};
+use socket2::{Domain, Socket, Type};
+
+use super::{Harness, Received};
+
+/// An address at which connections are refused.
+pub struct RefusingAddr {
+    pub addr: SocketAddr,
+    _held: Socket,
+}
+
+impl RefusingAddr {
+    pub fn new() -> RefusingAddr {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        RefusingAddr {
+            addr: socket.local_addr().unwrap().as_socket().unwrap(),
+            _held: socket,
+        }
+    }
+}
+
+/// Creates an instance that reaches no endpoint and knows peers at these addresses, nearest first.
+pub fn home(route: Route, unreached: SocketAddr, peers: &[SocketAddr]) -> Harness {
+    let home = Harness::new(route, &[unreached, unreached], 1_000.0);
+    let own = Incarnation::random();
+    let mut members = vec![Member::new(own, "home", "here")];
+    let mut reach = HashMap::new();
+    for (index, addr) in peers.iter().enumerate() {
+        let incarnation = Incarnation::random();
+        let zone = if index == 0 { "here" } else { "there" };
+        let peer = Member::new(incarnation, &format!("peer{index}"), zone);
+        members.push(peer.with_carry_addr(&addr.to_string()));
+        let report = PeerReach {
+            received_ms: home.clock.mono_ms(),
+            out_of_reach: Default::default(),
+        };
+        reach.insert(incarnation, report);
+    }
+    home.pipeline.shared_loads().set_peer_reach(reach);
+    let mut view = (**home.view.load()).clone();
+    view.instance_count = members.len();
+    view.members = Arc::new(members);
+    view.incarnation = Some(own);
+    view.generation += 1;
+    home.view.store(view.into());
+    home
+}
+
+/// Passes requests on to a pipeline that can be replaced.
+#[derive(Default)]
+struct Replaceable {
+    current: RefCell<Option<Rc<CarryHandler>>>,
+}
+
+impl Handler for Replaceable {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        let current = self.current.borrow().clone().unwrap();
+        Box::pin(async move { current.handle(request).await })
+    }
+}
+
+/// A peer that carries requests, over a real listener.
+pub struct Carrier {
+    pub addr: SocketAddr,
+    handler: Rc<Replaceable>,
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Carrier {
+    pub fn start() -> Carrier {
+        let handler: Rc<Replaceable> = Rc::default();
+        let executor: Rc<LocalExecutor<'static>> = Rc::default();
+        let any = "127.0.0.1:0".parse().unwrap();
+        let server = Server::bind(any, handler.clone(), Rc::default()).unwrap();
+        let addr = server.local_addr().unwrap();
+        executor.spawn(server.run(executor.clone())).detach();
+        Carrier {
+            addr,
+            handler,
+            executor,
+        }
+    }
+
+    /// Makes the peer know nothing but these endpoints.
+    pub fn renew(&self, route: &Route, endpoints: &[SocketAddr]) {
+        let peer = Harness::new(route.clone(), endpoints, 1_000.0);
+        let handler = CarryHandler::new(peer.pipeline.clone());
+        *self.handler.current.borrow_mut() = Some(Rc::new(handler));
+    }
+
+    /// Sends a request by way of a peer, at `peer_addr`, that knows nothing of these endpoints yet.
+    pub fn send(&self, route: &Route, peer_addr: SocketAddr, endpoints: &[SocketAddr]) -> Received {
+        self.renew(route, endpoints);
+        let unreached = RefusingAddr::new();
+        let home = home(route.clone(), unreached.addr, &[peer_addr]);
+        async_io::block_on(self.executor.run(home.send_async(&[])))
+    }
+}
--- a/crates/serve/tests/common/cuts.rs
+++ b/crates/serve/tests/common/cuts.rs
@@ -198,7 +198,7 @@
 }
 
 /// Returns the number after the first occurrence of a text.
-fn number_after(head: &str, text: &str) -> Option<u64> {
+pub fn number_after(head: &str, text: &str) -> Option<u64> {
     let (_, rest) = head.split_once(text)?;
     let digits = rest.split(|char: char| !char.is_ascii_digit()).next()?;
     digits.parse().ok()
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -2,8 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod carrier;
 pub mod cuts;
 pub mod fleet;
+pub mod next_answers;
 pub mod outcomes;
 
 use std::io::{Read, Write};
--- a/crates/serve/tests/resumed_answers.rs
+++ b/crates/serve/tests/resumed_answers.rs
@@ -7,9 +7,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use common::cuts::{
-    BodyEnd, CLOSES, Close, Responder, SEALED, SEALED_EVENTS, WholeAnswer, event_text, pure_ids,
+    BodyEnd, CLOSES, Close, Responder, SEALED_EVENTS, WholeAnswer, event_text, pure_ids,
     resumed_stream,
 };
+use common::next_answers::{NextAnswer, empty, unusable};
 use common::{Harness, Received, route};
 use route::RetrySafety;
 
@@ -17,119 +18,6 @@
 const ALL_EVENTS: u64 = 5;
 const EVENTS_BEFORE_BREAK: u64 = 3;
 
-/// An answer to a request to go on after the third event of five.
-struct Case {
-    name: &'static str,
-    answer: Vec<u8>,
-}
-
-fn ok(name: &'static str, fields: &str, body: &str) -> Case {
-    let answer = WholeAnswer::new(fields, BodyEnd::Chunked, &[body]).bytes;
-    Case { name, answer }
-}
-
-fn raw(name: &'static str, head: &str, body: &str) -> Case {
-    let length = body.len();
-    let answer = format!("HTTP/1.1 {head}Content-Length: {length}\r\n\r\n{body}").into_bytes();
-    Case { name, answer }
-}
-
-/// Answers that say nothing of what follows the third event.
-fn unusable() -> Vec<Case> {
-    let rest = event_text(4..=5);
-    let whole = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, &[&rest]).bytes;
-    let whole = String::from_utf8(whole).unwrap();
-    let failed = format!("500 Failed\r\n{SEALED}");
-    let failed_events = format!("500 Failed\r\n{SEALED_EVENTS}");
-    let unframed = format!("HTTP/1.1 {failed_events}\r\n{rest}").into_bytes();
-    let foreign = SEALED_EVENTS.replace("x-id: 1", "x-id: 2");
-    let unsealed = SEALED_EVENTS.replace("x-seal: s\r\n", "");
-    let json = format!("{SEALED}Content-Type: application/json\r\n");
-    let html = format!("{SEALED}Content-Type: text/html; charset=utf-8\r\n");
-    vec![
-        raw("an error", &failed, "oops"),
-        raw("an error shaped as events", &failed_events, &rest),
-        raw("an error that holds a whole answer", &failed, &whole),
-        Case {
-            name: "an error without framing",
-            answer: unframed,
-        },
-        raw("a refusal", "503 Full\r\nx-not-started: 1\r\n", ""),
-        raw(
-            "a refusal shaped as events",
-            "503 Full\r\nx-not-started: 1\r\n",
-            &rest,
-        ),
-        raw("misdirected", "421 Other\r\n", &rest),
-        ok("a foreign id", &foreign, &rest),
-        ok(
-            "no id of the request",
-            &SEALED_EVENTS.replace("x-id: 1\r\n", ""),
-            &rest,
-        ),
-        ok("no seal", &unsealed, &rest),
-        ok("no stream of events but JSON", &json, &rest),
-        ok("no stream of events but HTML", &html, &rest),
-        ok("events from the first", SEALED_EVENTS, &event_text(1..=5)),
-        ok(
-            "events that start too early",
-            SEALED_EVENTS,
-            &event_text(3..=5),
-        ),
-        ok(
-            "events that start too late",
-            SEALED_EVENTS,
-            &event_text(5..=5),
-        ),
-        ok(
-            "events without ids",
-            SEALED_EVENTS,
-            "data: x\n\ndata: x\n\n",
-        ),
-        ok(
-            "events with ids that are no numbers",
-            SEALED_EVENTS,
-            "id: four\ndata: x\n\nid: five\ndata: x\n\n",
-        ),
-        ok(
-            "an event without id first",
-            SEALED_EVENTS,
-            &format!("data: x\n\n{rest}"),
-        ),
-        ok(
-            "an error in place of the first event",
-            SEALED_EVENTS,
-            "event: error\ndata: HTTP/1.1 500 Failed\n\n",
-        ),
-        ok(
-            "a head in place of the first event",
-            SEALED_EVENTS,
-            &format!("HTTP/1.1 500 Failed\r\n{SEALED}\r\noops\n\n"),
-        ),
-    ]
-}
-
-/// Successes without any event: after the last event they tell the truth, before it they do not.
-fn empty() -> Vec<Case> {
-    let chunked = format!("{SEALED_EVENTS}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
-    let answer = |status: &str, rest: &str| format!("HTTP/1.1 {status}\r\n{rest}").into_bytes();
-    vec![
-        Case {
-            name: "no content",
-            answer: answer("204 No Content", &format!("{SEALED_EVENTS}\r\n")),
-        },
-        raw("a length of 0", &format!("200 OK\r\n{SEALED_EVENTS}"), ""),
-        Case {
-            name: "no chunk",
-            answer: answer("200 OK", &chunked),
-        },
-        Case {
-            name: "no framing",
-            answer: answer("200 OK", &format!("{SEALED_EVENTS}\r\n")),
-        },
-    ]
-}
-
 /// How the first stream breaks after its third event.
 struct Break {
     close: Close,
@@ -150,7 +38,7 @@
 
 /// Sends a request whose stream breaks, with endpoints that answer as the case says for this many times,
 /// and then with the rest of a stream of `last` events.
-fn send(case: &Case, broken: &Break, faulty_answers: usize, last: u64) -> Received {
+fn send(case: &NextAnswer, broken: &Break, faulty_answers: usize, last: u64) -> Received {
     let first = Responder::start(|_| Vec::new());
     first.set(&broken_stream(broken.partial), broken.close);
     let given: Arc<AtomicUsize> = Arc::default();
@@ -172,7 +60,7 @@
 }
 
 /// Runs the cases for each break, and fails with a summary of those that are wrong.
-fn run(cases: &[Case], check: impl Fn(&Case, &Break) -> Result<(), String>) {
+fn run(cases: &[NextAnswer], check: impl Fn(&NextAnswer, &Break) -> Result<(), String>) {
     let mut faults = Vec::new();
     let mut count = 0;
     for case in cases {
