--- a/crates/serve/tests/common/carrier.rs
+++ b/crates/serve/tests/common/carrier.rs
@@ -61,10 +61,16 @@
     home
 }
 
-/// Passes requests on to a pipeline that can be replaced.
+/// A listener whose handler can be replaced.
+pub struct Listener {
+    pub addr: SocketAddr,
+    pub executor: Rc<LocalExecutor<'static>>,
+    handler: Rc<Replaceable>,
+}
+
 #[derive(Default)]
 struct Replaceable {
-    current: RefCell<Option<Rc<CarryHandler>>>,
+    current: RefCell<Option<Rc<dyn Handler>>>,
 }
 
 impl Handler for Replaceable {
@@ -74,40 +80,49 @@
     }
 }
 
-/// A peer that carries requests, over a real listener.
-pub struct Carrier {
-    pub addr: SocketAddr,
-    handler: Rc<Replaceable>,
-    pub executor: Rc<LocalExecutor<'static>>,
-}
-
-impl Carrier {
-    pub fn start() -> Carrier {
+impl Listener {
+    pub fn start() -> Listener {
         let handler: Rc<Replaceable> = Rc::default();
         let executor: Rc<LocalExecutor<'static>> = Rc::default();
         let any = "127.0.0.1:0".parse().unwrap();
         let server = Server::bind(any, handler.clone(), Rc::default()).unwrap();
         let addr = server.local_addr().unwrap();
         executor.spawn(server.run(executor.clone())).detach();
-        Carrier {
+        Listener {
             addr,
-            handler,
             executor,
+            handler,
         }
     }
 
-    /// Makes the peer know nothing but these endpoints.
-    pub fn renew(&self, route: &Route, endpoints: &[SocketAddr]) {
-        let peer = Harness::new(route.clone(), endpoints, 1_000.0);
-        let handler = CarryHandler::new(peer.pipeline.clone());
-        *self.handler.current.borrow_mut() = Some(Rc::new(handler));
+    /// Replaces the handler.
+    pub fn set(&self, handler: Rc<dyn Handler>) {
+        *self.handler.current.borrow_mut() = Some(handler);
+    }
+}
+
+/// A peer that carries requests.
+pub struct Carrier {
+    pub addr: SocketAddr,
+    listener: Listener,
+}
+
+impl Carrier {
+    pub fn start() -> Carrier {
+        let listener = Listener::start();
+        Carrier {
+            addr: listener.addr,
+            listener,
+        }
     }
 
     /// Sends a request by way of a peer, at `peer_addr`, that knows nothing of these endpoints yet.
     pub fn send(&self, route: &Route, peer_addr: SocketAddr, endpoints: &[SocketAddr]) -> Received {
-        self.renew(route, endpoints);
+        let peer = Harness::new(route.clone(), endpoints, 1_000.0);
+        let handler = CarryHandler::new(peer.pipeline.clone());
+        self.listener.set(Rc::new(handler));
         let unreached = RefusingAddr::new();
         let home = home(route.clone(), unreached.addr, &[peer_addr]);
-        async_io::block_on(self.executor.run(home.send_async(&[])))
+        async_io::block_on(self.listener.executor.run(home.send_async(&[])))
     }
 }
