relay: Take a chunk without a size for malformed instead of the last one

A response in chunks whose next size line was empty, "\\r\\n" in place of "5\\r\\n", ended as complete: the parser of chunk sizes reads a line without digits as a size of 0.

A size now has to begin with a digit. a_line_without_a_chunk_size_does_not_end_a_body failed before and passes.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -171,6 +171,11 @@
 
     /// Parses a chunk size. Returns false if more input is needed.
     fn read_chunk_size(&mut self, socket: &mut Socket) -> io::Result<bool> {
+        // The parser takes a line without digits for a size of 0.
+        let first = socket.buffered().first();
+        if first.is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(malformed());
+        }
         match httparse::parse_chunk_size(socket.buffered()) {
             Ok(httparse::Status::Complete((length, size))) => {
                 socket.consume(length);
