relay: Send no request on a connection on which bytes have arrived

A connection is opened for each request, so that bytes which are there before the first write can answer none.

The connection is now checked without waiting before the first write, and given up with nothing sent if bytes have arrived or it is closed. Bytes that arrive just after the write can't be told this way; that is for the request's id.

The price is one system call a request.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -50,8 +50,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the endpoint is unreachable, closes the connection, does not respond by the
-    /// deadlines, or sends a malformed head or ambiguous framing.
+    /// Fails if the endpoint is unreachable, sends bytes before the request, closes the connection, does
+    /// not respond by the deadlines, or sends a malformed head or ambiguous framing.
     pub async fn start(
         addr: SocketAddr,
         connect_deadline: Instant,
@@ -61,7 +61,9 @@
         body: &Bytes,
     ) -> Result<(Exchange, ResponseHead), ExchangeError> {
         let connected = Socket::connect(addr, connect_deadline).await;
-        let mut socket = connected.map_err(|source| ExchangeError {
+        // Bytes that precede the request answer no request.
+        let silent = connected.and_then(|socket| socket.check_silent().map(|()| socket));
+        let mut socket = silent.map_err(|source| ExchangeError {
             sent: false,
             source,
         })?;
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -102,6 +102,25 @@
         self.eof
     }
 
+    /// Checks that the connection is open and that the peer has sent nothing yet, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::InvalidData`] if bytes have arrived, and if the connection fails or is
+    /// closed.
+    pub(crate) fn check_silent(&self) -> io::Result<()> {
+        let mut byte = [0];
+        match self.stream.get_ref().peek(&mut byte) {
+            Ok(0) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(_) => {
+                let message = "bytes arrived before the request was sent";
+                Err(io::Error::new(io::ErrorKind::InvalidData, message))
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(err) => Err(err),
+        }
+    }
+
     /// Reads into the buffer. Returns false at end of file.
     ///
     /// # Errors
