--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -41,6 +41,7 @@
 pub struct BodyReader {
     phase: Phase,
     framing: Framing,
+    is_empty: bool,
 }
 
 impl BodyReader {
@@ -52,7 +53,11 @@
             Framing::Chunked => Phase::ChunkSize,
             Framing::UntilClose => Phase::UntilClose,
         };
-        BodyReader { phase, framing }
+        BodyReader {
+            phase,
+            framing,
+            is_empty: true,
+        }
     }
 
     /// Returns how the end of the body is determined.
@@ -60,6 +65,11 @@
         self.framing
     }
 
+    /// Returns whether no byte of the body was decoded yet.
+    pub fn is_empty(&self) -> bool {
+        self.is_empty
+    }
+
     /// Returns whether the body was received completely.
     pub fn status(&self) -> BodyStatus {
         if self.phase == Phase::Done {
@@ -78,6 +88,7 @@
     pub async fn next(&mut self, socket: &mut Socket) -> io::Result<Option<Bytes>> {
         loop {
             if let Some(bytes) = self.decode_buffered(socket)? {
+                self.is_empty = false;
                 return Ok(Some(bytes));
             }
             if self.phase == Phase::Done {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -139,6 +139,11 @@
         self.framing() == Framing::UntilClose
     }
 
+    /// Returns whether no byte of the response body was received yet.
+    pub fn is_empty(&self) -> bool {
+        self.body.is_empty()
+    }
+
     /// Returns whether the response body was received completely.
     pub fn is_complete(&self) -> bool {
         self.body.status() == BodyStatus::Complete
