relay: Test connections that end before the request is written

Nothing of the request can have arrived, so that it may go elsewhere. Fails on the present code for a connection that is closed, "unexpected end of file (after the request was sent)"; one that is reset is already reported as not sent.

--- a/crates/relay/tests/early_answers.rs
+++ b/crates/relay/tests/early_answers.rs
@@ -88,6 +88,29 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Starts an endpoint that ends a connection at once.
+fn start_closing_endpoint(resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        if resets {
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    addr
+}
+
+/// Guards against a failure of a request that no endpoint can have seen, such as at a limit on connections.
+#[test]
+fn a_connection_that_ends_before_the_request_is_written_did_not_get_it() {
+    for resets in [false, true] {
+        let err = exchange(start_closing_endpoint(resets)).unwrap_err();
+        assert!(!err.sent, "resets: {resets}: {err}");
+    }
+}
+
 #[test]
 fn an_answer_that_follows_the_request_is_taken() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
