serve: Let an endpoint of a test read its request before it answers

The endpoint reads the request first; what the test asks stays. The other endpoints of the tests do so already.

Its endpoint now ends as a process does, at each byte; the demand, that the stream go on, is the same.

--- a/crates/serve/tests/cut_answers.rs
+++ b/crates/serve/tests/cut_answers.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::net::SocketAddr;
+
 use common::cuts::{
     BodyEnd, CLOSES, Close, Responder, SEALED, WholeAnswer, pure_ids, resumed_stream,
 };
 use common::outcomes::{Expected, Stage, answers, assert_none, check, cut_everywhere, expected};
-use common::{Harness, Received, route};
+use common::{Harness, Received, ScriptedEndpoint, Step, route};
 use route::RetrySafety;
 
 const RETRY_SAFETIES: [RetrySafety; 4] = [
@@ -40,8 +42,13 @@
     /// sends to the second.
     fn send(&self, retry_safety: RetrySafety, answer: &[u8], close: Close) -> (Received, usize) {
         self.first.set(answer, close);
+        self.send_first_to(retry_safety, self.first.addr)
+    }
+
+    /// Sends a request to the endpoint at an address and, if need be, to the second.
+    fn send_first_to(&self, retry_safety: RetrySafety, first: SocketAddr) -> (Received, usize) {
         drop(self.second.take_heads());
-        let addrs = [self.first.addr, self.second.addr];
+        let addrs = [first, self.second.addr];
         let received = Harness::new(route(retry_safety), &addrs, 10.0).send(&[]);
         (received, self.second.take_heads().len())
     }
@@ -76,14 +83,16 @@
 
 /// Guards against a stream that ends as complete before its last event when its endpoint ends.
 #[test]
-fn a_resumable_stream_that_ends_with_its_connection_between_events_is_not_taken_for_whole() {
+fn a_resumable_stream_whose_endpoint_ends_between_events_is_not_taken_for_whole() {
     let retry_safety = RetrySafety::ResumableStream;
     let endpoints = Endpoints::start(retry_safety);
     let (_, answer) = answers(retry_safety).pop().unwrap();
     let mut faults = Vec::new();
     let cuts = answer.head_bytes..answer.bytes.len();
     for cut in cuts.clone() {
-        let (received, sends) = endpoints.send(retry_safety, &answer.bytes[..cut], Close::Fin);
+        let text = String::from_utf8_lossy(&answer.bytes[..cut]).into_owned();
+        let ending = ScriptedEndpoint::start(vec![vec![Step::Write(text), Step::Exit]]);
+        let (received, sends) = endpoints.send_first_to(retry_safety, ending.addr);
         if let Err(fault) = check(Expected::Resumed, &answer, cut, &received, sends) {
             faults.push(format!("after {cut} bytes: {fault}"));
         }
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -10,7 +10,8 @@
 
 use common::fleet::Fleet;
 use common::{
-    ScriptedEndpoint, Step, answer, error_response, events, ids, route, stream_end, stream_head,
+    ScriptedEndpoint, Step, answer, error_response, events, ids, read_head, route, stream_end,
+    stream_head,
 };
 use route::{RetrySafety, Route, Service, Table, Target};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -101,6 +102,7 @@
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         drop(listener);
+        assert!(read_head(&mut stream).is_some(), "a request arrives");
         let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
         let events = "1e\r\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n\r\n";
         stream.write_all(head.as_bytes()).unwrap();
