limits, serve: Keep restarted and parted instances within the retry budget

What callers saw: while endpoints failed and instances were killed in series, a service got more retries in a window of 10 s than 0.9 x its requests + 52.

Cause, two parts of one fault (state that dies with its process was taken for the fleet's): - Each instance allowed retries in proportion to its requests of the last window. What it had spent ended with it, and its callers went on to others, whose new requests earned the same again: a window then held the retries of two windows of requests. That needs no restart: five of six instances that end for good do it, too. - The floor was divided by the instances seen at the moment, so an instance that had just started or was cut off took all of it, with an empty window.

Ruled out as the only cause: the floor.

The fix: a request earns 0.8 of the ratio as credit, a process starts with none, and saves up at most 0.2 of the ratio for each request in its window. Retries from any moment on are then at most what was saved at that moment and what is earned after it, so they stay within ratio x requests whichever processes end, start or take over callers. The floor is divided by the largest fleet seen in two minutes and at least by the configured instances; a process uses it freely once it has run for a window and has seen its fleet, and before that only as far as its own requests earned it.

used_share, which decides on escalations, counts what is left for a burst as well as the window, and is 1 while no retry is allowed, so that no answer in hand is given up for a run that the budget refuses.

Tests changed: the_floor_is_split_among_instances took the floor of a process at its start, which is the fault. It now expects nothing at the start and the same 12 and 2 after a window. The harness of serve's tests lets its instance have run for a window (AgedClock); its cases and expectations are unchanged.

--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use crate::fleet_size::Fleet;
+
 /// The resolution of the window.
 const SLICE_MS: u64 = 500;
 
@@ -16,76 +18,191 @@
     pub window_ms: u64,
 }
 
+/// Part of the ratio that each request adds to the credit for retries. The rest of the ratio bounds
+/// the credit that earlier requests leave behind: a window may hold the retries of processes that
+/// spent such credit and ended, beside those of the processes that have their callers now.
+const EARNED_SHARE: f64 = 0.8;
+
+/// Part of the floor that is kept as credit, so that a service with few requests can save up the
+/// credit for one retry.
+const MAX_FLOOR_CREDIT: f64 = 1.0;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    requests: u64,
+    retries: u64,
+    /// The retries that the floor paid for.
+    floor_retries: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Slice {
     start_ms: u64,
-    requests: u64,
-    retries: u64,
+    counts: Counts,
+}
+
+/// What pays for a retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Credit,
+    Floor,
+    /// The floor, as far as the process's own requests have earned it.
+    EarnedFloor,
 }
 
 /// One instance's part of a service's retry budget.
 ///
-/// Each instance allows retries in proportion to its own requests, and its part of the floor, so
-/// that the sum over all instances stays within the budget without coordination. Unlike
-/// [`SuccessRetryBudget`](crate::SuccessRetryBudget) it counts requests whatever their outcome, and
-/// old counts expire.
+/// Each instance earns credit for retries by its own requests, and has its part of the floor, so
+/// that the sum over all instances stays within the budget without coordination, also while
+/// processes end and start. A process does not know what the one before it spent: it starts without
+/// credit, and until it knows its fleet and has run for a window, it retries only what its own
+/// requests have earned.
+///
+/// Unlike [`SuccessRetryBudget`](crate::SuccessRetryBudget) it counts requests whatever their
+/// outcome, and old counts expire.
 ///
 /// # Examples
 ///
 /// ```
-/// use limits::{WindowedRetrySettings, WindowedRetryBudget};
+/// use limits::{Fleet, WindowedRetryBudget, WindowedRetrySettings};
 ///
 /// let settings = WindowedRetrySettings { ratio: 0.5, floor: 2.0, window_ms: 10_000 };
-/// let mut budget = WindowedRetryBudget::new(settings);
-/// budget.record_request(0);
-/// assert!(budget.try_acquire(0, 2));
-/// assert!(!budget.try_acquire(0, 2));
+/// let mut budget = WindowedRetryBudget::new(settings, 0);
+/// assert!(!budget.try_acquire(5_000, Fleet::known(2)));
+/// assert!(budget.try_acquire(10_000, Fleet::known(2)));
+/// assert!(!budget.try_acquire(10_000, Fleet::known(2)));
 /// ```
 #[derive(Debug)]
 pub struct WindowedRetryBudget {
     settings: WindowedRetrySettings,
+    started_ms: u64,
     slices: VecDeque<Slice>,
+    credit: f64,
+    /// Whether the credit of the floor was granted.
+    has_floor_credit: bool,
 }
 
 impl WindowedRetryBudget {
-    /// Creates a budget with an empty window.
-    pub fn new(settings: WindowedRetrySettings) -> WindowedRetryBudget {
+    /// Creates the budget of a process that started at `started_ms`.
+    pub fn new(settings: WindowedRetrySettings, started_ms: u64) -> WindowedRetryBudget {
         WindowedRetryBudget {
             settings,
+            started_ms,
             slices: VecDeque::new(),
+            credit: 0.0,
+            has_floor_credit: false,
         }
     }
 
     /// Records the first send of a request, which adds to the budget.
     pub fn record_request(&mut self, now_ms: u64) {
-        self.slice(now_ms).requests += 1;
+        self.expire(now_ms);
+        self.counts_at(now_ms).requests += 1;
+        self.credit += self.settings.ratio * EARNED_SHARE;
     }
 
     /// Consumes one retry, or returns `false` if this instance's part of the budget is used up.
-    pub fn try_acquire(&mut self, now_ms: u64, instances: usize) -> bool {
-        let allowed = self.allowed(now_ms, instances);
-        let used: u64 = self.slices.iter().map(|slice| slice.retries).sum();
-        if used as f64 + 1.0 > allowed {
+    ///
+    /// The floor is divided among the instances of the fleet.
+    pub fn try_acquire(&mut self, now_ms: u64, fleet: Fleet) -> bool {
+        self.update(now_ms, fleet);
+        let Some(source) = self.source(now_ms, fleet) else {
             return false;
+        };
+        let counts = self.counts_at(now_ms);
+        counts.retries += 1;
+        match source {
+            Source::Credit => self.credit -= 1.0,
+            Source::Floor => counts.floor_retries += 1,
+            Source::EarnedFloor => {
+                counts.floor_retries += 1;
+                self.credit = 0.0;
+            }
         }
-        self.slice(now_ms).retries += 1;
         true
     }
 
-    /// Returns the used part of the budget, from 0 to 1.
-    pub fn used_share(&mut self, now_ms: u64, instances: usize) -> f64 {
-        let allowed = self.allowed(now_ms, instances);
-        let used: u64 = self.slices.iter().map(|slice| slice.retries).sum();
-        if allowed <= 0.0 {
+    /// Returns the used part of the budget, from 0 to 1; it is 1 while no retry is allowed.
+    ///
+    /// Both what the window allows and what is left for a burst of retries count.
+    pub fn used_share(&mut self, now_ms: u64, fleet: Fleet) -> f64 {
+        self.update(now_ms, fleet);
+        if self.source(now_ms, fleet).is_none() {
             return 1.0;
         }
-        (used as f64 / allowed).min(1.0)
+        let counts = self.window_counts();
+        let mut allowed = counts.requests as f64 * self.settings.ratio;
+        let mut most_left = self.max_credit(now_ms, fleet);
+        let mut left = self.credit;
+        if self.has_floor(now_ms, fleet) {
+            let floor = self.floor_part(fleet);
+            allowed += self.settings.floor / fleet.instances.max(1) as f64;
+            most_left += floor;
+            left += floor - counts.floor_retries as f64;
+        }
+        let of_window = counts.retries as f64 / allowed;
+        let of_burst = 1.0 - left / most_left;
+        of_window.max(of_burst).clamp(0.0, 1.0)
     }
 
-    fn allowed(&mut self, now_ms: u64, instances: usize) -> f64 {
+    /// Returns what pays for the next retry, or `None` if nothing does.
+    fn source(&self, now_ms: u64, fleet: Fleet) -> Option<Source> {
+        if self.credit >= 1.0 {
+            return Some(Source::Credit);
+        }
+        let counts = self.window_counts();
+        if counts.floor_retries as f64 + 1.0 > self.floor_part(fleet) {
+            return None;
+        }
+        if self.has_floor(now_ms, fleet) {
+            return Some(Source::Floor);
+        }
+        let earned = counts.requests as f64 * self.settings.ratio * EARNED_SHARE;
+        (counts.retries as f64 + 1.0 <= earned).then_some(Source::EarnedFloor)
+    }
+
+    /// Returns this instance's part of the floor, without what is kept as credit.
+    fn floor_part(&self, fleet: Fleet) -> f64 {
+        self.settings.floor / fleet.instances.max(1) as f64 - self.floor_credit(fleet)
+    }
+
+    fn floor_credit(&self, fleet: Fleet) -> f64 {
+        (self.settings.floor / fleet.instances.max(1) as f64).min(MAX_FLOOR_CREDIT)
+    }
+
+    /// Returns whether the floor may be used beyond what requests have earned.
+    fn has_floor(&self, now_ms: u64, fleet: Fleet) -> bool {
+        fleet.is_known && now_ms >= self.started_ms + self.settings.window_ms
+    }
+
+    fn window_counts(&self) -> Counts {
+        let mut sum = Counts::default();
+        for slice in &self.slices {
+            sum.requests += slice.counts.requests;
+            sum.retries += slice.counts.retries;
+            sum.floor_retries += slice.counts.floor_retries;
+        }
+        sum
+    }
+
+    fn update(&mut self, now_ms: u64, fleet: Fleet) {
         self.expire(now_ms);
-        let requests: u64 = self.slices.iter().map(|slice| slice.requests).sum();
-        requests as f64 * self.settings.ratio + self.settings.floor / instances.max(1) as f64
+        if !self.has_floor_credit && self.has_floor(now_ms, fleet) {
+            self.has_floor_credit = true;
+            self.credit += self.floor_credit(fleet);
+        }
+        self.credit = self.credit.min(self.max_credit(now_ms, fleet));
+    }
+
+    /// Returns how much credit may be saved up: what the requests in the window may leave behind, and
+    /// the credit of the floor.
+    fn max_credit(&self, now_ms: u64, fleet: Fleet) -> f64 {
+        let requests = self.window_counts().requests as f64;
+        let of_requests = requests * self.settings.ratio * (1.0 - EARNED_SHARE);
+        if !self.has_floor(now_ms, fleet) {
+            return of_requests;
+        }
+        of_requests + self.floor_credit(fleet)
     }
 
     fn expire(&mut self, now_ms: u64) {
@@ -98,7 +215,7 @@
         }
     }
 
-    fn slice(&mut self, now_ms: u64) -> &mut Slice {
+    fn counts_at(&mut self, now_ms: u64) -> &mut Counts {
         let start_ms = now_ms - now_ms % SLICE_MS;
         let is_new = self
             .slices
@@ -107,11 +224,10 @@
         if is_new {
             self.slices.push_back(Slice {
                 start_ms,
-                requests: 0,
-                retries: 0,
+                counts: Counts::default(),
             });
         }
         let last = self.slices.len() - 1;
-        &mut self.slices[last]
+        &mut self.slices[last].counts
     }
 }
--- a/crates/limits/tests/windowed_retry.rs
+++ b/crates/limits/tests/windowed_retry.rs
@@ -1,6 +1,6 @@
 //! The retry budget holds in every window, for all instances together.
 
-use limits::{WindowedRetryBudget, WindowedRetrySettings};
+use limits::{Fleet, WindowedRetryBudget, WindowedRetrySettings};
 
 const SETTINGS: WindowedRetrySettings = WindowedRetrySettings {
     ratio: 0.5,
@@ -13,7 +13,7 @@
 fn no_window_of_a_retry_storm_exceeds_the_budget() {
     const INSTANCES: usize = 6;
     let mut budgets: Vec<WindowedRetryBudget> = (0..INSTANCES)
-        .map(|_| WindowedRetryBudget::new(SETTINGS))
+        .map(|_| WindowedRetryBudget::new(SETTINGS, 0))
         .collect();
     let mut random = fastrand::Rng::with_seed(11);
     let mut retries = Vec::new();
@@ -23,7 +23,7 @@
         budget.record_request(now_ms);
         requests.push(now_ms);
         for _ in 0..3 {
-            if budget.try_acquire(now_ms, INSTANCES) {
+            if budget.try_acquire(now_ms, Fleet::known(INSTANCES)) {
                 retries.push(now_ms);
             }
         }
@@ -53,12 +53,32 @@
 }
 
 #[test]
-fn the_floor_is_split_among_instances() {
-    let mut alone = WindowedRetryBudget::new(SETTINGS);
-    let mut one_of_six = WindowedRetryBudget::new(SETTINGS);
-    let acquired = |budget: &mut WindowedRetryBudget, instances| {
-        (0..50).filter(|_| budget.try_acquire(0, instances)).count()
+fn the_floor_is_split_among_instances_that_have_run_for_a_window() {
+    let mut alone = WindowedRetryBudget::new(SETTINGS, 0);
+    let mut one_of_six = WindowedRetryBudget::new(SETTINGS, 0);
+    let acquired = |budget: &mut WindowedRetryBudget, instances, now_ms| {
+        let acquired = (0..50).filter(|_| budget.try_acquire(now_ms, Fleet::known(instances)));
+        acquired.count()
     };
-    assert_eq!(acquired(&mut alone, 1), 12);
-    assert_eq!(acquired(&mut one_of_six, 6), 2);
+    assert_eq!(acquired(&mut alone, 1, 0), 0);
+    assert_eq!(acquired(&mut alone, 1, SETTINGS.window_ms), 12);
+    assert_eq!(acquired(&mut one_of_six, 6, SETTINGS.window_ms), 2);
+}
+
+#[test]
+fn a_new_instance_retries_what_its_own_requests_have_earned() {
+    for (instances, requests, expected) in [(1, 0, 0), (1, 2, 0), (1, 3, 1), (1, 12, 4), (6, 12, 2)]
+    {
+        let mut budget = WindowedRetryBudget::new(SETTINGS, 0);
+        for _ in 0..requests {
+            budget.record_request(0);
+        }
+        let acquired = (0..50)
+            .filter(|_| budget.try_acquire(0, Fleet::known(instances)))
+            .count();
+        assert_eq!(
+            acquired, expected,
+            "{requests} requests, {instances} instances"
+        );
+    }
 }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use kernel::{Clock, Failure, Reason, Verdict};
+use limits::FleetSize;
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
 
 use crate::active_request::ActiveRequest;
@@ -59,6 +60,8 @@
     ) -> Pipeline {
         Pipeline {
             context: Rc::new(RequestContext {
+                started_ms: clock.mono_ms(),
+                fleet_size: RefCell::new(FleetSize::new(settings.configured_instances)),
                 settings,
                 caller_protocol,
                 endpoint_protocol,
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use kernel::Clock;
-use limits::{ReachProbes, RetryAfterSchedule, WindowedRetryBudget};
+use limits::{Fleet, FleetSize, ReachProbes, RetryAfterSchedule, WindowedRetryBudget};
 
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
@@ -33,6 +33,9 @@
     pub(crate) observer: Rc<dyn Observer>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) view: Arc<ArcSwap<View>>,
+    /// When the process started, on the monotonic clock.
+    pub(crate) started_ms: u64,
+    pub(crate) fleet_size: RefCell<FleetSize>,
     /// Retry windows by service.
     pub(crate) retry_windows: RefCell<HashMap<Arc<str>, WindowedRetryBudget>>,
     pub(crate) baselines: LatencyBaselines,
@@ -61,6 +64,7 @@
 
     pub(crate) fn record_request(&self, service: &Arc<str>) {
         let now_ms = self.now_ms();
+        self.fleet(now_ms);
         self.with_window(service, |window| window.record_request(now_ms));
         let mut probes = self.reach_probes.borrow_mut();
         probes.entry(service.clone()).or_default().record_request();
@@ -69,8 +73,8 @@
     /// Acquires one retry from this instance's share of a service's retry budget.
     pub(crate) fn try_acquire_retry(&self, service: &Arc<str>) -> bool {
         let now_ms = self.now_ms();
-        let instances = self.view.load().instance_count;
-        self.with_window(service, |window| window.try_acquire(now_ms, instances))
+        let fleet = self.fleet(now_ms);
+        self.with_window(service, |window| window.try_acquire(now_ms, fleet))
     }
 
     /// Reserves a time at which a caller of a service may come back, and returns the delay until
@@ -84,8 +88,14 @@
     /// Returns the used share of a service's retry budget.
     pub(crate) fn retry_budget_used(&self, service: &Arc<str>) -> f64 {
         let now_ms = self.now_ms();
-        let instances = self.view.load().instance_count;
-        self.with_window(service, |window| window.used_share(now_ms, instances))
+        let fleet = self.fleet(now_ms);
+        self.with_window(service, |window| window.used_share(now_ms, fleet))
+    }
+
+    /// Records how many instances are seen now, and returns the fleet that shares the retry budgets.
+    fn fleet(&self, now_ms: u64) -> Fleet {
+        let seen = self.view.load().instance_count;
+        self.fleet_size.borrow_mut().record(now_ms, seen)
     }
 
     fn with_window<T>(
@@ -94,7 +104,7 @@
         act: impl FnOnce(&mut WindowedRetryBudget) -> T,
     ) -> T {
         let mut windows = self.retry_windows.borrow_mut();
-        let new_window = || WindowedRetryBudget::new(self.settings.retry_window);
+        let new_window = || WindowedRetryBudget::new(self.settings.retry_window, self.started_ms);
         act(windows.entry(service.clone()).or_insert_with(new_window))
     }
 }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -13,6 +13,8 @@
     pub zone: Arc<str>,
     /// Retry window of each service.
     pub retry_window: WindowedRetrySettings,
+    /// Number of instances that the settings name, this one included; not all need be running.
+    pub configured_instances: usize,
     /// Timeout for connecting to an endpoint, in milliseconds.
     pub connect_timeout_ms: u64,
     /// Cost of one run of a model's largest size on idle engines, in good answers.
@@ -32,6 +34,7 @@
             name: "".into(),
             zone: zone.into(),
             retry_window,
+            configured_instances: 1,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
         }
@@ -43,6 +46,12 @@
         self
     }
 
+    /// Sets the number of instances that the settings name, this one included.
+    pub fn configured_instances(mut self, instances: usize) -> Settings {
+        self.configured_instances = instances;
+        self
+    }
+
     /// Sets the cost of one run of a model's largest size on idle engines, in good answers.
     pub fn largest_run_cost(mut self, cost: f64) -> Settings {
         self.largest_run_cost = cost;
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod clock;
 pub mod fleet;
 
 use std::io::{Read, Write};
@@ -13,7 +14,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use kernel::{Failure, SystemClock};
+use kernel::Failure;
 use limits::WindowedRetrySettings;
 use relay::{Body, Handler, Headers, Request, RequestHead, Response, ResponseHead};
 use route::{Route, Service, Table, Target};
@@ -22,6 +23,8 @@
     Pipeline, Pool, PromptPart, Reply, RequestInfo, RolloutView, Settings, TokenUsage, View,
 };
 
+use clock::AgedClock;
+
 /// Size of the send buffer of an endpoint that writes without end.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
@@ -311,7 +314,7 @@
 pub struct Harness {
     pub pipeline: Rc<Pipeline>,
     pub view: Arc<ArcSwap<View>>,
-    pub clock: Arc<SystemClock>,
+    pub clock: Arc<AgedClock>,
 }
 
 impl Harness {
@@ -368,7 +371,7 @@
             window_ms: 10_000,
         };
         let settings = Settings::new("here", repeats);
-        let clock = Arc::new(SystemClock::new());
+        let clock: Arc<AgedClock> = Arc::default();
         let pipeline = Rc::new(Pipeline::new(
             settings,
             Rc::new(PlainCallerProtocol),
@@ -377,6 +380,8 @@
             clock.clone(),
             view.clone(),
         ));
+        // The instance has run for a window, from which on it may use the floor of its budget.
+        clock.age_by(repeats.window_ms);
         Harness {
             pipeline,
             view,
