serve: Count retries after sends that brought no response head

What operators saw: rosemary_repeats, the metric that is compared with the retry budget, left out each retry whose connection broke or closed, or whose response was no HTTP; and nothing said how many retries the budget refused.

Cause: the counter was raised where the head of a response is decoded, not where a send is recorded. A hand-over to a peer that was a retry was counted nowhere: the peer takes its first send for the request's first.

The fix: ActiveRequest::record_sends is the one place that counts sends, also those that a peer reports; rosemary_refused_repeats counts what the budget refused.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -50,6 +50,7 @@
     requests: Family<RequestLabels, Counter>,
     durations: Family<RouteLabel, Histogram>,
     retries: Gauge<u64, AtomicU64>,
+    refused_retries: Gauge<u64, AtomicU64>,
     handed_over: Gauge<u64, AtomicU64>,
     carried: Gauge<u64, AtomicU64>,
     escalated: Gauge<u64, AtomicU64>,
@@ -73,6 +74,7 @@
         let durations: Family<RouteLabel, Histogram> =
             Family::new_with_constructor(duration_histogram);
         let retries = Gauge::default();
+        let refused_retries = Gauge::default();
         let handed_over = Gauge::default();
         let carried = Gauge::default();
         let escalated = Gauge::default();
@@ -94,6 +96,11 @@
             "Retries: sends of a request beyond the first",
             retries.clone(),
         );
+        registry.register(
+            "refused_repeats",
+            "Retries that the retry budget did not allow",
+            refused_retries.clone(),
+        );
         registry.register(
             "handed_over",
             "Requests handed over to a peer, once for each peer",
@@ -149,6 +156,7 @@
             requests,
             durations,
             retries,
+            refused_retries,
             handed_over,
             carried,
             escalated,
@@ -167,6 +175,8 @@
     /// Copies the pipeline's counters and the number of dropped log lines into the gauges.
     pub fn sync_counters(&self, counters: &Counters, dropped_log_lines: u64) {
         self.retries.set(counters.retries.load(Ordering::Relaxed));
+        self.refused_retries
+            .set(counters.refused_retries.load(Ordering::Relaxed));
         self.handed_over
             .set(counters.handed_over.load(Ordering::Relaxed));
         self.carried.set(counters.carried.load(Ordering::Relaxed));
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -14,6 +14,7 @@
 use crate::carried::Carried;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointKey, EndpointState};
+use crate::outcome::Counters;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_key::RequestKey;
@@ -145,6 +146,15 @@
         allowed && self.runs < self.route.max_attempts && self.refusals < MAX_REFUSALS
     }
 
+    /// Records that endpoints received the request. A peer that made several sends counts its own
+    /// retries, which are all but its first.
+    pub(crate) fn record_sends(&mut self, context: &RequestContext, sends: u32) {
+        if self.sends > 0 && sends > 0 {
+            Counters::add(&context.counters.retries);
+        }
+        self.sends += sends;
+    }
+
     /// Records that an endpoint may have run the request.
     pub(crate) fn record_run(&mut self, verdict: Verdict) {
         self.record_runs(verdict, 1);
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -106,7 +106,7 @@
             Ok(started) => started,
             Err(err) => {
                 if err.sent {
-                    self.sends += 1;
+                    self.record_sends(context, 1);
                     self.record_runs(Verdict::MayHaveRun, granted_runs);
                 }
                 self.pause_peer(context, &peer, &err.to_string(), sent_at);
@@ -114,12 +114,12 @@
             }
         };
         let Some(report) = CarryReport::take_from(&mut head.headers) else {
-            self.sends += 1;
+            self.record_sends(context, 1);
             self.record_runs(Verdict::MayHaveRun, granted_runs);
             self.pause_peer(context, &peer, "the response bears no report", sent_at);
             return SendResult::Retry;
         };
-        self.sends += report.sends;
+        self.record_sends(context, report.sends);
         if let Some(failure) = report.failure() {
             self.record_peer_failure(context, &peer, &report, failure, sent_at);
             return SendResult::Retry;
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -122,6 +122,7 @@
                 None => Way::Endpoint(self.place(context, &view)?),
             };
             if self.sends > 0 && !context.try_acquire_retry(&self.service) {
+                Counters::add(&context.counters.refused_retries);
                 let failure = self.failure(
                     Reason::Overloaded,
                     "the retry budget of the service is used up",
@@ -282,7 +283,7 @@
             }
             Err(err) => {
                 record_connected(&endpoint, &endpoint_state, sent_ms);
-                self.sends += 1;
+                self.record_sends(context, 1);
                 self.record_run(Verdict::MayHaveRun);
                 endpoint_state.record_outcome(true, now_ms);
                 if err.source.kind() == io::ErrorKind::TimedOut {
@@ -308,10 +309,7 @@
             time_to_head.as_millis() as f64,
         );
         call_guard.response_started();
-        self.sends += 1;
-        if self.sends > 1 {
-            Counters::add(&context.counters.retries);
-        }
+        self.record_sends(context, 1);
         if reply.tells_rate_limit() {
             let limit_per_s = reply.rate_limit_per_s;
             let states = &context.endpoint_states;
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -36,6 +36,8 @@
     pub disconnected: AtomicU64,
     /// Sends after the first of a request.
     pub retries: AtomicU64,
+    /// Retries that the budget did not allow.
+    pub refused_retries: AtomicU64,
     /// Answers of smaller models that were discarded for the largest one.
     pub escalated: AtomicU64,
     /// Requests handed over to a peer, once for each peer.
--- a/crates/serve/tests/common/fleet.rs
+++ b/crates/serve/tests/common/fleet.rs
@@ -25,7 +25,12 @@
 impl Fleet {
     /// Creates an instance for each list of endpoint addresses.
     pub fn new(route: &Route, addresses: &[Vec<SocketAddr>]) -> Fleet {
-        let instance = |addrs: &Vec<SocketAddr>| Harness::new(route.clone(), addrs, 1_000.0);
+        Fleet::with_floor(route, addresses, 1_000.0)
+    }
+
+    /// Creates instances whose retry budget has this floor for all together.
+    pub fn with_floor(route: &Route, addresses: &[Vec<SocketAddr>], floor: f64) -> Fleet {
+        let instance = |addrs: &Vec<SocketAddr>| Harness::new(route.clone(), addrs, floor);
         let mut fleet = Fleet {
             instances: addresses.iter().map(instance).collect(),
             members: Vec::new(),
