web: Read responses with relay, so that a truncated one never looks whole

What callers saw: an endpoint that closed in the middle of its head, or sent a head without a usable framing field, gave them a 200 with an empty body, framed as whole. A chunked body without its last chunk's end, or with an empty size line in its place, also counted as whole. A last chunk that came in two pieces was not noticed until some timer woke the call.

Cause: the client took the end of a body from async-h1. It gives a response without Content-Length and without exactly "chunked" an empty body, takes the last of several lengths, reads an empty chunk size as 0, takes the end of the connection after "0\r\n" as the end of the message, and waits for the rest of a trailer without registering a waker. Its buffer also swallows bytes behind a body, so that a connection with a second answer on it went back to the pool.

Ruled out: a short body with a length, an end within a chunk, and a head cut at any byte were errors before as well (the cuts in the same test).

The client now parses heads and bodies with relay, which has one state for the end of a message. A body that only the end of the connection ends is an error, because a caller cannot tell whether it is whole. Interim responses are errors: before, a 100 was taken for the answer. Bytes behind a response stay in the socket's buffer and end the connection.

Not detected: a length that lost its last digits in an otherwise whole head.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -2,18 +2,22 @@
 
 use std::fmt;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use async_h1::client::Encoder;
+use futures_lite::AsyncReadExt;
 use http_types::Request;
 use kernel::Verdict;
+use relay::{Framing, ResponseHead, Socket};
 
-use crate::pool::{ClientConn, Pool};
+use crate::pool::Pool;
 use crate::response::ClientResponse;
 
+/// Maximum size of a response head, in bytes.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
 /// Whether a call may use a connection that carried another call before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionReuse {
@@ -27,7 +31,7 @@
 /// The error of a call that received no response head.
 #[derive(Debug)]
 pub struct SendError {
-    /// [`Verdict::NotRun`] if no byte of the request was written, else [`Verdict::MayHaveRun`].
+    /// [`Verdict::NotRun`] if no write of the request was attempted, else [`Verdict::MayHaveRun`].
     pub verdict: Verdict,
     /// Description of the error, with the address.
     pub message: String,
@@ -62,51 +66,84 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Verdict::NotRun`] when no byte was written to the connection, and with
-    /// [`Verdict::MayHaveRun`] when it broke later.
+    /// Fails with [`Verdict::NotRun`] when the request could not be encoded or no connection could
+    /// be opened, and with [`Verdict::MayHaveRun`] when the connection broke later or the response
+    /// has no valid head.
     pub async fn send(
         &self,
         addr: SocketAddr,
         request: Request,
         reuse: ConnectionReuse,
     ) -> Result<ClientResponse, SendError> {
-        let conn = match reuse {
-            ConnectionReuse::Allowed => self.pool.take(addr),
+        let method = request.method();
+        let mut encoded = Vec::new();
+        let encode = Encoder::new(request).read_to_end(&mut encoded).await;
+        encode.map_err(|err| SendError {
+            verdict: Verdict::NotRun,
+            message: format!("cannot encode the request to {addr}: {err}"),
+        })?;
+        let idle = match reuse {
+            ConnectionReuse::Allowed => self.pool.take(addr).await,
             ConnectionReuse::Never => None,
         };
-        let conn = match conn {
-            Some(conn) => conn,
+        let mut socket = match idle {
+            Some(socket) => socket,
             None => self.connect(addr).await?,
         };
-        conn.begin_call();
-        match async_h1::connect(conn.clone(), request).await {
-            Ok(response) => Ok(ClientResponse::new(response, conn, addr, self.pool.clone())),
-            Err(err) => {
-                let verdict = if conn.has_written() {
-                    Verdict::MayHaveRun
-                } else {
-                    Verdict::NotRun
-                };
-                Err(SendError {
-                    verdict,
-                    message: format!("the connection to {addr} failed: {err}"),
-                })
-            }
-        }
+        let failed = |err: io::Error| SendError {
+            verdict: Verdict::MayHaveRun,
+            message: format!("the connection to {addr} failed: {err}"),
+        };
+        write_all(&mut socket, &encoded).await.map_err(failed)?;
+        let head = read_head(&mut socket).await.map_err(failed)?;
+        let framing = Framing::of_response(method.as_ref(), &head);
+        let framing = framing.map_err(|err| failed(invalid_data(err)))?;
+        let pool = self.pool.clone();
+        Ok(ClientResponse::new(head, framing, socket, addr, pool))
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<ClientConn, SendError> {
-        let timeout = Duration::from_millis(self.connect_timeout_ms);
-        let connect = Async::<TcpStream>::connect(addr);
-        let expire = async {
-            Timer::after(timeout).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        let stream = connect.or(expire).await.map_err(|err| SendError {
+    async fn connect(&self, addr: SocketAddr) -> Result<Socket, SendError> {
+        let deadline = Instant::now() + Duration::from_millis(self.connect_timeout_ms);
+        let connected = Socket::connect(addr, deadline).await;
+        connected.map_err(|err| SendError {
             verdict: Verdict::NotRun,
             message: format!("cannot connect to {addr}: {err}"),
-        })?;
-        drop(stream.get_ref().set_nodelay(true));
-        Ok(ClientConn::new(stream))
+        })
     }
 }
+
+async fn write_all(socket: &mut Socket, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let count = socket.write(bytes).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        bytes = &bytes[count..];
+    }
+    Ok(())
+}
+
+/// Reads the head of a final response. Interim responses are not supported.
+async fn read_head(socket: &mut Socket) -> io::Result<ResponseHead> {
+    loop {
+        let parsed = ResponseHead::parse(socket.buffered()).map_err(invalid_data)?;
+        if let Some((head, length)) = parsed {
+            if matches!(head.status, 100..=199) {
+                return Err(invalid_data(format!("interim status {}", head.status)));
+            }
+            socket.consume(length);
+            return Ok(head);
+        }
+        if socket.buffered().len() > MAX_HEAD_BYTES {
+            let message = format!("the response head exceeds {MAX_HEAD_BYTES} bytes");
+            return Err(invalid_data(message));
+        }
+        if !socket.fill().await? {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+fn invalid_data(err: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, err)
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,8 +1,9 @@
-//! HTTP/1.1 server and client over `async-h1`.
+//! HTTP/1.1 server over `async-h1`, and client over `relay`.
 //!
-//! `async-h1` implements the protocol. This crate adds limits on time and size, pipelined requests,
-//! detection of callers that disconnect before the response, connection reuse, and the verdict on
-//! whether a failed call may have been executed.
+//! The server adds limits on time and size, pipelined requests, and detection of callers that
+//! disconnect before the response. The client adds connection reuse and the verdict on whether a
+//! failed call may have been executed; it takes the framing of bodies from `relay`, which
+//! distinguishes a complete body from a truncated one.
 //!
 //! # Examples
 //!
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -2,43 +2,42 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
+use bytes::{Buf, Bytes};
 use futures_lite::{AsyncRead, AsyncReadExt};
-use http_types::{Body, Response};
+use relay::{BodyReader, BodyStatus, Framing, ResponseHead, Socket};
 
-use crate::pool::{ClientConn, Pool};
+use crate::pool::Pool;
 
 /// A response whose body has not been read yet.
 pub struct ClientResponse {
-    response: Response,
-    body: Body,
-    declared_bytes: Option<u64>,
-    read_bytes: u64,
-    ended: bool,
-    conn: ClientConn,
+    head: ResponseHead,
+    framing: Framing,
+    body: BodyReader,
+    /// Decoded bytes of the body that were not read yet.
+    decoded: Bytes,
+    socket: Socket,
     addr: SocketAddr,
     pool: Arc<Pool>,
 }
 
 impl ClientResponse {
     pub(crate) fn new(
-        mut response: Response,
-        conn: ClientConn,
+        head: ResponseHead,
+        framing: Framing,
+        socket: Socket,
         addr: SocketAddr,
         pool: Arc<Pool>,
     ) -> ClientResponse {
-        let declared_bytes = response.len().map(|length| length as u64);
-        let body = response.take_body();
         ClientResponse {
-            response,
-            body,
-            declared_bytes,
-            read_bytes: 0,
-            ended: false,
-            conn,
+            head,
+            framing,
+            body: BodyReader::new(framing),
+            decoded: Bytes::new(),
+            socket,
             addr,
             pool,
         }
@@ -46,37 +45,43 @@
 
     /// Returns the status code.
     pub fn status(&self) -> u16 {
-        self.response.status().into()
+        self.head.status
     }
 
-    /// Returns the last value of a header.
+    /// Returns the last value of a header, if it is valid UTF-8.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.response
-            .header(name)
-            .map(|values| values.last().as_str())
+        let fields = self.head.headers.iter();
+        let field = fields
+            .filter(|field| field.name.eq_ignore_ascii_case(name))
+            .last()?;
+        std::str::from_utf8(&field.value).ok()
     }
 
     /// Returns the declared length of the body, in bytes, or `None` if it has none.
     pub fn declared_bytes(&self) -> Option<u64> {
-        self.declared_bytes
+        match self.framing {
+            Framing::None => Some(0),
+            Framing::Length(bytes) => Some(bytes),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
     }
 
-    /// Returns whether the body was read to its end and had the declared length.
+    /// Returns whether the body was read to its declared end.
     pub fn is_complete(&self) -> bool {
-        self.ended
-            && self
-                .declared_bytes
-                .is_none_or(|declared| declared == self.read_bytes)
+        self.decoded.is_empty()
+            && self.body.status() == BodyStatus::Complete
+            && !self.body.ends_with_connection()
     }
 
     /// Reads the whole body.
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks or the body is truncated or larger than `max_bytes`.
+    /// Fails when the connection breaks, or the body is truncated, larger than `max_bytes`, or has
+    /// neither a length nor chunks, so that a truncated one would look whole.
     pub async fn read_body(&mut self, max_bytes: u64) -> io::Result<Vec<u8>> {
-        let mut bytes =
-            Vec::with_capacity(self.declared_bytes.unwrap_or(0).min(max_bytes) as usize);
+        let capacity = self.declared_bytes().unwrap_or(0).min(max_bytes);
+        let mut bytes = Vec::with_capacity(capacity as usize);
         let mut reader = (&mut *self).take(max_bytes + 1);
         reader.read_to_end(&mut bytes).await?;
         if bytes.len() as u64 > max_bytes {
@@ -84,20 +89,25 @@
                 "the response body is larger than {max_bytes} bytes"
             )));
         }
-        if !self.is_complete() {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
         Ok(bytes)
     }
 
-    /// Returns the connection to the pool, if the body was read completely and the server keeps the
-    /// connection open.
+    /// Fails if only the end of the connection ended the body.
+    fn check_framed(&self) -> io::Result<()> {
+        if self.body.ends_with_connection() {
+            let message = "the response body has neither a length nor chunks";
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, message));
+        }
+        Ok(())
+    }
+
+    /// Returns the connection to the pool, if the body was read completely, no other bytes follow
+    /// it, and the server keeps the connection open.
     pub fn recycle(self) {
-        let closes = self
-            .header("connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
-        if self.is_complete() && !closes {
-            self.pool.put(self.addr, self.conn);
+        let closes =
+            self.head.minor_version == 0 || self.head.headers.has_token("connection", "close");
+        if self.is_complete() && !closes && self.socket.buffered().is_empty() {
+            self.pool.put(self.addr, self.socket);
         }
     }
 }
@@ -108,14 +118,17 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.body).poll_read(cx, buf);
-        if let Poll::Ready(Ok(count)) = result {
-            self.read_bytes += count as u64;
-            self.ended |= count == 0;
-            if count == 0 && !self.is_complete() && !buf.is_empty() {
-                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
-            }
+        let this = &mut *self;
+        if this.decoded.is_empty() && !buf.is_empty() {
+            // Nothing is lost when this future is dropped while it is pending.
+            let next = ready!(pin!(this.body.next(&mut this.socket)).poll(cx))?;
+            let Some(bytes) = next else {
+                return Poll::Ready(this.check_framed().map(|()| 0));
+            };
+            this.decoded = bytes;
         }
-        result
+        let count = buf.len().min(this.decoded.len());
+        this.decoded.copy_to_slice(&mut buf[..count]);
+        Poll::Ready(Ok(count))
     }
 }
