upstream: Let no answer without the request's id count on a kept connection

What callers saw: an endpoint that wrote an earlier refusal once more on a kept connection made the router say not-run of a request that the endpoint had read and was running. An earlier 200 without an id was passed on as the answer to the next request, and an earlier "leaving" took the endpoint out of use for good.

Cause: the id that endpoints echo was compared only for status 200, after refusals and load reports had been taken as the request's own, and a missing one was accepted on any connection.

Ruled out: bytes that lie on the connection before the request is written end it (the cases WithAnswer and Idle), and calls that may not be repeated use new connections only.

The id is now compared first. Another id answers nothing, on any connection. A missing one is accepted on a new connection only, where no earlier answer can be; connections are kept only for endpoints that echo, so that these must echo it in refusals as well. The fake endpoints now do. Until an endpoint does, its refusals on kept connections count as may-have-run.

--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -85,7 +85,8 @@
             return web::json(400, &json!({}));
         };
         let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        if let Some(response) = fail_before_run(faults.fault) {
+        if let Some(mut response) = fail_before_run(faults.fault) {
+            response.insert_header("x-request-id", id);
             return response;
         }
         let target = match self.kind {
--- a/crates/upstream/src/dispatch.rs
+++ b/crates/upstream/src/dispatch.rs
@@ -214,6 +214,15 @@
         sent_ms: u64,
         in_flight: InFlightGuard,
     ) -> Result<UpstreamResponse, AttemptError> {
+        let echoed_id = reply.header(REQUEST_ID_HEADER);
+        // Without an identifier, a response on a reused connection may be that of an earlier request.
+        if echoed_id.map_or(reply.is_on_reused_connection(), |echoed_id| echoed_id != id) {
+            let detail = "the response does not have the identifier of the request";
+            return Err(attempt_error(Failure::may_have_run(
+                Reason::EndpointFailed,
+                detail,
+            )));
+        }
         if let Some(load) = reply.header(LOAD_HEADER) {
             endpoint.record_load(load);
         }
@@ -233,14 +242,6 @@
                 detail,
             )));
         }
-        let echoed_id = reply.header(REQUEST_ID_HEADER);
-        if echoed_id.is_some_and(|echoed_id| echoed_id != id) {
-            let detail = "the response has the identifier of another request";
-            return Err(attempt_error(Failure::may_have_run(
-                Reason::EndpointFailed,
-                detail,
-            )));
-        }
         let id_echoed = echoed_id.is_some();
         Ok(UpstreamResponse::new(
             endpoint.clone(),
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -86,6 +86,7 @@
             ConnectionReuse::Allowed => self.pool.take(addr).await,
             ConnectionReuse::Never => None,
         };
+        let is_reused = idle.is_some();
         let mut socket = match idle {
             Some(socket) => socket,
             None => self.connect(addr).await?,
@@ -99,7 +100,11 @@
         let framing = Framing::of_response(method.as_ref(), &head);
         let framing = framing.map_err(|err| failed(invalid_data(err)))?;
         let pool = self.pool.clone();
-        Ok(ClientResponse::new(head, framing, socket, addr, pool))
+        let mut response = ClientResponse::new(head, framing, socket, addr, pool);
+        if is_reused {
+            response.set_reused_connection();
+        }
+        Ok(response)
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Socket, SendError> {
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -20,6 +20,7 @@
     /// Decoded bytes of the body that were not read yet.
     decoded: Bytes,
     socket: Socket,
+    reused_connection: bool,
     addr: SocketAddr,
     pool: Arc<Pool>,
 }
@@ -38,11 +39,22 @@
             body: BodyReader::new(framing),
             decoded: Bytes::new(),
             socket,
+            reused_connection: false,
             addr,
             pool,
         }
     }
 
+    pub(crate) fn set_reused_connection(&mut self) {
+        self.reused_connection = true;
+    }
+
+    /// Returns whether the connection carried another call before, to which this response may
+    /// belong.
+    pub fn is_on_reused_connection(&self) -> bool {
+        self.reused_connection
+    }
+
     /// Returns the status code.
     pub fn status(&self) -> u16 {
         self.head.status
