upstream: Keep an endpoint's error text out of a stream that has begun

What callers saw: an endpoint whose stream broke off wrote an error, or a whole head with an error, into the same body, and they got it as an event of their stream.

Ruled out, by the tests that come with this one and passed before the fix: the next endpoint's error in the stream (a stream is not sent again once its first event was passed on: one request, at either of two endpoints), a stream cut at any byte, with a length, with chunks and without framing, that ends as complete, and a stream of a killed instance that looks complete. The stream of an instance that is asked to stop is whole.

Each line of an event now has to be a field of an event or a comment. A stream with any other line ends with the event that reports a broken answer, and without the last one.

Before, with the new test:

left: ["data: {...}\n\n", "{\"error\":\"second failed\"}\n\n", "error"] right: ["data: {...}\n\n", "error"]

After: the 4 tests pass.

--- /dev/null
+++ b/crates/entry/tests/broken_streams.rs
@@ -0,0 +1,292 @@
+//! Streams that break off, at the endpoint or with the instance that passes them on.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::{Fleet, wait_until};
+use http_types::Method;
+use kernel::Verdict;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use store::Precondition;
+use trial::{Deployment, HttpClient, HttpResponse, TestCluster};
+
+const PATH: &str = "/v1/chat/completions";
+
+const KEY: (&str, &str) = ("authorization", "Bearer key-bir-hospital");
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+
+const EVENTS: [&str; 3] = [
+    "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n",
+    "data: {\"choices\":[]}\n\n",
+    "data: [DONE]\n\n",
+];
+
+/// The response of an endpoint to a second request.
+const SECOND: &str = "HTTP/1.1 500 Failed\r\ncontent-length: 13\r\n\r\nsecond failed";
+
+/// How a response tells where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunked,
+    Unframed,
+}
+
+/// Bytes of a response, and whether they belong to the decoded body.
+struct Part {
+    bytes: String,
+    is_body: bool,
+}
+
+fn encode(framing: Framing) -> Vec<Part> {
+    let part = |bytes: String, is_body| Part { bytes, is_body };
+    let field = match framing {
+        Framing::Length => format!("content-length: {}\r\n", EVENTS.concat().len()),
+        Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
+        Framing::Unframed => String::new(),
+    };
+    let mut parts = vec![part(format!("{HEAD}{field}\r\n"), false)];
+    for event in EVENTS {
+        if framing == Framing::Chunked {
+            parts.push(part(format!("{:x}\r\n", event.len()), false));
+        }
+        parts.push(part(event.to_owned(), true));
+        if framing == Framing::Chunked {
+            parts.push(part("\r\n".to_owned(), false));
+        }
+    }
+    if framing == Framing::Chunked {
+        parts.push(part("0\r\n\r\n".to_owned(), false));
+    }
+    parts
+}
+
+/// Returns the first `cut` bytes of a response, and how many events they hold.
+fn cut_response(parts: &[Part], mut cut: usize) -> (String, usize) {
+    let (mut sent, mut body) = (String::new(), String::new());
+    for part in parts {
+        let bytes = &part.bytes[..cut.min(part.bytes.len())];
+        cut -= bytes.len();
+        sent.push_str(bytes);
+        if part.is_body {
+            body.push_str(bytes);
+        }
+    }
+    (sent, body.matches("\n\n").count())
+}
+
+/// An endpoint that writes given bytes in place of a response.
+struct RawEndpoint {
+    addr: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl RawEndpoint {
+    /// Starts an endpoint that passes the number of each request and its connection to `handle`.
+    fn start(handle: impl Fn(usize, TcpStream) + Send + 'static) -> RawEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let count = requests.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                if read_request(&mut stream) {
+                    handle(count.fetch_add(1, Ordering::SeqCst), stream);
+                }
+            }
+        });
+        RawEndpoint { addr, requests }
+    }
+
+    fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+/// Reads a request with a JSON object as its body.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    while !bytes.ends_with(b"}") {
+        match stream.read(&mut chunk) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Starts an instance whose small model runs at these endpoints only.
+fn start_cluster(endpoints: &[SocketAddr]) -> TestCluster {
+    let cluster = TestCluster::start(Deployment::Shrestha, 1, 0).unwrap();
+    let objects = &cluster.backends.state.objects;
+    let path = "config/spec/pool/runners-small";
+    let mut pool = objects.get(path).unwrap().value.unwrap();
+    let rows = endpoints.iter().enumerate().map(|(index, addr)| {
+        json!({ "name": format!("raw-{index}"), "addr": addr.to_string(), "zone": "thamel", "slots": 4 })
+    });
+    pool["endpoints"] = rows.collect();
+    let revision = objects.put(path, pool, Precondition::Any).unwrap();
+    let addr = cluster.instances[0].http_addr();
+    wait_until("the endpoints are in use", || {
+        let get = HttpClient::default();
+        let reply = smol::block_on(get.call(addr, Method::Get, "/v1/status", &[], Vec::new()));
+        reply.unwrap().json()["revision"].as_u64() >= Some(revision)
+    });
+    cluster
+}
+
+fn stream_body(max_tokens: usize) -> Vec<u8> {
+    let messages = [json!({ "role": "user", "content": "x" })];
+    let body = json!({
+        "model": "visitor-s1", "stream": true, "max_tokens": max_tokens, "messages": messages,
+    });
+    body.to_string().into_bytes()
+}
+
+fn call(cluster: &TestCluster) -> HttpResponse {
+    let addr = cluster.instances[0].http_addr();
+    let client = HttpClient::default();
+    let call = client.call(addr, Method::Post, PATH, &[KEY], stream_body(1));
+    smol::block_on(call).unwrap()
+}
+
+/// Returns the events of a stream, with "error" in place of a report that it broke off.
+fn events(reply: &HttpResponse) -> Vec<String> {
+    let text = String::from_utf8(reply.body.clone()).unwrap();
+    let event = |event: &str| {
+        let data = event.strip_prefix("data: ").unwrap_or_default();
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        let is_error = value["error"]["verdict"] == "may-have-run";
+        if is_error {
+            return "error".to_owned();
+        }
+        event.to_owned()
+    };
+    text.split_inclusive("\n\n").map(event).collect()
+}
+
+#[test]
+fn stream_cut_at_any_byte_never_ends_as_complete() {
+    let response = Arc::new(std::sync::Mutex::new(String::new()));
+    let sent = response.clone();
+    let endpoint = RawEndpoint::start(move |_, mut stream| {
+        let _ = stream.write_all(sent.lock().unwrap().as_bytes());
+    });
+    let cluster = start_cluster(&[endpoint.addr]);
+    let mut wrong = Vec::new();
+    for framing in [Framing::Length, Framing::Chunked, Framing::Unframed] {
+        let parts = encode(framing);
+        let length: usize = parts.iter().map(|part| part.bytes.len()).sum();
+        for cut in 0..=length {
+            let (bytes, count) = cut_response(&parts, cut);
+            *response.lock().unwrap() = bytes;
+            let mut expected = EVENTS[..count].to_vec();
+            if count < EVENTS.len() {
+                expected.push("error");
+            }
+            let reply = call(&cluster);
+            let as_expected = match count {
+                0 => reply.status != 200 && reply.verdict == Some(Verdict::MayHaveRun),
+                _ => events(&reply) == expected,
+            };
+            if !as_expected {
+                let text = String::from_utf8_lossy(&reply.body).into_owned();
+                wrong.push(format!(
+                    "{framing:?} {cut} of {length}: {} {text:?}",
+                    reply.status
+                ));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn nothing_but_its_events_gets_into_a_stream_that_broke_off() {
+    // What follows the first event, inside the declared length of the body.
+    let endings = [
+        "",
+        "data: {\"cho",
+        "second failed",
+        "{\"error\":\"second failed\"}\n\n",
+        "second failed\n\ndata: [DONE]\n\n",
+        "HTTP/1.1 500 Failed\r\ncontent-length: 13\r\n\r\nsecond failed",
+        "HTTP/1.1 500 Failed\r\ncontent-length: 13\r\n\r\nsecond failed\n\ndata: [DONE]\n\n",
+        "HTTP/1.1 500 Failed\n\nsecond failed\n\n",
+    ];
+    for ending in endings {
+        let first = EVENTS[0];
+        let requests = Arc::new(AtomicUsize::new(0));
+        let start = || {
+            let requests = requests.clone();
+            RawEndpoint::start(move |_, mut stream| {
+                if requests.fetch_add(1, Ordering::SeqCst) > 0 {
+                    let _ = stream.write_all(SECOND.as_bytes());
+                    return;
+                }
+                let broken = format!("{HEAD}content-length: 500\r\n\r\n{first}{ending}");
+                let _ = stream.write_all(broken.as_bytes());
+            })
+        };
+        let endpoints = [start(), start()];
+        let cluster = start_cluster(&endpoints.each_ref().map(|endpoint| endpoint.addr));
+        let reply = call(&cluster);
+        assert_eq!(events(&reply), [first, "error"], "{ending:?}");
+        let sum: usize = endpoints.iter().map(RawEndpoint::requests).sum();
+        assert_eq!(sum, 1, "{ending:?}: sent again after its first event");
+    }
+}
+
+/// Reads a streamed answer until the connection ends, and sends a signal to the instance once the
+/// first event arrived.
+fn read_while_signalled(signal: Signal) -> String {
+    let fleet = Fleet::start(Deployment::Shrestha, 1, 50);
+    let mut stream = TcpStream::connect(fleet.entries[0].http_addr).unwrap();
+    stream.set_read_timeout(Some(common::WAIT_TIMEOUT)).unwrap();
+    let body = stream_body(30);
+    let (name, value) = KEY;
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: a\r\n{name}: {value}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(&[head.as_bytes(), &body].concat())
+        .unwrap();
+    let mut read = Vec::new();
+    let mut chunk = [0; 4096];
+    let mut signalled = false;
+    while let Ok(count) = stream.read(&mut chunk) {
+        if count == 0 {
+            break;
+        }
+        read.extend_from_slice(&chunk[..count]);
+        if !signalled && read.windows(6).any(|window| window == b"data: ") {
+            fleet.entries[0].signal(signal);
+            signalled = true;
+        }
+    }
+    String::from_utf8(read).unwrap()
+}
+
+#[test]
+fn stream_of_a_killed_instance_does_not_look_complete() {
+    let read = read_while_signalled(Signal::KILL);
+    assert!(read.contains("data: "), "{read}");
+    assert!(!read.contains("[DONE]"), "{read}");
+    assert!(!read.ends_with("0\r\n\r\n"), "{read}");
+}
+
+#[test]
+fn stream_of_a_stopping_instance_is_whole() {
+    let read = read_while_signalled(Signal::TERM);
+    assert!(read.contains("data: [DONE]\n\n"), "{read}");
+    assert!(read.ends_with("0\r\n\r\n"), "{read}");
+}
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -13,6 +13,9 @@
 /// The event that ends a stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
+/// The names of the fields of an event.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// One event, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -44,7 +47,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream fails, ends within an event, or an event is too large.
+    /// Fails if the stream fails, ends within an event, or an event is too large or has a line that
+    /// is neither a field nor a comment, such as an error text.
     pub async fn next(
         &mut self,
         stream: &mut (impl AsyncRead + Unpin),
@@ -54,6 +58,10 @@
             if let Some(end) = find_blank_line(&self.buffer, scanned) {
                 let rest = self.buffer.split_off(end);
                 let bytes = std::mem::replace(&mut self.buffer, rest);
+                if !bytes.split(|byte| *byte == b'\n').all(is_event_line) {
+                    let message = "a line of the stream is not a field of an event";
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+                }
                 return Ok(Some(Event { bytes }));
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
@@ -75,6 +83,14 @@
     }
 }
 
+/// Returns whether a line is empty, a comment, or a field of an event.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let name_end = line.iter().position(|byte| *byte == b':');
+    let name = &line[..name_end.unwrap_or(line.len())];
+    name.is_empty() || FIELD_NAMES.contains(&name)
+}
+
 /// Returns the index after the first blank line. The first `scanned` bytes were searched before.
 fn find_blank_line(bytes: &[u8], scanned: usize) -> Option<usize> {
     let from = scanned.saturating_sub(1);
