entry: End a stream though its endpoint keeps the response open

What callers saw: a stream without its last event, for as long as the endpoint left the response open after that event, with no limit, not even the caller's deadline.

Cause: the last event is passed on once the receipt is durable, and before that the rest of the endpoint's response was read without a limit, only to know whether its connection can be reused.

Ruled out: a wait for the receipt or its holder; the instance is alone in the test, and the same stream with its end takes milliseconds.

The wait for the end now takes 100 ms at most.

Before, with the new test: "no complete response within 20s" (the limit of the test's client). After: the 5 tests of the file pass, in 1.8 s together.

--- a/crates/entry/src/answer/answer_stream.rs
+++ b/crates/entry/src/answer/answer_stream.rs
@@ -2,9 +2,12 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
+use futures_lite::FutureExt;
 use kernel::{Failure, Reason};
 use serde_json::{Value, json};
+use smol::Timer;
 use upstream::{Completion, Event, EventReader, UpstreamResponse, Usage};
 
 use crate::answer::billing::Billing;
@@ -20,6 +23,9 @@
 /// The last event of an answer.
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
+/// How long the end of the engine's response may take after its last event.
+const RESPONSE_END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The size from which no more text of an answer is collected for rating.
 const MAX_SAMPLE_BYTES: usize = 16 << 10;
 
@@ -208,9 +214,14 @@
             ..
         } = *self;
         // The connection can only be reused after the response was read to its end.
-        match events.next(&mut response).await {
-            Ok(None) => response.finish(),
-            _ => response.fail(),
+        let end = async { Some(events.next(&mut response).await) };
+        let expire = async {
+            Timer::after(RESPONSE_END_TIMEOUT).await;
+            None
+        };
+        match end.or(expire).await {
+            Some(Ok(None)) | None => response.finish(),
+            Some(Ok(Some(_)) | Err(_)) => response.fail(),
         }
         let counted = Usage {
             prompt_tokens: 0,
--- a/crates/entry/tests/broken_streams.rs
+++ b/crates/entry/tests/broken_streams.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use common::{Fleet, wait_until};
 use http_types::Method;
@@ -245,6 +246,25 @@
     }
 }
 
+#[test]
+fn stream_ends_though_the_endpoint_keeps_its_response_open() {
+    for framing in [Framing::Length, Framing::Chunked, Framing::Unframed] {
+        let endpoint = RawEndpoint::start(move |_, mut stream| {
+            let parts = encode(framing);
+            let end = if framing == Framing::Chunked { 1 } else { 0 };
+            for part in &parts[..parts.len() - end] {
+                let _ = stream.write_all(part.bytes.as_bytes());
+            }
+            let _ = stream.read(&mut [0; 1]);
+        });
+        let cluster = start_cluster(&[endpoint.addr]);
+        let start = Instant::now();
+        assert_eq!(events(&call(&cluster)), EVENTS, "{framing:?}");
+        let elapsed = start.elapsed();
+        assert!(elapsed < Duration::from_secs(3), "{framing:?}: {elapsed:?}");
+    }
+}
+
 /// Reads a streamed answer until the connection ends, and sends a signal to the instance once the
 /// first event arrived.
 fn read_while_signalled(signal: Signal) -> String {
