entry: Test buffered answers cut at every byte

So callers of a service got an empty 200, framed as whole, from an endpoint whose body had no framing. A completion was never cut there: an empty one is no JSON.

The file is renamed, since it holds more than streams.

--- a/crates/entry/tests/broken_streams.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -1,11 +1,11 @@
-//! Streams that break off, at the endpoint or with the instance that passes them on.
+//! Answers that break off, at the endpoint or with the instance that passes them on.
 
 mod common;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use common::{Fleet, wait_until};
@@ -28,6 +28,8 @@
     "data: [DONE]\n\n",
 ];
 
+const COMPLETION: &str = "{\"choices\":[{\"message\":{\"content\":\"a\"}}]}";
+
 /// The response of an endpoint to a second request.
 const SECOND: &str = "HTTP/1.1 500 Failed\r\ncontent-length: 13\r\n\r\nsecond failed";
 
@@ -45,19 +47,20 @@
     is_body: bool,
 }
 
-fn encode(framing: Framing) -> Vec<Part> {
+/// Encodes a response with a body of these pieces, each of which is a chunk if there are chunks.
+fn encode(framing: Framing, pieces: &[&str]) -> Vec<Part> {
     let part = |bytes: String, is_body| Part { bytes, is_body };
     let field = match framing {
-        Framing::Length => format!("content-length: {}\r\n", EVENTS.concat().len()),
+        Framing::Length => format!("content-length: {}\r\n", pieces.concat().len()),
         Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
         Framing::Unframed => String::new(),
     };
     let mut parts = vec![part(format!("{HEAD}{field}\r\n"), false)];
-    for event in EVENTS {
+    for piece in pieces {
         if framing == Framing::Chunked {
-            parts.push(part(format!("{:x}\r\n", event.len()), false));
+            parts.push(part(format!("{:x}\r\n", piece.len()), false));
         }
-        parts.push(part(event.to_owned(), true));
+        parts.push(part((*piece).to_owned(), true));
         if framing == Framing::Chunked {
             parts.push(part("\r\n".to_owned(), false));
         }
@@ -124,17 +127,23 @@
     true
 }
 
-/// Starts an instance whose small model runs at these endpoints only.
+/// Starts an instance that has these endpoints only for the small model and for the gate service,
+/// whose calls need no key here.
 fn start_cluster(endpoints: &[SocketAddr]) -> TestCluster {
     let cluster = TestCluster::start(Deployment::Shrestha, 1, 0).unwrap();
     let objects = &cluster.backends.state.objects;
-    let path = "config/spec/pool/runners-small";
-    let mut pool = objects.get(path).unwrap().value.unwrap();
     let rows = endpoints.iter().enumerate().map(|(index, addr)| {
         json!({ "name": format!("raw-{index}"), "addr": addr.to_string(), "zone": "thamel", "slots": 4 })
     });
-    pool["endpoints"] = rows.collect();
-    let revision = objects.put(path, pool, Precondition::Any).unwrap();
+    let rows: Value = rows.collect();
+    let mut revision = 0;
+    for pool in ["runners-small", "gate"] {
+        let path = format!("config/spec/pool/{pool}");
+        let mut value = objects.get(&path).unwrap().value.unwrap();
+        value["endpoints"] = rows.clone();
+        value["repeatable"] = true.into();
+        revision = objects.put(&path, value, Precondition::Any).unwrap();
+    }
     let addr = cluster.instances[0].http_addr();
     wait_until("the endpoints are in use", || {
         let get = HttpClient::default();
@@ -144,19 +153,22 @@
     cluster
 }
 
-fn stream_body(max_tokens: usize) -> Vec<u8> {
+fn chat_body(stream: bool, max_tokens: usize) -> Vec<u8> {
     let messages = [json!({ "role": "user", "content": "x" })];
     let body = json!({
-        "model": "visitor-s1", "stream": true, "max_tokens": max_tokens, "messages": messages,
+        "model": "visitor-s1", "stream": stream, "max_tokens": max_tokens, "messages": messages,
     });
     body.to_string().into_bytes()
 }
 
-fn call(cluster: &TestCluster) -> HttpResponse {
+fn call(cluster: &TestCluster, path: &str, body: Vec<u8>) -> HttpResponse {
     let addr = cluster.instances[0].http_addr();
     let client = HttpClient::default();
-    let call = client.call(addr, Method::Post, PATH, &[KEY], stream_body(1));
-    smol::block_on(call).unwrap()
+    smol::block_on(client.call(addr, Method::Post, path, &[KEY], body)).unwrap()
+}
+
+fn call_stream(cluster: &TestCluster) -> HttpResponse {
+    call(cluster, PATH, chat_body(true, 1))
 }
 
 /// Returns the events of a stream, with "error" in place of a report that it broke off.
@@ -176,7 +188,7 @@
 
 #[test]
 fn stream_cut_at_any_byte_never_ends_as_complete() {
-    let response = Arc::new(std::sync::Mutex::new(String::new()));
+    let response = Arc::new(Mutex::new(String::new()));
     let sent = response.clone();
     let endpoint = RawEndpoint::start(move |_, mut stream| {
         let _ = stream.write_all(sent.lock().unwrap().as_bytes());
@@ -184,7 +196,7 @@
     let cluster = start_cluster(&[endpoint.addr]);
     let mut wrong = Vec::new();
     for framing in [Framing::Length, Framing::Chunked, Framing::Unframed] {
-        let parts = encode(framing);
+        let parts = encode(framing, &EVENTS);
         let length: usize = parts.iter().map(|part| part.bytes.len()).sum();
         for cut in 0..=length {
             let (bytes, count) = cut_response(&parts, cut);
@@ -193,7 +205,7 @@
             if count < EVENTS.len() {
                 expected.push("error");
             }
-            let reply = call(&cluster);
+            let reply = call_stream(&cluster);
             let as_expected = match count {
                 0 => reply.status != 200 && reply.verdict == Some(Verdict::MayHaveRun),
                 _ => events(&reply) == expected,
@@ -210,6 +222,47 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+#[test]
+fn buffered_answer_cut_at_any_byte_is_never_passed_on_as_whole() {
+    let response = Arc::new(Mutex::new(String::new()));
+    let sent = response.clone();
+    let endpoint = RawEndpoint::start(move |_, mut stream| {
+        let _ = stream.write_all(sent.lock().unwrap().as_bytes());
+    });
+    let cluster = start_cluster(&[endpoint.addr]);
+    let service_body = json!({}).to_string().into_bytes();
+    // The path, the caller's request, and the answer.
+    let cases = [
+        (PATH, chat_body(false, 1), COMPLETION),
+        ("/v1/services/gate/clearance", service_body, "done"),
+    ];
+    let mut wrong = Vec::new();
+    for (path, request, answer) in cases {
+        for framing in [Framing::Length, Framing::Chunked, Framing::Unframed] {
+            let (first, second) = answer.split_at(answer.len() / 2);
+            let parts = encode(framing, &[first, second]);
+            let length: usize = parts.iter().map(|part| part.bytes.len()).sum();
+            for cut in 0..=length {
+                *response.lock().unwrap() = cut_response(&parts, cut).0;
+                let reply = call(&cluster, path, request.clone());
+                let is_whole = cut == length && framing != Framing::Unframed;
+                let as_expected = match is_whole {
+                    true => reply.status == 200 && reply.body == answer.as_bytes(),
+                    false => reply.status != 200 && reply.verdict == Some(Verdict::MayHaveRun),
+                };
+                if !as_expected {
+                    let text = String::from_utf8_lossy(&reply.body).into_owned();
+                    let status = reply.status;
+                    wrong.push(format!(
+                        "{path} {framing:?} {cut} of {length}: {status} {text:?}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
 #[test]
 fn nothing_but_its_events_gets_into_a_stream_that_broke_off() {
     // What follows the first event, inside the declared length of the body.
@@ -239,7 +292,7 @@
         };
         let endpoints = [start(), start()];
         let cluster = start_cluster(&endpoints.each_ref().map(|endpoint| endpoint.addr));
-        let reply = call(&cluster);
+        let reply = call_stream(&cluster);
         assert_eq!(events(&reply), [first, "error"], "{ending:?}");
         let sum: usize = endpoints.iter().map(RawEndpoint::requests).sum();
         assert_eq!(sum, 1, "{ending:?}: sent again after its first event");
@@ -250,7 +303,7 @@
 fn stream_ends_though_the_endpoint_keeps_its_response_open() {
     for framing in [Framing::Length, Framing::Chunked, Framing::Unframed] {
         let endpoint = RawEndpoint::start(move |_, mut stream| {
-            let parts = encode(framing);
+            let parts = encode(framing, &EVENTS);
             let end = if framing == Framing::Chunked { 1 } else { 0 };
             for part in &parts[..parts.len() - end] {
                 let _ = stream.write_all(part.bytes.as_bytes());
@@ -259,7 +312,7 @@
         });
         let cluster = start_cluster(&[endpoint.addr]);
         let start = Instant::now();
-        assert_eq!(events(&call(&cluster)), EVENTS, "{framing:?}");
+        assert_eq!(events(&call_stream(&cluster)), EVENTS, "{framing:?}");
         let elapsed = start.elapsed();
         assert!(elapsed < Duration::from_secs(3), "{framing:?}: {elapsed:?}");
     }
@@ -271,7 +324,7 @@
     let fleet = Fleet::start(Deployment::Shrestha, 1, 50);
     let mut stream = TcpStream::connect(fleet.entries[0].http_addr).unwrap();
     stream.set_read_timeout(Some(common::WAIT_TIMEOUT)).unwrap();
-    let body = stream_body(30);
+    let body = chat_body(true, 30);
     let (name, value) = KEY;
     let head = format!(
         "POST {PATH} HTTP/1.1\r\nhost: a\r\n{name}: {value}\r\ncontent-length: {}\r\n\r\n",
