serve: Check that no answer is discarded for a run that the budget refuses

A caller of a model without a named size got 502 instead of the small model's answer: while a fraction of a retry was left, used_share was below the limit for escalations, the answer in hand was dropped, and the retry was refused.

--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -101,6 +101,16 @@
     assert!(endpoint.head(0).contains("x-size: large\r\n"));
 }
 
+#[test]
+fn no_answer_is_discarded_for_a_larger_model_that_the_retry_budget_does_not_allow() {
+    let endpoint =
+        ScriptedEndpoint::start(vec![vec![stream_head(10), events(1..=2), stream_end()]]);
+    let route = route(RetrySafety::ResumableStream).model_sizes(&["small", "large"]);
+    let received = Harness::new(route, &[endpoint.addr], 0.5).send(&[("x-any-size", "1")]);
+    assert_eq!(received.status, 200);
+    assert_eq!(endpoint.request_count(), 1);
+}
+
 /// Guards against cutting off a stream whose endpoint pauses while no other endpoint can resume it.
 /// Found in scenario kiosk-grown, mix with seed 1019146630595.
 #[test]
