limits: Let instances with few requests save up one retry

What callers would see: an instance with few requests of a service, and less than one retry of the floor (a fleet larger than the floor, or no floor at all), never retried, as the credit that it might keep was below one retry.

The fix: whatever the window allows to keep, one retry that its requests have earned may be saved up.

What remains: small pools of credit run dry sooner than counts of a window did.

--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -194,15 +194,15 @@
         self.credit = self.credit.min(self.max_credit(now_ms, fleet));
     }
 
-    /// Returns how much credit may be saved up: what the requests in the window may leave behind, and
-    /// the credit of the floor.
+    /// Returns how much credit may be saved up: what the requests in the window may leave behind, the
+    /// credit of the floor, and in any case a retry that they have earned.
     fn max_credit(&self, now_ms: u64, fleet: Fleet) -> f64 {
-        let requests = self.window_counts().requests as f64;
-        let of_requests = requests * self.settings.ratio * (1.0 - EARNED_SHARE);
-        if !self.has_floor(now_ms, fleet) {
-            return of_requests;
+        let of_requests = self.window_counts().requests as f64 * self.settings.ratio;
+        let mut most = of_requests * (1.0 - EARNED_SHARE);
+        if self.has_floor(now_ms, fleet) {
+            most += self.floor_credit(fleet);
         }
-        of_requests + self.floor_credit(fleet)
+        most.max((of_requests * EARNED_SHARE).min(1.0))
     }
 
     fn expire(&mut self, now_ms: u64) {
--- a/crates/limits/tests/retry_fleet.rs
+++ b/crates/limits/tests/retry_fleet.rs
@@ -349,14 +349,18 @@
 const MEDIUM_PER_S: f64 = 21.0;
 const FAST_PER_S: f64 = 60.0;
 
-fn cases(requests_per_s: f64) -> Vec<Case> {
-    let case = |name| Case::new(name, 6, requests_per_s);
+/// A fleet so large that each instance has less than one retry of the floor.
+const LARGE_FLEET: usize = 79;
+const LARGE_FLEET_PER_S: f64 = 160.0;
+
+fn cases(instances: usize, requests_per_s: f64) -> Vec<Case> {
+    let case = |name| Case::new(name, instances, requests_per_s);
     let storm_ms = STORM_MS;
-    let mut growing = case("the fleet grows from two to six");
-    let mut shrinking = case("five of six end for good");
+    let mut growing = case("the fleet grows from two");
+    let mut shrinking = case("all but one end for good");
     let mut herd = case("all restart at once");
     let mut herds = case("all restart at once, twice");
-    for slot in 0..6 {
+    for slot in 0..instances {
         herd = herd.restart(storm_ms + 3_000, slot);
         herds = herds.restart(storm_ms + 3_000, slot);
         herds = herds.restart(storm_ms + 7_000, slot);
@@ -390,8 +394,14 @@
 #[test]
 fn restarted_and_parted_instances_do_not_multiply_the_retry_budget() {
     let mut failures = Vec::new();
-    for requests_per_s in [SLOW_PER_S, MEDIUM_PER_S, FAST_PER_S] {
-        for case in cases(requests_per_s) {
+    for (instances, requests_per_s) in [
+        (6, SLOW_PER_S),
+        (6, MEDIUM_PER_S),
+        (6, FAST_PER_S),
+        (LARGE_FLEET, MEDIUM_PER_S),
+        (LARGE_FLEET, LARGE_FLEET_PER_S),
+    ] {
+        for case in cases(instances, requests_per_s) {
             let mut worst = Window::default();
             let mut retries = 0;
             let mut requests = 0;
@@ -404,8 +414,10 @@
                 retries += fleet.retry_times_ms.len();
                 requests += fleet.request_times_ms.len();
             }
-            let name = case.name;
-            let line = format!("{name}, {requests_per_s} a second: {worst}");
+            let line = format!(
+                "{}, {} instances, {requests_per_s} a second: {worst}",
+                case.name, case.instances
+            );
             println!("{line}; in all {retries} retries of {requests} requests");
             if worst.excess() > 0.0 {
                 failures.push(line);
@@ -423,24 +435,28 @@
 
 #[test]
 fn a_steady_fleet_retries_the_requests_that_one_endpoint_of_three_fails() {
-    for requests_per_s in [SLOW_PER_S, MEDIUM_PER_S, FAST_PER_S] {
-        for instances in [1, 6] {
-            let case = Case::new("steady", instances, requests_per_s);
-            let case = case.failing(FAILING_THIRD).max_retries(MAX_RUN_RETRIES);
-            let mut refused = 0;
-            let mut requests = 0;
-            for seed in 0..SEEDS {
-                let fleet = Fleet::new(&case, seed).play();
-                refused += fleet.refused;
-                requests += fleet.request_times_ms.len();
-            }
-            let what = format!("{instances} instances, {requests_per_s} a second");
-            let share = refused as f64 / requests as f64;
-            assert!(
-                share <= MAX_REFUSED_SHARE,
-                "{what}: {refused} of {requests}"
-            );
+    for (instances, requests_per_s) in [
+        (1, SLOW_PER_S),
+        (1, FAST_PER_S),
+        (6, SLOW_PER_S),
+        (6, MEDIUM_PER_S),
+        (6, FAST_PER_S),
+    ] {
+        let case = Case::new("steady", instances, requests_per_s);
+        let case = case.failing(FAILING_THIRD).max_retries(MAX_RUN_RETRIES);
+        let mut refused = 0;
+        let mut requests = 0;
+        for seed in 0..SEEDS {
+            let fleet = Fleet::new(&case, seed).play();
+            refused += fleet.refused;
+            requests += fleet.request_times_ms.len();
         }
+        let what = format!("{instances} instances, {requests_per_s} a second");
+        let share = refused as f64 / requests as f64;
+        assert!(
+            share <= MAX_REFUSED_SHARE,
+            "{what}: {refused} of {requests}"
+        );
     }
 }
 
--- a/crates/limits/tests/windowed_retry.rs
+++ b/crates/limits/tests/windowed_retry.rs
@@ -82,3 +82,19 @@
         );
     }
 }
+
+#[test]
+fn a_service_with_few_requests_and_no_floor_can_save_up_one_retry() {
+    let settings = WindowedRetrySettings {
+        ratio: 0.2,
+        floor: 0.0,
+        window_ms: 10_000,
+    };
+    let mut budget = WindowedRetryBudget::new(settings, 0);
+    let mut acquired = 0;
+    for now_ms in (0..60_000).step_by(1_000) {
+        budget.record_request(now_ms);
+        acquired += usize::from(budget.try_acquire(now_ms, Fleet::known(6)));
+    }
+    assert!((6..=12).contains(&acquired), "{acquired} of 12");
+}
