--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -65,6 +65,12 @@
         self.framing
     }
 
+    /// Returns whether only the end of the connection ends the body, so that one that was cut short looks
+    /// complete.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
     /// Returns whether no byte of the body was decoded yet.
     pub fn is_empty(&self) -> bool {
         self.is_empty
