--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -135,10 +135,9 @@
         let mut most_left = self.max_credit(now_ms, fleet);
         let mut left = self.credit;
         if self.has_floor(now_ms, fleet) {
-            let floor = self.floor_part(fleet);
-            allowed += self.settings.floor / fleet.instances.max(1) as f64;
-            most_left += floor;
-            left += floor - counts.floor_retries as f64;
+            allowed += self.floor_part(fleet);
+            most_left += self.window_floor(fleet);
+            left += self.window_floor(fleet) - counts.floor_retries as f64;
         }
         let of_window = counts.retries as f64 / allowed;
         let of_burst = 1.0 - left / most_left;
@@ -151,7 +150,7 @@
             return Some(Source::Credit);
         }
         let counts = self.window_counts();
-        if counts.floor_retries as f64 + 1.0 > self.floor_part(fleet) {
+        if counts.floor_retries as f64 + 1.0 > self.window_floor(fleet) {
             return None;
         }
         if self.has_floor(now_ms, fleet) {
@@ -161,13 +160,19 @@
         (counts.retries as f64 + 1.0 <= earned).then_some(Source::EarnedFloor)
     }
 
-    /// Returns this instance's part of the floor, without what is kept as credit.
+    /// Returns this instance's part of the floor.
     fn floor_part(&self, fleet: Fleet) -> f64 {
-        self.settings.floor / fleet.instances.max(1) as f64 - self.floor_credit(fleet)
+        self.settings.floor / fleet.instances.max(1) as f64
     }
 
+    /// Returns what is kept as credit of this instance's part of the floor.
     fn floor_credit(&self, fleet: Fleet) -> f64 {
-        (self.settings.floor / fleet.instances.max(1) as f64).min(MAX_FLOOR_CREDIT)
+        self.floor_part(fleet).min(MAX_FLOOR_CREDIT)
+    }
+
+    /// Returns what is left of this instance's part of the floor for a window.
+    fn window_floor(&self, fleet: Fleet) -> f64 {
+        self.floor_part(fleet) - self.floor_credit(fleet)
     }
 
     /// Returns whether the floor may be used beyond what requests have earned.
@@ -185,6 +190,7 @@
         sum
     }
 
+    /// Grants the credit of the floor once it may be used, and drops old counts and excess credit.
     fn update(&mut self, now_ms: u64, fleet: Fleet) {
         self.expire(now_ms);
         if !self.has_floor_credit && self.has_floor(now_ms, fleet) {
