serve: Test what follows a stream that broke before its first event

An answer that is no stream of the request's events, and one without any event, may not begin the caller's stream.

--- a/crates/serve/tests/common/next_answers.rs
+++ b/crates/serve/tests/common/next_answers.rs
@@ -21,6 +21,13 @@
 
 /// Answers that say nothing of what follows the third event.
 pub fn unusable() -> Vec<NextAnswer> {
+    let mut answers = wrong_responses();
+    answers.extend(wrong_events());
+    answers
+}
+
+/// Answers that are no stream of the request's events, whatever follows their heads.
+pub fn wrong_responses() -> Vec<NextAnswer> {
     let rest = event_text(4..=5);
     let whole = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, &[&rest]).bytes;
     let whole = String::from_utf8(whole).unwrap();
@@ -55,6 +62,13 @@
         ok("no seal", &unsealed, &rest),
         ok("no stream of events but JSON", &json, &rest),
         ok("no stream of events but HTML", &html, &rest),
+    ]
+}
+
+/// Streams of events that do not follow the third one.
+fn wrong_events() -> Vec<NextAnswer> {
+    let rest = event_text(4..=5);
+    vec![
         ok("events from the first", SEALED_EVENTS, &event_text(1..=5)),
         ok(
             "events that start too early",
--- a/crates/serve/tests/resumed_answers.rs
+++ b/crates/serve/tests/resumed_answers.rs
@@ -10,7 +10,7 @@
     BodyEnd, CLOSES, Close, Responder, SEALED_EVENTS, WholeAnswer, event_text, pure_ids,
     resumed_stream,
 };
-use common::next_answers::{NextAnswer, empty, unusable};
+use common::next_answers::{NextAnswer, empty, unusable, wrong_responses};
 use common::{Harness, Received, route};
 use route::RetrySafety;
 
@@ -18,20 +18,34 @@
 const ALL_EVENTS: u64 = 5;
 const EVENTS_BEFORE_BREAK: u64 = 3;
 
-/// How the first stream breaks after its third event.
+/// How the first stream breaks.
+#[derive(Debug)]
 struct Break {
     close: Close,
-    partial: &'static str,
+    /// Events before the break, and whether a part of the next one arrives.
+    events: u64,
+    is_midway: bool,
 }
 
-fn breaks() -> Vec<Break> {
-    let with = |partial: &'static str| CLOSES.map(|close| Break { close, partial });
-    with("").into_iter().chain(with("id: 4\nda")).collect()
+fn breaks_after(events: u64) -> Vec<Break> {
+    let mut breaks = Vec::new();
+    for is_midway in [false, true] {
+        breaks.extend(CLOSES.map(|close| Break {
+            close,
+            events,
+            is_midway,
+        }));
+    }
+    breaks
 }
 
-fn broken_stream(partial: &str) -> Vec<u8> {
-    let events = event_text(1..=EVENTS_BEFORE_BREAK) + partial;
-    let whole = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, &[&events]).bytes;
+fn broken_stream(broken: &Break) -> Vec<u8> {
+    let mut events = event_text(1..=broken.events);
+    if broken.is_midway {
+        events += &format!("id: {}\nda", broken.events + 1);
+    }
+    let chunks: &[&str] = if events.is_empty() { &[] } else { &[&events] };
+    let whole = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, chunks).bytes;
     let last_chunk = b"0\r\n\r\n".len();
     whole[..whole.len() - last_chunk].to_vec()
 }
@@ -40,7 +54,7 @@
 /// and then with the rest of a stream of `last` events.
 fn send(case: &NextAnswer, broken: &Break, faulty_answers: usize, last: u64) -> Received {
     let first = Responder::start(|_| Vec::new());
-    first.set(&broken_stream(broken.partial), broken.close);
+    first.set(&broken_stream(broken), broken.close);
     let given: Arc<AtomicUsize> = Arc::default();
     let answering = || {
         let given = given.clone();
@@ -59,16 +73,19 @@
     Harness::new(route, &addrs, 10.0).send(&[])
 }
 
-/// Runs the cases for each break, and fails with a summary of those that are wrong.
-fn run(cases: &[NextAnswer], check: impl Fn(&NextAnswer, &Break) -> Result<(), String>) {
+/// Runs the cases for each break after this many events, and fails with a summary of those that are wrong.
+fn run(
+    cases: &[NextAnswer],
+    events: u64,
+    check: impl Fn(&NextAnswer, &Break) -> Result<(), String>,
+) {
     let mut faults = Vec::new();
     let mut count = 0;
     for case in cases {
-        for broken in breaks() {
+        for broken in breaks_after(events) {
             count += 1;
             if let Err(fault) = check(case, &broken) {
-                let Break { close, partial } = broken;
-                faults.push(format!("{}, {close:?}, {partial:?}: {fault}", case.name));
+                faults.push(format!("{}, {broken:?}: {fault}", case.name));
             }
         }
     }
@@ -94,7 +111,7 @@
 
 #[test]
 fn a_stream_goes_on_elsewhere_after_an_unusable_answer() {
-    run(&unusable(), |case, broken| {
+    run(&unusable(), EVENTS_BEFORE_BREAK, |case, broken| {
         let received = send(case, broken, 1, ALL_EVENTS);
         expect(&received, ALL_EVENTS, true)
     });
@@ -102,7 +119,7 @@
 
 #[test]
 fn a_stream_is_incomplete_after_unusable_answers_only() {
-    run(&unusable(), |case, broken| {
+    run(&unusable(), EVENTS_BEFORE_BREAK, |case, broken| {
         let received = send(case, broken, usize::MAX, ALL_EVENTS);
         expect(&received, EVENTS_BEFORE_BREAK, false)
     });
@@ -111,21 +128,36 @@
 /// Guards against a stream that ends as complete when the run that goes on with it brings no event.
 #[test]
 fn a_stream_that_broke_before_its_last_event_is_not_completed_by_an_empty_answer() {
-    run(&empty(), |case, broken| {
+    run(&empty(), EVENTS_BEFORE_BREAK, |case, broken| {
         let received = send(case, broken, 1, ALL_EVENTS);
         expect(&received, ALL_EVENTS, true)
     });
-    run(&empty(), |case, broken| {
+    run(&empty(), EVENTS_BEFORE_BREAK, |case, broken| {
         let received = send(case, broken, usize::MAX, ALL_EVENTS);
         expect(&received, EVENTS_BEFORE_BREAK, false)
     });
 }
 
+/// Guards against the text of another answer in a stream that broke before any event.
+#[test]
+fn a_stream_that_broke_before_its_first_event_begins_elsewhere() {
+    for cases in [wrong_responses(), empty()] {
+        run(&cases, 0, |case, broken| {
+            let received = send(case, broken, 1, ALL_EVENTS);
+            expect(&received, ALL_EVENTS, true)
+        });
+        run(&cases, 0, |case, broken| {
+            let received = send(case, broken, usize::MAX, ALL_EVENTS);
+            expect(&received, 0, false)
+        });
+    }
+}
+
 /// An empty answer may be true here, so that the caller may be told either; but it gets each event once.
 #[test]
 fn a_stream_that_broke_after_its_last_event_has_each_event_once() {
     for case in empty() {
-        for broken in breaks() {
+        for broken in breaks_after(EVENTS_BEFORE_BREAK) {
             let received = send(&case, &broken, 1, EVENTS_BEFORE_BREAK);
             let name = case.name;
             assert_eq!(received.status, 200, "{name}");
