relay: Test requests with a chunk without a size

Requests have the fault of responses that the check of chunk sizes mends: a body whose next size was lost was handled as whole. Without that check, a trial, the case fails: "a chunk without size: HTTP/1.1 200 OK" in place of 400.

--- a/crates/relay/tests/server.rs
+++ b/crates/relay/tests/server.rs
@@ -123,6 +123,7 @@
         ("head too large", format!("GET /{long} HTTP/1.1\r\nHost: a\r\n\r\n"), "431"),
         ("declared length too large", "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 17\r\n\r\n".to_owned(), "413"),
         ("chunked body too large", "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n12345678901234567\r\n0\r\n\r\n".to_owned(), "413"),
+        ("a chunk without size", "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n\r\n\r\n".to_owned(), "400"),
         ("too slow", "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab".to_owned(), "408"),
         ("valid", "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd".to_owned(), "200"),
     ];
