serve: Test that a stream goes on with any usable answer

A content type with a parameter, in another case or none, a length, chunks or neither: the first answer that goes on is taken, and no other is asked for. The test passes.

--- a/crates/serve/tests/common/next_answers.rs
+++ b/crates/serve/tests/common/next_answers.rs
@@ -108,6 +108,29 @@
     ]
 }
 
+/// Answers with the rest of the stream.
+pub fn usable() -> Vec<NextAnswer> {
+    let rest = event_text(4..=5);
+    let typed = |content_type: &str| format!("{SEALED}Content-Type: {content_type}\r\n");
+    let encoded = |name, body_end, pieces: &[&str]| {
+        let answer = WholeAnswer::new(SEALED_EVENTS, body_end, pieces).bytes;
+        NextAnswer { name, answer }
+    };
+    let (start, end) = rest.split_at(20);
+    vec![
+        ok("no content type", SEALED, &rest),
+        ok(
+            "a parameter",
+            &typed("text/event-stream; charset=utf-8"),
+            &rest,
+        ),
+        ok("another case", &typed("Text/Event-Stream"), &rest),
+        encoded("a length", BodyEnd::Length, &[&rest]),
+        encoded("no framing", BodyEnd::Connection, &[&rest]),
+        encoded("an event in two chunks", BodyEnd::Chunked, &[start, end]),
+    ]
+}
+
 /// Successes without any event: after the last event they tell the truth, before it they do not.
 pub fn empty() -> Vec<NextAnswer> {
     let chunked = format!("{SEALED_EVENTS}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
--- a/crates/serve/tests/resumed_answers.rs
+++ b/crates/serve/tests/resumed_answers.rs
@@ -10,7 +10,7 @@
     BodyEnd, CLOSES, Close, Responder, SEALED_EVENTS, WholeAnswer, event_text, pure_ids,
     resumed_stream,
 };
-use common::next_answers::{NextAnswer, empty, unusable, wrong_responses};
+use common::next_answers::{NextAnswer, empty, unusable, usable, wrong_responses};
 use common::{Harness, Received, route};
 use route::RetrySafety;
 
@@ -109,6 +109,15 @@
     ))
 }
 
+#[test]
+fn a_stream_goes_on_with_the_first_usable_answer() {
+    run(&usable(), EVENTS_BEFORE_BREAK, |case, broken| {
+        // A third run would bring no event.
+        let received = send(case, broken, 1, EVENTS_BEFORE_BREAK);
+        expect(&received, ALL_EVENTS, true)
+    });
+}
+
 #[test]
 fn a_stream_goes_on_elsewhere_after_an_unusable_answer() {
     run(&unusable(), EVENTS_BEFORE_BREAK, |case, broken| {
