--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -136,7 +136,7 @@
     /// Returns whether only the end of the connection ends the response body, so that one that was cut
     /// short looks complete.
     pub fn ends_with_connection(&self) -> bool {
-        self.framing() == Framing::UntilClose
+        self.body.ends_with_connection()
     }
 
     /// Returns whether no byte of the response body was received yet.
