--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Test harness: a pipeline over scripted endpoints on real sockets.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 pub mod carrier;
 pub mod clock;
@@ -8,12 +8,11 @@
 pub mod fleet;
 pub mod next_answers;
 pub mod outcomes;
+mod scripted;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -28,206 +27,10 @@
 };
 
 use clock::AgedClock;
-
-/// Size of the send buffer of an endpoint that writes without end.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
-
-/// What a scripted endpoint does on one connection.
-#[derive(Debug, Clone)]
-pub enum Step {
-    /// Writes text.
-    Write(String),
-    /// Writes text again and again until the connection is closed.
-    Endless(&'static str),
-    /// Sleeps for some milliseconds.
-    Sleep(u64),
-    /// Waits until the endpoint has received this many requests.
-    AwaitRequests(usize),
-    /// Closes the connection with a reset.
-    Reset,
-    /// Ends the endpoint as the kernel ends a process: its listener and then its connection are closed.
-    Exit,
-}
-
-/// A complete sealed response.
-pub fn answer(body: &str) -> Vec<Step> {
-    let length = body.len();
-    vec![Step::Write(format!(
-        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nContent-Length: {length}\r\n\r\n{body}"
-    ))]
-}
-
-/// An error response of an endpoint that ran the request.
-pub fn error_response() -> Vec<Step> {
-    let head = "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\nContent-Length: 4\r\n\r\noops";
-    vec![Step::Write(head.to_owned())]
-}
-
-/// A refusal of a request that was not started.
-pub fn refusal() -> Vec<Step> {
-    let head = "HTTP/1.1 503 Full\r\nx-not-started: 1\r\nContent-Length: 0\r\n\r\n";
-    vec![Step::Write(head.to_owned())]
-}
-
-/// The head of a stream with the confidence of the model.
-pub fn stream_head(confidence: u8) -> Step {
-    Step::Write(format!(
-        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s{confidence}\r\nx-confidence: {confidence}\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    ))
-}
-
-/// Events as one chunk.
-pub fn events(ids: std::ops::RangeInclusive<u64>) -> Step {
-    chunk(&events_text(ids))
-}
-
-fn events_text(ids: std::ops::RangeInclusive<u64>) -> String {
-    ids.map(|id| format!("id: {id}\ndata: x\n\n")).collect()
-}
-
-/// Text as one chunk.
-pub fn chunk(text: &str) -> Step {
-    Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
-}
-
-/// The head of a stream with neither length nor chunks.
-pub fn unframed_head() -> Step {
-    Step::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n".to_owned())
-}
-
-/// Events of a stream with neither length nor chunks.
-pub fn unframed_events(ids: std::ops::RangeInclusive<u64>) -> Step {
-    Step::Write(events_text(ids))
-}
-
-/// The end of a stream.
-pub fn stream_end() -> Step {
-    Step::Write("0\r\n\r\n".to_owned())
-}
-
-/// An endpoint that answers each connection by the next script, and further ones by the last.
-pub struct ScriptedEndpoint {
-    pub addr: SocketAddr,
-    pub heads: Arc<Mutex<Vec<String>>>,
-    /// Bytes of endless texts that were written.
-    pub endless_bytes: Arc<AtomicU64>,
-}
-
-impl ScriptedEndpoint {
-    pub fn start(scripts: Vec<Vec<Step>>) -> ScriptedEndpoint {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let heads: Arc<Mutex<Vec<String>>> = Arc::default();
-        let seen = heads.clone();
-        let endless_bytes: Arc<AtomicU64> = Arc::default();
-        let written = endless_bytes.clone();
-        let listener = Arc::new(listener);
-        std::thread::spawn(move || {
-            for (number, stream) in listener.incoming().enumerate() {
-                let Ok(stream) = stream else {
-                    return;
-                };
-                let script = scripts[number.min(scripts.len() - 1)].clone();
-                let seen = seen.clone();
-                let written = written.clone();
-                let listener = listener.clone();
-                std::thread::spawn(move || run_script(stream, script, &seen, &written, &listener));
-            }
-        });
-        ScriptedEndpoint {
-            addr,
-            heads,
-            endless_bytes,
-        }
-    }
-
-    /// Returns the number of requests received.
-    pub fn request_count(&self) -> usize {
-        self.heads.lock().unwrap().len()
-    }
-
-    /// Returns the head of a received request.
-    pub fn head(&self, index: usize) -> String {
-        self.heads.lock().unwrap()[index].clone()
-    }
-}
-
-/// Listens on a free port and serves each connection in a thread of its own.
-pub fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    let serve = Arc::new(serve);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    addr
-}
-
-/// Reads the head of a request, or returns `None` if the connection ends before.
-pub fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
-fn run_script(
-    mut stream: TcpStream,
-    script: Vec<Step>,
-    seen: &Mutex<Vec<String>>,
-    endless_bytes: &AtomicU64,
-    listener: &TcpListener,
-) {
-    let Some(head) = read_head(&mut stream) else {
-        return;
-    };
-    seen.lock().unwrap().push(head);
-    for step in script {
-        match step {
-            Step::Write(text) => {
-                if stream.write_all(text.as_bytes()).is_err() {
-                    return;
-                }
-            }
-            Step::Endless(text) => {
-                // What is written counts as read, so little may wait in the socket.
-                let socket = socket2::SockRef::from(&stream);
-                socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
-                let block = text.repeat((64 << 10) / text.len());
-                while stream.write_all(block.as_bytes()).is_ok() {
-                    endless_bytes.fetch_add(block.len() as u64, Ordering::Relaxed);
-                }
-                return;
-            }
-            Step::Sleep(ms) => std::thread::sleep(Duration::from_millis(ms)),
-            Step::AwaitRequests(count) => {
-                while seen.lock().unwrap().len() < count {
-                    std::thread::sleep(Duration::from_millis(1));
-                }
-            }
-            Step::Reset => {
-                let socket = socket2::SockRef::from(&stream);
-                socket.set_linger(Some(Duration::ZERO)).unwrap();
-                return;
-            }
-            Step::Exit => {
-                // On Linux this ends a pending accept, and further connections are refused.
-                let socket = socket2::SockRef::from(listener);
-                socket.shutdown(std::net::Shutdown::Both).unwrap();
-                return;
-            }
-        }
-    }
-}
+pub use scripted::{
+    ScriptedEndpoint, Step, answer, chunk, error_response, events, listen, read_head, refusal,
+    stream_end, stream_head, unframed_events, unframed_head,
+};
 
 /// Parses the numbers of prompt parts, separated by commas.
 fn parse_parts(text: &str) -> Vec<PromptPart> {
