--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -28,13 +28,6 @@
 /// Time in which a peer resumes a stream that stalled.
 const PEER_RESUME_TIME: Duration = Duration::from_millis(600);
 
-/// Time in which an endpoint tells whether a stream that ended with its connection goes on. Callers
-/// already have the events, and wait for the end alone.
-const CONFIRM_TIME: Duration = Duration::from_millis(600);
-
-/// Used share of the retry budget from which such an end is not confirmed, as retries come first.
-const MAX_USED_FOR_CONFIRMATION: f64 = 0.5;
-
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -57,9 +50,8 @@
     run_started: Instant,
     /// Earlier runs that brought events.
     earlier_runs: u32,
-    /// Whether the outcome of the current run was recorded for its version, and its end.
+    /// Whether the outcome of the current run was recorded for its version.
     is_recorded: bool,
-    is_end_recorded: bool,
     stall_timeout: Duration,
     /// Whether the current endpoint is waited for until the deadline, as no other can resume.
     waits_for_deadline: bool,
@@ -89,7 +81,6 @@
             run_started: Instant::now(),
             earlier_runs: 0,
             is_recorded,
-            is_end_recorded: false,
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
             waits_for_deadline: false,
             log,
@@ -108,10 +99,6 @@
                     invalid("the run that resumes brings no event".to_owned())
                 }
                 Ok(None) => {
-                    if let Some(event) = self.event_after_doubtful_end().await {
-                        self.record_event(&event);
-                        return Ok(Some(event.bytes));
-                    }
                     self.finish();
                     return Ok(None);
                 }
@@ -121,48 +108,6 @@
         }
     }
 
-    /// Asks for the rest of a stream that ended with its connection, and returns its first event. There is
-    /// none if the stream was complete, or if nobody tells in time.
-    async fn event_after_doubtful_end(&mut self) -> Option<Event> {
-        if !self.is_end_doubtful() {
-            return None;
-        }
-        self.record_end();
-        self.request.record_runs(Verdict::Ran, 1);
-        self.request.is_resumed = true;
-        let until = (Instant::now() + CONFIRM_TIME).min(self.request.deadline);
-        let last_id = self.last_id;
-        let next_event = async {
-            let why = "no run is left to confirm the end".to_owned();
-            self.start_next_run(why).await.map_err(invalid)?;
-            self.read_event().await
-        };
-        let next_event = timeout_at(until, next_event).await;
-        let (end, detail) = match &next_event {
-            Ok(Some(_)) => ("early", String::new()),
-            Ok(None) => ("confirmed", String::new()),
-            Err(err) => ("unconfirmed", err.to_string()),
-        };
-        tracing::info!(
-            id = &*self.request.info.id,
-            last_id,
-            end,
-            detail,
-            "stream: ended with its connection"
-        );
-        next_event.ok().flatten()
-    }
-
-    /// Returns whether a connection that was cut may have ended the stream, and a run may be spent on it.
-    fn is_end_doubtful(&self) -> bool {
-        let service = &self.request.service;
-        self.response.exchange.ends_with_connection()
-            && self.last_id.is_some()
-            && !self.has_unnumbered
-            && self.request.route.retry_safety.may_retry()
-            && self.context.retry_budget_used(service) < MAX_USED_FOR_CONFIRMATION
-    }
-
     fn record_event(&mut self, event: &Event) {
         if event.is_comment() {
             return;
@@ -323,7 +268,6 @@
         self.splitter.clear();
         self.earlier_runs += u32::from(self.events > 0);
         self.is_continuation = true;
-        self.is_end_recorded = false;
         self.events = 0;
         self.run_started = Instant::now();
     }
@@ -375,17 +319,6 @@
 
     fn finish(&mut self) {
         self.ended = true;
-        if self.events > 0 || !self.is_continuation {
-            self.record_end();
-        }
-        self.write_log(&Outcome::Answered(self.response.head.status));
-    }
-
-    /// Records that the current run ended well.
-    fn record_end(&mut self) {
-        if std::mem::replace(&mut self.is_end_recorded, true) {
-            return;
-        }
         self.record_version_outcome(true);
         self.record_event_latency();
         let now_ms = self.context.now_ms();
@@ -396,6 +329,7 @@
         if ended_by_itself {
             endpoint_state.record_completed(&self.request.key, now_ms);
         }
+        self.write_log(&Outcome::Answered(self.response.head.status));
     }
 
     fn write_log(&mut self, outcome: &Outcome) {
