serve: Have an endpoint keep the connection by which it is checked

The endpoint now has to keep the connection for 30 ms, which the end of an unframed answer takes longer. Cases of an endpoint behind a listener that accepts and closes failed before: [1, 2, 3] in place of 1 to 6, and (200, "half of") in place of 502.

Left open: an endpoint of several worker processes of which one is killed, a proxy that closes later, and a restart at the same address before the check.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -1,25 +1,29 @@
 //! Whether an answer that ended with its connection is complete.
 
 use std::io;
+use std::time::{Duration, Instant};
 
-use relay::Exchange;
+use relay::{Exchange, timeout_at};
 
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
 use crate::reach;
 use crate::request_context::RequestContext;
 
+/// How long an endpoint has to keep a new connection open. The backlog of a process that ends, or a proxy
+/// before it, may accept a connection and close it a moment later.
+const LIVENESS_TIME: Duration = Duration::from_millis(30);
+
 /// Checks that an answer with neither length nor chunks has a body, and that its endpoint outlived it.
 ///
-/// A head that was cut short may end with a blank line and without the field that frames its body.
-///
-/// The kernel closes the connections of a process that ends as if the process had closed them, so that
-/// an answer which it cuts short looks complete. It closes the listener of the process first.
+/// A head that was cut short may end with a blank line and without the field that frames its body. The
+/// kernel closes the connections of a process that ends as if the process had closed them, so that an
+/// answer which it cuts short looks complete. It accepts no further connection, or does not keep it.
 ///
 /// # Errors
 ///
-/// Fails with [`io::ErrorKind::UnexpectedEof`] if the body is empty, or the endpoint accepts no connection
-/// any more.
+/// Fails with [`io::ErrorKind::UnexpectedEof`] if the body is empty, or the endpoint accepts and keeps no
+/// connection any more.
 pub(crate) async fn check_end(
     context: &RequestContext,
     exchange: &Exchange,
@@ -30,12 +34,31 @@
         return Ok(());
     }
     if exchange.is_empty() {
-        let message = "the answer has neither a length nor a body";
-        return Err(io::Error::new(io::ErrorKind::UnexpectedEof, message));
+        return Err(truncated("the answer has neither a length nor a body"));
     }
-    let reached = reach::connect(context, endpoint, state).await;
-    reached.map_err(|err| {
-        let message = format!("the endpoint may have ended with its answer: {err}");
-        io::Error::new(io::ErrorKind::UnexpectedEof, message)
+    let alive = check_alive(context, endpoint, state).await;
+    alive.map_err(|err| {
+        truncated(&format!(
+            "the endpoint may have ended with its answer: {err}"
+        ))
     })
 }
+
+/// Checks that an endpoint accepts a connection and keeps it open.
+async fn check_alive(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+) -> io::Result<()> {
+    let mut socket = reach::connect(context, endpoint, state).await?;
+    match timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Err(err) if err.kind() == io::ErrorKind::TimedOut => Ok(()),
+        Err(err) => Err(err),
+    }
+}
+
+fn truncated(message: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::UnexpectedEof, message)
+}
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -134,7 +134,7 @@
     drop(connect(&context, &endpoint, &state).await);
 }
 
-/// Opens a connection to an endpoint without a request, and records whether it is in reach.
+/// Opens a connection to an endpoint without a request, records whether it is in reach, and returns it.
 ///
 /// # Errors
 ///
@@ -143,14 +143,14 @@
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-) -> io::Result<()> {
+) -> io::Result<Socket> {
     let opened_ms = context.now_ms();
     Counters::add(&context.counters.connections_for_probes);
     let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
     match Socket::connect(endpoint.addr, Instant::now() + timeout).await {
-        Ok(_) => {
+        Ok(socket) => {
             record_connected(endpoint, state, opened_ms);
-            Ok(())
+            Ok(socket)
         }
         Err(err) => {
             record_unreachable(endpoint, state, opened_ms, context.now_ms());
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -24,6 +24,9 @@
     Reset,
     /// Ends the endpoint as the kernel ends a process: its listener and then its connection are closed.
     Exit,
+    /// Ends an endpoint before which a backlog or a proxy still accepts connections, and closes them at
+    /// once.
+    ExitBehindListener,
 }
 
 /// A complete sealed response.
@@ -100,16 +103,23 @@
         let endless_bytes: Arc<AtomicU64> = Arc::default();
         let written = endless_bytes.clone();
         let listener = Arc::new(listener);
+        let has_exited: Arc<AtomicBool> = Arc::default();
         std::thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let Ok(stream) = stream else {
                     return;
                 };
+                if has_exited.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let script = scripts[number.min(scripts.len() - 1)].clone();
                 let seen = seen.clone();
                 let written = written.clone();
-                let listener = listener.clone();
-                std::thread::spawn(move || run_script(stream, script, &seen, &written, &listener));
+                let exit = Exit {
+                    listener: listener.clone(),
+                    has_exited: has_exited.clone(),
+                };
+                std::thread::spawn(move || run_script(stream, script, &seen, &written, &exit));
             }
         });
         ScriptedEndpoint {
@@ -157,12 +167,18 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
+/// How a script ends its endpoint.
+struct Exit {
+    listener: Arc<TcpListener>,
+    has_exited: Arc<AtomicBool>,
+}
+
 fn run_script(
     mut stream: TcpStream,
     script: Vec<Step>,
     seen: &Mutex<Vec<String>>,
     endless_bytes: &AtomicU64,
-    listener: &TcpListener,
+    exit: &Exit,
 ) {
     let Some(head) = read_head(&mut stream) else {
         return;
@@ -198,10 +214,14 @@
             }
             Step::Exit => {
                 // On Linux this ends a pending accept, and further connections are refused.
-                let socket = socket2::SockRef::from(listener);
+                let socket = socket2::SockRef::from(&*exit.listener);
                 socket.shutdown(std::net::Shutdown::Both).unwrap();
                 return;
             }
+            Step::ExitBehindListener => {
+                exit.has_exited.store(true, Ordering::SeqCst);
+                return;
+            }
         }
     }
 }
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -23,12 +23,30 @@
 /// Issue 46: the kernel closes the connections of a process that ends as if it had closed them itself.
 #[test]
 fn a_stream_whose_endpoint_ended_between_events_does_not_end_as_complete() {
-    let ends = [("lives", Step::Sleep(0)), ("ended", Step::Exit)];
+    let ends = [
+        ("lives", Step::Sleep(0)),
+        ("ended", Step::Exit),
+        ("ended behind a listener", Step::ExitBehindListener),
+    ];
     let cases = [
         (RetrySafety::ResumableStream, "lives", true, 1..=3, 0),
         (RetrySafety::ResumableStream, "ended", true, 1..=6, 1),
+        (
+            RetrySafety::ResumableStream,
+            "ended behind a listener",
+            true,
+            1..=6,
+            1,
+        ),
         (RetrySafety::NonIdempotentStream, "lives", true, 1..=3, 0),
         (RetrySafety::NonIdempotentStream, "ended", false, 1..=3, 0),
+        (
+            RetrySafety::NonIdempotentStream,
+            "ended behind a listener",
+            false,
+            1..=3,
+            0,
+        ),
     ];
     for (safety, end, is_complete, expected, sends) in cases {
         let name = format!("{safety:?}, {end}");
@@ -59,6 +77,12 @@
             0,
         ),
         (RetrySafety::NonIdempotent, Step::Exit, (502, ""), 0),
+        (
+            RetrySafety::NonIdempotent,
+            Step::ExitBehindListener,
+            (502, ""),
+            0,
+        ),
     ];
     for (safety, end, expected, sends) in cases {
         let name = format!("{safety:?}, {end:?}");
