serve: Take an endpoint that does not answer its check in time for undecided

A process that ended refuses or closes connections at once, so that silence says nothing; only those two count as its end now.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -18,12 +18,12 @@
 ///
 /// A head that was cut short may end with a blank line and without the field that frames its body. The
 /// kernel closes the connections of a process that ends as if the process had closed them, so that an
-/// answer which it cuts short looks complete. It accepts no further connection, or does not keep it.
+/// answer which it cuts short looks complete. It refuses further connections, or does not keep them.
 ///
 /// # Errors
 ///
-/// Fails with [`io::ErrorKind::UnexpectedEof`] if the body is empty, or the endpoint accepts and keeps no
-/// connection any more.
+/// Fails with [`io::ErrorKind::UnexpectedEof`] if the body is empty, or the endpoint refuses or closes a
+/// new connection.
 pub(crate) async fn check_end(
     context: &RequestContext,
     exchange: &Exchange,
@@ -44,14 +44,18 @@
     })
 }
 
-/// Checks that an endpoint accepts a connection and keeps it open.
+/// Checks that an endpoint neither refuses nor closes a connection. One that does not answer in time may
+/// be busy or cut off, and says nothing.
 async fn check_alive(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
 ) -> io::Result<()> {
-    let mut socket = reach::connect(context, endpoint, state).await?;
-    match timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await {
+    let kept = async {
+        let mut socket = reach::connect(context, endpoint, state).await?;
+        timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await
+    };
+    match kept.await {
         Ok(true) => Ok(()),
         Ok(false) => Err(io::ErrorKind::ConnectionAborted.into()),
         Err(err) if err.kind() == io::ErrorKind::TimedOut => Ok(()),
