--- a/crates/serve/tests/resumed_answers.rs
+++ b/crates/serve/tests/resumed_answers.rs
@@ -53,8 +53,25 @@
 /// Sends a request whose stream breaks, with endpoints that answer as the case says for this many times,
 /// and then with the rest of a stream of `last` events.
 fn send(case: &NextAnswer, broken: &Break, faulty_answers: usize, last: u64) -> Received {
+    send_after(
+        &broken_stream(broken),
+        broken.close,
+        case,
+        faulty_answers,
+        last,
+    )
+}
+
+/// Sends a request whose first answer is this one.
+fn send_after(
+    answer: &[u8],
+    close: Close,
+    case: &NextAnswer,
+    faulty_answers: usize,
+    last: u64,
+) -> Received {
     let first = Responder::start(|_| Vec::new());
-    first.set(&broken_stream(broken), broken.close);
+    first.set(answer, close);
     let given: Arc<AtomicUsize> = Arc::default();
     let answering = || {
         let given = given.clone();
@@ -174,3 +191,47 @@
         }
     }
 }
+
+/// Returns a stream that ends with its connection after its third event.
+fn stream_without_framing() -> Vec<u8> {
+    let events = event_text(1..=EVENTS_BEFORE_BREAK);
+    WholeAnswer::new(SEALED_EVENTS, BodyEnd::Connection, &[&events]).bytes
+}
+
+/// Nothing tells then whether there is more, so that the caller may be told either.
+#[test]
+fn a_stream_whose_end_is_doubtful_gets_nothing_of_an_unusable_answer() {
+    for case in unusable().iter().chain(&empty()) {
+        let first = stream_without_framing();
+        let received = send_after(&first, Close::Fin, case, usize::MAX, ALL_EVENTS);
+        let name = case.name;
+        assert_eq!(received.status, 200, "{name}");
+        assert_eq!(pure_ids(&received.body), [1, 2, 3], "{name}");
+    }
+}
+
+#[test]
+fn a_stream_whose_end_is_doubtful_goes_on_with_a_usable_answer() {
+    for case in usable() {
+        let first = stream_without_framing();
+        let received = send_after(&first, Close::Fin, &case, 1, EVENTS_BEFORE_BREAK);
+        assert_eq!(expect(&received, ALL_EVENTS, true), Ok(()), "{}", case.name);
+    }
+}
+
+/// Guards against a run that confirms that a stream goes on, breaks, and leaves it complete.
+#[test]
+fn a_stream_whose_end_was_early_breaks_like_any_other() {
+    for events in 4..=5 {
+        let fourth = event_text(4..=events);
+        let mut answer = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, &[&fourth]).bytes;
+        answer.truncate(answer.len() - b"0\r\n\r\n".len());
+        let name = "a part of the rest";
+        let case = NextAnswer { name, answer };
+        let first = stream_without_framing();
+        let resumed = send_after(&first, Close::Fin, &case, 1, 6);
+        assert_eq!(expect(&resumed, 6, true), Ok(()), "{events}");
+        let broken = send_after(&first, Close::Fin, &case, usize::MAX, 6);
+        assert_eq!(expect(&broken, events, false), Ok(()), "{events}");
+    }
+}
