--- a/crates/serve/tests/early_refusals.rs
+++ b/crates/serve/tests/early_refusals.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 use common::cuts::{BodyEnd, Responder, SEALED, WholeAnswer, event_text, resumed_stream};
@@ -13,8 +14,8 @@
 use futures_lite::future::zip;
 use route::RetrySafety;
 
-/// Time for which the instance does not run between the connect and its first write.
-const INSTANCE_PAUSE: Duration = Duration::from_millis(30);
+/// Longest time for which the instance does not run between the connect and its first write.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 /// Time that an endpoint waits for a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
@@ -41,20 +42,29 @@
 struct EarlyEndpoint {
     addr: SocketAddr,
     runs: Arc<AtomicUsize>,
+    /// Tells of each connection to which the bytes were written.
+    written: Receiver<()>,
 }
 
 impl EarlyEndpoint {
     fn start(early: &'static str) -> EarlyEndpoint {
         let runs: Arc<AtomicUsize> = Arc::default();
         let counted = runs.clone();
+        let (sender, written) = channel();
         let addr = listen(move |mut stream| {
             stream.write_all(early.as_bytes()).unwrap();
+            // Only the first connection is waited for.
+            let _ = sender.send(());
             stream.set_read_timeout(Some(REQUEST_TIMEOUT)).unwrap();
             if read_head(&mut stream).is_some() {
                 counted.fetch_add(1, Ordering::SeqCst);
             }
         });
-        EarlyEndpoint { addr, runs }
+        EarlyEndpoint {
+            addr,
+            runs,
+            written,
+        }
     }
 
     /// Returns the number of requests that were run, once none can follow.
@@ -64,10 +74,12 @@
     }
 }
 
-/// Sends a request while the early bytes arrive before it is written.
-fn send(retry_safety: RetrySafety, endpoints: &[SocketAddr]) -> Received {
-    let harness = Harness::new(route(retry_safety), endpoints, 10.0);
-    let pause = async { std::thread::sleep(INSTANCE_PAUSE) };
+/// Sends a request, to this endpoint first, that is written once the early bytes have arrived.
+fn send(retry_safety: RetrySafety, first: &EarlyEndpoint, others: &[SocketAddr]) -> Received {
+    let endpoints = [&[first.addr], others].concat();
+    let harness = Harness::new(route(retry_safety), &endpoints, 10.0);
+    // Runs once the connect has begun, and keeps the thread from what follows.
+    let pause = async { first.written.recv_timeout(MAX_PAUSE).unwrap() };
     let (received, ()) = async_io::block_on(zip(harness.send_async(&[]), pause));
     received
 }
@@ -84,7 +96,7 @@
                 RetrySafety::NonIdempotent => whole.clone(),
                 _ => resumed_stream(head, 3),
             });
-            let received = send(retry_safety, &[first.addr, second.addr]);
+            let received = send(retry_safety, &first, &[second.addr]);
             let runs = [first.runs(), second.take_heads().len()];
             let body = match retry_safety {
                 RetrySafety::NonIdempotent => "second".to_owned(),
@@ -107,7 +119,7 @@
     for retry_safety in RETRY_SAFETIES {
         for (name, early) in EARLY {
             let only = EarlyEndpoint::start(early);
-            let received = send(retry_safety, &[only.addr]);
+            let received = send(retry_safety, &only, &[]);
             let runs = only.runs();
             let is_told_not_run = received.verdict.as_deref() == Some("not-run");
             if runs > 1 || (runs == 1 && is_told_not_run) {
