--- a/crates/serve/tests/resumed_answers.rs
+++ b/crates/serve/tests/resumed_answers.rs
@@ -10,7 +10,7 @@
     BodyEnd, CLOSES, Close, Responder, SEALED_EVENTS, WholeAnswer, event_text, pure_ids,
     resumed_stream,
 };
-use common::next_answers::{NextAnswer, empty, unusable, usable, wrong_responses};
+use common::next_answers::{NextAnswer, cut_short, empty, unusable, usable, wrong_responses};
 use common::{Harness, Received, route};
 use route::RetrySafety;
 
@@ -53,8 +53,25 @@
 /// Sends a request whose stream breaks, with endpoints that answer as the case says for this many times,
 /// and then with the rest of a stream of `last` events.
 fn send(case: &NextAnswer, broken: &Break, faulty_answers: usize, last: u64) -> Received {
+    send_after(
+        &broken_stream(broken),
+        broken.close,
+        case,
+        faulty_answers,
+        last,
+    )
+}
+
+/// Sends a request whose first answer is this one.
+fn send_after(
+    answer: &[u8],
+    close: Close,
+    case: &NextAnswer,
+    faulty_answers: usize,
+    last: u64,
+) -> Received {
     let first = Responder::start(|_| Vec::new());
-    first.set(&broken_stream(broken), broken.close);
+    first.set(answer, close);
     let given: Arc<AtomicUsize> = Arc::default();
     let answering = || {
         let given = given.clone();
@@ -147,6 +164,25 @@
     });
 }
 
+/// A request under which two connections broke may be the cause, so that no third endpoint is asked.
+#[test]
+fn a_stream_that_broke_twice_goes_on_or_is_incomplete() {
+    let cases = [cut_short()];
+    run(&cases, EVENTS_BEFORE_BREAK, |case, broken| {
+        let received = send(case, broken, 1, ALL_EVENTS);
+        let went_on = expect(&received, ALL_EVENTS, true);
+        went_on.or_else(|_| expect(&received, EVENTS_BEFORE_BREAK, false))
+    });
+    run(&cases, EVENTS_BEFORE_BREAK, |case, broken| {
+        let received = send(case, broken, usize::MAX, ALL_EVENTS);
+        expect(&received, EVENTS_BEFORE_BREAK, false)
+    });
+    run(&cases, 0, |case, broken| {
+        let received = send(case, broken, usize::MAX, ALL_EVENTS);
+        expect(&received, 0, false)
+    });
+}
+
 /// Guards against the text of another answer in a stream that broke before any event.
 #[test]
 fn a_stream_that_broke_before_its_first_event_begins_elsewhere() {
@@ -165,7 +201,7 @@
 /// An empty answer may be true here, so that the caller may be told either; but it gets each event once.
 #[test]
 fn a_stream_that_broke_after_its_last_event_has_each_event_once() {
-    for case in empty() {
+    for case in empty().into_iter().chain([cut_short()]) {
         for broken in breaks_after(EVENTS_BEFORE_BREAK) {
             let received = send(&case, &broken, 1, EVENTS_BEFORE_BREAK);
             let name = case.name;
@@ -174,3 +210,21 @@
         }
     }
 }
+
+/// Returns a stream that ends with its connection after its third event.
+fn stream_without_framing() -> Vec<u8> {
+    let events = event_text(1..=EVENTS_BEFORE_BREAK);
+    WholeAnswer::new(SEALED_EVENTS, BodyEnd::Connection, &[&events]).bytes
+}
+
+/// Nothing tells then whether there is more, so that the caller may be told either.
+#[test]
+fn a_stream_whose_end_is_doubtful_gets_nothing_of_an_unusable_answer() {
+    for case in unusable().iter().chain(&empty()).chain(&[cut_short()]) {
+        let first = stream_without_framing();
+        let received = send_after(&first, Close::Fin, case, usize::MAX, ALL_EVENTS);
+        let name = case.name;
+        assert_eq!(received.status, 200, "{name}");
+        assert_eq!(pure_ids(&received.body), [1, 2, 3], "{name}");
+    }
+}
