--- a/crates/serve/tests/common/next_answers.rs
+++ b/crates/serve/tests/common/next_answers.rs
@@ -21,6 +21,13 @@
 
 /// Answers that say nothing of what follows the third event.
 pub fn unusable() -> Vec<NextAnswer> {
+    let mut answers = wrong_responses();
+    answers.extend(wrong_events());
+    answers
+}
+
+/// Answers that are no stream of the request's events, whatever follows their heads.
+pub fn wrong_responses() -> Vec<NextAnswer> {
     let rest = event_text(4..=5);
     let whole = WholeAnswer::new(SEALED_EVENTS, BodyEnd::Chunked, &[&rest]).bytes;
     let whole = String::from_utf8(whole).unwrap();
@@ -55,6 +62,13 @@
         ok("no seal", &unsealed, &rest),
         ok("no stream of events but JSON", &json, &rest),
         ok("no stream of events but HTML", &html, &rest),
+    ]
+}
+
+/// Streams of events that do not follow the third one.
+fn wrong_events() -> Vec<NextAnswer> {
+    let rest = event_text(4..=5);
+    vec![
         ok("events from the first", SEALED_EVENTS, &event_text(1..=5)),
         ok(
             "events that start too early",
@@ -94,6 +108,29 @@
     ]
 }
 
+/// Answers with the rest of the stream.
+pub fn usable() -> Vec<NextAnswer> {
+    let rest = event_text(4..=5);
+    let typed = |content_type: &str| format!("{SEALED}Content-Type: {content_type}\r\n");
+    let encoded = |name, body_end, pieces: &[&str]| {
+        let answer = WholeAnswer::new(SEALED_EVENTS, body_end, pieces).bytes;
+        NextAnswer { name, answer }
+    };
+    let (start, end) = rest.split_at(20);
+    vec![
+        ok("no content type", SEALED, &rest),
+        ok(
+            "a parameter",
+            &typed("text/event-stream; charset=utf-8"),
+            &rest,
+        ),
+        ok("another case", &typed("Text/Event-Stream"), &rest),
+        encoded("a length", BodyEnd::Length, &[&rest]),
+        encoded("no framing", BodyEnd::Connection, &[&rest]),
+        encoded("an event in two chunks", BodyEnd::Chunked, &[start, end]),
+    ]
+}
+
 /// Successes without any event: after the last event they tell the truth, before it they do not.
 pub fn empty() -> Vec<NextAnswer> {
     let chunked = format!("{SEALED_EVENTS}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
