web: Reset a stream that is not complete when its process ends

A response without a length now has a zero linger time until its end is written, and a connection with it is not shut down before it is dropped, which would send the FIN first.

--- a/crates/web/src/conn.rs
+++ b/crates/web/src/conn.rs
@@ -9,6 +9,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt};
+use socket2::SockRef;
 
 /// Maximum number of bytes read from the socket at once while a head is awaited.
 const READ_AHEAD_BYTES: usize = 2048;
@@ -166,8 +167,21 @@
         drain.or(expire).await;
     }
 
-    /// Closes both directions.
+    /// Makes the connection close with a reset, also when the process ends, so that the caller cannot
+    /// mistake a truncated response for a complete one; or regularly again.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
+        let options = SockRef::from(self.shared.stream.get_ref());
+        if let Err(err) = options.set_linger(resets.then_some(Duration::ZERO)) {
+            tracing::debug!(error = %err, "connection: how it closes was not set");
+        }
+    }
+
+    /// Closes both directions, unless the connection is to be reset when it is dropped.
     pub(crate) fn close(&self) {
+        let linger = SockRef::from(self.shared.stream.get_ref()).linger();
+        if linger.is_ok_and(|linger| linger == Some(Duration::ZERO)) {
+            return;
+        }
         drop(self.shared.stream.get_ref().shutdown(Shutdown::Both));
     }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -204,12 +204,19 @@
 
     /// Writes a response while its body is produced.
     async fn write(&self, response: Response, method: Method) -> http_types::Result<()> {
+        let is_stream = response.len().is_none();
         let mut encoder = Encoder::new(response, method);
         let mut conn = self.conn.clone();
         let mut chunk = [0; WRITE_CHUNK_BYTES];
+        if is_stream {
+            conn.set_reset_on_close(true);
+        }
         loop {
             let count = encoder.read(&mut chunk).await?;
             if count == 0 {
+                if is_stream {
+                    conn.set_reset_on_close(false);
+                }
                 return Ok(());
             }
             conn.write_all(&chunk[..count]).await?;
