serve: Record the answer of a peer until it is whole instead of for a while

a_non_idempotent_request_whose_answer_is_cut_at_the_peer_fails failed in one run of the whole crate at a load above 24: "panicked at crates/serve/tests/carried_answers.rs:116", as the recorded answer was empty. The test took 100 ms without bytes for its end. It now reads to the last chunk or the declared length, as resumed_by_peer.rs does. 8 of 8 runs of both files pass at a load of 32.

--- a/crates/serve/tests/carried_answers.rs
+++ b/crates/serve/tests/carried_answers.rs
@@ -2,12 +2,9 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use common::carrier::{Carrier, RefusingAddr, home};
+use common::carrier::{Carrier, RefusingAddr, ask, home};
 use common::cuts::{
     BodyEnd, Close, Responder, SEALED, WholeAnswer, event_text, resumed_stream, resumed_stream_with,
 };
@@ -22,9 +19,6 @@
     RetrySafety::NonIdempotentStream,
 ];
 
-/// Time without bytes after which a peer's answer is whole.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// A route whose requests may run once more at the peer and once more at another.
 fn carried_route(retry_safety: RetrySafety) -> Route {
     route(retry_safety).max_attempts(3)
@@ -74,17 +68,6 @@
     cut_at_endpoint(RetrySafety::NonIdempotentStream);
 }
 
-/// Reads until no more bytes come for a while.
-fn read_while_arriving(stream: &mut TcpStream) -> Vec<u8> {
-    stream.set_read_timeout(Some(SILENCE_TIMEOUT)).unwrap();
-    let mut bytes = Vec::new();
-    let mut block = [0; 1024];
-    while let Ok(count @ 1..) = stream.read(&mut block) {
-        bytes.extend_from_slice(&block[..count]);
-    }
-    bytes
-}
-
 /// Returns the answer of a real peer to the home of a request.
 fn record_carried_answer(retry_safety: RetrySafety) -> WholeAnswer {
     let whole = if retry_safety.is_stream() {
@@ -98,14 +81,13 @@
     let recording = recorded.clone();
     let peer_addr = carrier.addr;
     let recorder = Responder::start(move |head| {
-        let mut stream = TcpStream::connect(peer_addr).unwrap();
-        stream.write_all(head.as_bytes()).unwrap();
-        let bytes = read_while_arriving(&mut stream);
+        let bytes = ask(peer_addr, head);
         *recording.lock().unwrap() = bytes.clone();
         bytes
     });
     let route = carried_route(retry_safety);
     let received = carrier.send(&route, recorder.addr, &[endpoint.addr]);
+    assert_eq!(received.status, 200, "{received:?}");
     assert!(received.is_complete, "{received:?}");
     let bytes = recorded.lock().unwrap().clone();
     parse_answer(retry_safety, &bytes)
--- a/crates/serve/tests/common/carrier.rs
+++ b/crates/serve/tests/common/carrier.rs
@@ -2,7 +2,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -14,6 +15,7 @@
 use serve::{CarryHandler, PeerReach};
 use socket2::{Domain, Socket, Type};
 
+use super::cuts::number_after;
 use super::{Harness, Received};
 
 /// An address at which connections are refused.
@@ -126,3 +128,32 @@
         async_io::block_on(self.listener.executor.run(home.send_async(&[])))
     }
 }
+
+/// Returns whether an answer has its last chunk or its declared length.
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    match number_after(head, "Content-Length: ") {
+        Some(length) => body.len() as u64 == length,
+        None => body.ends_with("0\r\n\r\n"),
+    }
+}
+
+/// Returns the answer of a peer, as far as it comes.
+pub fn ask(peer_addr: SocketAddr, head: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(peer_addr).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    let mut block = [0; 1024];
+    loop {
+        if is_whole(&bytes) {
+            return bytes;
+        }
+        match stream.read(&mut block) {
+            Ok(count @ 1..) => bytes.extend_from_slice(&block[..count]),
+            _ => return bytes,
+        }
+    }
+}
--- a/crates/serve/tests/resumed_by_peer.rs
+++ b/crates/serve/tests/resumed_by_peer.rs
@@ -3,14 +3,10 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use common::carrier::Carrier;
-use common::cuts::{
-    BodyEnd, Responder, SEALED_EVENTS, WholeAnswer, event_text, number_after, resumed_stream,
-};
+use common::carrier::{Carrier, ask};
+use common::cuts::{BodyEnd, Responder, SEALED_EVENTS, WholeAnswer, event_text, resumed_stream};
 use common::next_answers::{NextAnswer, cut_short, empty, unusable};
 use common::route;
 use route::RetrySafety;
@@ -29,35 +25,6 @@
     bytes
 }
 
-/// Returns whether an answer has its last chunk or its declared length.
-fn is_whole(bytes: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(bytes);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return false;
-    };
-    match number_after(head, "Content-Length: ") {
-        Some(length) => body.len() as u64 == length,
-        None => body.ends_with("0\r\n\r\n"),
-    }
-}
-
-/// Returns the answer of a peer, as far as it comes.
-fn ask(peer_addr: SocketAddr, head: &str) -> Vec<u8> {
-    let mut stream = TcpStream::connect(peer_addr).unwrap();
-    stream.write_all(head.as_bytes()).unwrap();
-    let mut bytes = Vec::new();
-    let mut block = [0; 1024];
-    loop {
-        if is_whole(&bytes) {
-            return bytes;
-        }
-        match stream.read(&mut block) {
-            Ok(count @ 1..) => bytes.extend_from_slice(&block[..count]),
-            _ => return bytes,
-        }
-    }
-}
-
 /// Runs a stream that breaks after its third event, with a peer whose endpoints then answer this, and
 /// returns what is wrong.
 fn run(carrier: &Carrier, next: &[u8], last: u64, is_complete: bool) -> Result<(), String> {
