--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -7,6 +7,15 @@
 /// The resolution of the window.
 const SLICE_MS: u64 = 500;
 
+/// Part of the ratio that each request adds to the credit for retries. The rest of the ratio bounds
+/// the credit that earlier requests leave behind: a window may hold the retries of processes that
+/// spent such credit and ended, beside those of the processes that have their callers now.
+const EARNED_SHARE: f64 = 0.8;
+
+/// Part of the floor that is kept as credit, so that a service with few requests can save up the
+/// credit for one retry.
+const MAX_FLOOR_CREDIT: f64 = 1.0;
+
 /// Limits on the retries of one service, over all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowedRetrySettings {
@@ -18,15 +27,6 @@
     pub window_ms: u64,
 }
 
-/// Part of the ratio that each request adds to the credit for retries. The rest of the ratio bounds
-/// the credit that earlier requests leave behind: a window may hold the retries of processes that
-/// spent such credit and ended, beside those of the processes that have their callers now.
-const EARNED_SHARE: f64 = 0.8;
-
-/// Part of the floor that is kept as credit, so that a service with few requests can save up the
-/// credit for one retry.
-const MAX_FLOOR_CREDIT: f64 = 1.0;
-
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
     requests: u64,
