--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -133,9 +133,18 @@
         self.harness.send(&[("x-parts", parts)])
     }
 
+    /// Waits until the endpoints that have crashed are back.
+    fn await_restarts(&self) {
+        let is_down = |endpoint: &CrashingEndpoint| endpoint.log.lock().unwrap().is_down;
+        while self.endpoints.iter().any(is_down) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Sends a request once its endpoints are listed with their latest starts.
     fn send(&self, parts: &str) -> Received {
         std::thread::sleep(RESTART_TIME);
+        self.await_restarts();
         let starts: Vec<u64> = self
             .endpoints
             .iter()
