relay, web: Read response heads in one place

The client now calls relay's with its own limit on the size, and asks the reader for the framing. What is accepted and refused stays the same; the text for a head that is too large loses its article.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -71,7 +71,7 @@
             let message = [head, body].concat();
             send_request(&mut socket, &message).await?;
             for _ in 0..=MAX_INTERIM_RESPONSES {
-                let response = read_head(&mut socket).await?;
+                let response = read_head(&mut socket, MAX_HEAD_BYTES).await?;
                 if !matches!(response.status, 100..=199) {
                     return Ok(response);
                 }
@@ -162,7 +162,13 @@
     Ok(())
 }
 
-async fn read_head(socket: &mut Socket) -> io::Result<ResponseHead> {
+/// Reads the head of a response.
+///
+/// # Errors
+///
+/// Fails if the connection fails or closes before the end of the head, or the head is malformed or larger
+/// than `max_bytes`.
+pub async fn read_head(socket: &mut Socket, max_bytes: usize) -> io::Result<ResponseHead> {
     loop {
         let parsed = ResponseHead::parse(socket.buffered());
         let parsed = parsed.map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err))?;
@@ -170,10 +176,10 @@
             socket.consume(length);
             return Ok(head);
         }
-        if socket.buffered().len() > MAX_HEAD_BYTES {
+        if socket.buffered().len() > max_bytes {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
-                format!("response head exceeds {MAX_HEAD_BYTES} bytes"),
+                format!("response head exceeds {max_bytes} bytes"),
             ));
         }
         if !socket.fill().await? {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,7 @@
 mod socket;
 
 pub use body::{BodyReader, BodyStatus};
-pub use exchange::{Exchange, ExchangeError};
+pub use exchange::{Exchange, ExchangeError, read_head};
 pub use framing::{Framing, FramingError};
 pub use head::{HeadError, RequestHead, ResponseHead};
 pub use headers::{Header, Headers};
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -10,7 +10,7 @@
 use futures_lite::AsyncReadExt;
 use http_types::Request;
 use kernel::Verdict;
-use relay::{Framing, ResponseHead, Socket};
+use relay::{Framing, ResponseHead, Socket, read_head};
 
 use crate::pool::Pool;
 use crate::response::ClientResponse;
@@ -96,7 +96,7 @@
             message: format!("the connection to {addr} failed: {err}"),
         };
         write_all(&mut socket, &encoded).await.map_err(failed)?;
-        let head = read_head(&mut socket).await.map_err(failed)?;
+        let head = read_final_head(&mut socket).await.map_err(failed)?;
         let framing = Framing::of_response(method.as_ref(), &head);
         let framing = framing.map_err(|err| failed(invalid_data(err)))?;
         let pool = self.pool.clone();
@@ -129,24 +129,12 @@
 }
 
 /// Reads the head of a final response. Interim responses are not supported.
-async fn read_head(socket: &mut Socket) -> io::Result<ResponseHead> {
-    loop {
-        let parsed = ResponseHead::parse(socket.buffered()).map_err(invalid_data)?;
-        if let Some((head, length)) = parsed {
-            if matches!(head.status, 100..=199) {
-                return Err(invalid_data(format!("interim status {}", head.status)));
-            }
-            socket.consume(length);
-            return Ok(head);
-        }
-        if socket.buffered().len() > MAX_HEAD_BYTES {
-            let message = format!("the response head exceeds {MAX_HEAD_BYTES} bytes");
-            return Err(invalid_data(message));
-        }
-        if !socket.fill().await? {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
+async fn read_final_head(socket: &mut Socket) -> io::Result<ResponseHead> {
+    let head = read_head(socket, MAX_HEAD_BYTES).await?;
+    if matches!(head.status, 100..=199) {
+        return Err(invalid_data(format!("interim status {}", head.status)));
     }
+    Ok(head)
 }
 
 fn invalid_data(err: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -15,7 +15,6 @@
 /// A response whose body has not been read yet.
 pub struct ClientResponse {
     head: ResponseHead,
-    framing: Framing,
     body: BodyReader,
     /// Decoded bytes of the body that were not read yet.
     decoded: Bytes,
@@ -35,7 +34,6 @@
     ) -> ClientResponse {
         ClientResponse {
             head,
-            framing,
             body: BodyReader::new(framing),
             decoded: Bytes::new(),
             socket,
@@ -71,7 +69,7 @@
 
     /// Returns the declared length of the body, in bytes, or `None` if it has none.
     pub fn declared_bytes(&self) -> Option<u64> {
-        match self.framing {
+        match self.body.framing() {
             Framing::None => Some(0),
             Framing::Length(bytes) => Some(bytes),
             Framing::Chunked | Framing::UntilClose => None,
