limits, serve: Decide in one place where a request goes that meets a cut

The choice between endpoint, peer and refusal moves from serve to limits::next_hop without a change of what it decides, so that a fleet can be played without a network.

--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use kernel::{Failure, Reason, Verdict};
-use limits::{MIN_PROBE_INTERVAL_MS, RequestLoad};
+use limits::{Hops, MIN_PROBE_INTERVAL_MS, NextHop, RequestLoad};
 use relay::{Exchange, RequestHead};
 
 use crate::active_request::ActiveRequest;
@@ -15,18 +15,12 @@
 use crate::endpoint_protocol::{ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointState};
 use crate::outcome::Counters;
-use crate::peer_choice::{Peer, choose_peer};
+use crate::peer_choice::{Peer, list_carriers};
 use crate::peer_states::CarriedCall;
-use crate::reach::{Reach, reach};
+use crate::reach::reach;
 use crate::request_context::RequestContext;
 use crate::view::View;
 
-/// Endpoints that a request may not reach before a peer is asked.
-const MAX_UNREACHED: u32 = 2;
-
-/// Peers that may turn a request down.
-const MAX_PEERS: usize = 2;
-
 /// The peer makes the attempts that the timeout of an endpoint is for, and the hop adds to it.
 const PEER_TIMEOUT_FACTOR: u32 = 2;
 
@@ -41,27 +35,21 @@
         context: &RequestContext,
         view: &View,
     ) -> Result<Option<Peer>, Failure> {
-        let states = &context.endpoint_states;
         let reach = reach(self, view, context);
-        if reach == Reach::Some && self.unreached < MAX_UNREACHED {
-            return Ok(None);
-        }
-        let may_ask = self.carried.is_none() && self.peers_asked.len() < MAX_PEERS;
-        let peer = may_ask.then(|| {
-            let zone = &context.settings.zone;
-            choose_peer(
-                self,
-                view,
-                states,
-                &context.peer_states,
-                zone,
-                context.now_ms(),
-            )
-        });
-        match peer.flatten() {
-            Some(peer) => Ok(Some(peer)),
-            None if reach != Reach::None => Ok(None),
-            None => Err(self.out_of_reach_failure()),
+        let mut peers = Vec::new();
+        let carriers = || {
+            let (found, carriers) = list_carriers(self, view, context);
+            peers = found;
+            carriers
+        };
+        let hops = Hops {
+            is_carried: self.carried.is_some(),
+            unreached: self.unreached,
+        };
+        match limits::next_hop(reach, hops, carriers, &mut fastrand::Rng::new()) {
+            NextHop::Endpoint => Ok(None),
+            NextHop::Peer(index) => Ok(Some(peers.swap_remove(index))),
+            NextHop::Refuse => Err(self.out_of_reach_failure()),
         }
     }
 
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -1,14 +1,14 @@
-//! Choice of the peer that carries a request.
+//! The peers that may carry a request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use kernel::Incarnation;
+use limits::Carrier;
 use member::Member;
 
 use crate::active_request::ActiveRequest;
-use crate::endpoint_state::EndpointStates;
-use crate::peer_states::PeerStates;
+use crate::request_context::RequestContext;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
 
@@ -24,22 +24,15 @@
     pub(crate) addr: SocketAddr,
 }
 
-/// Chooses the peer to carry a request, or `None` if no peer is known to be able to.
-pub(crate) fn choose_peer(
+/// Returns the peers that may be able to carry a request, with what is known of each.
+pub(crate) fn list_carriers(
     request: &ActiveRequest,
     view: &View,
-    endpoint_states: &EndpointStates,
-    peer_states: &PeerStates,
-    zone: &str,
-    now_ms: u64,
-) -> Option<Peer> {
-    let pool = view.pools.get(&request.service)?;
-    let eligible = pool.eligible(request.session_unit());
-    let endpoints: Vec<u64> = eligible
-        .into_iter()
-        .map(|endpoint| endpoint_states.of(endpoint).shared_hash())
-        .collect();
-    let shared_loads = endpoint_states.shared_loads();
+    context: &RequestContext,
+) -> (Vec<Peer>, Vec<Carrier>) {
+    let now_ms = context.now_ms();
+    let endpoints = endpoint_hashes(request, view, context);
+    let shared_loads = context.endpoint_states.shared_loads();
     let may_reach = |peer: &Member| match shared_loads.peer_reach(peer.incarnation) {
         Some(reach) => {
             now_ms < reach.received_ms + MAX_REPORT_AGE_MS
@@ -50,30 +43,39 @@
         // In a larger fleet reports are summed up on their way.
         None => view.instance_count > MAX_DIRECT_INSTANCES,
     };
-    let mut candidates = Vec::new();
+    let mut peers = Vec::new();
+    let mut carriers = Vec::new();
     for member in view.members.iter() {
         let Ok(addr) = member.carry_addr.parse() else {
             continue;
         };
-        if Some(member.incarnation) == view.incarnation
-            || request.peers_asked.contains(&member.incarnation)
-            || peer_states.is_paused(member.incarnation, &request.service, now_ms)
-            || !may_reach(member)
-        {
+        let was_asked = request.peers_asked.contains(&member.incarnation);
+        if Some(member.incarnation) == view.incarnation || !(was_asked || may_reach(member)) {
             continue;
         }
-        let rank = (
-            &*member.zone != zone,
-            peer_states.in_flight(member.incarnation),
-            fastrand::u32(..),
-        );
-        let peer = Peer {
+        let states = &context.peer_states;
+        carriers.push(Carrier {
+            was_asked,
+            is_paused: states.is_paused(member.incarnation, &request.service, now_ms),
+            is_remote: *member.zone != *context.settings.zone,
+            in_flight: states.in_flight(member.incarnation),
+        });
+        peers.push(Peer {
             incarnation: member.incarnation,
             name: member.name.clone(),
             addr,
-        };
-        candidates.push((rank, peer));
+        });
+    }
+    (peers, carriers)
+}
+
+fn endpoint_hashes(request: &ActiveRequest, view: &View, context: &RequestContext) -> Vec<u64> {
+    let Some(pool) = view.pools.get(&request.service) else {
+        return Vec::new();
+    };
+    let mut hashes = Vec::new();
+    for endpoint in pool.eligible(request.session_unit()) {
+        hashes.push(context.endpoint_states.of(endpoint).shared_hash());
     }
-    let best = candidates.into_iter().min_by_key(|(rank, _)| *rank);
-    best.map(|(_, peer)| peer)
+    hashes
 }
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -7,7 +7,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use limits::Path;
+use limits::{Path, Reach};
 use relay::Socket;
 
 use crate::active_request::ActiveRequest;
@@ -21,17 +21,6 @@
 /// How often the states of endpoints are checked for those to probe.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What an instance reaches of the endpoints that could take a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reach {
-    /// Some, as far as it knows.
-    Some,
-    /// Several in a row were out of reach, and none in reach since.
-    Doubtful,
-    /// None.
-    None,
-}
-
 /// Returns what this instance reaches of the endpoints that could take a request.
 pub(crate) fn reach(request: &ActiveRequest, view: &View, context: &RequestContext) -> Reach {
     let Some(pool) = view.pools.get(&request.service) else {
