limits, serve, control: Carry requests only where endpoints are reached

Causes: above 16 instances peers were chosen without knowing what they reach, and an instance that is cut off from a large service does not find all of its endpoints out of reach, so that it took carried requests and tried endpoints until their attempts were used up.

Change: whether an instance reaches a service at all travels with the reports of loads, summed up by collectors like all else in them (LoadReport.cut_off, CutOff). Carriers in doubt turn requests down at once, those that learn of the cut after one connect timeout. Where neither the instance nor a peer reaches a service, nothing waits longer than for one connection.

Two tests of serve/tests/cut_off.rs fail if carriers in doubt try endpoints, or if the reports are not used. That all know of a cut and of its end within a second is tested over 3 and 18 instances.

Weighed: the member table (its news take over a second in a fleet of this size), leaving the directory (callers keep answers for seconds).

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -4,6 +4,7 @@
 //! It answers loads at which one instance's own requests say little about an endpoint: each report
 //! is as fresh as a few requests, and a lost one is replaced by the next.
 
+use std::collections::HashSet;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,10 +14,11 @@
 use kernel::Incarnation;
 use limits::CrashReport;
 use serve::LimitEntry;
-use wire::{Body, EndpointLimit, Envelope, LoadReport};
+use wire::{Body, CutOff, EndpointLimit, Envelope, LoadReport};
 
 use crate::convert::crash_to_wire;
 use crate::load_plan::{LoadPlan, Scope};
+use crate::peer_loads::CutOffInstances;
 use crate::state::Control;
 
 /// The largest report, in bytes.
@@ -82,6 +84,7 @@
         leaving: control.shared_loads.leaving(),
         out_of_reach: control.shared_loads.out_of_reach(),
         crashes: crashes(control, peer_loads.crashes(counts)),
+        cut_off: cut_off(control, peer_loads.cut_off(counts)),
         ..LoadReport::default()
     };
     for (endpoint, units) in sums {
@@ -116,6 +119,19 @@
     joined.iter().map(to_wire).collect()
 }
 
+/// Joins the services of which this instance reaches no endpoint with what peers report.
+fn cut_off(control: &Control, mut instances: CutOffInstances) -> Vec<CutOff> {
+    for service in control.shared_loads.cut_off() {
+        let cut_off = instances.entry(service).or_default();
+        cut_off.insert(control.incarnation);
+    }
+    let to_wire = |(service, instances): (u64, HashSet<Incarnation>)| CutOff {
+        service,
+        instances: instances.iter().map(|found| found.as_u64()).collect(),
+    };
+    instances.into_iter().map(to_wire).collect()
+}
+
 fn record_limits(control: &Control, limits: &[EndpointLimit], now_ms: u64) {
     for limit in limits {
         let entry = LimitEntry {
@@ -175,6 +191,9 @@
     peer_loads.expire(control.now_ms());
     control.shared_loads.set_peers(&peer_loads.sums(|_| true));
     control.shared_loads.set_peer_reach(peer_loads.reach());
+    control
+        .shared_loads
+        .set_peers_cut_off(peer_loads.cut_off(|_| true));
     let reached = peer_loads.reached_again(|_| true);
     let now_ms = control.now_ms();
     control.shared_loads.set_reached_by_peers(&reached, now_ms);
--- a/crates/control/src/peer_loads.rs
+++ b/crates/control/src/peer_loads.rs
@@ -12,6 +12,9 @@
 /// How long a report counts, in milliseconds: several intervals of the largest exchange.
 const REPORT_LIFETIME_MS: u64 = 600;
 
+/// The instances that reach no endpoint of a service, by the hash of its name.
+pub(crate) type CutOffInstances = HashMap<u64, HashSet<Incarnation>>;
+
 /// The latest report of one peer.
 #[derive(Debug)]
 struct PeerReport {
@@ -63,6 +66,23 @@
         reached
     }
 
+    /// Returns the instances that reach no endpoint of a service, by its hash, as the peers that `counts`
+    /// selects report them.
+    pub(crate) fn cut_off(&self, counts: impl Fn(Incarnation) -> bool) -> CutOffInstances {
+        let mut cut_off = CutOffInstances::new();
+        for (peer, report) in &self.reports {
+            if !counts(*peer) {
+                continue;
+            }
+            for entry in &report.loads.cut_off {
+                let instances = entry.instances.iter().copied();
+                let known = cut_off.entry(entry.service).or_default();
+                known.extend(instances.map(Incarnation::from_u64));
+            }
+        }
+        cut_off
+    }
+
     /// Returns what the peers that `counts` selects report on crashes.
     pub(crate) fn crashes(&self, counts: impl Fn(Incarnation) -> bool) -> Vec<CrashReport> {
         let mut crashes = Vec::new();
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -496,3 +496,38 @@
         }
     }
 }
+
+/// Issue 52, RECOVER: in a fleet of more than 16 nobody heard which instances were cut off.
+#[test]
+fn an_instance_that_is_cut_off_from_a_service_is_known_at_all_within_a_second() {
+    const KNOWN_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+    for instances in [3, 18] {
+        let store = MemoryStore::default();
+        let fleet = start_fleet(&store, instances, |number, settings| {
+            settings.zone(if number % 3 == 0 { "a" } else { "b" })
+        });
+        eventually("each sees the others", || {
+            fleet.iter().all(|instance| sees(instance, instances))
+        });
+        for is_cut_off in [true, false] {
+            let services = is_cut_off.then(|| serve::service_hash("app"));
+            fleet[1]
+                .shared_loads
+                .set_cut_off(services.into_iter().collect());
+            let began = std::time::Instant::now();
+            eventually("the others know", || {
+                let others = fleet.iter().enumerate().filter(|(index, _)| *index != 1);
+                let mut known = others.map(|(_, other)| other.shared_loads.peers_cut_off("app"));
+                known.all(|peers| peers.len() == usize::from(is_cut_off))
+            });
+            let elapsed = began.elapsed();
+            assert!(
+                elapsed < KNOWN_TIMEOUT,
+                "{instances} instances, {is_cut_off}: {elapsed:?}"
+            );
+        }
+        for instance in fleet {
+            instance.handle.shutdown();
+        }
+    }
+}
--- a/crates/limits/tests/cut_off_fleet.rs
+++ b/crates/limits/tests/cut_off_fleet.rs
@@ -31,6 +31,9 @@
 /// How long a failed connection keeps requests from the endpoint, and a refusal from a peer.
 const PAUSE_MS: u64 = 1_000;
 
+/// How long reports of instances take to arrive in a fleet of this size.
+const NEWS_MS: u64 = 400;
+
 /// The interval at which an instance plans its probes.
 const STEP_MS: u64 = 100;
 
@@ -83,6 +86,7 @@
     carrier: Option<usize>,
     handed_over_ms: u64,
     unreached: [u32; 2],
+    unreached_ms: [u64; 2],
     refusals: [u32; 2],
     peers_asked: Vec<usize>,
 }
@@ -95,6 +99,8 @@
     Unreached(Request, usize, u64),
     /// A connection without a request failed, by instance, service and endpoint.
     ProbeFailed(usize, usize, usize, u64),
+    /// All know of an instance whether it is cut off from a service.
+    News(usize, usize, bool),
 }
 
 /// What became of the requests of one second.
@@ -118,6 +124,8 @@
     events: BinaryHeap<Reverse<(u64, u64)>>,
     pending: std::collections::HashMap<u64, Event>,
     next_event: u64,
+    /// Instances that are known to be cut off, by service.
+    known_cut_off: [Vec<bool>; 2],
     random: fastrand::Rng,
     day: Day,
 }
@@ -152,6 +160,7 @@
             events: BinaryHeap::new(),
             pending: Default::default(),
             next_event: 0,
+            known_cut_off: [vec![false; INSTANCES], vec![false; INSTANCES]],
             random: fastrand::Rng::with_seed(seed),
             day: Day {
                 counts: [
@@ -178,9 +187,11 @@
     /// Returns the peers that may carry a request, as its home knows them.
     fn carriers(&self, request: &Request, now_ms: u64) -> (Vec<usize>, Vec<Carrier>) {
         let knowledge = &self.instances[request.home][request.service];
-        let peers: Vec<usize> = (0..INSTANCES).filter(|i| *i != request.home).collect();
+        let may_be_asked =
+            |peer: &usize| *peer != request.home && !request.peers_asked.contains(peer);
+        let peers: Vec<usize> = (0..INSTANCES).filter(may_be_asked).collect();
         let carriers = peers.iter().map(|peer| Carrier {
-            was_asked: request.peers_asked.contains(peer),
+            is_cut_off: self.known_cut_off[request.service][*peer],
             is_paused: now_ms < knowledge.peer_paused_until_ms[*peer],
             is_remote: zone(*peer) != zone(request.home),
             in_flight: 0,
@@ -194,12 +205,17 @@
         let side = usize::from(request.carrier.is_some());
         let is_over = now_ms >= request.sent_ms + TIME_BUDGET_MS;
         if is_over || request.refusals[side] >= MAX_REFUSALS {
+            // Unlike a lack of reach, this counts at the home.
+            request.refusals[0] += 1;
             self.turn_down(request, now_ms);
             return;
         }
         let hops = Hops {
             is_carried: request.carrier.is_some(),
+            peers_asked: request.peers_asked.len(),
             unreached: request.unreached[side],
+            unreached_ms: request.unreached_ms[side],
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
         };
         let reach = self.instances[holder][request.service].reach();
         let (peers, carriers) = self.carriers(&request, now_ms);
@@ -210,6 +226,7 @@
                 request.peers_asked.push(peers[index]);
                 request.handed_over_ms = now_ms + HOP_MS;
                 request.unreached[1] = 0;
+                request.unreached_ms[1] = 0;
                 request.refusals[1] = 0;
                 self.push(now_ms + HOP_MS, Event::Decide(request));
             }
@@ -280,7 +297,6 @@
         self.day.longest_held_ms = self.day.longest_held_ms.max(held_ms);
         let knowledge = &mut self.instances[request.home][request.service];
         knowledge.peer_paused_until_ms[peer] = now_ms + HOP_MS + PAUSE_MS;
-        request.refusals[0] += 1;
         self.push(now_ms + HOP_MS, Event::Decide(request));
     }
 
@@ -291,6 +307,7 @@
                 let holder = request.carrier.unwrap_or(request.home);
                 let side = usize::from(request.carrier.is_some());
                 request.unreached[side] += 1;
+                request.unreached_ms[side] += now_ms - opened_ms;
                 request.refusals[side] += 1;
                 self.record_failure(holder, request.service, endpoint, (opened_ms, now_ms));
                 self.decide(request, now_ms);
@@ -298,19 +315,28 @@
             Event::ProbeFailed(instance, service, endpoint, opened_ms) => {
                 self.record_failure(instance, service, endpoint, (opened_ms, now_ms));
             }
+            Event::News(instance, service, is_cut_off) => {
+                self.known_cut_off[service][instance] = is_cut_off;
+            }
         }
     }
 
     fn probe(&mut self, instance: usize, service: usize, now_ms: u64) {
         let knowledge = &mut self.instances[instance][service];
         let random = &mut self.random;
+        let was_cut_off = knowledge.probes.is_cut_off();
         let plan = knowledge
             .probes
             .plan(&knowledge.paths, INSTANCES, now_ms, random);
+        let is_cut_off = knowledge.probes.is_cut_off();
         for endpoint in plan.restore {
             knowledge.paths[endpoint].unreached_since_ms = None;
             knowledge.paused_until_ms[endpoint] = 0;
         }
+        if is_cut_off != was_cut_off {
+            let news = Event::News(instance, service, is_cut_off);
+            self.push(now_ms + NEWS_MS, news);
+        }
         for endpoint in plan.probe {
             self.instances[instance][service].paths[endpoint].probed_ms = Some(now_ms);
             self.day.probes += 1;
@@ -336,6 +362,7 @@
                     carrier: None,
                     handed_over_ms: 0,
                     unreached: [0; 2],
+                    unreached_ms: [0; 2],
                     refusals: [0; 2],
                     peers_asked: Vec::new(),
                 };
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -72,6 +72,8 @@
     pub(crate) refusals: u32,
     /// Endpoints to which no connection was established.
     pub(crate) unreached: u32,
+    /// Time that the attempts to connect to these took.
+    pub(crate) unreached_time: Duration,
     pub(crate) verdict: Verdict,
     /// Whom the request is carried for, if a peer handed it over.
     pub(crate) carried: Option<Carried>,
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -94,6 +94,7 @@
         repeats: RequestRepeats::new(&target.service, &context.late_repeats),
         refusals: 0,
         unreached: 0,
+        unreached_time: Duration::ZERO,
         carried,
         peers_asked: Vec::new(),
         carried_by: None,
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -44,7 +44,10 @@
         };
         let hops = Hops {
             is_carried: self.carried.is_some(),
+            peers_asked: self.peers_asked.len(),
             unreached: self.unreached,
+            unreached_ms: self.unreached_time.as_millis() as u64,
+            connect_timeout_ms: context.settings.connect_timeout_ms,
         };
         match limits::next_hop(reach, hops, carriers, &mut fastrand::Rng::new()) {
             NextHop::Endpoint => Ok(None),
@@ -60,7 +63,11 @@
             failure.retry_after_ms = of_peer.retry_after_ms;
             return failure;
         }
-        let detail = "neither this instance nor a peer reaches an endpoint of the service";
+        let detail = if self.carried.is_some() {
+            "this instance reaches no endpoint of the service in time"
+        } else {
+            "neither this instance nor a peer reaches an endpoint of the service"
+        };
         self.failure(Reason::NoEndpoint, detail)
             .retry_after_ms(self.retry_after_ms(MIN_PROBE_INTERVAL_MS))
     }
@@ -181,10 +188,11 @@
         failure: Failure,
         sent_at: Instant,
     ) {
-        if failure.verdict == Verdict::NotRun {
-            self.refusals += 1;
-        } else {
+        if failure.verdict != Verdict::NotRun {
             self.record_runs(failure.verdict, report.runs.max(1));
+        } else if failure.reason != Reason::NoEndpoint {
+            // A peer that reaches no endpoint says nothing of the load of those.
+            self.refusals += 1;
         }
         self.pause_peer(context, peer, &failure.to_string(), sent_at);
         self.peer_failure = Some(failure);
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -298,6 +298,7 @@
                 self.record_broken(context, &endpoint, &endpoint_state, &err.source);
                 self.refusals += 1;
                 self.unreached += 1;
+                self.unreached_time += sent_at.elapsed();
                 self.log_send(&endpoint, "unreached", &err.to_string(), sent_at);
                 return SendResult::Retry;
             }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -66,6 +66,8 @@
 pub use settings::Settings;
 pub use shared_crashes::SharedCrashes;
 pub use shared_limit::{LimitEntry, SharedLimits};
-pub use shared_load::{EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, PeerReach, SharedLoads};
+pub use shared_load::{
+    EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, PeerReach, SharedLoads, service_hash,
+};
 pub use version_counters::{CallOutcome, Measured, VersionCounters};
 pub use view::{Pool, RolloutStage, RolloutView, View};
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -24,7 +24,7 @@
     pub(crate) addr: SocketAddr,
 }
 
-/// Returns the peers that may be able to carry a request, with what is known of each.
+/// Returns the peers that were not asked yet to carry a request, with what is known of each.
 pub(crate) fn list_carriers(
     request: &ActiveRequest,
     view: &View,
@@ -43,19 +43,22 @@
         // In a larger fleet reports are summed up on their way.
         None => view.instance_count > MAX_DIRECT_INSTANCES,
     };
+    let cut_off = shared_loads.peers_cut_off(&request.service);
     let mut peers = Vec::new();
     let mut carriers = Vec::new();
     for member in view.members.iter() {
         let Ok(addr) = member.carry_addr.parse() else {
             continue;
         };
-        let was_asked = request.peers_asked.contains(&member.incarnation);
-        if Some(member.incarnation) == view.incarnation || !(was_asked || may_reach(member)) {
+        if Some(member.incarnation) == view.incarnation
+            || request.peers_asked.contains(&member.incarnation)
+            || !may_reach(member)
+        {
             continue;
         }
         let states = &context.peer_states;
         carriers.push(Carrier {
-            was_asked,
+            is_cut_off: cut_off.contains(&member.incarnation),
             is_paused: states.is_paused(member.incarnation, &request.service, now_ms),
             is_remote: *member.zone != *context.settings.zone,
             in_flight: states.in_flight(member.incarnation),
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -1,5 +1,6 @@
 //! Whether this instance reaches the endpoints of a service, and how it finds that it does again.
 
+use std::collections::HashSet;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use crate::endpoint_state::{EndpointState, EndpointStates};
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
+use crate::shared_load::service_hash;
 use crate::view::{Pool, View};
 
 /// How often the states of endpoints are checked for those to probe.
@@ -78,16 +80,24 @@
     let view = context.view();
     let states = &context.endpoint_states;
     let mut targets = Vec::new();
+    let mut cut_off = HashSet::new();
     for (service, pool) in &view.pools {
         let mut probes = context.reach_probes.borrow_mut();
         let probes = probes.entry(service.clone()).or_default();
         let paths = paths(pool, &view, states);
+        let was_cut_off = probes.is_cut_off();
         let plan = probes.plan(
             &paths,
             view.instance_count,
             now_ms,
             &mut fastrand::Rng::new(),
         );
+        if probes.is_cut_off() {
+            cut_off.insert(service_hash(service));
+        }
+        if probes.is_cut_off() != was_cut_off {
+            log_cut(context, service, probes.is_cut_off());
+        }
         for index in plan.restore {
             let endpoint = &pool.endpoints[index];
             states.of(endpoint).restore();
@@ -113,9 +123,17 @@
             );
         }
     }
+    states.shared_loads().set_cut_off(cut_off);
     targets
 }
 
+/// Logs that a cut from all endpoints of a service began or ended, with the peers in the same state.
+fn log_cut(context: &RequestContext, service: &str, is_cut_off: bool) {
+    let shared_loads = context.endpoint_states.shared_loads();
+    let peers_cut_off = shared_loads.peers_cut_off(service).len();
+    tracing::info!(service, is_cut_off, peers_cut_off, "endpoint: cut off");
+}
+
 async fn probe_one(context: Rc<RequestContext>, target: Target) {
     let Target { endpoint, state } = target;
     state.set_probed_ms(context.now_ms());
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::shared_crashes::SharedCrashes;
 use kernel::Incarnation;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::shared_crashes::SharedCrashes;
 use crate::shared_limit::SharedLimits;
 
 /// Largest number of instances that report their loads to all others. Those that the instances of a
@@ -116,6 +117,15 @@
     limits: SharedLimits,
     crashes: Arc<SharedCrashes>,
     peer_reach: Mutex<HashMap<Incarnation, PeerReach>>,
+    /// Hashes of the services of which this instance reaches no endpoint.
+    cut_off: Mutex<HashSet<u64>>,
+    /// Peers that reach no endpoint of a service, by its hash.
+    peers_cut_off: Mutex<HashMap<u64, HashSet<Incarnation>>>,
+}
+
+/// Returns the hash of a service's name, which is the same on all instances.
+pub fn service_hash(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
 }
 
 impl SharedLoads {
@@ -193,9 +203,33 @@
         self.lock_reach().get(&peer).cloned()
     }
 
+    /// Returns the hashes of the services of which this instance reaches no endpoint, for reports to other
+    /// instances.
+    pub fn cut_off(&self) -> HashSet<u64> {
+        lock(&self.cut_off).clone()
+    }
+
+    /// Replaces the services of which this instance reaches no endpoint.
+    pub fn set_cut_off(&self, services: HashSet<u64>) {
+        *lock(&self.cut_off) = services;
+    }
+
+    /// Replaces the peers that report that they reach no endpoint of a service, by its hash.
+    pub fn set_peers_cut_off(&self, peers: HashMap<u64, HashSet<Incarnation>>) {
+        *lock(&self.peers_cut_off) = peers;
+    }
+
+    /// Returns the peers that report that they reach no endpoint of a service.
+    pub fn peers_cut_off(&self, service: &str) -> HashSet<Incarnation> {
+        let peers = lock(&self.peers_cut_off);
+        peers
+            .get(&service_hash(service))
+            .cloned()
+            .unwrap_or_default()
+    }
+
     fn lock_reach(&self) -> MutexGuard<'_, HashMap<Incarnation, PeerReach>> {
-        let reach = self.peer_reach.lock();
-        reach.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.peer_reach)
     }
 
     /// Returns the load of the endpoint with this hash, which is created if there is none yet.
@@ -219,8 +253,10 @@
     }
 
     fn loads(&self) -> MutexGuard<'_, HashMap<u64, Arc<EndpointLoad>>> {
-        self.by_endpoint
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.by_endpoint)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/serve/tests/common/fleet.rs
+++ b/crates/serve/tests/common/fleet.rs
@@ -1,6 +1,6 @@
 //! Several instances over the same endpoints.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -89,6 +89,25 @@
         }
     }
 
+    /// Tells each instance which others are cut off from services.
+    pub fn exchange_cuts(&self) {
+        for receiver in &self.instances {
+            let mut cut_off: HashMap<u64, HashSet<Incarnation>> = HashMap::new();
+            for (sender, member) in self.instances.iter().zip(&self.members) {
+                if std::ptr::eq(sender, receiver) {
+                    continue;
+                }
+                for service in sender.pipeline.shared_loads().cut_off() {
+                    cut_off
+                        .entry(service)
+                        .or_default()
+                        .insert(member.incarnation);
+                }
+            }
+            receiver.pipeline.shared_loads().set_peers_cut_off(cut_off);
+        }
+    }
+
     /// Tells each instance the loads of the others.
     pub fn exchange_loads(&self) {
         for receiver in &self.instances {
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -325,3 +325,82 @@
     assert_eq!(received.status, 502);
     assert_eq!(received.verdict.as_deref(), Some("may-have-run"));
 }
+
+/// Endpoints of a service of which an instance that is cut off finds only some out of reach.
+const LARGE_SERVICE: usize = 64;
+
+/// Requests after which an instance doubts that it reaches any endpoint: eight fail in a row.
+const DOUBT_REQUESTS: usize = 6;
+
+/// Starts instances that are cut off from a large service, and last one that reaches it.
+fn fleet_cut_off_from_large_service(
+    cut_off_instances: usize,
+    endpoint: SocketAddr,
+) -> (Fleet, Vec<CutAddr>) {
+    let cut_off: Vec<CutAddr> = (0..LARGE_SERVICE)
+        .map(|_| CutAddr::new(Cut::Refuse))
+        .collect();
+    let unreached: Vec<SocketAddr> = cut_off.iter().map(|found| found.addr).collect();
+    let mut addrs = vec![unreached; cut_off_instances];
+    addrs.push(vec![endpoint; LARGE_SERVICE]);
+    let fleet = Fleet::new(&route(RetrySafety::Idempotent), &addrs);
+    (fleet, cut_off)
+}
+
+fn is_cut_off(fleet: &Fleet, instance: usize) -> bool {
+    let loads = fleet.instances[instance].pipeline.shared_loads();
+    !loads.cut_off().is_empty()
+}
+
+/// Issue 52, RECOVER: carriers that were cut off themselves held a request for 600 ms.
+#[test]
+fn an_instance_cut_off_from_a_large_service_turns_carried_requests_down_untried() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    let (mut fleet, _cut_off) = fleet_cut_off_from_large_service(2, endpoint.addr);
+    // The peer that is cut off as well is asked first.
+    fleet.members[2].zone = "there".into();
+    fleet.publish_members();
+    for instance in [0, 1] {
+        for _ in 0..DOUBT_REQUESTS {
+            fleet.send(instance, "/x/1");
+        }
+    }
+    // Refusals of before are forgotten by then.
+    fleet.run_for(Duration::from_millis(1_100));
+    assert!(is_cut_off(&fleet, 0) && is_cut_off(&fleet, 1));
+    assert!(!is_cut_off(&fleet, 2));
+    let tried = |instance: usize| {
+        let counters = fleet.instances[instance].pipeline.counters();
+        counters.connections_for_requests.load(Ordering::SeqCst)
+    };
+    let before = tried(0) + tried(1);
+    for number in 0..20 {
+        assert_eq!(fleet.send(0, "/x/1").status, 200, "request {number}");
+    }
+    assert_eq!(tried(0) + tried(1), before, "an endpoint was tried in vain");
+}
+
+/// Issue 52, RECOVER: half of the peers that were asked were cut off themselves.
+#[test]
+fn peers_that_report_to_be_cut_off_are_not_asked() {
+    let endpoint = ScriptedEndpoint::start(vec![answer("a")]);
+    let (fleet, _cut_off) = fleet_cut_off_from_large_service(6, endpoint.addr);
+    for instance in 0..6 {
+        for _ in 0..DOUBT_REQUESTS {
+            fleet.send(instance, "/x/1");
+        }
+    }
+    // Refusals of before are forgotten by then.
+    fleet.run_for(Duration::from_millis(1_100));
+    fleet.exchange_cuts();
+    let carried = |instance: usize| {
+        let counters = fleet.instances[instance].pipeline.counters();
+        counters.carried.load(Ordering::SeqCst)
+    };
+    let before: u64 = (0..6).map(carried).sum();
+    for number in 0..20 {
+        assert_eq!(fleet.send(0, "/x/1").status, 200, "request {number}");
+    }
+    let after: u64 = (0..6).map(carried).sum();
+    assert_eq!(after, before);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -322,6 +322,20 @@
     /// Hashes of the endpoints that were out of reach and to which a connection was established lately.
     #[prost(fixed64, repeated, tag = "7")]
     pub reached_again: Vec<u64>,
+    /// Instances that reach no endpoint of a service: the sender, and those whose reports it sums up.
+    #[prost(message, repeated, tag = "8")]
+    pub cut_off: Vec<CutOff>,
+}
+
+/// Instances that reach no endpoint of a service.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct CutOff {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Incarnations of the instances.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub instances: Vec<u64>,
 }
 
 /// What an instance saw of a request or prompt part under which endpoints ended.
