limits: Leave room for repeats that processes left waiting when they ended

Cause: a retry that waits at a paused endpoint is known to the process that sent it alone. Processes that ended have forgotten theirs, and their successors earned at the full rate, so that both arrive in one window.

Change: in its first window a process earns 0.3 of the ratio for each request, not 0.8; only the requests of the present window count for its bound; and while retries arrive late, a fifth of the ratio is left for those of others.

Ruled out before: the same pauses without kills, pauses of over a window, pauses in series. Weighed: reports of waiting repeats to peers (lost if all end), no repeats to silent endpoints (one that is back but got no request since would be left out).

--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -12,6 +12,10 @@
 /// spent such credit and ended, beside those of the processes that have their callers now.
 const EARNED_SHARE: f64 = 0.8;
 
+/// The same part for a process in its first window. What the one before it sent in vain may still wait at
+/// endpoints that are paused, and arrive beside its own.
+const FIRST_EARNED_SHARE: f64 = 0.3;
+
 /// Part of the floor that is kept as credit, so that a service with few requests can save up the
 /// credit for one retry.
 const MAX_FLOOR_CREDIT: f64 = 1.0;
@@ -31,6 +35,8 @@
 struct Counts {
     requests: u64,
     retries: u64,
+    /// The retries that arrive later than they were sent.
+    late_retries: u64,
     /// The retries that the floor paid for.
     floor_retries: u64,
 }
@@ -106,7 +112,7 @@
     pub fn record_request(&mut self, now_ms: u64) {
         self.expire(now_ms);
         self.counts_at(now_ms).requests += 1;
-        self.credit += self.settings.ratio * EARNED_SHARE;
+        self.credit += self.settings.ratio * self.earned_share(now_ms);
     }
 
     /// Consumes one retry, or returns `false` if this instance's part of the budget is used up.
@@ -148,7 +154,9 @@
     pub fn record_arrival(&mut self, now_ms: u64) {
         self.late = self.late.saturating_sub(1);
         self.expire(now_ms);
-        self.counts_at(now_ms).retries += 1;
+        let counts = self.counts_at(now_ms);
+        counts.retries += 1;
+        counts.late_retries += 1;
     }
 
     /// Returns the used part of the budget, from 0 to 1; it is 1 while no retry is allowed.
@@ -176,7 +184,7 @@
     /// Returns what pays for the next retry, or `None` if nothing does.
     fn source(&self, now_ms: u64, fleet: Fleet) -> Option<Source> {
         let counts = self.window_counts(now_ms);
-        if counts.retries as f64 + 1.0 > self.most_in_window(now_ms, fleet) {
+        if counts.retries as f64 + 1.0 > self.most_in_window(counts, now_ms, fleet) {
             return None;
         }
         if self.credit >= 1.0 {
@@ -188,7 +196,7 @@
         if self.has_floor(now_ms, fleet) {
             return Some(Source::Floor);
         }
-        let earned = counts.requests as f64 * self.settings.ratio * EARNED_SHARE;
+        let earned = counts.requests as f64 * self.settings.ratio * self.earned_share(now_ms);
         (counts.retries as f64 + 1.0 <= earned).then_some(Source::EarnedFloor)
     }
 
@@ -209,19 +217,33 @@
 
     /// Returns whether the floor may be used beyond what requests have earned.
     fn has_floor(&self, now_ms: u64, fleet: Fleet) -> bool {
-        fleet.is_known && now_ms >= self.started_ms + self.settings.window_ms
+        fleet.is_known && !self.is_in_first_window(now_ms)
+    }
+
+    fn is_in_first_window(&self, now_ms: u64) -> bool {
+        now_ms < self.started_ms + self.settings.window_ms
     }
 
-    /// Returns how many retries may arrive in a window. Its requests, those of the window before it and
-    /// those of half a window before it count, whichever are most.
-    fn most_in_window(&self, now_ms: u64, fleet: Fleet) -> f64 {
-        let window_ms = self.settings.window_ms;
-        let mut requests = 0;
-        for before_ms in [0, window_ms / 2, window_ms] {
-            let until_ms = (now_ms + 1).saturating_sub(before_ms);
-            requests = requests.max(self.requests_until(until_ms));
+    /// Returns the part of the ratio that a request adds to the credit.
+    fn earned_share(&self, now_ms: u64) -> f64 {
+        if self.is_in_first_window(now_ms) {
+            FIRST_EARNED_SHARE
+        } else {
+            EARNED_SHARE
         }
-        let mut most = requests as f64 * self.settings.ratio;
+    }
+
+    /// Returns how many retries may arrive in a window. Only its own requests count: the sum over many
+    /// instances of what each had in its best of several windows is more than all had in any of them.
+    /// Beside late retries of this process, those of processes that ended may arrive.
+    fn most_in_window(&self, counts: Counts, now_ms: u64, fleet: Fleet) -> f64 {
+        let share = if counts.late_retries > 0 {
+            EARNED_SHARE
+        } else {
+            1.0
+        };
+        let requests = self.requests_until(now_ms + 1);
+        let mut most = requests as f64 * self.settings.ratio * share;
         if self.has_floor(now_ms, fleet) {
             most += self.floor_part(fleet);
         }
@@ -232,6 +254,7 @@
     fn window_counts(&self, now_ms: u64) -> Counts {
         let mut counts = self.counts_until(now_ms);
         counts.retries += self.late;
+        counts.late_retries += self.late;
         counts
     }
 
@@ -253,6 +276,7 @@
             }
             sum.requests += slice.counts.requests;
             sum.retries += slice.counts.retries;
+            sum.late_retries += slice.counts.late_retries;
             sum.floor_retries += slice.counts.floor_retries;
         }
         sum
@@ -276,7 +300,7 @@
         if self.has_floor(now_ms, fleet) {
             most += self.floor_credit(fleet);
         }
-        most.max((of_requests * EARNED_SHARE).min(1.0))
+        most.max((of_requests * self.earned_share(now_ms)).min(1.0))
     }
 
     fn expire(&mut self, now_ms: u64) {
