serve, limits: Give peers and connections types of their own

list_peers returns peers that say what is known of each as a carrier, in place of two lists, and the played fleet has a type for connections. No change of behaviour.

--- a/crates/limits/tests/cut_off_fleet.rs
+++ b/crates/limits/tests/cut_off_fleet.rs
@@ -82,25 +82,39 @@
     service: usize,
     home: usize,
     sent_ms: u64,
-    /// The peer that carries it, since when, and the endpoints that this one did not reach.
+    /// The peer that carries it, and since when.
     carrier: Option<usize>,
     handed_over_ms: u64,
+    /// Endpoints that were not reached, the time that they took, and refusals: at the home and at the peer.
     unreached: [u32; 2],
     unreached_ms: [u64; 2],
     refusals: [u32; 2],
     peers_asked: Vec<usize>,
 }
 
+/// A connection that an instance opens to an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    instance: usize,
+    service: usize,
+    endpoint: usize,
+    opened_ms: u64,
+}
+
 #[derive(Debug, Clone)]
 enum Event {
     /// A request is decided on by its holder.
     Decide(Request),
-    /// A connection for a request failed, by its endpoint and when it was opened.
-    Unreached(Request, usize, u64),
-    /// A connection without a request failed, by instance, service and endpoint.
-    ProbeFailed(usize, usize, usize, u64),
+    /// A connection for a request failed.
+    Unreached(Request, Connection),
+    /// A connection without a request failed.
+    ProbeFailed(Connection),
     /// All know of an instance whether it is cut off from a service.
-    News(usize, usize, bool),
+    News {
+        instance: usize,
+        service: usize,
+        is_cut_off: bool,
+    },
 }
 
 /// What became of the requests of one second.
@@ -243,40 +257,45 @@
             return;
         };
         self.day.connections += 1;
-        if self.connect(holder, request.service, endpoint, now_ms) {
+        let connection = Connection {
+            instance: holder,
+            service: request.service,
+            endpoint,
+            opened_ms: now_ms,
+        };
+        if self.connect(connection) {
             self.answer(&request, now_ms + RUN_MS);
             return;
         }
         let known_ms = now_ms + self.cut.result_after_ms();
-        self.push(known_ms, Event::Unreached(request, endpoint, now_ms));
+        self.push(known_ms, Event::Unreached(request, connection));
     }
 
     /// Opens a connection, and records it if it is established.
-    fn connect(&mut self, instance: usize, service: usize, endpoint: usize, now_ms: u64) -> bool {
-        let is_reached = self.is_reached(instance, now_ms);
+    fn connect(&mut self, connection: Connection) -> bool {
+        let Connection {
+            instance,
+            service,
+            endpoint,
+            opened_ms,
+        } = connection;
+        let is_reached = self.is_reached(instance, opened_ms);
         let path = &mut self.instances[instance][service].paths[endpoint];
         if is_reached {
-            path.connected_ms = Some(now_ms);
-            path.received_ms = now_ms;
+            path.connected_ms = Some(opened_ms);
+            path.received_ms = opened_ms;
             path.unreached_since_ms = None;
             self.instances[instance][service].paused_until_ms[endpoint] = 0;
         }
         is_reached
     }
 
-    fn record_failure(
-        &mut self,
-        instance: usize,
-        service: usize,
-        endpoint: usize,
-        times: (u64, u64),
-    ) {
-        let (opened_ms, now_ms) = times;
-        let knowledge = &mut self.instances[instance][service];
-        let path = &mut knowledge.paths[endpoint];
-        path.failed_ms = path.failed_ms.max(Some(opened_ms));
+    fn record_failure(&mut self, connection: Connection, now_ms: u64) {
+        let knowledge = &mut self.instances[connection.instance][connection.service];
+        let path = &mut knowledge.paths[connection.endpoint];
+        path.failed_ms = path.failed_ms.max(Some(connection.opened_ms));
         path.unreached_since_ms.get_or_insert(now_ms);
-        knowledge.paused_until_ms[endpoint] = now_ms + PAUSE_MS;
+        knowledge.paused_until_ms[connection.endpoint] = now_ms + PAUSE_MS;
     }
 
     fn answer(&mut self, request: &Request, at_ms: u64) {
@@ -303,19 +322,20 @@
     fn handle(&mut self, event: Event, now_ms: u64) {
         match event {
             Event::Decide(request) => self.decide(request, now_ms),
-            Event::Unreached(mut request, endpoint, opened_ms) => {
-                let holder = request.carrier.unwrap_or(request.home);
+            Event::Unreached(mut request, connection) => {
                 let side = usize::from(request.carrier.is_some());
                 request.unreached[side] += 1;
-                request.unreached_ms[side] += now_ms - opened_ms;
+                request.unreached_ms[side] += now_ms - connection.opened_ms;
                 request.refusals[side] += 1;
-                self.record_failure(holder, request.service, endpoint, (opened_ms, now_ms));
+                self.record_failure(connection, now_ms);
                 self.decide(request, now_ms);
             }
-            Event::ProbeFailed(instance, service, endpoint, opened_ms) => {
-                self.record_failure(instance, service, endpoint, (opened_ms, now_ms));
-            }
-            Event::News(instance, service, is_cut_off) => {
+            Event::ProbeFailed(connection) => self.record_failure(connection, now_ms),
+            Event::News {
+                instance,
+                service,
+                is_cut_off,
+            } => {
                 self.known_cut_off[service][instance] = is_cut_off;
             }
         }
@@ -334,14 +354,24 @@
             knowledge.paused_until_ms[endpoint] = 0;
         }
         if is_cut_off != was_cut_off {
-            let news = Event::News(instance, service, is_cut_off);
+            let news = Event::News {
+                instance,
+                service,
+                is_cut_off,
+            };
             self.push(now_ms + NEWS_MS, news);
         }
         for endpoint in plan.probe {
             self.instances[instance][service].paths[endpoint].probed_ms = Some(now_ms);
             self.day.probes += 1;
-            if !self.connect(instance, service, endpoint, now_ms) {
-                let failed = Event::ProbeFailed(instance, service, endpoint, now_ms);
+            let connection = Connection {
+                instance,
+                service,
+                endpoint,
+                opened_ms: now_ms,
+            };
+            if !self.connect(connection) {
+                let failed = Event::ProbeFailed(connection);
                 self.push(now_ms + self.cut.result_after_ms(), failed);
             }
         }
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -15,7 +15,7 @@
 use crate::endpoint_protocol::{ExecutionStatus, Reply};
 use crate::endpoint_state::{CallGuard, EndpointState};
 use crate::outcome::Counters;
-use crate::peer_choice::{Peer, list_carriers};
+use crate::peer_choice::{Peer, list_peers};
 use crate::peer_states::CarriedCall;
 use crate::reach::reach;
 use crate::request_context::RequestContext;
@@ -38,9 +38,8 @@
         let reach = reach(self, view, context);
         let mut peers = Vec::new();
         let carriers = || {
-            let (found, carriers) = list_carriers(self, view, context);
-            peers = found;
-            carriers
+            peers = list_peers(self, view, context);
+            peers.iter().map(|peer| peer.carrier).collect()
         };
         let hops = Hops {
             is_carried: self.carried.is_some(),
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -22,14 +22,16 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) name: Arc<str>,
     pub(crate) addr: SocketAddr,
+    /// What is known of it as a carrier.
+    pub(crate) carrier: Carrier,
 }
 
-/// Returns the peers that were not asked yet to carry a request, with what is known of each.
-pub(crate) fn list_carriers(
+/// Returns the peers that were not asked yet to carry a request.
+pub(crate) fn list_peers(
     request: &ActiveRequest,
     view: &View,
     context: &RequestContext,
-) -> (Vec<Peer>, Vec<Carrier>) {
+) -> Vec<Peer> {
     let now_ms = context.now_ms();
     let endpoints = endpoint_hashes(request, view, context);
     let shared_loads = context.endpoint_states.shared_loads();
@@ -45,7 +47,6 @@
     };
     let cut_off = shared_loads.peers_cut_off(&request.service);
     let mut peers = Vec::new();
-    let mut carriers = Vec::new();
     for member in view.members.iter() {
         let Ok(addr) = member.carry_addr.parse() else {
             continue;
@@ -57,19 +58,20 @@
             continue;
         }
         let states = &context.peer_states;
-        carriers.push(Carrier {
+        let carrier = Carrier {
             is_cut_off: cut_off.contains(&member.incarnation),
             is_paused: states.is_paused(member.incarnation, &request.service, now_ms),
             is_remote: *member.zone != *context.settings.zone,
             in_flight: states.in_flight(member.incarnation),
-        });
+        };
         peers.push(Peer {
             incarnation: member.incarnation,
             name: member.name.clone(),
             addr,
+            carrier,
         });
     }
-    (peers, carriers)
+    peers
 }
 
 fn endpoint_hashes(request: &ActiveRequest, view: &View, context: &RequestContext) -> Vec<u64> {
