limits: Let a process earn its first retry as early as before

Change: until a process has earned one retry, requests earn the usual share. The counts of a new instance in windowed_retry.rs are 1 for 3 requests again.

--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -91,6 +91,8 @@
     /// Retries that an endpoint may receive at any time from now on.
     late: u64,
     credit: f64,
+    /// Whether the process has earned its first retry.
+    has_earned_retry: bool,
     /// Whether the credit of the floor was granted.
     has_floor_credit: bool,
 }
@@ -104,6 +106,7 @@
             slices: VecDeque::new(),
             late: 0,
             credit: 0.0,
+            has_earned_retry: false,
             has_floor_credit: false,
         }
     }
@@ -112,7 +115,14 @@
     pub fn record_request(&mut self, now_ms: u64) {
         self.expire(now_ms);
         self.counts_at(now_ms).requests += 1;
-        self.credit += self.settings.ratio * self.earned_share(now_ms);
+        // The first retry comes early, as a single stream may depend on it.
+        let share = if self.has_earned_retry {
+            self.earned_share(now_ms)
+        } else {
+            EARNED_SHARE
+        };
+        self.credit += self.settings.ratio * share;
+        self.has_earned_retry |= self.credit >= 1.0;
     }
 
     /// Consumes one retry, or returns `false` if this instance's part of the budget is used up.
@@ -300,7 +310,7 @@
         if self.has_floor(now_ms, fleet) {
             most += self.floor_credit(fleet);
         }
-        most.max((of_requests * self.earned_share(now_ms)).min(1.0))
+        most.max((of_requests * EARNED_SHARE).min(1.0))
     }
 
     fn expire(&mut self, now_ms: u64) {
