--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -86,7 +86,7 @@
 pub struct WindowedRetryBudget {
     settings: WindowedRetrySettings,
     started_ms: u64,
-    /// The slices of the last two windows.
+    /// The slices of the current window, once the old ones were dropped.
     slices: VecDeque<Slice>,
     /// Retries that an endpoint may receive at any time from now on.
     late: u64,
@@ -177,7 +177,7 @@
         if self.source(now_ms, fleet).is_none() {
             return 1.0;
         }
-        let counts = self.window_counts(now_ms);
+        let counts = self.window_counts();
         let mut allowed = counts.requests as f64 * self.settings.ratio;
         let mut most_left = self.max_credit(now_ms, fleet);
         let mut left = self.credit;
@@ -193,7 +193,7 @@
 
     /// Returns what pays for the next retry, or `None` if nothing does.
     fn source(&self, now_ms: u64, fleet: Fleet) -> Option<Source> {
-        let counts = self.window_counts(now_ms);
+        let counts = self.window_counts();
         if counts.retries as f64 + 1.0 > self.most_in_window(counts, now_ms, fleet) {
             return None;
         }
@@ -252,7 +252,7 @@
         } else {
             1.0
         };
-        let requests = self.requests_until(now_ms + 1);
+        let requests = self.whole_requests(now_ms);
         let mut most = requests as f64 * self.settings.ratio * share;
         if self.has_floor(now_ms, fleet) {
             most += self.floor_part(fleet);
@@ -261,29 +261,25 @@
     }
 
     /// Returns the counts of the current window, with the retries that may arrive in it.
-    fn window_counts(&self, now_ms: u64) -> Counts {
-        let mut counts = self.counts_until(now_ms);
+    fn window_counts(&self) -> Counts {
+        let mut counts = self.counts();
         counts.retries += self.late;
         counts.late_retries += self.late;
         counts
     }
 
-    /// Returns the requests of the window that ends before a time, without a slice that began before it.
-    fn requests_until(&self, until_ms: u64) -> u64 {
-        let from_ms = until_ms.saturating_sub(self.settings.window_ms);
-        let is_within = |slice: &&Slice| (from_ms..until_ms).contains(&slice.start_ms);
+    /// Returns the requests of the current window, without a slice that began before it.
+    fn whole_requests(&self, now_ms: u64) -> u64 {
+        let from_ms = (now_ms + 1).saturating_sub(self.settings.window_ms);
+        let is_within = |slice: &&Slice| slice.start_ms >= from_ms;
         let within = self.slices.iter().filter(is_within);
         within.map(|slice| slice.counts.requests).sum()
     }
 
-    /// Returns the counts of the window that ends at a time, with a slice that began before it.
-    fn counts_until(&self, until_ms: u64) -> Counts {
-        let from_ms = until_ms.saturating_sub(self.settings.window_ms);
+    /// Returns the counts of the current window, with a slice that began before it.
+    fn counts(&self) -> Counts {
         let mut sum = Counts::default();
         for slice in &self.slices {
-            if slice.start_ms + SLICE_MS <= from_ms || slice.start_ms > until_ms {
-                continue;
-            }
             sum.requests += slice.counts.requests;
             sum.retries += slice.counts.retries;
             sum.late_retries += slice.counts.late_retries;
@@ -305,7 +301,7 @@
     /// Returns how much credit may be saved up: what the requests in the window may leave behind, the
     /// credit of the floor, and in any case a retry that they have earned.
     fn max_credit(&self, now_ms: u64, fleet: Fleet) -> f64 {
-        let of_requests = self.counts_until(now_ms).requests as f64 * self.settings.ratio;
+        let of_requests = self.counts().requests as f64 * self.settings.ratio;
         let mut most = of_requests * (1.0 - EARNED_SHARE);
         if self.has_floor(now_ms, fleet) {
             most += self.floor_credit(fleet);
@@ -314,7 +310,7 @@
     }
 
     fn expire(&mut self, now_ms: u64) {
-        let oldest_ms = now_ms.saturating_sub(2 * self.settings.window_ms);
+        let oldest_ms = now_ms.saturating_sub(self.settings.window_ms);
         while let Some(slice) = self.slices.front() {
             if slice.start_ms + SLICE_MS > oldest_ms {
                 return;
--- a/crates/limits/tests/windowed_retry.rs
+++ b/crates/limits/tests/windowed_retry.rs
@@ -74,6 +74,7 @@
         (1, 2, 0),
         (1, 3, 1),
         (1, 12, 1),
+        (6, 12, 1),
         (1, 14, 2),
         (6, 28, 3),
     ] {
