control: Start and end the fleets of peers.rs in one place

The test of cut-off instances repeated, as four others did, how a fleet of two zones is started and awaited, and nine tests how a fleet ends. start_joined_fleet, in_two_zones and shut_down serve them all; start_settled_fleet begins with the first.

--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -145,8 +145,8 @@
     fleet
 }
 
-/// Starts a large fleet, and waits until all instances are known and only the watchers watch.
-fn start_settled_fleet(
+/// Starts such instances, and waits until each sees all.
+fn start_joined_fleet(
     store: &MemoryStore,
     count: usize,
     adjust: impl Fn(usize, Settings) -> Settings,
@@ -155,6 +155,27 @@
     eventually("every instance sees all", || {
         fleet.iter().all(|instance| sees(instance, count))
     });
+    fleet
+}
+
+/// Puts a third of the instances into one zone and the others into another.
+fn in_two_zones(number: usize, settings: Settings) -> Settings {
+    settings.zone(if number.is_multiple_of(3) { "a" } else { "b" })
+}
+
+fn shut_down(fleet: Vec<Instance>) {
+    for instance in fleet {
+        instance.handle.shutdown();
+    }
+}
+
+/// Starts a large fleet, and waits until all instances are known and only the watchers watch.
+fn start_settled_fleet(
+    store: &MemoryStore,
+    count: usize,
+    adjust: impl Fn(usize, Settings) -> Settings,
+) -> Vec<Instance> {
+    let fleet = start_joined_fleet(store, count, adjust);
     // Watches that started before the fleet was complete end by themselves.
     std::thread::sleep(common::MAX_WATCH_WAIT + std::time::Duration::from_millis(500));
     fleet
@@ -180,9 +201,7 @@
         .zip(before)
         .filter(|(instance, before)| calls(instance) > *before);
     assert!(callers.count() <= 3, "only watchers call the store");
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// A day of betonar-narocila-grown: a part of the fleet was cut off with all watchers in it, and the
@@ -207,9 +226,7 @@
         fleet.iter().all(|instance| instance.version() == Some(2))
     });
     assert!(written.elapsed() < std::time::Duration::from_millis(2_000));
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// Returns the numbers of the instances that call the store when an endpoint is added.
@@ -248,9 +265,7 @@
             fleet.iter().all(|instance| instance.endpoints().is_empty())
         });
     }
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// Guards against a fleet that calls the store one after the other while it is away for all.
@@ -280,9 +295,7 @@
         fleet.iter().all(|instance| instance.version() == Some(2))
     });
     assert!(written.elapsed() < std::time::Duration::from_millis(3_000));
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// Scenario kiosk-grown: 79 instances that started at the same time all began to watch, and again
@@ -315,9 +328,7 @@
         watching <= 3,
         "the first instance and two others watch, {counts:?}"
     );
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// Scenario: all instances lose power, and the first to start again finds no peer.
@@ -371,12 +382,7 @@
     const ENDPOINT: u64 = 7;
     const INSTANCES: usize = 18;
     let store = MemoryStore::default();
-    let fleet = start_fleet(&store, INSTANCES, |number, settings| {
-        settings.zone(if number % 3 == 0 { "a" } else { "b" })
-    });
-    eventually("each sees the others", || {
-        fleet.iter().all(|instance| sees(instance, INSTANCES))
-    });
+    let fleet = start_joined_fleet(&store, INSTANCES, in_two_zones);
     for instance in &fleet {
         instance.shared_loads.entry(ENDPOINT).set_own(0.5);
     }
@@ -389,9 +395,7 @@
             instance.shared_loads.entry(ENDPOINT).of_peers() == sum - own
         })
     });
-    for instance in fleet {
-        instance.handle.shutdown();
-    }
+    shut_down(fleet);
 }
 
 /// A rate limit must hold over the fleet half a second after one instance has learned it.
@@ -401,12 +405,7 @@
     let timeout = std::time::Duration::from_millis(500);
     for instances in [3, 18] {
         let store = MemoryStore::default();
-        let fleet = start_fleet(&store, instances, |number, settings| {
-            settings.zone(if number % 3 == 0 { "a" } else { "b" })
-        });
-        eventually("each sees the others", || {
-            fleet.iter().all(|instance| sees(instance, instances))
-        });
+        let fleet = start_joined_fleet(&store, instances, in_two_zones);
         for limit_per_s in [Some(2.5), Some(1.25), None] {
             // Changes of one endpoint are further apart than a report is on its way.
             std::thread::sleep(std::time::Duration::from_millis(200));
@@ -425,9 +424,7 @@
                 "{instances} instances, {limit_per_s:?}: {elapsed:?}"
             );
         }
-        for instance in fleet {
-            instance.handle.shutdown();
-        }
+        shut_down(fleet);
     }
 }
 
@@ -439,12 +436,7 @@
     let timeout = std::time::Duration::from_secs(1);
     for instances in [3, 18] {
         let store = MemoryStore::default();
-        let fleet = start_fleet(&store, instances, |number, settings| {
-            settings.zone(if number % 3 == 0 { "a" } else { "b" })
-        });
-        eventually("each sees the others", || {
-            fleet.iter().all(|instance| sees(instance, instances))
-        });
+        let fleet = start_joined_fleet(&store, instances, in_two_zones);
         for (number, instance) in fleet[..3].iter().enumerate() {
             std::thread::sleep(std::time::Duration::from_millis(250));
             let crashes = instance.shared_loads.crashes();
@@ -477,12 +469,7 @@
     const ENDPOINT: u64 = 7;
     for instances in [3, 18] {
         let store = MemoryStore::default();
-        let fleet = start_fleet(&store, instances, |number, settings| {
-            settings.zone(if number % 3 == 0 { "a" } else { "b" })
-        });
-        eventually("each sees the others", || {
-            fleet.iter().all(|instance| sees(instance, instances))
-        });
+        let fleet = start_joined_fleet(&store, instances, in_two_zones);
         for instance in &fleet {
             assert!(!instance.shared_loads.entry(ENDPOINT).is_leaving());
         }
@@ -491,9 +478,7 @@
             let knows = |instance: &Instance| instance.shared_loads.entry(ENDPOINT).is_leaving();
             fleet.iter().all(knows)
         });
-        for instance in fleet {
-            instance.handle.shutdown();
-        }
+        shut_down(fleet);
     }
 }
 
@@ -503,12 +488,7 @@
     const KNOWN_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
     for instances in [3, 18] {
         let store = MemoryStore::default();
-        let fleet = start_fleet(&store, instances, |number, settings| {
-            settings.zone(if number % 3 == 0 { "a" } else { "b" })
-        });
-        eventually("each sees the others", || {
-            fleet.iter().all(|instance| sees(instance, instances))
-        });
+        let fleet = start_joined_fleet(&store, instances, in_two_zones);
         for is_cut_off in [true, false] {
             let services = is_cut_off.then(|| serve::service_hash("app"));
             fleet[1]
@@ -526,8 +506,6 @@
                 "{instances} instances, {is_cut_off}: {elapsed:?}"
             );
         }
-        for instance in fleet {
-            instance.handle.shutdown();
-        }
+        shut_down(fleet);
     }
 }
