limits: Share what a played instance knows of its paths

The played fleet of cut_off_fleet.rs repeated how reach_probes.rs records connections, pauses endpoints and follows a plan of probes. Both use common::endpoint_paths now.

--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -1,4 +1,8 @@
-//! What the storms of crashes have in common.
+//! What played fleets have in common.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod endpoint_paths;
 
 use limits::{CrashGuard, CrashReport};
 
--- a/crates/limits/tests/cut_off_fleet.rs
+++ b/crates/limits/tests/cut_off_fleet.rs
@@ -1,10 +1,13 @@
 //! A fleet of 48 instances of which half lose their paths to the endpoints of a large and of a small
 //! service, in virtual time: callers of these instances are served as well as those of the others.
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use limits::{Carrier, Hops, NextHop, Path, Reach, ReachProbes, next_hop};
+use common::endpoint_paths::EndpointPaths;
+use limits::{Carrier, Hops, NextHop, Path, Reach, next_hop};
 
 const INSTANCES: usize = 48;
 const ZONES: usize = 4;
@@ -28,8 +31,8 @@
 const TIME_BUDGET_MS: u64 = 600;
 const MAX_REFUSALS: u32 = 4;
 
-/// How long a failed connection keeps requests from the endpoint, and a refusal from a peer.
-const PAUSE_MS: u64 = 1_000;
+/// How long a refusal keeps requests from a peer.
+const PEER_PAUSE_MS: u64 = 1_000;
 
 /// How long reports of instances take to arrive in a fleet of this size.
 const NEWS_MS: u64 = 400;
@@ -58,19 +61,17 @@
 
 /// What an instance knows of the endpoints of one service, and of the peers that carry for it.
 struct Knowledge {
-    paths: Vec<Path>,
-    paused_until_ms: Vec<u64>,
-    probes: ReachProbes,
+    endpoints: EndpointPaths,
     peer_paused_until_ms: Vec<u64>,
 }
 
 impl Knowledge {
     fn reach(&self) -> Reach {
         let is_unreached = |path: &Path| path.unreached_since_ms.is_some();
-        if self.paths.iter().all(is_unreached) {
+        if self.endpoints.paths.iter().all(is_unreached) {
             return Reach::None;
         }
-        if self.probes.is_cut_off() {
+        if self.endpoints.probes.is_cut_off() {
             return Reach::Doubtful;
         }
         Reach::Some
@@ -156,14 +157,7 @@
 impl Fleet {
     fn new(cut: Cut, seed: u64) -> Fleet {
         let knowledge = |instance: usize, endpoints: usize| Knowledge {
-            paths: (0..endpoints)
-                .map(|endpoint| Path {
-                    rank: (instance + endpoint * 7) % INSTANCES,
-                    ..Path::default()
-                })
-                .collect(),
-            paused_until_ms: vec![0; endpoints],
-            probes: ReachProbes::default(),
+            endpoints: EndpointPaths::new(endpoints, instance, INSTANCES),
             peer_paused_until_ms: vec![0; INSTANCES],
         };
         let services = |instance| SERVICES.map(|(endpoints, _)| knowledge(instance, endpoints));
@@ -250,8 +244,7 @@
 
     fn try_endpoint(&mut self, request: Request, holder: usize, now_ms: u64) {
         let knowledge = &self.instances[holder][request.service];
-        let open = |endpoint: &usize| knowledge.paused_until_ms[*endpoint] <= now_ms;
-        let open: Vec<usize> = (0..knowledge.paths.len()).filter(open).collect();
+        let open = knowledge.endpoints.open(now_ms);
         let Some(endpoint) = self.random.choice(open) else {
             self.turn_down(request, now_ms);
             return;
@@ -280,22 +273,23 @@
             opened_ms,
         } = connection;
         let is_reached = self.is_reached(instance, opened_ms);
-        let path = &mut self.instances[instance][service].paths[endpoint];
         if is_reached {
-            path.connected_ms = Some(opened_ms);
-            path.received_ms = opened_ms;
-            path.unreached_since_ms = None;
-            self.instances[instance][service].paused_until_ms[endpoint] = 0;
+            let endpoints = &mut self.instances[instance][service].endpoints;
+            endpoints.record_connected(endpoint, opened_ms);
         }
         is_reached
     }
 
     fn record_failure(&mut self, connection: Connection, now_ms: u64) {
         let knowledge = &mut self.instances[connection.instance][connection.service];
-        let path = &mut knowledge.paths[connection.endpoint];
-        path.failed_ms = path.failed_ms.max(Some(connection.opened_ms));
-        path.unreached_since_ms.get_or_insert(now_ms);
-        knowledge.paused_until_ms[connection.endpoint] = now_ms + PAUSE_MS;
+        let Connection {
+            endpoint,
+            opened_ms,
+            ..
+        } = connection;
+        knowledge
+            .endpoints
+            .record_failed(endpoint, opened_ms, now_ms);
     }
 
     fn answer(&mut self, request: &Request, at_ms: u64) {
@@ -315,7 +309,7 @@
         let held_ms = now_ms - request.handed_over_ms;
         self.day.longest_held_ms = self.day.longest_held_ms.max(held_ms);
         let knowledge = &mut self.instances[request.home][request.service];
-        knowledge.peer_paused_until_ms[peer] = now_ms + HOP_MS + PAUSE_MS;
+        knowledge.peer_paused_until_ms[peer] = now_ms + HOP_MS + PEER_PAUSE_MS;
         self.push(now_ms + HOP_MS, Event::Decide(request));
     }
 
@@ -343,16 +337,10 @@
 
     fn probe(&mut self, instance: usize, service: usize, now_ms: u64) {
         let knowledge = &mut self.instances[instance][service];
-        let random = &mut self.random;
-        let was_cut_off = knowledge.probes.is_cut_off();
-        let plan = knowledge
-            .probes
-            .plan(&knowledge.paths, INSTANCES, now_ms, random);
-        let is_cut_off = knowledge.probes.is_cut_off();
-        for endpoint in plan.restore {
-            knowledge.paths[endpoint].unreached_since_ms = None;
-            knowledge.paused_until_ms[endpoint] = 0;
-        }
+        let endpoints = &mut knowledge.endpoints;
+        let was_cut_off = endpoints.probes.is_cut_off();
+        let due = endpoints.plan(INSTANCES, now_ms, &mut self.random);
+        let is_cut_off = endpoints.probes.is_cut_off();
         if is_cut_off != was_cut_off {
             let news = Event::News {
                 instance,
@@ -361,8 +349,7 @@
             };
             self.push(now_ms + NEWS_MS, news);
         }
-        for endpoint in plan.probe {
-            self.instances[instance][service].paths[endpoint].probed_ms = Some(now_ms);
+        for endpoint in due {
             self.day.probes += 1;
             let connection = Connection {
                 instance,
@@ -384,7 +371,8 @@
                 let home = self.random.usize(..INSTANCES);
                 let counts = &mut self.day.counts[usize::from(is_cut_off(home))];
                 counts[(now_ms / 1_000) as usize].sent += 1;
-                self.instances[home][service].probes.record_request();
+                let endpoints = &mut self.instances[home][service].endpoints;
+                endpoints.probes.record_request();
                 let request = Request {
                     service,
                     home,
--- a/crates/limits/tests/reach_probes.rs
+++ b/crates/limits/tests/reach_probes.rs
@@ -1,7 +1,9 @@
 //! Probes of endpoints by fleets of 30, 100 and 300 instances while many endpoints end, fall silent or
 //! are cut off from some instances, in virtual time.
 
-use limits::{Path, ReachProbes};
+mod common;
+
+use common::endpoint_paths::EndpointPaths;
 
 /// Instances, endpoints, and requests of the whole fleet in a second.
 const SIZES: [(usize, usize, usize); 4] = [
@@ -26,9 +28,6 @@
 /// How long a peer's news of an endpoint takes to arrive, over two collectors.
 const NEWS_MS: u64 = 400;
 
-/// How long a failed request of a caller keeps others from the endpoint.
-const PAUSE_MS: u64 = 1_000;
-
 /// By then each instance has met the outage.
 const KNOWN_AFTER_MS: u64 = 2_000;
 
@@ -111,9 +110,7 @@
 }
 
 struct Instance {
-    paths: Vec<Path>,
-    paused_until_ms: Vec<u64>,
-    probes: ReachProbes,
+    known: EndpointPaths,
     /// Failed connections whose failure is not known yet, with the time at which it is.
     pending: Vec<(u64, usize, u64)>,
 }
@@ -142,14 +139,8 @@
     fn new(outage: Outage, count: usize, endpoints: usize) -> Fleet {
         let mut instances = Vec::new();
         for instance in 0..count {
-            let path = |endpoint: usize| Path {
-                rank: (instance + endpoint * 7) % count,
-                ..Path::default()
-            };
             instances.push(Instance {
-                paths: (0..endpoints).map(path).collect(),
-                paused_until_ms: vec![0; endpoints],
-                probes: ReachProbes::default(),
+                known: EndpointPaths::new(endpoints, instance, count),
                 pending: Vec::new(),
             });
         }
@@ -175,11 +166,7 @@
             state.pending.push((known_ms, endpoint, now_ms));
             return false;
         }
-        let path = &mut state.paths[endpoint];
-        path.connected_ms = Some(now_ms);
-        path.received_ms = now_ms;
-        if path.unreached_since_ms.take().is_some() {
-            state.paused_until_ms[endpoint] = 0;
+        if state.known.record_connected(endpoint, now_ms) {
             self.news.push((now_ms + NEWS_MS, endpoint));
         }
         true
@@ -191,31 +178,26 @@
                 if known_ms > now_ms {
                     return true;
                 }
-                let path = &mut state.paths[endpoint];
-                path.failed_ms = path.failed_ms.max(Some(opened_ms));
-                path.unreached_since_ms.get_or_insert(known_ms);
-                state.paused_until_ms[endpoint] = known_ms + PAUSE_MS;
+                state.known.record_failed(endpoint, opened_ms, known_ms);
                 false
             });
         }
         let arrived = self.news.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
         for (at_ms, endpoint) in arrived {
             for state in &mut self.instances {
-                state.paths[endpoint].peer_reached_ms = Some(at_ms);
+                state.known.paths[endpoint].peer_reached_ms = Some(at_ms);
             }
         }
     }
 
     fn request(&mut self, instance: usize, now_ms: u64, random: &mut fastrand::Rng) {
         self.day.requests += 1;
-        self.instances[instance].probes.record_request();
-        if self.instances[instance].probes.is_cut_off() {
+        self.instances[instance].known.probes.record_request();
+        if self.instances[instance].known.probes.is_cut_off() {
             return;
         }
         for _ in 0..3 {
-            let state = &self.instances[instance];
-            let open = |endpoint: &usize| state.paused_until_ms[*endpoint] <= now_ms;
-            let open: Vec<usize> = (0..self.endpoints).filter(open).collect();
+            let open = self.instances[instance].known.open(now_ms);
             let Some(endpoint) = random.choice(open) else {
                 return;
             };
@@ -228,17 +210,12 @@
     fn probe(&mut self, instance: usize, now_ms: u64, random: &mut fastrand::Rng) {
         let count = self.instances.len();
         let state = &mut self.instances[instance];
-        let plan = state.probes.plan(&state.paths, count, now_ms, random);
-        for endpoint in plan.restore {
-            state.paths[endpoint].unreached_since_ms = None;
-            state.paused_until_ms[endpoint] = 0;
-        }
-        let is_known = state.probes.is_cut_off();
+        let due = state.known.plan(count, now_ms, random);
+        let is_known = state.known.probes.is_cut_off();
         if is_known && self.day.cut_off_known_ms[instance].is_none() {
             self.day.cut_off_known_ms[instance] = Some(now_ms);
         }
-        for endpoint in plan.probe {
-            self.instances[instance].paths[endpoint].probed_ms = Some(now_ms);
+        for endpoint in due {
             self.day.probes[endpoint][(now_ms / 1_000) as usize] += 1;
             self.connect(instance, endpoint, now_ms);
         }
@@ -246,11 +223,8 @@
 
     fn is_recovered(&self, now_ms: u64) -> bool {
         let all_open = |state: &Instance| {
-            let open = state
-                .paused_until_ms
-                .iter()
-                .all(|until_ms| *until_ms <= now_ms);
-            open && !state.probes.is_cut_off()
+            let open = state.known.open(now_ms);
+            open.len() == self.endpoints && !state.known.probes.is_cut_off()
         };
         self.instances.iter().all(all_open)
     }
