--- a/review/stand_ins/platform_stand_ins.py
+++ b/review/stand_ins/platform_stand_ins.py
@@ -339,6 +339,7 @@
             "born": int(time.time() * 1000),
         }
         self.beats = True
+        self.beat_count = 0
         self.runs = []  # (time, id, path, headers)
         self.runs_lock = threading.Lock()
         self.listen()
@@ -349,6 +350,7 @@
         while True:
             if self.beats and not self.store.away:
                 self.store.write("servers", self.name, dict(self.entry))
+            self.beat_count += 1
             time.sleep(BEAT_S)
 
     def note_run(self, path, headers):
