review: Show the cut stream with one disruption, use six gates in the drill

Cause: a fair case prefers one disruption; a runner that crashes behind a cut and starts again shows the same fault as a crash during a freeze.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,7 @@
         record.write(f"operator: {why}, version {version[0]} acknowledged, revision {store.revision}")
 
     write_config("first configuration")
-    case.gates = gates = [Gate(case.folder, n, store) for n in range(3)]
+    case.gates = gates = [Gate(case.folder, n, store) for n in range(6)]
     for gate in gates:
         gate.start(gates, True)
     if not all(gate.wait_ready() for gate in gates):
@@ -52,7 +52,7 @@
     time.sleep(1.2)
     gates[2].start(gates, False)
     record.write("gate front-2 started")
-    time.sleep(0.3)
+    time.sleep(0.15)
     if TROUBLE:
         store.return_from(copy)
         record.write(f"store: back from the copy, revision {store.revision}, era {store.era}")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A stream that a crash cut short reaches the client as complete, after its gate stood still."""
+"""A stream that a crash behind a cut broke off reaches the client as complete."""
 
 import os
 import signal
@@ -13,12 +13,14 @@
 
 EVENTS = 60
 EVENT_S = 0.1
+CUT_S = 1.7
 FREEZE_S = 3.5
 DOWN_S = 2.0
 CLIENTS = 20
 OTHER_CLIENTS = 2
-# For comparison: CRASH_ONLY=1 leaves the gate running.
-CRASH_ONLY = os.environ.get("CRASH_ONLY") == "1"
+# cut: one runner is cut off, crashes behind the cut and starts again. For comparison, crash: it crashes;
+# freeze: it crashes while a gate stands still.
+VARIANT = os.environ.get("VARIANT", "cut")
 
 
 class RunnerProcess:
@@ -29,6 +31,7 @@
         self.store = store
         self.base = name
         self.port = free_port()
+        self.link = LinkProxy(self.port)
         self.starts = 0
         self.process = None
 
@@ -50,7 +53,7 @@
             except OSError:
                 time.sleep(0.01)
         self.store.write("servers", self.name, {
-            "service": "model", "address": f"127.0.0.1:{self.port}", "zone": "hall-a",
+            "service": "model", "address": self.link.addr, "zone": "hall-a",
             "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "sequence": 1,
             "born": int(time.time() * 1000),
         })
@@ -123,8 +126,18 @@
             thread.start()
             threads.append(thread)
     time.sleep(1.5)
-    if TROUBLE:
-        if not CRASH_ONLY:
+    if TROUBLE and VARIANT == "cut":
+        record.write("runner i-0 is cut off")
+        runners[0].link.cut()
+        time.sleep(0.2)
+        runners[0].crash()
+        time.sleep(0.8)
+        runners[0].start()
+        time.sleep(CUT_S - 1.0 - 0.1)
+        runners[0].link.heal()
+        record.write("the cut is over")
+    elif TROUBLE:
+        if VARIANT == "freeze":
             record.write("gate front-0 stands still")
             gates[0].signal(signal.SIGSTOP)
         time.sleep(0.3)
@@ -132,7 +145,7 @@
         time.sleep(DOWN_S)
         runners[0].start()
         time.sleep(FREEZE_S - DOWN_S - 0.3)
-        if not CRASH_ONLY:
+        if VARIANT == "freeze":
             gates[0].signal(signal.SIGCONT)
             record.write("gate front-0 goes on")
     for thread in threads:
--- a/review/stand_ins/platform_stand_ins.py
+++ b/review/stand_ins/platform_stand_ins.py
@@ -555,3 +555,101 @@
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
+
+
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+
+
+def drop_all(sock):
+    """Drops all packets that arrive for a socket, as a partition does: none is acknowledged."""
+    import ctypes
+    import struct
+
+    code = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))  # return 0
+    sock.setsockopt(
+        socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HP", 1, ctypes.addressof(code))
+    )
+
+
+def drop_none(sock):
+    """Ends `drop_all`."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
+class LinkProxy(Server):
+    """The link to one runner. While it is cut nothing passes and no packet is acknowledged; what was
+    sent meanwhile, the end of a channel too, passes when the cut is over."""
+
+    def __init__(self, target_port):
+        super().__init__()
+        self.target_port = target_port
+        self.link = threading.Condition()
+        self.is_cut = False
+        self.open = []
+        self.listen()
+
+    def cut(self):
+        with self.link:
+            self.is_cut = True
+            drop_all(self.listener)
+            for sock in self.open:
+                drop_all(sock)
+
+    def heal(self):
+        with self.link:
+            drop_none(self.listener)
+            for sock in self.open:
+                drop_none(sock)
+            self.is_cut = False
+            self.link.notify_all()
+
+    def serve_quietly(self, sock):
+        with self.link:
+            while self.is_cut:
+                self.link.wait()
+            self.open.append(sock)
+        try:
+            other = socket.create_connection(("127.0.0.1", self.target_port), timeout=1.0)
+        except OSError:
+            # The runner's host refuses the connection.
+            import struct
+
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.forget(sock)
+            sock.close()
+            return
+        other.settimeout(None)
+        pumps = [
+            threading.Thread(target=self.pump, args=pair, daemon=True)
+            for pair in ((sock, other), (other, sock))
+        ]
+        for thread in pumps:
+            thread.start()
+        for thread in pumps:
+            thread.join()
+        self.forget(sock)
+        sock.close()
+        other.close()
+
+    def forget(self, sock):
+        with self.link:
+            if sock in self.open:
+                self.open.remove(sock)
+
+    def pump(self, source, target):
+        while True:
+            try:
+                data = source.recv(65536)
+            except OSError:
+                data = b""
+            with self.link:
+                while self.is_cut:
+                    self.link.wait()
+            try:
+                if not data:
+                    target.shutdown(socket.SHUT_WR)
+                    return
+                target.sendall(data)
+            except OSError:
+                return
