review: End the processes of a case that runs out of time

Cause: a script that ran out of time ended without ending the processes that it had started.

Change: cases end their processes at SIGTERM, and run.sh exits with 2 then. review/1 also records what the runners did.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -101,6 +101,7 @@
             f"Connection: close\r\n\r\n{attempt}"
         )
         data = b""
+        record.write(f"client: sends {attempt}")
         try:
             with socket.create_connection(("127.0.0.1", gate.ports["callers"]), timeout=1.0) as sock:
                 sock.settimeout(25.0)
@@ -150,6 +151,11 @@
             record.write("gate front-0 goes on")
     for thread in threads:
         thread.join(30)
+    for name in sorted(os.listdir(case.folder)):
+        if name.startswith("i-"):
+            with open(os.path.join(case.folder, name), encoding="utf-8") as log:
+                for line in log:
+                    record.write(f"runner: {line.strip()}")
     whole = [r for r in results if r[3] and r[2] == EVENTS]
     short = [r for r in results if r[3] and r[1] == "200" and r[2] < EVENTS]
     broken_off = [r for r in results if not r[3]]
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,7 @@
 # the disruption.
 cd "$(dirname "$0")" || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec timeout --kill-after=5 115 python3 case.py
+timeout --kill-after=5 110 python3 case.py
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
--- a/review/stand_ins/platform_stand_ins.py
+++ b/review/stand_ins/platform_stand_ins.py
@@ -530,6 +530,7 @@
         self.folder = tempfile.mkdtemp(prefix="rosemary-review-")
         self.gates = []
         self.extra = []
+        signal.signal(signal.SIGTERM, lambda *_: self.could_not_run("out of time"))
 
     def could_not_run(self, why):
         self.record.write(f"could not run: {why}")
