review: Tell an error of a script from a broken rule

Cause: a script that failed by itself would have exited with 1, which means that the rule was broken.

Change: errors of a script end its processes and exit with 2.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -168,4 +168,4 @@
     )
 
 
-main()
+Case.run(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -112,4 +112,4 @@
         return int(lines[0].split(" ")[1])
 
 
-main()
+Case.run(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -201,4 +201,4 @@
     )
 
 
-main()
+Case.run(main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -134,4 +134,4 @@
     )
 
 
-main()
+Case.run(main)
--- a/review/stand_ins/platform_stand_ins.py
+++ b/review/stand_ins/platform_stand_ins.py
@@ -525,7 +525,21 @@
 class Case:
     """Folder, record and processes of a case; ends all processes that it started."""
 
+    current = None
+
+    @staticmethod
+    def run(main):
+        """Runs a case. An error of the script itself is no verdict."""
+        try:
+            main()
+        except BaseException as err:  # noqa: B036
+            if Case.current is None:
+                print(f"could not run: {err!r}")
+                os._exit(2)
+            Case.current.could_not_run(repr(err))
+
     def __init__(self, file):
+        Case.current = self
         self.record = Record(os.path.dirname(os.path.abspath(file)))
         self.folder = tempfile.mkdtemp(prefix="rosemary-review-")
         self.gates = []
