review: Show the entry on endpoints that end slowly beside the first case

Cause: KNOWN-RED.txt lists whole-looking streams of endpoints that end slowly; the check at fault is that of review/1.

Change: adds a variant to review/1 in which a worker process crashes and its parent ends 0.1 s later.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,10 +16,12 @@
 CUT_S = 1.7
 FREEZE_S = 3.5
 DOWN_S = 2.0
+NOTICE_S = 0.1
 CLIENTS = 20
 OTHER_CLIENTS = 2
 # cut: one runner is cut off, crashes behind the cut and starts again. For comparison, crash: it crashes;
-# freeze: it crashes while a gate stands still.
+# freeze: it crashes while a gate stands still; worker: its worker process crashes, and its parent process,
+# which holds the listener too, ends NOTICE_S later.
 VARIANT = os.environ.get("VARIANT", "cut")
 
 
@@ -41,7 +43,7 @@
         log = open(os.path.join(self.case.folder, f"{self.name}.log"), "wb")
         self.process = subprocess.Popen(
             [sys.executable, os.path.join(STAND_INS, "stream_runner.py"), str(self.port), self.name,
-             str(EVENTS), str(EVENT_S)],
+             str(EVENTS), str(EVENT_S)] + ([str(NOTICE_S)] if VARIANT == "worker" else []),
             stdout=log, stderr=log,
         )
         log.close()
@@ -62,7 +64,12 @@
     def crash(self):
         """Kills the process; its entry goes after three heartbeats of silence."""
         name = self.name
-        self.process.kill()
+        if VARIANT == "worker":
+            with open(os.path.join(self.case.folder, f"{name}.log"), encoding="utf-8") as log:
+                worker = [line for line in log if line.startswith("worker ")][0]
+            os.kill(int(worker.split()[1]), signal.SIGKILL)
+        else:
+            self.process.kill()
         self.process.wait()
         self.case.record.write(f"runner {name} crashed")
         expire = threading.Timer(3 * BEAT_S, lambda: self.store.remove("servers", name))
--- a/review/stand_ins/stream_runner.py
+++ b/review/stand_ins/stream_runner.py
@@ -1,8 +1,11 @@
 """A runner as a process of its own: streams events with neither a length nor chunks.
 
-Usage: stream_runner.py PORT NAME EVENTS EVENT_S
+Usage: stream_runner.py PORT NAME EVENTS EVENT_S [NOTICE_S]
+
+With NOTICE_S a worker process accepts and answers, and its parent ends that long after the worker has.
 """
 
+import os
 import socket
 import sys
 import threading
@@ -45,12 +48,26 @@
         connection.close()
 
 
+def end_with_parent(parent):
+    while os.getppid() == parent:
+        time.sleep(0.1)
+    os._exit(0)
+
+
 def main():
-    port, name, events, event_s = sys.argv[1:]
+    port, name, events, event_s = sys.argv[1:5]
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(("127.0.0.1", int(port)))
     listener.listen(128)
+    if len(sys.argv) > 5:
+        worker = os.fork()
+        if worker:
+            print(f"worker {worker}", flush=True)
+            os.waitpid(worker, 0)
+            time.sleep(float(sys.argv[5]))
+            return
+        threading.Thread(target=end_with_parent, args=(os.getppid(),), daemon=True).start()
     print(f"{name} listens", flush=True)
     while True:
         sock, _ = listener.accept()
