--- a/review/1/case.py
+++ b/review/1/case.py
@@ -69,12 +69,16 @@
     def keep(self):
         while True:
             self.process.wait()
+            if self.case.is_over:
+                return
             name = self.name
             self.case.record.write(f"runner {name} crashed")
             expire = threading.Timer(3 * BEAT_S, lambda name=name: self.store.remove("servers", name))
             expire.daemon = True
             expire.start()
             time.sleep(DOWN_S)
+            if self.case.is_over:
+                return
             self.start()
 
 
--- a/review/stand_ins/platform_stand_ins.py
+++ b/review/stand_ins/platform_stand_ins.py
@@ -573,15 +573,18 @@
         self.folder = tempfile.mkdtemp(prefix="rosemary-review-")
         self.gates = []
         self.extra = []
+        self.is_over = False
         signal.signal(signal.SIGTERM, lambda *_: self.could_not_run("out of time"))
 
     def could_not_run(self, why):
+        self.is_over = True
         self.record.write(f"could not run: {why}")
         self.end()
         print(f"could not run: {why}")
         os._exit(2)
 
     def verdict(self, is_broken, text):
+        self.is_over = True
         word = "BROKEN" if is_broken else "held"
         self.record.write(f"{word}: {text}")
         self.end()
--- a/review/stand_ins/prompt_runner.py
+++ b/review/stand_ins/prompt_runner.py
@@ -75,7 +75,14 @@
     return f"{len(text):x}\r\n{text}\r\n".encode()
 
 
+def end_with_parent(parent):
+    while os.getppid() == parent:
+        time.sleep(0.1)
+    os._exit(0)
+
+
 def main():
+    threading.Thread(target=end_with_parent, args=(os.getppid(),), daemon=True).start()
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(("127.0.0.1", int(PORT)))
