limits, serve: Learn prompt parts under which endpoints end before they answer

Cause: a connection that broke before the head was complete held the request responsible, without the parts of its prompt. No two such requests were alike, so nothing was learned. Ruled out: the exchange between instances, as the part is learned from five crashes if the head gets out.

Change: the parts are held responsible too. A crash that is taken back, as the endpoint lives, is removed from the history of a part that the endpoint may not have begun, and counts as no survival.

--- a/crates/limits/src/crash_guard.rs
+++ b/crates/limits/src/crash_guard.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Records that an endpoint ended just after it had begun a request with these subjects.
+    /// Records that an endpoint ended just after it had begun a request with these subjects, or while
+    /// the request waited for its answer.
     ///
     /// If one of them is known to crash endpoints, the others are not held responsible.
     pub fn record_crash(&mut self, subjects: &[Subject], crash: Crash) {
@@ -152,6 +153,22 @@
         self.record_survival(subjects, now_ms);
     }
 
+    /// Takes back the crash of an endpoint that lives and may not have begun the request.
+    ///
+    /// That says nothing of the parts of its prompt, which the endpoint may not have reached.
+    pub fn retract_pending_crash(&mut self, subjects: &[Subject], endpoint: u64, now_ms: u64) {
+        self.crashed_starts = (self.crashed_starts - 1.0).max(0.0);
+        for subject in subjects {
+            if subject.is_request() {
+                self.record_survival(&[*subject], now_ms);
+                continue;
+            }
+            if let Some(history) = self.own.get_mut(subject) {
+                history.remove_crash(endpoint);
+            }
+        }
+    }
+
     /// Replaces what the other instances know, and decides which subjects are blocked. Returns those
     /// that were not blocked before.
     pub fn set_peers(&mut self, reports: &[CrashReport], now_ms: u64) -> Vec<Subject> {
--- a/crates/limits/src/crash_history.rs
+++ b/crates/limits/src/crash_history.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Removes the crash of an endpoint, by the hash of its run.
+    pub(crate) fn remove_crash(&mut self, endpoint: u64) {
+        self.crashes.retain(|crash| crash.endpoint != endpoint);
+    }
+
     /// Adds that an endpoint was seen to live on at a time, in milliseconds.
     pub fn add_survival(&mut self, survived_ms: Option<u64>) {
         self.survived_ms = self.survived_ms.max(survived_ms);
--- a/crates/limits/tests/crash_guard.rs
+++ b/crates/limits/tests/crash_guard.rs
@@ -424,3 +424,19 @@
     assert!(!is_blocked(&mut guard, SOUND, tried_ms + 1_000));
     assert!(is_blocked(&mut guard, BAD, tried_ms + 59_000));
 }
+
+/// Guards against a connection that is reset while requests wait: it would clear the part that crashes
+/// endpoints, or count as a crash although the endpoint lives.
+#[test]
+fn an_endpoint_that_lives_on_says_nothing_of_parts_that_it_may_not_have_begun() {
+    let mut guard = CrashGuard::default();
+    for now_ms in [1_000, 2_000] {
+        guard.record_crash(&[Request(now_ms), BAD], crash(now_ms));
+    }
+    let reset = crash(2_500);
+    guard.record_crash(&[Request(3), BAD], reset);
+    guard.retract_pending_crash(&[Request(3), BAD], reset.endpoint, 2_600);
+    assert!(!decides_to_block(&mut guard, BAD, 2_900));
+    guard.record_crash(&[Request(4), BAD], crash(3_000));
+    assert!(decides_to_block(&mut guard, BAD, 3_200));
+}
--- a/crates/limits/tests/crash_storm.rs
+++ b/crates/limits/tests/crash_storm.rs
@@ -72,6 +72,9 @@
 }
 
 struct Storm {
+    /// How long a request waits for its answer to begin, in milliseconds. If its endpoint ends
+    /// meanwhile, the request may be the cause.
+    wait_ms: u64,
     /// The share of ends of endpoints that an instance does not see, from 0 to 1.
     unseen_share: f64,
     rng: Rng,
@@ -86,6 +89,7 @@
 impl Storm {
     fn new(seed: u64, unseen_share: f64) -> Storm {
         Storm {
+            wait_ms: 0,
             unseen_share,
             rng: Rng::with_seed(seed),
             guards: (0..INSTANCES).map(|_| CrashGuard::default()).collect(),
@@ -102,6 +106,10 @@
         }
     }
 
+    fn wait_ms(self, wait_ms: u64) -> Storm {
+        Storm { wait_ms, ..self }
+    }
+
     fn play(mut self) -> Outcome {
         let mut now_ms = 0;
         while now_ms < DURATION_MS {
@@ -185,7 +193,7 @@
         for endpoint in &mut self.endpoints {
             let guards = &mut self.guards;
             endpoint.running.retain(|call| {
-                let survived = now_ms >= call.begins_ms + SURVIVAL_MS;
+                let survived = now_ms >= call.begins_ms + self.wait_ms + SURVIVAL_MS;
                 if survived {
                     guards[call.instance].record_survival(&call.subjects(), now_ms);
                 }
@@ -208,7 +216,7 @@
             endpoint.back_ms = now_ms + self.rng.u64(2_000..5_000);
             for mut call in std::mem::take(&mut endpoint.running) {
                 // An instance that has no connection there any more does not see the end.
-                let is_recent = now_ms < call.begins_ms + CRASH_WINDOW_MS;
+                let is_recent = now_ms < call.begins_ms + self.wait_ms + CRASH_WINDOW_MS;
                 if is_recent && self.rng.f64() >= self.unseen_share {
                     let crash = Crash {
                         endpoint: index as u64 + 100 * now_ms,
@@ -239,3 +247,18 @@
         }
     }
 }
+
+/// Issue 59, BUDGET: as above, when endpoints end before the answer begins. Each end is then one under
+/// all requests that wait there, of which none but those with the part may be refused.
+#[test]
+fn requests_that_wait_at_endpoints_that_end_are_not_held_responsible() {
+    for wait_ms in [300, 900] {
+        for seed in 0..10 {
+            let outcome = Storm::new(seed, 0.0).wait_ms(wait_ms).play();
+            let case = format!("seed {seed}, wait {wait_ms}: {outcome:?}");
+            assert!(outcome.bad_starts_late <= 3, "{case}");
+            assert_eq!(outcome.blocked, [BAD_PART].into(), "{case}");
+            assert!(outcome.sound_refused <= MAX_SOUND_REFUSED, "{case}");
+        }
+    }
+}
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -309,6 +309,11 @@
         for key in sign.cleared {
             self.crashes.retract_crash(key.subjects(), now_ms);
         }
+        for key in sign.cleared_pending {
+            let endpoint = self.shared_hash;
+            self.crashes
+                .retract_pending_crash(key.subjects(), endpoint, now_ms);
+        }
     }
 
     /// Records that an answer to a request began.
@@ -340,12 +345,11 @@
 
     /// Records that the connection of a request broke before its answer began.
     pub(crate) fn record_broken_before_start(&self, key: &RequestKey, now_ms: u64) {
-        let key = key.without_parts();
         self.crashes
             .record_crash(key.subjects(), self.crash(now_ms));
         self.recent_starts
             .borrow_mut()
-            .broke_before_start(key, now_ms);
+            .broke_before_start(key.clone(), now_ms);
     }
 
     fn crash(&self, now_ms: u64) -> Crash {
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -33,6 +33,8 @@
     pub(crate) survived: Vec<RequestKey>,
     /// These were taken for the cause of an end that was none.
     pub(crate) cleared: Vec<RequestKey>,
+    /// As above, but the endpoint may not have begun them.
+    pub(crate) cleared_pending: Vec<RequestKey>,
 }
 
 /// The answers that one run of an endpoint began lately.
@@ -41,6 +43,8 @@
     starts: VecDeque<Start>,
     /// Those that began shortly before a connection broke.
     suspects: Vec<RequestKey>,
+    /// Those whose connection broke before an answer began.
+    pending_suspects: Vec<RequestKey>,
     broke_ms: u64,
 }
 
@@ -67,8 +71,9 @@
         let mut sign = SignOfLife::default();
         let opened_later = opened_ms.is_some_and(|opened_ms| opened_ms > self.broke_ms);
         let is_late = now_ms > self.broke_ms + LATE_BYTES_MS;
-        if !self.suspects.is_empty() && (opened_later || is_late) {
+        if opened_later || is_late {
             sign.cleared = std::mem::take(&mut self.suspects);
+            sign.cleared_pending = std::mem::take(&mut self.pending_suspects);
         }
         while let Some(start) = self.starts.front()
             && now_ms >= start.began_ms + SURVIVAL_MS
@@ -82,7 +87,7 @@
     /// Records that the connection of a request broke before its answer began.
     pub(crate) fn broke_before_start(&mut self, key: RequestKey, now_ms: u64) {
         self.broke_ms = now_ms;
-        self.suspects.push(key);
+        self.pending_suspects.push(key);
     }
 
     /// Records that a connection broke, and returns the answers that began shortly before it. Each is
--- a/crates/serve/src/request_key.rs
+++ b/crates/serve/src/request_key.rs
@@ -47,18 +47,11 @@
         }
     }
 
-    /// Returns what may crash an endpoint that has begun to answer the request.
+    /// Returns what may crash an endpoint that the request has reached.
     pub(crate) fn subjects(&self) -> &[Subject] {
         &self.subjects
     }
 
-    /// Returns the key without the parts of the prompt, for an endpoint that may not have read them.
-    pub(crate) fn without_parts(&self) -> RequestKey {
-        RequestKey {
-            subjects: self.subjects[..1].into(),
-        }
-    }
-
     /// Returns whether both keys are of the same request.
     pub(crate) fn is_same_request(&self, other: &RequestKey) -> bool {
         self.subjects[0] == other.subjects[0]
--- a/crates/serve/src/shared_crashes.rs
+++ b/crates/serve/src/shared_crashes.rs
@@ -59,6 +59,12 @@
         self.lock().retract_crash(subjects, now_ms);
     }
 
+    /// Takes back the crash of an endpoint, by its hash, that may not have begun the request: it lives.
+    pub(crate) fn retract_pending_crash(&self, subjects: &[Subject], endpoint: u64, now_ms: u64) {
+        self.lock()
+            .retract_pending_crash(subjects, endpoint, now_ms);
+    }
+
     /// Returns whether a request with these subjects may be sent.
     pub fn admit(
         &self,
--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -29,6 +29,55 @@
     UntilClose,
 }
 
+/// What an endpoint has written of the answer under which it crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    FirstEvent,
+    PartOfHead,
+    Nothing,
+}
+
+/// How endpoints crash and answer.
+#[derive(Debug, Clone, Copy)]
+struct Behavior {
+    bad_part: &'static str,
+    framing: Framing,
+    written: Written,
+}
+
+impl Behavior {
+    fn crashing_on(bad_part: &'static str) -> Behavior {
+        Behavior {
+            bad_part,
+            framing: Framing::Chunked,
+            written: Written::FirstEvent,
+        }
+    }
+
+    fn framing(self, framing: Framing) -> Behavior {
+        Behavior { framing, ..self }
+    }
+
+    fn written(self, written: Written) -> Behavior {
+        Behavior { written, ..self }
+    }
+
+    /// Returns what is written at the start of an answer.
+    fn start(&self, is_bad: bool) -> String {
+        let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n";
+        match (is_bad, self.written) {
+            (true, Written::Nothing) => return String::new(),
+            (true, Written::PartOfHead) => return head.to_owned(),
+            _ => {}
+        }
+        let event = "id: 1\ndata: x\n\n";
+        match self.framing {
+            Framing::Chunked => format!("{head}Transfer-Encoding: chunked\r\n\r\nf\r\n{event}\r\n"),
+            Framing::UntilClose => format!("{head}\r\n{event}"),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct EndpointLog {
     crashes: u64,
@@ -46,10 +95,10 @@
 }
 
 impl CrashingEndpoint {
-    fn start(bad_part: &'static str, framing: Framing) -> CrashingEndpoint {
+    fn start(behavior: Behavior) -> CrashingEndpoint {
         let log: Arc<Mutex<EndpointLog>> = Arc::default();
         let shared = log.clone();
-        let addr = listen(move |stream| answer(stream, bad_part, framing, &shared));
+        let addr = listen(move |stream| answer(stream, &behavior, &shared));
         CrashingEndpoint { addr, log }
     }
 
@@ -64,7 +113,7 @@
     }
 }
 
-fn answer(mut stream: TcpStream, bad_part: &str, framing: Framing, log: &Mutex<EndpointLog>) {
+fn answer(mut stream: TcpStream, behavior: &Behavior, log: &Mutex<EndpointLog>) {
     let Some(head) = read_head(&mut stream) else {
         return;
     };
@@ -81,17 +130,12 @@
         log.connections.extend(stream.try_clone());
         log.started.push(parts.clone());
     }
-    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n";
-    let event = "id: 1\ndata: x\n\n";
-    let start = match framing {
-        Framing::Chunked => format!("{head}Transfer-Encoding: chunked\r\n\r\nf\r\n{event}\r\n"),
-        Framing::UntilClose => format!("{head}\r\n{event}"),
-    };
-    if stream.write_all(start.as_bytes()).is_err() {
+    let is_bad = parts.split(',').any(|part| part == behavior.bad_part);
+    if stream.write_all(behavior.start(is_bad).as_bytes()).is_err() {
         return;
     }
     std::thread::sleep(CRASH_DELAY);
-    if parts.split(',').any(|part| part == bad_part) {
+    if is_bad {
         let mut log = log.lock().unwrap();
         log.crashes += 1;
         log.is_down = true;
@@ -101,7 +145,7 @@
         drop(log);
         std::thread::sleep(RESTART_TIME);
     } else {
-        if framing == Framing::Chunked {
+        if behavior.framing == Framing::Chunked {
             let _ = stream.write_all(b"0\r\n\r\n");
         }
         let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -116,9 +160,9 @@
 }
 
 impl Fleet {
-    fn start(count: usize, bad_part: &'static str, framing: Framing) -> Fleet {
+    fn start(count: usize, behavior: Behavior) -> Fleet {
         let endpoints: Vec<CrashingEndpoint> = (0..count)
-            .map(|_| CrashingEndpoint::start(bad_part, framing))
+            .map(|_| CrashingEndpoint::start(behavior))
             .collect();
         let addrs: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
         let route = route(RetrySafety::ResumableStream);
@@ -171,34 +215,50 @@
 /// crash them first and three more.
 const MAX_BAD_STARTS: usize = 8;
 
-/// Issue 29, BUDGET: requests with one prompt part ended 71 endpoints in turn.
-#[test]
-fn a_prompt_part_that_crashes_endpoints_is_learned_from_few_crashes() {
-    let fleet = Fleet::start(6, "66", Framing::Chunked);
+/// Sends requests with the bad part among sound ones, and checks that it is learned in time.
+fn check_that_the_bad_part_is_learned(written: Written) {
+    let fleet = Fleet::start(6, Behavior::crashing_on("66").written(written));
     for number in 0..20 {
         let own = 1_000 + number;
         // Sound requests share the first part with bad ones, and the second with one another.
         let sound = fleet.send(&format!("1,{},{own}", 20 + number % 4));
-        assert_eq!(sound.status, 200, "sound request {number}");
-        assert!(sound.is_complete, "sound request {number}");
+        assert_eq!(sound.status, 200, "{written:?}: sound request {number}");
+        assert!(sound.is_complete, "{written:?}: sound request {number}");
         fleet.send(&format!("1,66,{}", 5_000 + number));
     }
     let bad_starts = fleet.started_with("66");
-    assert!(bad_starts <= MAX_BAD_STARTS, "{bad_starts} bad requests");
+    assert!(
+        bad_starts <= MAX_BAD_STARTS,
+        "{written:?}: {bad_starts} bad requests"
+    );
     let crashes = fleet.crashes();
     let began = Instant::now();
     let refused = fleet.send("1,66,9000");
-    assert_eq!(refused.status, 503);
-    assert_eq!(refused.verdict.as_deref(), Some("not-run"));
+    assert_eq!(refused.status, 503, "{written:?}");
+    assert_eq!(refused.verdict.as_deref(), Some("not-run"), "{written:?}");
     assert!(began.elapsed() < RESTART_TIME + Duration::from_millis(50));
-    assert_eq!(fleet.crashes(), crashes);
+    assert_eq!(fleet.crashes(), crashes, "{written:?}");
+}
+
+/// Issue 29, BUDGET: requests with one prompt part ended 71 endpoints in turn.
+#[test]
+fn a_prompt_part_that_crashes_endpoints_is_learned_from_few_crashes() {
+    check_that_the_bad_part_is_learned(Written::FirstEvent);
+}
+
+/// Issue 59, BUDGET: a part was never learned if endpoints ended before the head of an answer to it.
+#[test]
+fn a_prompt_part_that_crashes_endpoints_before_their_answers_begin_is_learned() {
+    for written in [Written::PartOfHead, Written::Nothing] {
+        check_that_the_bad_part_is_learned(written);
+    }
 }
 
 /// Guards against refusing sound requests because endpoints crash for other reasons.
 #[test]
 fn crashes_with_other_causes_refuse_no_request() {
     // Each request has a part of its own that crashes nothing twice, among parts that all share.
-    let fleet = Fleet::start(4, "77", Framing::Chunked);
+    let fleet = Fleet::start(4, Behavior::crashing_on("77"));
     let mut refused = BTreeSet::new();
     for number in 0..40 {
         let is_bad_moment = number % 5 == 4;
@@ -217,7 +277,7 @@
 /// connection: a part under which such answers seem to end well would never be blocked.
 #[test]
 fn an_answer_that_ends_with_its_connection_does_not_clear_its_prompt() {
-    let fleet = Fleet::start(6, "66", Framing::UntilClose);
+    let fleet = Fleet::start(6, Behavior::crashing_on("66").framing(Framing::UntilClose));
     for number in 0..16 {
         fleet.send(&format!("1,66,{}", 5_000 + number));
         // Only the next request finds that the endpoint has ended.
