catalog, control, wire: Order objects by era and revision

Cause: an object is known by era and revision, as revisions are given out again, but the replica ordered by revision alone and the era was a map beside it. An instance that listed the store first after its return kept what peers had given it of the earlier era, called it that of the new one, and the others fetched it. Related, by reading and then by test: large objects were encoded once by path and revision, so that peers got the value of the earlier era under a revision given out again. Ruled out: the watch, which finds the era itself.

Change: the replica holds the era of each kind. A listing of a later era replaces the kind, one of an earlier era is ignored, single objects count in their own era only. Cursors, the configuration in force, lags, offers and encoded objects are compared by position; a fetch names the era of its sender, and its response that of the objects, all of them if it is another one. Earlier builds, which name none, are read as before.

Tests: an_instance_that_starts_while_the_store_is_away_keeps_nothing_of_the_earlier_era and a_revision_that_is_given_out_again_brings_the_new_value_to_peers failed before (timed out, version not in force) and pass. new_watchers_of_a_large_fleet_keep_nothing_of_an_earlier_era passed before too; it guards two drills in a fleet of 14. two tests of the replica alone use the new signature.

--- a/crates/catalog/src/object.rs
+++ b/crates/catalog/src/object.rs
@@ -25,6 +25,16 @@
     }
 }
 
+/// A revision of the store. Those of a later era come after all of an earlier one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// How often the store had come back from an older copy. Its revisions go back then, and are given out
+    /// again.
+    pub era: u64,
+    /// The revision.
+    pub revision: u64,
+}
+
 /// A digest of a set of objects. Equal sets have equal digests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Digest {
--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -1,42 +1,54 @@
 //! The configuration replica of an instance.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde_json::Value;
 
-use crate::object::{Digest, Object};
+use crate::object::{Digest, Object, Position};
 
 /// The path prefix of version specs.
 const VERSION_PREFIX: &str = "config/spec/version/";
 
 /// A replica of the configuration objects.
 ///
-/// An object is only replaced by a higher revision of it, unless the store came back from an older copy
-/// ([`Replica::replace_kind`]). Deleted objects are kept as tombstones, and a version that was withdrawn
-/// in any applied revision stays withdrawn.
+/// The objects of a kind are all of one era. Within it, an object is only replaced by a higher revision of
+/// it; a listing of a later era replaces the whole kind, as the store came back from an older copy.
+/// Deleted objects are kept as tombstones, and a version that was withdrawn in any applied revision stays
+/// withdrawn.
 ///
 /// # Examples
 ///
 /// ```
-/// use catalog::{Object, Replica};
+/// use catalog::{Object, Position, Replica};
 ///
 /// let mut replica = Replica::default();
 /// let newer = Object { path: "spec/model/a".into(), revision: 2, value: None };
 /// let older = Object { path: "spec/model/a".into(), revision: 1, value: None };
-/// assert!(replica.apply(newer));
-/// assert!(!replica.apply(older));
+/// assert!(replica.apply(0, newer));
+/// assert!(!replica.apply(0, older.clone()));
+/// assert!(replica.apply_listing("spec/", Position { era: 1, revision: 1 }, vec![older]));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
     objects: BTreeMap<Arc<str>, Object>,
     withdrawn: BTreeSet<Arc<str>>,
     digests: BTreeMap<Arc<str>, Digest>,
+    /// By kind, the era of its objects.
+    eras: BTreeMap<Arc<str>, u64>,
 }
 
 impl Replica {
     /// Stores an object if its revision is newer than the stored one, and returns whether it was.
-    pub fn apply(&mut self, object: Object) -> bool {
+    ///
+    /// An object of another era than its kind is ignored. A later era begins with a listing, as nothing is
+    /// known of the other objects until then.
+    pub fn apply(&mut self, era: u64, object: Object) -> bool {
+        era == self.era_of(object.kind()) && self.apply_revision(object)
+    }
+
+    fn apply_revision(&mut self, object: Object) -> bool {
         let stored = self.objects.get(&object.path);
         let stored_revision = stored.map(|stored| stored.revision);
         if stored_revision >= Some(object.revision) {
@@ -54,15 +66,31 @@
         true
     }
 
-    /// Applies a complete listing as of a revision and returns whether anything changed.
+    /// Applies a complete listing as of a position and returns whether anything changed.
     ///
     /// A stored object under the prefix that the listing lacks was deleted, unless it is newer than
-    /// the listing.
-    pub fn apply_listing(&mut self, prefix: &str, revision: u64, objects: Vec<Object>) -> bool {
+    /// the listing. A listing of a later era replaces all objects of the prefix's kind, and one of an earlier
+    /// era is ignored.
+    pub fn apply_listing(
+        &mut self,
+        prefix: &str,
+        position: Position,
+        objects: Vec<Object>,
+    ) -> bool {
+        let kind = kind_of(prefix);
+        match position.era.cmp(&self.era_of(kind)) {
+            Ordering::Less => return false,
+            Ordering::Equal => {}
+            Ordering::Greater => {
+                self.replace_kind(kind, position, objects);
+                return true;
+            }
+        }
+        let revision = position.revision;
         let listed: BTreeSet<Arc<str>> = objects.iter().map(|object| object.path.clone()).collect();
         let mut changed = false;
         for object in objects {
-            changed |= self.apply(object);
+            changed |= self.apply_revision(object);
         }
         let is_missing = |object: &&Object| {
             let was_listed = object.value.is_some() && object.revision < revision;
@@ -75,7 +103,7 @@
             .map(|object| object.path.clone())
             .collect();
         for path in deleted {
-            changed |= self.apply(Object {
+            changed |= self.apply_revision(Object {
                 path,
                 revision,
                 value: None,
@@ -87,20 +115,22 @@
     /// Replaces all objects of a kind by those of a complete listing, whatever their revisions, as those of
     /// the store go back when it comes back from an older copy. Objects that the listing lacks count as
     /// deleted.
-    pub fn replace_kind(&mut self, kind: &str, revision: u64, objects: Vec<Object>) {
+    pub fn replace_kind(&mut self, kind: &str, position: Position, objects: Vec<Object>) {
+        let Position { era, revision } = position;
+        self.eras.insert(kind.into(), era);
         let is_of_kind = |object: &&Object| object.kind() == kind;
         let held = self.objects.values().filter(is_of_kind);
         let held: Vec<Arc<str>> = held.map(|object| object.path.clone()).collect();
         self.objects.retain(|_, object| object.kind() != kind);
         self.digests.remove(kind);
         for object in objects {
-            self.apply(object);
+            self.apply_revision(object);
         }
         for path in held {
             if self.objects.contains_key(&path) {
                 continue;
             }
-            self.apply(Object {
+            self.apply_revision(Object {
                 path,
                 revision,
                 value: None,
@@ -108,6 +138,11 @@
         }
     }
 
+    /// Returns the era of the objects of a kind.
+    pub fn era_of(&self, kind: &str) -> u64 {
+        self.eras.get(kind).copied().unwrap_or_default()
+    }
+
     /// Returns the digest over all objects, which instances compare with their peers.
     pub fn digest(&self) -> Digest {
         self.digests
@@ -180,3 +215,8 @@
         }
     }
 }
+
+/// Returns the kind of the objects under a prefix.
+fn kind_of(prefix: &str) -> &str {
+    prefix.split('/').next().unwrap_or(prefix)
+}
--- a/crates/catalog/tests/replica.rs
+++ b/crates/catalog/tests/replica.rs
@@ -1,6 +1,6 @@
 //! Replica merges with objects and listings that arrive reordered, duplicated or not at all.
 
-use catalog::{Object, Replica, Snapshot};
+use catalog::{Object, Position, Replica, Snapshot};
 use proptest::prelude::*;
 use serde_json::json;
 
@@ -34,6 +34,10 @@
         .collect()
 }
 
+fn position(era: u64, revision: u64) -> Position {
+    Position { era, revision }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -45,14 +49,14 @@
         let history = history(&writes);
         let mut ordered = Replica::default();
         for object in &history {
-            ordered.apply(object.clone());
+            ordered.apply(0, object.clone());
         }
         let mut reordered = Replica::default();
         for index in &order {
-            reordered.apply(history[index.index(history.len())].clone());
+            reordered.apply(0, history[index.index(history.len())].clone());
         }
         for object in history.iter().rev() {
-            reordered.apply(object.clone());
+            reordered.apply(0, object.clone());
         }
         prop_assert_eq!(revisions(&ordered), revisions(&reordered));
         prop_assert_eq!(ordered.digest(), reordered.digest());
@@ -76,9 +80,9 @@
                     listed.insert(object.path.clone(), object.clone());
                 }
                 let live = listed.into_values().filter(|object| object.value.is_some()).collect();
-                replica.apply_listing("config/", at as u64 + 1, live);
+                replica.apply_listing("config/", position(0, at as u64 + 1), live);
             } else {
-                replica.apply(history[at].clone());
+                replica.apply(0, history[at].clone());
             }
             for (path, revision) in before {
                 prop_assert!(replica.get(&path).unwrap().revision >= revision, "{path} is older");
@@ -102,11 +106,14 @@
             "name": "a", "model": "m", "pool": "p", "state": state,
             "quality_prior": 0.9, "cost_prompt_micros": 1, "cost_completion_micros": 1,
         });
-        replica.apply(Object {
-            path: PATHS[0].into(),
-            revision,
-            value: Some(value),
-        });
+        replica.apply(
+            0,
+            Object {
+                path: PATHS[0].into(),
+                revision,
+                value: Some(value),
+            },
+        );
     }
     let snapshot = Snapshot::build(&replica, &Snapshot::default());
     assert_eq!(
@@ -114,3 +121,43 @@
         catalog::VersionState::Withdrawn
     );
 }
+
+fn object(path: &str, revision: u64) -> Object {
+    Object {
+        path: path.into(),
+        revision,
+        value: Some(json!({ "revision": revision })),
+    }
+}
+
+/// Issue 59, CONFIG: objects of before a store's older copy, with higher revisions than those given out
+/// since, shut out all later changes.
+#[test]
+fn an_era_replaces_the_objects_of_all_earlier_ones() {
+    let mut replica = Replica::default();
+    replica.apply_listing("config/", position(1, 30), vec![object("config/main", 30)]);
+    replica.apply(1, object("servers/a", 31));
+    let listing = vec![object("config/main", 20)];
+    assert!(replica.apply_listing("config/", position(2, 20), listing));
+    assert_eq!(replica.digest_of("config").max_revision, 20);
+    // News, listings and objects of the earlier era come late.
+    assert!(!replica.apply(1, object("config/main", 31)));
+    let late = vec![object("config/main", 32)];
+    assert!(!replica.apply_listing("config/", position(1, 32), late));
+    assert!(replica.apply(2, object("config/main", 21)));
+    assert_eq!(replica.get("config/main").unwrap().revision, 21);
+    assert_eq!(
+        (replica.era_of("config"), replica.era_of("servers")),
+        (2, 0)
+    );
+}
+
+/// Guards against objects of a later era among those of an earlier one, whose revisions may be higher.
+#[test]
+fn a_later_era_begins_with_a_listing() {
+    let mut replica = Replica::default();
+    replica.apply_listing("config/", position(1, 30), vec![object("config/main", 30)]);
+    assert!(!replica.apply(2, object("config/main", 40)));
+    let listing = vec![object("config/main", 40)];
+    assert!(replica.apply_listing("config/", position(2, 40), listing));
+}
--- a/crates/control/src/encoded.rs
+++ b/crates/control/src/encoded.rs
@@ -11,18 +11,27 @@
 /// The size from which a value is compressed, in bytes. Smaller ones fit into a few packets.
 const MIN_COMPRESSED_BYTES: usize = 4 << 10;
 
+/// The wire message of an object of one era.
+#[derive(Debug)]
+struct Encoded {
+    era: u64,
+    entry: ObjectEntry,
+}
+
 /// Wire messages of the latest revisions of large objects.
 #[derive(Debug, Default)]
 pub(crate) struct EncodedObjects {
-    by_path: BTreeMap<Arc<str>, ObjectEntry>,
+    by_path: BTreeMap<Arc<str>, Encoded>,
 }
 
 impl EncodedObjects {
-    /// Converts an object to its wire message, with a large value compressed.
-    pub(crate) fn encode(&mut self, object: &Object) -> ObjectEntry {
-        let kept = self.by_path.get(&object.path);
-        if let Some(entry) = kept.filter(|entry| entry.revision == object.revision) {
-            return entry.clone();
+    /// Converts an object of an era to its wire message, with a large value compressed.
+    pub(crate) fn encode(&mut self, era: u64, object: &Object) -> ObjectEntry {
+        if let Some(kept) = self.by_path.get(&object.path)
+            && kept.era == era
+            && kept.entry.revision == object.revision
+        {
+            return kept.entry.clone();
         }
         let mut entry = object_to_wire(object);
         let Some(value) = entry
@@ -34,7 +43,11 @@
         match wire::compress(&value) {
             Ok(compressed) => {
                 entry.compressed_value = Some(compressed);
-                self.by_path.insert(object.path.clone(), entry.clone());
+                let kept = Encoded {
+                    era,
+                    entry: entry.clone(),
+                };
+                self.by_path.insert(object.path.clone(), kept);
             }
             Err(err) => {
                 tracing::warn!(path = &*object.path, error = %err, "config: value not compressed");
--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -14,7 +14,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{FutureExt, future};
-use wire::{Body, Envelope, Fetch, Link, LinkError, Ping};
+use wire::{Body, Envelope, Fetch, Link, LinkError, Objects, Ping};
 
 use crate::convert::object_from_wire;
 use crate::offer::Offer;
@@ -261,8 +261,8 @@
             if sources.any(|source| source.offer.peer_addr == offer.peer_addr) {
                 continue;
             }
-            let revision = offer.digest.max_revision;
-            if best.is_none_or(|best| self.offers[best].digest.max_revision <= revision) {
+            let held_at = |offer: &Offer| (offer.digest.era, offer.digest.max_revision);
+            if best.is_none_or(|best| held_at(&self.offers[best]) <= held_at(offer)) {
                 best = Some(position);
             }
         }
@@ -293,6 +293,13 @@
     }
 }
 
+/// Returns the era of fetched objects. A peer of an earlier build tells it in its digest, or not at all.
+fn fetched_era(control: &Control, offer: &Offer, objects: &Objects) -> u64 {
+    let told = [objects.era, offer.digest.era];
+    let era_plus_one = told.into_iter().find(|era| *era > 0);
+    era_plus_one.map_or_else(|| control.era_of(&offer.digest.kind), |era| era - 1)
+}
+
 /// Returns the number of objects received.
 async fn request(
     control: &Control,
@@ -302,10 +309,12 @@
 ) -> Result<usize, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
     let link = Link::connect(offer.peer_addr, timeout).await?;
+    let kind = &offer.digest.kind;
     let fetch = Fetch {
         since,
-        kind: offer.digest.kind.clone(),
+        kind: kind.clone(),
         accepts_compressed: true,
+        era: control.era_of(kind) + 1,
     };
     let request = Envelope::new(control.incarnation.as_u64(), Body::Fetch(fetch));
     let response = link
@@ -326,6 +335,10 @@
         }
     }
     let count = decoded.len();
-    control.apply_fetched(&offer.digest, decoded);
+    control.apply_fetched(
+        &offer.digest,
+        fetched_era(control, offer, &objects),
+        decoded,
+    );
     Ok(count)
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -105,17 +105,24 @@
         }
         Body::Fetch(fetch) => {
             let replica = control.replica.borrow();
-            let objects = replica.since_of(&fetch.kind, fetch.since, MAX_OBJECTS);
+            let era = replica.era_of(&fetch.kind);
+            // The sender's revisions say nothing about objects of another era.
+            let is_same_era = fetch.era == 0 || fetch.era == era + 1;
+            let since = if is_same_era { fetch.since } else { 0 };
+            let objects = replica.since_of(&fetch.kind, since, MAX_OBJECTS);
             let mut encoded = control.encoded.borrow_mut();
             let mut entries = Vec::with_capacity(objects.len());
             for object in objects {
                 entries.push(if fetch.accepts_compressed {
-                    encoded.encode(object)
+                    encoded.encode(era, object)
                 } else {
                     object_to_wire(object)
                 });
             }
-            Body::Objects(Objects { objects: entries })
+            Body::Objects(Objects {
+                objects: entries,
+                era: era + 1,
+            })
         }
         _ => return None,
     };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
-use catalog::{Object, Replica};
+use catalog::{Object, Position, Replica};
 use kernel::{Clock, Incarnation};
 use member::{Member, MemberTable as Members, MemberTableSettings, Status};
 use serve::{Pool, SharedLoads, VersionCounters, View};
@@ -49,10 +49,10 @@
     UnavailableSince(u64),
 }
 
-/// The latest revision in this replica while a peer holds a later one, and since when.
+/// The latest position in this replica while a peer holds a later one, and since when.
 #[derive(Debug, Clone, Copy)]
 struct ReplicaLag {
-    revision: u64,
+    position: Position,
     since_ms: u64,
     is_reported: bool,
 }
@@ -79,7 +79,7 @@
     pub(crate) trackers: RefCell<RolloutTrackers>,
     registry: RefCell<EndpointRegistry>,
     table: RefCell<Option<Arc<route::Table>>>,
-    table_revision: Cell<u64>,
+    table_position: Cell<Position>,
     feed_statuses: RefCell<BTreeMap<Feed, FeedStatus>>,
     endpoints_recovered_ms: Cell<Option<u64>>,
     pub(crate) liveness: StoreLiveness,
@@ -91,8 +91,6 @@
     pub(crate) peers_tried: Cell<bool>,
     /// Whether a change has not been pushed to peers yet.
     pub(crate) has_unsent_changes: Cell<bool>,
-    /// By kind of object, how often the store had come back from an older copy when it gave the objects.
-    eras: RefCell<BTreeMap<String, u64>>,
     /// By kind of object, set from the time when a peer was first seen ahead of this replica.
     lags: RefCell<BTreeMap<String, ReplicaLag>>,
     /// Objects that peers offer.
@@ -129,7 +127,7 @@
             trackers: RefCell::default(),
             registry: RefCell::new(EndpointRegistry::default()),
             table: RefCell::default(),
-            table_revision: Cell::new(0),
+            table_position: Cell::default(),
             feed_statuses: RefCell::default(),
             endpoints_recovered_ms: Cell::new(None),
             liveness: StoreLiveness::default(),
@@ -138,7 +136,6 @@
             stopping: Cell::new(false),
             peers_tried: Cell::new(false),
             has_unsent_changes: Cell::new(false),
-            eras: RefCell::default(),
             lags: RefCell::default(),
             offers: components.offers,
             encoded: RefCell::default(),
@@ -160,14 +157,14 @@
         self.clock.mono_ms()
     }
 
-    /// Applies objects from the store or a peer, publishes the result at once, and returns whether
+    /// Applies objects of an era from the store or a peer, publishes the result at once, and returns whether
     /// any object was new.
-    pub(crate) fn apply_objects(&self, objects: Vec<Object>) -> bool {
+    pub(crate) fn apply_objects(&self, era: u64, objects: Vec<Object>) -> bool {
         let mut changed = false;
         for object in objects {
             let behind_ms = self.behind_ms(&object);
             let path = object.path.clone();
-            if !self.replica.borrow_mut().apply(object) {
+            if !self.replica.borrow_mut().apply(era, object) {
                 continue;
             }
             changed = true;
@@ -182,56 +179,26 @@
         changed
     }
 
-    /// Replaces the objects of a feed by a listing of a store that came back from an older copy.
-    pub(crate) fn replace_listing(&self, feed: Feed, listing: Listing) {
-        let prefix = self.codec.prefix(feed);
-        self.replace_kind(kind_of(prefix), listing);
-    }
-
-    /// Replaces the objects of a kind by a listing of a later era.
-    fn replace_kind(&self, kind: &str, listing: Listing) {
-        let Listing {
-            revision,
+    /// Applies objects that a peer holds of a kind: all of them if their era is later than that of the own
+    /// ones, else those that were missing.
+    pub(crate) fn apply_fetched(&self, digest: &ConfigDigest, era: u64, objects: Vec<Object>) {
+        if era <= self.era_of(&digest.kind) {
+            self.apply_objects(era, objects);
+            return;
+        }
+        let listing = Listing {
+            revision: digest.max_revision,
             era,
             objects,
-        } = listing;
-        let before = self.replica.borrow().digest_of(kind).max_revision;
-        // An instance that starts takes its first objects from a peer as well.
-        if before > 0 {
-            tracing::warn!(
-                kind,
-                revision,
-                before,
-                era,
-                "store: went back to an older copy"
-            );
-        }
-        self.eras.borrow_mut().insert(kind.to_owned(), era);
-        self.replica
-            .borrow_mut()
-            .replace_kind(kind, revision, objects);
-        // Its revision may be given out again.
-        self.table_revision.set(0);
-        for object in self.replica.borrow().since_of(kind, 0, usize::MAX) {
-            self.apply_object(object, None);
-        }
-        self.has_unsent_changes.set(true);
-        self.publish();
+        };
+        self.apply_listing_of(&digest.kind, listing);
     }
 
-    /// Applies objects that a peer holds of a kind, of its era.
-    pub(crate) fn apply_fetched(&self, digest: &ConfigDigest, objects: Vec<Object>) {
-        match self.compare_era(digest) {
-            Ordering::Less => {}
-            Ordering::Equal => drop(self.apply_objects(objects)),
-            Ordering::Greater => self.replace_kind(
-                &digest.kind,
-                Listing {
-                    revision: digest.max_revision,
-                    era: digest.era - 1,
-                    objects,
-                },
-            ),
+    /// Returns the latest position of the objects of a kind.
+    fn position_of(&self, kind: &str) -> Position {
+        Position {
+            era: self.era_of(kind),
+            revision: self.replica.borrow().digest_of(kind).max_revision,
         }
     }
 
@@ -246,7 +213,7 @@
 
     /// Returns the era of the objects of a kind.
     pub(crate) fn era_of(&self, kind: &str) -> u64 {
-        self.eras.borrow().get(kind).copied().unwrap_or_default()
+        self.replica.borrow().era_of(kind)
     }
 
     /// Returns the revision after which a peer has objects that this replica lacks.
@@ -261,28 +228,66 @@
 
     /// Applies a complete listing of a feed, which also removes the objects that it lacks.
     pub(crate) fn apply_listing(&self, feed: Feed, listing: Listing) {
+        self.apply_listing_of(kind_of(self.codec.prefix(feed)), listing);
+    }
+
+    fn apply_listing_of(&self, kind: &str, listing: Listing) {
+        let before = self.position_of(kind);
         let Listing {
             revision,
             era,
             objects,
         } = listing;
-        let prefix = self.codec.prefix(feed).to_owned();
-        self.eras
-            .borrow_mut()
-            .insert(kind_of(&prefix).to_owned(), era);
-        let before = self.replica.borrow().digest().max_revision;
-        let changed = self
-            .replica
-            .borrow_mut()
-            .apply_listing(&prefix, revision, objects);
-        if !changed {
+        let position = Position { era, revision };
+        let prefix = format!("{kind}/");
+        let mut replica = self.replica.borrow_mut();
+        if !replica.apply_listing(&prefix, position, objects) {
             return;
         }
-        tracing::info!(?feed, revision, before, "config: listing applied");
-        for object in self.replica.borrow().since(0, usize::MAX) {
-            if object.path.starts_with(&prefix) {
-                self.apply_object(object, None);
-            }
+        drop(replica);
+        // An instance that starts takes its first objects from a peer as well.
+        if era > before.era && before.revision > 0 {
+            tracing::warn!(
+                kind,
+                revision,
+                before = before.revision,
+                era,
+                "store: went back to an older copy"
+            );
+        }
+        let before = before.revision;
+        tracing::info!(kind, revision, before, era, "config: listing applied");
+        self.apply_all_of(kind);
+    }
+
+    /// Replaces the objects of a feed by a listing of a store that went back without a later era.
+    pub(crate) fn replace_listing(&self, feed: Feed, listing: Listing) {
+        let kind = kind_of(self.codec.prefix(feed));
+        let before = self.position_of(kind).revision;
+        let Listing {
+            revision,
+            era,
+            objects,
+        } = listing;
+        tracing::warn!(
+            kind,
+            revision,
+            before,
+            era,
+            "store: went back in the same era"
+        );
+        self.replica
+            .borrow_mut()
+            .replace_kind(kind, Position { era, revision }, objects);
+        // The revision of the configuration in force may be given out again.
+        self.table_position.set(Position::default());
+        self.apply_all_of(kind);
+    }
+
+    /// Updates the table or the registry with all objects of a kind, and publishes them.
+    fn apply_all_of(&self, kind: &str) {
+        for object in self.replica.borrow().since_of(kind, 0, usize::MAX) {
+            self.apply_object(object, None);
         }
         self.has_unsent_changes.set(true);
         self.publish();
@@ -299,7 +304,11 @@
     }
 
     fn apply_config(&self, object: &Object, behind_ms: Option<u64>) {
-        if object.value.is_none() || object.revision <= self.table_revision.get() {
+        let position = Position {
+            era: self.era_of(object.kind()),
+            revision: object.revision,
+        };
+        if object.value.is_none() || position <= self.table_position.get() {
             return;
         }
         match self.codec.decode_table(object) {
@@ -308,7 +317,7 @@
                 if current.is_some_and(|current| current > table.version()) {
                     return;
                 }
-                self.table_revision.set(object.revision);
+                self.table_position.set(position);
                 tracing::info!(
                     version = table.version(),
                     revision = object.revision,
@@ -461,26 +470,27 @@
         if self.missing_since(theirs).is_none() {
             return false;
         }
-        let mine = self.replica.borrow().digest_of(&theirs.kind);
-        let is_lagging = self.record_lag(&theirs.kind, mine.max_revision, theirs.max_revision);
+        let is_lagging = self.record_lag(&theirs.kind, theirs.max_revision);
         is_lagging || self.should_fetch_from_peers()
     }
 
     /// Records that a peer is ahead, and returns whether this replica has lagged for so long that
     /// the store's watches must have stopped delivering.
-    fn record_lag(&self, kind: &str, revision: u64, theirs: u64) -> bool {
+    fn record_lag(&self, kind: &str, theirs: u64) -> bool {
         let now_ms = self.now_ms();
+        let position = self.position_of(kind);
         let mut lags = self.lags.borrow_mut();
-        let current = lags.get(kind).filter(|lag| lag.revision == revision);
+        let current = lags.get(kind).filter(|lag| lag.position == position);
         let mut lag = current.copied().unwrap_or(ReplicaLag {
-            revision,
+            position,
             since_ms: now_ms,
             is_reported: false,
         });
         let is_long = now_ms >= lag.since_ms + MAX_LAG_MS;
         if is_long && !lag.is_reported {
             lag.is_reported = true;
-            tracing::info!(kind, revision, theirs, "config: behind a peer");
+            let Position { era, revision } = position;
+            tracing::info!(kind, era, revision, theirs, "config: behind a peer");
             self.interrupt_watch_of(kind);
         }
         lags.insert(kind.to_owned(), lag);
@@ -498,10 +508,10 @@
 
     /// Returns how long ago a peer was first seen ahead in an object's kind, if one was.
     fn behind_ms(&self, object: &Object) -> Option<u64> {
-        let mine = self.replica.borrow().digest_of(object.kind());
+        let position = self.position_of(object.kind());
         let lags = self.lags.borrow();
         let lag = lags.get(object.kind())?;
-        (lag.revision == mine.max_revision).then(|| self.now_ms() - lag.since_ms)
+        (lag.position == position).then(|| self.now_ms() - lag.since_ms)
     }
 
     /// Returns whether changes must be fetched from peers because the store does not deliver them.
@@ -619,7 +629,7 @@
             generation: self.generation.get(),
             accepting: table.is_some() && has_endpoints && !self.stopping.get(),
             table,
-            table_revision: self.table_revision.get(),
+            table_revision: self.table_position.get().revision,
             pools: pools
                 .into_iter()
                 .map(|(service, pool)| (service, Arc::new(pool)))
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use catalog::Position;
 use futures_lite::FutureExt;
 use store::{Listing, StoreError};
 
@@ -54,26 +55,12 @@
 /// small part of the time within which a change must be in force.
 const WATCHER_CHECK_INTERVAL_MS: u64 = 200;
 
-/// Up to where a feed is known.
-#[derive(Debug, Clone, Copy)]
-struct Cursor {
-    revision: u64,
-    era: u64,
-}
-
-impl Cursor {
-    /// Returns whether the store has come back from an older copy since.
-    fn is_undone_by(self, listing: &Listing) -> bool {
-        listing.era != self.era || listing.revision < self.revision
-    }
-}
-
 /// Lists a feed, then watches it for as long as this instance is a watcher.
 pub(crate) async fn run(control: Rc<Control>, feed: Feed) {
     wait_for_first_peer(&control).await;
-    let mut cursor: Option<Cursor> = None;
+    let mut cursor: Option<Position> = None;
     // What was known last, also while the feed must be listed again.
-    let mut known: Option<Cursor> = None;
+    let mut known: Option<Position> = None;
     let mut pause_ms = MIN_BACKOFF_MS;
     let mut is_recovering = false;
     let mut is_first = true;
@@ -174,14 +161,16 @@
     }
 }
 
-async fn list(control: &Control, feed: Feed, known: Option<Cursor>) -> Result<Cursor, StoreError> {
+async fn list(
+    control: &Control,
+    feed: Feed,
+    known: Option<Position>,
+) -> Result<Position, StoreError> {
     let prefix = control.codec.prefix(feed);
     let listing = control.store.list(prefix).await?;
-    let reached = Cursor {
-        revision: listing.revision,
-        era: listing.era,
-    };
-    if known.is_some_and(|known| known.is_undone_by(&listing)) {
+    let reached = position(&listing);
+    let went_back = |known: Position| known.era == reached.era && known > reached;
+    if known.is_some_and(went_back) {
         control.replace_listing(feed, listing);
     } else {
         control.apply_listing(feed, listing);
@@ -189,6 +178,13 @@
     Ok(reached)
 }
 
+fn position(listing: &Listing) -> Position {
+    Position {
+        era: listing.era,
+        revision: listing.revision,
+    }
+}
+
 /// Watches once more from the same revision when the first watch may have been lost, without waiting
 /// for a change. The first one goes on meanwhile, as its response may be large and on its way.
 async fn watch_again(control: &Control, feed: Feed, revision: u64) -> Result<Listing, StoreError> {
@@ -214,10 +210,10 @@
 async fn watch(
     control: &Control,
     feed: Feed,
-    cursor: Cursor,
+    cursor: Position,
     is_recovering: bool,
-) -> Result<Cursor, StoreError> {
-    let Cursor { revision, era } = cursor;
+) -> Result<Position, StoreError> {
+    let Position { revision, era } = cursor;
     let prefix = control.codec.prefix(feed);
     // After a failure any response shows that the store is back, so it must not wait for a change.
     let wait_ms = if is_recovering {
@@ -228,14 +224,15 @@
     control.interrupts.clear(feed);
     let watch = control.store.watch(prefix, revision, wait_ms);
     let listing = watch.or(watch_again(control, feed, revision)).await?;
-    if cursor.is_undone_by(&listing) {
+    let reached = position(&listing);
+    if reached.era != era || reached < cursor {
         return Err(StoreError::Expired);
     }
     let count = listing.objects.len();
-    if control.apply_objects(listing.objects) {
+    if control.apply_objects(era, listing.objects) {
         Timer::after(BATCH_DELAY).await;
     } else if count > 0 {
-        let store_revision = listing.revision;
+        let store_revision = reached.revision;
         tracing::info!(
             ?feed,
             revision,
@@ -244,8 +241,5 @@
             "store: only known or older objects"
         );
     }
-    Ok(Cursor {
-        revision: listing.revision,
-        era,
-    })
+    Ok(reached)
 }
--- a/crates/control/tests/older_copy.rs
+++ b/crates/control/tests/older_copy.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use common::{
@@ -95,24 +97,61 @@
     shutdown(fleet);
 }
 
-/// As above, where most instances do not watch the store.
-#[test]
-fn instances_that_do_not_watch_learn_from_peers_that_the_store_went_back() {
-    const INSTANCES: usize = 8;
-    let store = MemoryStore::default();
-    store.write("config/main", json!({ "version": 1 }));
-    let start = |number: usize| {
-        let connection = StoreConnection::to(&store);
-        let adjust = |settings: Settings| settings.watchers(4, 2);
+/// Starts instances of which two watch the store, and waits until watches that began before the fleet was
+/// complete have ended.
+fn start_large_fleet(store: &MemoryStore, instances: usize) -> Vec<Instance> {
+    let start = |number: usize, peers: &[SocketAddr]| {
+        let connection = StoreConnection::to(store);
+        let adjust = |settings: Settings| settings.watchers(4, 2).first_start(true).peers(peers);
         Instance::start_with(&format!("i{number}"), connection, adjust)
     };
-    let fleet: Vec<Instance> = (0..INSTANCES).map(start).collect();
+    let mut fleet = vec![start(0, &[])];
+    for number in 1..instances {
+        fleet.push(start(number, &[fleet[0].peer_addr]));
+    }
     eventually("every instance sees all", || {
-        let sees_all = |instance: &Instance| instance.handle.members().load().len() == INSTANCES;
+        let sees_all = |instance: &Instance| instance.handle.members().load().len() == instances;
         fleet.iter().all(sees_all)
     });
-    // Watches that began before the fleet was complete end by themselves.
     std::thread::sleep(MAX_WATCH_WAIT + Duration::from_millis(500));
+    fleet
+}
+
+fn set_store_away(fleet: &[Instance]) {
+    for instance in fleet {
+        instance.connection.set_all_unavailable(true);
+    }
+}
+
+/// How much earlier some instances reach the store again than others, as their pauses between calls vary.
+const RETURN_DELAY: Duration = Duration::from_millis(400);
+
+/// Lets instances reach the store again, those in `first` before the others.
+fn return_store(fleet: &[Instance], first: &[usize]) {
+    for number in first {
+        fleet[*number].connection.set_all_unavailable(false);
+    }
+    std::thread::sleep(RETURN_DELAY);
+    for instance in fleet {
+        instance.connection.set_all_unavailable(false);
+    }
+}
+
+/// Returns the instances that make no calls to the store.
+fn non_watchers(fleet: &[Instance]) -> Vec<usize> {
+    let calls = |instance: &Instance| instance.connection.calls.load(Ordering::Relaxed);
+    let before: Vec<u64> = fleet.iter().map(calls).collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let is_calm = |number: &usize| calls(&fleet[*number]) == before[*number];
+    (0..fleet.len()).filter(is_calm).collect()
+}
+
+/// As above, where most instances do not watch the store.
+#[test]
+fn instances_that_do_not_watch_learn_from_peers_that_the_store_went_back() {
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let fleet = start_large_fleet(&store, 8);
     let copy = copy_then_change(&store, &fleet);
     store.restore(&copy);
     store.write("config/main", json!({ "version": 6 }));
@@ -120,6 +159,86 @@
     shutdown(fleet);
 }
 
+/// Issue 59, CONFIG: an instance that started while the store was away kept what peers gave it, offered it
+/// as of the new era, and no instance took a change until the numbers were reached again.
+#[test]
+fn an_instance_that_starts_while_the_store_is_away_keeps_nothing_of_the_earlier_era() {
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let mut fleet = start_fleet(&store);
+    let copy = copy_then_change(&store, &fleet);
+    pass_earlier_revisions(&store);
+    store.write("config/main", json!({ "version": 6 }));
+    wait_for_version(&fleet, 6);
+    set_store_away(&fleet);
+    let connection = StoreConnection::to(&store);
+    connection.set_all_unavailable(true);
+    let peer_addr = fleet[0].peer_addr;
+    let adjust = |settings: Settings| settings.peers(&[peer_addr]);
+    fleet.push(Instance::start_with("i3", connection, adjust));
+    wait_for_version(&fleet, 6);
+    store.restore(&copy);
+    store.write("config/main", json!({ "version": 6 }));
+    return_store(&fleet, &[3]);
+    std::thread::sleep(APPLY_TIMEOUT);
+    for version in 7..9 {
+        store.write("config/main", json!({ "version": version }));
+        wait_for_version(&fleet, version);
+    }
+    shutdown(fleet);
+}
+
+/// Guards against the same in a large fleet, whose watchers change while the store is away, and which sees
+/// it go back twice.
+#[test]
+fn new_watchers_of_a_large_fleet_keep_nothing_of_an_earlier_era() {
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let fleet = start_large_fleet(&store, 14);
+    let mut version = 1;
+    for _ in 0..2 {
+        let copy = store.copy();
+        for _ in 0..8 {
+            version += 1;
+            store.write("config/main", json!({ "version": version }));
+        }
+        pass_earlier_revisions(&store);
+        version += 1;
+        store.write("config/main", json!({ "version": version }));
+        wait_for_version(&fleet, version);
+        let others = non_watchers(&fleet);
+        assert!(!others.is_empty());
+        set_store_away(&fleet);
+        std::thread::sleep(Duration::from_millis(1_350));
+        store.restore(&copy);
+        store.write("config/main", json!({ "version": version }));
+        return_store(&fleet, &others);
+        std::thread::sleep(APPLY_TIMEOUT);
+        version += 1;
+        store.write("config/main", json!({ "version": version }));
+        wait_for_version(&fleet, version);
+    }
+    shutdown(fleet);
+}
+
+/// Guards against a large configuration that peers get as it was at the same revision of the earlier era.
+#[test]
+fn a_revision_that_is_given_out_again_brings_the_new_value_to_peers() {
+    let large = |version: u64| json!({ "version": version, "padding": "x".repeat(16 << 10) });
+    let store = MemoryStore::default();
+    store.write("config/main", large(1));
+    let fleet = start_large_fleet(&store, 8);
+    let copy = store.copy();
+    store.write("config/main", large(2));
+    wait_for_version(&fleet, 2);
+    set_store_away(&fleet);
+    store.restore(&copy);
+    store.write("config/main", large(3));
+    return_store(&fleet, &[]);
+    wait_for_version(&fleet, 3);
+    shutdown(fleet);
+}
+
 #[test]
 fn the_configuration_in_force_stays_while_the_store_holds_an_older_one() {
     let store = MemoryStore::default();
--- a/crates/entry/benches/scale/parts.rs
+++ b/crates/entry/benches/scale/parts.rs
@@ -74,11 +74,14 @@
     let mut put = |path: String, value: Value| {
         revision += 1;
         bytes += value.to_string().len();
-        replica.apply(Object {
-            path: path.into(),
-            revision,
-            value: Some(value),
-        });
+        replica.apply(
+            0,
+            Object {
+                path: path.into(),
+                revision,
+                value: Some(value),
+            },
+        );
     };
     for index in 0..VERSIONS {
         let count = ENDPOINTS / VERSIONS;
--- a/crates/entry/src/control/peer_requests.rs
+++ b/crates/entry/src/control/peer_requests.rs
@@ -48,6 +48,7 @@
             let objects = replica.since(fetch.since, MAX_OBJECTS);
             Some(Body::Objects(Objects {
                 objects: objects.into_iter().map(object_to_wire).collect(),
+                ..Objects::default()
             }))
         }
         Body::Evidence(report) => Some(Body::AcceptReply(record_evidence(control, from, &report))),
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -98,7 +98,9 @@
     pub(super) fn apply_objects(&self, objects: Vec<Object>) -> bool {
         let mut fresh = false;
         for object in objects {
-            fresh |= self.replica.borrow_mut().apply(object);
+            // Neither changes nor peers name the era of an object here.
+            let era = self.replica.borrow().era_of(object.kind());
+            fresh |= self.replica.borrow_mut().apply(era, object);
         }
         if fresh {
             self.publish_config();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -198,6 +198,9 @@
     /// Whether the sender decodes compressed values.
     #[prost(bool, tag = "3")]
     pub accepts_compressed: bool,
+    /// One more than the era of the sender's objects of that kind; 0 in messages of earlier builds.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// One configuration object.
@@ -223,6 +226,10 @@
     /// Objects in ascending order of revision.
     #[prost(message, repeated, tag = "1")]
     pub objects: Vec<ObjectEntry>,
+    /// One more than the era of the objects, all of them if it is not that of the fetch; 0 in messages of
+    /// earlier builds.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
 }
 
 /// An encoded receipt.
