serve: Judge the ends of unframed answers by more than a new connection

Cause: one question, was the endpoint there when its connection ended, answered by a new connection to its address alone. A refusal is no proof of an end, and a connection that is kept is none of a life; a run that goes on and brings nothing counted as a failure.

Ruled out: repeats alone.

Change: a later run at the address shows that an answer is cut short. A doubt is put to up to two peers, over the listener for carried requests, which check the endpoint as this instance does; then bytes of other answers of the endpoint are waited for; then a run that goes on tells, where one may. Peers of earlier builds answer 400, which leaves the doubt.

Tests: a_whole_stream_of_an_endpoint_that_refuses_connections_ends_as_complete, a_whole_stream_of_an_endpoint_that_a_peer_reaches_needs_no_repeat, a_whole_stream_of_an_endpoint_that_goes_on_with_others_ends_as_complete and the_life_of_a_later_run_at_the_address_does_not_make_a_stream_whole fail before and pass.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -1,71 +1,116 @@
 //! Whether an answer that ended with its connection is complete.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use relay::{Exchange, timeout_at};
+use async_io::Timer;
+use relay::Exchange;
 
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::reach;
+use crate::life::{LifeError, check_life};
+use crate::life_question::lives_for_a_peer;
 use crate::request_context::RequestContext;
 
-/// How long an endpoint has to keep a new connection open. The backlog of a process that ends, or a proxy
-/// before it, may accept a connection and close it a moment later.
-const LIVENESS_TIME: Duration = Duration::from_millis(30);
+/// How long after the end of an answer bytes may be read that its endpoint sent before, in milliseconds: an
+/// instance that is short of processor time reads its other connections late.
+const LATE_BYTES_MS: u64 = 250;
 
-/// Checks that an answer with neither length nor chunks has a body, and that its endpoint outlived it.
+/// How long bytes of other answers are waited for, in milliseconds. The caller has all but the end by then.
+const MAX_PROOF_MS: u64 = 500;
+
+const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// What is known of the end of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerEnd {
+    /// The answer is complete.
+    Whole,
+    /// The answer may be complete or cut short.
+    Doubtful(io::Error),
+    /// The answer is cut short.
+    CutShort(io::Error),
+}
+
+impl AnswerEnd {
+    /// Returns an error unless the answer is known to be complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::UnexpectedEof`] if the answer may be cut short.
+    pub(crate) fn check_whole(self) -> io::Result<()> {
+        match self {
+            AnswerEnd::Whole => Ok(()),
+            AnswerEnd::Doubtful(err) | AnswerEnd::CutShort(err) => Err(err),
+        }
+    }
+}
+
+/// Judges whether an answer with neither length nor chunks is complete: it has a body, and its endpoint
+/// outlived it.
 ///
 /// A head that was cut short may end with a blank line and without the field that frames its body. The
 /// kernel closes the connections of a process that ends as if the process had closed them, so that an
-/// answer which it cuts short looks complete. It refuses further connections, or does not keep them.
-///
-/// # Errors
-///
-/// Fails with [`io::ErrorKind::UnexpectedEof`] if the body is empty, or the endpoint refuses or closes a
-/// new connection.
-pub(crate) async fn check_end(
+/// answer which it cuts short looks complete. A doubt is not pursued for long if the request `may_repeat`,
+/// as a further run tells more.
+pub(crate) async fn judge_end(
     context: &RequestContext,
     exchange: &Exchange,
     endpoint: &Endpoint,
     state: &EndpointState,
-) -> io::Result<()> {
+    may_repeat: bool,
+) -> AnswerEnd {
     if !exchange.ends_with_connection() {
-        return Ok(());
+        return AnswerEnd::Whole;
     }
     if exchange.is_empty() {
-        return Err(truncated("the answer has neither a length nor a body"));
+        return AnswerEnd::CutShort(truncated("the answer has neither a length nor a body"));
     }
-    let alive = check_alive(context, endpoint, state).await;
-    alive.map_err(|err| {
-        truncated(&format!(
-            "the endpoint may have ended with its answer: {err}"
-        ))
-    })
+    judge_life(context, endpoint, state, may_repeat).await
 }
 
-/// Checks that an endpoint neither refuses nor closes a connection. One that does not answer in time may
-/// be busy or cut off, and says nothing.
-async fn check_alive(
+/// Judges whether an endpoint outlived the end of a connection.
+///
+/// One that has ended refuses further connections, or does not keep them. A living one may do so too, while
+/// it leaves, is full or cannot be reached by this instance, but peers reach it, or it goes on with other
+/// answers. A later run at its address shows that it has ended.
+pub(crate) async fn judge_life(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-) -> io::Result<()> {
-    let kept = async {
-        let mut socket = reach::connect(context, endpoint, state).await?;
-        timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await
+    may_repeat: bool,
+) -> AnswerEnd {
+    let ended_ms = context.now_ms();
+    let err = match check_life(context, endpoint, state).await {
+        Ok(()) => return AnswerEnd::Whole,
+        Err(LifeError::Succeeded) => {
+            let message = "a later run of an endpoint listens at the address";
+            return AnswerEnd::CutShort(truncated(message));
+        }
+        Err(LifeError::Unreached(err)) => err,
     };
-    match kept.await {
-        Ok(true) => return Ok(()),
-        Ok(false) => return Err(io::ErrorKind::ConnectionAborted.into()),
-        Err(err) if err.kind() == io::ErrorKind::TimedOut => {}
-        Err(err) => return Err(err),
+    let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
+    if lives_for_a_peer(context, endpoint, state).await
+        || (!(is_refused && may_repeat) && goes_on(context, state, ended_ms).await)
+    {
+        return AnswerEnd::Whole;
     }
-    // The connection may have been accepted just before the endpoint ended, and never be closed.
-    match reach::connect(context, endpoint, state).await {
-        Err(err) if err.kind() != io::ErrorKind::TimedOut => Err(err),
-        _ => Ok(()),
+    AnswerEnd::Doubtful(truncated(&format!(
+        "the endpoint may have ended with its answer: {err}"
+    )))
+}
+
+/// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds.
+async fn goes_on(context: &RequestContext, state: &EndpointState, ended_ms: u64) -> bool {
+    let until_ms = ended_ms + MAX_PROOF_MS;
+    // The call whose answer ended counts as well.
+    while state.connections() > 1 && context.now_ms() < until_ms {
+        if state.last_received_ms() >= ended_ms + LATE_BYTES_MS {
+            return true;
+        }
+        Timer::after(PROOF_CHECK_INTERVAL).await;
     }
+    false
 }
 
 fn truncated(message: &str) -> io::Error {
--- a/crates/serve/src/carry_handler.rs
+++ b/crates/serve/src/carry_handler.rs
@@ -7,6 +7,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::carry_message::{CarryOrder, CarryReport, MAX_FIELD_BYTES};
+use crate::life_question;
 use crate::outcome::Counters;
 use crate::pipeline::Pipeline;
 
@@ -44,6 +45,9 @@
     }
 
     async fn serve(&self, mut inbound: Request) -> Response {
+        if let Some(answer) = life_question::answer(&self.pipeline.context, &mut inbound).await {
+            return answer;
+        }
         let Some(order) = CarryOrder::take_from(&mut inbound.head.headers) else {
             tracing::warn!(peer = %inbound.peer_addr, "carry: request without a valid order");
             return Response::new(Reason::BadRequest.status());
--- a/crates/serve/src/carry_message.rs
+++ b/crates/serve/src/carry_message.rs
@@ -4,6 +4,7 @@
 
 use kernel::{Failure, Reason, Verdict};
 use relay::Headers;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 const ORDER_FIELD: &str = "Rosemary-Carry";
@@ -55,7 +56,7 @@
 impl CarryOrder {
     /// Removes the order from the fields of a request, if there is a valid one.
     pub(crate) fn take_from(headers: &mut Headers) -> Option<CarryOrder> {
-        serde_json::from_str(&headers.remove(ORDER_FIELD)?).ok()
+        take(ORDER_FIELD, headers)
     }
 
     /// Sets the order as the only one of a request.
@@ -88,7 +89,7 @@
 
     /// Removes the report from the fields of a response, if there is a valid one.
     pub(crate) fn take_from(headers: &mut Headers) -> Option<CarryReport> {
-        serde_json::from_str(&headers.remove(REPORT_FIELD)?).ok()
+        take(REPORT_FIELD, headers)
     }
 
     /// Sets the report as the only one of a response.
@@ -97,7 +98,13 @@
     }
 }
 
-fn set<T: Serialize>(message: &T, field: &str, headers: &mut Headers) {
+/// Removes a message from the fields of a request or response, if there is a valid one.
+pub(crate) fn take<T: DeserializeOwned>(field: &str, headers: &mut Headers) -> Option<T> {
+    serde_json::from_str(&headers.remove(field)?).ok()
+}
+
+/// Sets a message as the only field of its name.
+pub(crate) fn set<T: Serialize>(message: &T, field: &str, headers: &mut Headers) {
     headers.remove(field);
     match serde_json::to_string(message) {
         Ok(text) => headers.push(field, text),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -33,6 +33,8 @@
 mod events;
 mod late_repeats;
 mod latency_ratio;
+mod life;
+mod life_question;
 mod outcome;
 mod peer_choice;
 mod peer_states;
--- /dev/null
+++ b/crates/serve/src/life.rs
@@ -0,0 +1,65 @@
+//! Whether an endpoint still lives, as a new connection to its address and the registry show.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use relay::timeout_at;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint_state::EndpointState;
+use crate::reach;
+use crate::request_context::RequestContext;
+
+/// How long an endpoint has to keep a new connection open. The backlog of a process that ends, or a proxy
+/// before it, may accept a connection and close it a moment later.
+const LIVENESS_TIME: Duration = Duration::from_millis(30);
+
+/// Why an endpoint is not known to live.
+#[derive(Debug)]
+pub(crate) enum LifeError {
+    /// It refuses or closes a new connection.
+    Unreached(io::Error),
+    /// A later run listens at its address.
+    Succeeded,
+}
+
+/// Checks that an endpoint keeps a new connection, and that no later run listens at its address.
+///
+/// # Errors
+///
+/// Fails if the endpoint may have ended.
+pub(crate) async fn check_life(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+) -> Result<(), LifeError> {
+    let alive = check_alive(context, endpoint, state).await;
+    if context.view().has_successor(endpoint) {
+        return Err(LifeError::Succeeded);
+    }
+    alive.map_err(LifeError::Unreached)
+}
+
+/// Checks that an endpoint neither refuses nor closes a connection. One that does not answer in time may
+/// be busy or cut off, and says nothing.
+async fn check_alive(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+) -> io::Result<()> {
+    let kept = async {
+        let mut socket = reach::connect(context, endpoint, state).await?;
+        timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await
+    };
+    match kept.await {
+        Ok(true) => return Ok(()),
+        Ok(false) => return Err(io::ErrorKind::ConnectionAborted.into()),
+        Err(err) if err.kind() == io::ErrorKind::TimedOut => {}
+        Err(err) => return Err(err),
+    }
+    // The connection may have been accepted just before the endpoint ended, and never be closed.
+    match reach::connect(context, endpoint, state).await {
+        Err(err) if err.kind() != io::ErrorKind::TimedOut => Err(err),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/serve/src/life_question.rs
@@ -0,0 +1,94 @@
+//! Asking peers whether an endpoint lives that this instance cannot reach.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use relay::{Exchange, Headers, Request, RequestHead, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::carry_message::{set, take};
+use crate::endpoint::Endpoint;
+use crate::endpoint_state::EndpointState;
+use crate::life::check_life;
+use crate::peer_choice::peer_addrs;
+use crate::request_context::RequestContext;
+
+const QUESTION_FIELD: &str = "Rosemary-Life";
+
+/// The most peers that are asked about one end: a second one in case that the first is cut off as well.
+const MAX_PEERS: usize = 2;
+
+/// How long a peer has to answer: several times the check that it makes.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
+/// The statuses of a peer's answer.
+const LIVES: u16 = 204;
+const UNKNOWN: u16 = 404;
+
+/// What an instance asks a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct LifeQuestion {
+    /// Identifier of the endpoint.
+    endpoint: String,
+    /// Start of its run, in milliseconds since the Unix epoch, if it is known.
+    started_ms: Option<u64>,
+}
+
+/// Returns whether a peer finds that an endpoint lives.
+pub(crate) async fn lives_for_a_peer(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+) -> bool {
+    let question = LifeQuestion {
+        endpoint: endpoint.id.to_string(),
+        started_ms: endpoint.started_ms,
+    };
+    let mut headers = Headers::default();
+    headers.push("Host", &*context.settings.name);
+    set(&question, QUESTION_FIELD, &mut headers);
+    let head = RequestHead {
+        method: "GET".into(),
+        target: "/".into(),
+        minor_version: 1,
+        headers,
+    };
+    let bytes = head.to_bytes();
+    let mut peers = peer_addrs(&context.view(), context, &[state.shared_hash()]);
+    fastrand::shuffle(&mut peers);
+    for addr in peers.into_iter().take(MAX_PEERS) {
+        let until = Instant::now() + ANSWER_TIME;
+        let answer = Exchange::start(addr, until, until, "GET", &bytes, &Bytes::new()).await;
+        let status = match answer {
+            Ok((_, head)) => head.status,
+            Err(err) => {
+                tracing::info!(%addr, error = %err, "life: no answer of a peer");
+                continue;
+            }
+        };
+        tracing::info!(endpoint = &*endpoint.id, %addr, status, "life: answer of a peer");
+        if status == LIVES {
+            return true;
+        }
+    }
+    false
+}
+
+/// Answers the question of a peer, or returns `None` if the request holds none.
+pub(crate) async fn answer(
+    context: &Rc<RequestContext>,
+    inbound: &mut Request,
+) -> Option<Response> {
+    let question: LifeQuestion = take(QUESTION_FIELD, &mut inbound.head.headers)?;
+    let view = context.view();
+    let mut listed = view.pools.values().flat_map(|pool| &pool.endpoints);
+    let found = listed
+        .find(|found| *found.id == *question.endpoint && found.started_ms == question.started_ms);
+    let Some(endpoint) = found else {
+        return Some(Response::new(UNKNOWN));
+    };
+    let state = context.endpoint_states.of(endpoint);
+    let lives = check_life(context, endpoint, &state).await.is_ok();
+    Some(Response::new(if lives { LIVES } else { UNKNOWN }))
+}
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -35,25 +35,14 @@
     let now_ms = context.now_ms();
     let endpoints = endpoint_hashes(request, view, context);
     let shared_loads = context.endpoint_states.shared_loads();
-    let may_reach = |peer: &Member| match shared_loads.peer_reach(peer.incarnation) {
-        Some(reach) => {
-            now_ms < reach.received_ms + MAX_REPORT_AGE_MS
-                && endpoints
-                    .iter()
-                    .any(|endpoint| !reach.out_of_reach.contains(endpoint))
-        }
-        // In a larger fleet reports are summed up on their way.
-        None => view.instance_count > MAX_DIRECT_INSTANCES,
-    };
     let cut_off = shared_loads.peers_cut_off(&request.service);
     let mut peers = Vec::new();
     for member in view.members.iter() {
         let Ok(addr) = member.carry_addr.parse() else {
             continue;
         };
-        if Some(member.incarnation) == view.incarnation
-            || request.peers_asked.contains(&member.incarnation)
-            || !may_reach(member)
+        if request.peers_asked.contains(&member.incarnation)
+            || !may_reach(member, view, context, &endpoints)
         {
             continue;
         }
@@ -74,6 +63,37 @@
     peers
 }
 
+/// Returns whether a member is a peer that may reach one of these endpoints, by the hashes of their runs.
+fn may_reach(member: &Member, view: &View, context: &RequestContext, endpoints: &[u64]) -> bool {
+    if Some(member.incarnation) == view.incarnation {
+        return false;
+    }
+    let shared_loads = context.endpoint_states.shared_loads();
+    let Some(reach) = shared_loads.peer_reach(member.incarnation) else {
+        // In a larger fleet reports are summed up on their way.
+        return view.instance_count > MAX_DIRECT_INSTANCES;
+    };
+    let mut endpoints = endpoints.iter();
+    context.now_ms() < reach.received_ms + MAX_REPORT_AGE_MS
+        && endpoints.any(|endpoint| !reach.out_of_reach.contains(endpoint))
+}
+
+/// Returns the addresses at which peers that may reach one of these endpoints take requests of others.
+pub(crate) fn peer_addrs(
+    view: &View,
+    context: &RequestContext,
+    endpoints: &[u64],
+) -> Vec<SocketAddr> {
+    let mut addrs = Vec::new();
+    for member in view.members.iter() {
+        if !may_reach(member, view, context, endpoints) {
+            continue;
+        }
+        addrs.extend(member.carry_addr.parse::<SocketAddr>());
+    }
+    addrs
+}
+
 fn endpoint_hashes(request: &ActiveRequest, view: &View, context: &RequestContext) -> Vec<u64> {
     let Some(pool) = view.pools.get(&request.service) else {
         return Vec::new();
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -12,7 +12,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::admission::admit;
-use crate::answer_end::check_end;
+use crate::answer_end::judge_end;
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
@@ -48,7 +48,7 @@
 
 /// Handles requests: finds their route, dispatches them to endpoints and returns the responses.
 pub struct Pipeline {
-    context: Rc<RequestContext>,
+    pub(crate) context: Rc<RequestContext>,
 }
 
 impl Pipeline {
@@ -325,8 +325,12 @@
         let whole_body = async {
             let buffered_bytes = &context.buffered_bytes;
             let body = buffered_bytes.read_to_end(&mut started.exchange).await?;
-            let exchange = &started.exchange;
-            check_end(context, exchange, &started.endpoint, &endpoint_state).await?;
+            let StartedResponse {
+                exchange, endpoint, ..
+            } = &*started;
+            let may_repeat = request.may_retry();
+            let end = judge_end(context, exchange, endpoint, &endpoint_state, may_repeat).await;
+            end.check_whole()?;
             Ok(body)
         };
         let body = relay::timeout_at(request.deadline, whole_body).await;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -10,7 +10,7 @@
 use rollout::{StreamProgress, is_slow_stream};
 
 use crate::active_request::ActiveRequest;
-use crate::answer_end::check_end;
+use crate::answer_end::{AnswerEnd, judge_end, judge_life};
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
 use crate::outcome::{Outcome, StreamRecord};
@@ -45,6 +45,8 @@
     has_unnumbered: bool,
     /// Whether the current run goes on after an earlier one.
     is_continuation: bool,
+    /// Whether the last run that brought events may have ended as a whole, which is not known.
+    may_be_whole: bool,
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
@@ -77,6 +79,7 @@
             last_id,
             has_unnumbered: false,
             is_continuation: false,
+            may_be_whole: false,
             events: 0,
             run_started: Instant::now(),
             earlier_runs: 0,
@@ -95,7 +98,7 @@
                     self.record_event(&event);
                     return Ok(Some(event.bytes));
                 }
-                Ok(None) if self.is_continuation && self.events == 0 => {
+                Ok(None) if self.is_continuation && self.events == 0 && !self.may_be_whole => {
                     invalid("the run that resumes brings no event".to_owned())
                 }
                 Ok(None) => {
@@ -113,6 +116,7 @@
             return;
         }
         self.events += 1;
+        self.may_be_whole = false;
         self.record_version_outcome(false);
         self.has_unnumbered |= event.id.is_none();
         self.last_id = event.id.or(self.last_id);
@@ -150,20 +154,29 @@
         }
     }
 
-    async fn check_end(&self) -> io::Result<()> {
+    /// Checks that the current run is complete.
+    ///
+    /// A run that goes on after one whose end is in doubt tells whether that was whole: it brings no event
+    /// then, but may end with its connection like that one.
+    async fn check_end(&mut self) -> io::Result<()> {
         let StartedResponse {
             exchange,
             endpoint,
             call_guard,
             ..
         } = &*self.response;
-        check_end(
-            &self.context,
-            exchange,
-            endpoint,
-            &call_guard.endpoint_state,
-        )
-        .await
+        let state = &call_guard.endpoint_state;
+        let brings_nothing = exchange.ends_with_connection() && exchange.is_empty();
+        let may_repeat = self.request.may_retry() && !self.has_unnumbered;
+        let end = if self.may_be_whole && brings_nothing {
+            judge_life(&self.context, endpoint, state, may_repeat).await
+        } else {
+            judge_end(&self.context, exchange, endpoint, state, may_repeat).await
+        };
+        if self.events > 0 {
+            self.may_be_whole = matches!(end, AnswerEnd::Doubtful(_));
+        }
+        end.check_whole()
     }
 
     /// Returns the silence that counts as a stall. A peer that carries the request notices it first.
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -64,6 +64,15 @@
 }
 
 impl View {
+    /// Returns whether a later run listens at the address of a run of an endpoint, which has ended then.
+    pub(crate) fn has_successor(&self, endpoint: &Endpoint) -> bool {
+        let mut listed = self.pools.values().flat_map(|pool| &pool.endpoints);
+        listed.any(|other| {
+            let is_later = other.started_ms > endpoint.started_ms;
+            is_later && endpoint.started_ms.is_some() && other.addr == endpoint.addr
+        })
+    }
+
     /// Returns how many instances rank before this one for an endpoint.
     pub(crate) fn rank_for(&self, endpoint_id: &str) -> usize {
         let Some(incarnation) = self.incarnation else {
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -2,11 +2,18 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use common::fleet::Fleet;
 use common::{
     Harness, Received, ScriptedEndpoint, Step, answer, events, ids, route, stream_end, stream_head,
     unframed_events, unframed_head,
 };
+use futures_lite::future::{block_on, zip};
 use route::RetrySafety;
+use serve::{Endpoint, Pool, View};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
 const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
@@ -111,3 +118,124 @@
         assert_eq!((received.status, &*received.body), expected, "{name}");
     }
 }
+
+/// Issue 59, LOST: an endpoint that is full, leaves or cannot be reached refuses new connections, and its
+/// whole streams were reset after their last event.
+#[test]
+fn a_whole_stream_of_an_endpoint_that_refuses_connections_ends_as_complete() {
+    let empty = HEAD.replacen("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n", 1);
+    let rests = [
+        ("length 0", vec![Step::Write(empty)]),
+        ("no chunks", vec![stream_head(90), stream_end()]),
+        ("no body", vec![unframed_head()]),
+    ];
+    for (name, rest) in rests {
+        let first = vec![unframed_head(), unframed_events(1..=3), Step::Exit];
+        let (received, asked) = send(RetrySafety::ResumableStream, first, rest);
+        assert!(received.is_complete, "{name}");
+        assert_eq!(ids(&received.body), [1, 2, 3], "{name}");
+        assert_eq!(asked, 1, "{name}");
+    }
+}
+
+/// Guards against an empty answer that ends a stream of which an event was cut short.
+#[test]
+fn an_empty_rest_does_not_end_a_stream_that_is_known_to_be_cut_short() {
+    let midway = Step::Write("id: 4\nda".to_owned());
+    let first = vec![unframed_head(), unframed_events(1..=3), midway, Step::Exit];
+    let (received, _) = send(
+        RetrySafety::ResumableStream,
+        first,
+        vec![stream_head(90), stream_end()],
+    );
+    assert!(!received.is_complete);
+    assert_eq!(ids(&received.body), [1, 2, 3]);
+}
+
+/// Lists a later run at the address of the first endpoint, of another service.
+fn list_successor(harness: &Harness) {
+    let mut view: View = (**harness.view.load()).clone();
+    let mut pool: Pool = (*view.pools["app"]).clone();
+    let first = pool.endpoints[0].clone();
+    let run = |id: &str, started_ms: u64| {
+        Arc::new(Endpoint {
+            id: id.into(),
+            started_ms: Some(started_ms),
+            ..(*first).clone()
+        })
+    };
+    pool.endpoints[0] = run("e0", 1_000);
+    let successor = Pool {
+        endpoints: vec![run("later", 2_000)],
+        rollout: None,
+    };
+    view.pools = [("app", pool), ("other", successor)]
+        .map(|(service, pool)| (Arc::from(service), Arc::new(pool)))
+        .into();
+    harness.view.store(Arc::new(view));
+}
+
+/// Issue 59, ORDER: streams of an endpoint that had crashed ended as complete in their midst, as another
+/// process listened at its address when their end arrived.
+#[test]
+fn the_life_of_a_later_run_at_the_address_does_not_make_a_stream_whole() {
+    let first = ScriptedEndpoint::start(vec![vec![unframed_head(), unframed_events(1..=3)]]);
+    let second = ScriptedEndpoint::start(vec![vec![stream_head(90), events(4..=6), stream_end()]]);
+    let harness = Harness::new(
+        route(RetrySafety::ResumableStream),
+        &[first.addr, second.addr],
+        10.0,
+    );
+    list_successor(&harness);
+    let received = harness.send(&[]);
+    assert!(received.is_complete);
+    assert_eq!(ids(&received.body), (1..=6).collect::<Vec<_>>());
+}
+
+/// Issue 59, LOST: an instance that could open no connections to the endpoints reset whole streams, though
+/// its peers reach those, and repeats of all of them are more than the budget allows.
+#[test]
+fn a_whole_stream_of_an_endpoint_that_a_peer_reaches_needs_no_repeat() {
+    let whole = vec![unframed_head(), unframed_events(1..=3), Step::Exit];
+    let here = ScriptedEndpoint::start(vec![whole]);
+    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
+    fleet.exchange_reach();
+    let received = fleet.send(0, "/x/1");
+    assert!(received.is_complete);
+    assert_eq!(ids(&received.body), [1, 2, 3]);
+    assert_eq!(there.request_count(), 0);
+}
+
+/// Guards against resetting whole streams of an endpoint that is full: it closes further connections, and
+/// goes on with the answers that it has begun.
+#[test]
+fn a_whole_stream_of_an_endpoint_that_goes_on_with_others_ends_as_complete() {
+    let mut long = vec![stream_head(90), events(1..=1), Step::AwaitRequests(2)];
+    for id in 2..=8 {
+        long.extend([Step::Sleep(100), events(id..=id)]);
+    }
+    long.push(stream_end());
+    let short = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::ExitBehindListener,
+    ];
+    let endpoint = ScriptedEndpoint::start(vec![long, short]);
+    let harness = Harness::new(
+        route(RetrySafety::NonIdempotentStream),
+        &[endpoint.addr],
+        10.0,
+    );
+    let second = async {
+        while endpoint.request_count() == 0 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        harness.send_to("/x/2", &[]).await
+    };
+    let (long, short) = block_on(zip(harness.send_to("/x/1", &[]), second));
+    assert_eq!(ids(&long.body), (1..=8).collect::<Vec<_>>());
+    assert!(short.is_complete);
+    assert_eq!(ids(&short.body), [1, 2, 3]);
+}
