serve: Let the largest of the buffered bodies give way

Other operators reported an instance that ran out of memory, with the requests of its other callers, as an endpoint sent bytes without end.

Cause: all bodies of a thread share 32 MiB, and the one that is read next when they are used up gave way, not the one that took them.

Change: each body counts for itself; the largest one gives way, and is woken if it stands still.

Load it answers: bodies without end beside sound answers.

--- a/crates/serve/src/buffered_body.rs
+++ b/crates/serve/src/buffered_body.rs
@@ -1,9 +1,13 @@
 //! Reading of response bodies that are forwarded only once they are complete.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
 
 use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
 use relay::Exchange;
 
 /// Maximum size of one buffered body, in bytes.
@@ -13,25 +17,59 @@
 /// without end do not use up the instance's memory.
 const MAX_TOTAL_BYTES: u64 = 32 << 20;
 
-/// The size of all bodies that are being buffered.
+/// The bodies that are being buffered. When they are too large together, the largest one gives way, which
+/// is that of an endpoint that sends without end rather than a sound one.
 #[derive(Debug, Default)]
 pub(crate) struct BufferedBytes {
-    total: Cell<u64>,
+    bodies: RefCell<Vec<Rc<BufferedBody>>>,
 }
 
-/// The bytes of one body, which are released when it is dropped.
+/// The size of one body that is being buffered.
+#[derive(Debug, Default)]
+struct BufferedBody {
+    bytes: Cell<u64>,
+    /// Whether the body gives way to others.
+    gives_way: Cell<bool>,
+    /// Wakes the task that reads the body.
+    waker: RefCell<Option<Waker>>,
+}
+
+impl BufferedBody {
+    fn give_way(&self) {
+        self.gives_way.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the body has to give way, and returns why it cannot be read on.
+    async fn given_way(&self) -> io::Result<Option<Bytes>> {
+        poll_fn(|context| {
+            if self.gives_way.get() {
+                return Poll::Ready(Err(too_large()));
+            }
+            *self.waker.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+/// Counts a body among those that are being buffered until it is dropped.
 struct Reservation<'a> {
     buffered: &'a BufferedBytes,
-    bytes: u64,
+    body: Rc<BufferedBody>,
 }
 
 impl Reservation<'_> {
-    fn grow(&mut self, bytes: u64) -> io::Result<()> {
-        self.bytes += bytes;
-        let total = self.buffered.total.get() + bytes;
-        self.buffered.total.set(total);
-        if self.bytes > MAX_BODY_BYTES || total > MAX_TOTAL_BYTES {
-            return Err(io::ErrorKind::FileTooLarge.into());
+    fn grow(&self, bytes: u64) -> io::Result<()> {
+        self.body.bytes.set(self.body.bytes.get() + bytes);
+        if self.body.bytes.get() > MAX_BODY_BYTES {
+            return Err(too_large());
+        }
+        self.buffered.make_room();
+        if self.body.gives_way.get() {
+            return Err(too_large());
         }
         Ok(())
     }
@@ -39,37 +77,65 @@
 
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
-        let total = &self.buffered.total;
-        total.set(total.get().saturating_sub(self.bytes));
+        let mut bodies = self.buffered.bodies.borrow_mut();
+        bodies.retain(|body| !Rc::ptr_eq(body, &self.body));
     }
 }
 
 impl BufferedBytes {
+    fn reserve(&self) -> Reservation<'_> {
+        let body: Rc<BufferedBody> = Rc::default();
+        self.bodies.borrow_mut().push(body.clone());
+        Reservation {
+            buffered: self,
+            body,
+        }
+    }
+
+    /// Makes the largest bodies give way until the others are small enough together.
+    fn make_room(&self) {
+        let bodies = self.bodies.borrow();
+        let kept = || bodies.iter().filter(|body| !body.gives_way.get());
+        while kept().map(|body| body.bytes.get()).sum::<u64>() > MAX_TOTAL_BYTES {
+            let Some(largest) = kept().max_by_key(|body| body.bytes.get()) else {
+                return;
+            };
+            tracing::info!(
+                bytes = largest.bytes.get(),
+                "answer: body gives way to others"
+            );
+            largest.give_way();
+        }
+    }
+
     /// Reads the rest of a response body.
     ///
     /// # Errors
     ///
-    /// Fails if the body is truncated, malformed or too large, or if all buffered bodies together are.
+    /// Fails if the body is truncated, malformed or too large, or if all buffered bodies together are and
+    /// it is the largest one.
     pub(crate) async fn read_to_end(&self, exchange: &mut Exchange) -> io::Result<Bytes> {
-        let mut reservation = Reservation {
-            buffered: self,
-            bytes: 0,
-        };
+        let reservation = self.reserve();
+        let body = &reservation.body;
         let Some(first) = exchange.next().await? else {
             return Ok(Bytes::new());
         };
         reservation.grow(first.len() as u64)?;
-        let mut body = BytesMut::new();
-        while let Some(bytes) = exchange.next().await? {
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = body.given_way().or(exchange.next()).await? {
             reservation.grow(bytes.len() as u64)?;
-            if body.is_empty() {
-                body.extend_from_slice(&first);
+            if whole.is_empty() {
+                whole.extend_from_slice(&first);
             }
-            body.extend_from_slice(&bytes);
+            whole.extend_from_slice(&bytes);
         }
-        if body.is_empty() {
+        if whole.is_empty() {
             return Ok(first);
         }
-        Ok(body.freeze())
+        Ok(whole.freeze())
     }
 }
+
+fn too_large() -> io::Error {
+    io::ErrorKind::FileTooLarge.into()
+}
