relay: Judge a request by the limits in force when it arrives

Cause: the limits were read before the wait for the request. The idle time was kept in the same way, so that a connection was closed at the earlier one.

Change: the connection waits for the first bytes by the idle time in force, and reads the limits then.

Tests: a_request_is_judged_by_the_limits_in_force_when_it_arrives and a_connection_stays_open_for_an_idle_time_that_is_raised failed before and pass.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -20,7 +20,7 @@
 
 /// Why no request was received.
 enum ReceiveError {
-    /// The connection failed, was closed or was idle too long; no response is sent.
+    /// The connection failed or was closed; no response is sent.
     Closed,
     /// The request is malformed, too large or too slow; the response has this status.
     Rejected(u16),
@@ -34,6 +34,10 @@
     drain: Rc<DrainState>,
 ) {
     loop {
+        if !wait_for_request(&mut socket, &*handler).await {
+            return;
+        }
+        // Those in force when the request arrives, however long the connection was idle.
         let limits = handler.limits();
         let request = match receive(&mut socket, peer_addr, &limits).await {
             Ok(request) => request,
@@ -92,19 +96,30 @@
     }
 }
 
+/// Waits for the first bytes of the next request, and returns false if the connection fails, is closed or
+/// is idle for too long.
+async fn wait_for_request(socket: &mut Socket, handler: &dyn Handler) -> bool {
+    let idle_since = Instant::now();
+    while socket.buffered().is_empty() {
+        let idle_deadline = idle_since + handler.limits().idle_timeout();
+        match timeout_at(idle_deadline, socket.fill()).await {
+            Ok(true) => {}
+            // The time may have been raised meanwhile.
+            Err(err)
+                if err.kind() == io::ErrorKind::TimedOut
+                    && Instant::now() < idle_since + handler.limits().idle_timeout() => {}
+            Ok(false) | Err(_) => return false,
+        }
+    }
+    true
+}
+
 /// Receives the next request with its body.
 async fn receive(
     socket: &mut Socket,
     peer_addr: SocketAddr,
     limits: &Limits,
 ) -> Result<Request, ReceiveError> {
-    if socket.buffered().is_empty() {
-        let idle_deadline = Instant::now() + limits.idle_timeout();
-        match timeout_at(idle_deadline, socket.fill()).await {
-            Ok(true) => {}
-            Ok(false) | Err(_) => return Err(ReceiveError::Closed),
-        }
-    }
     let deadline = Instant::now() + limits.receive_timeout();
     let head = receive_head(socket, deadline, limits).await?;
     let received_at = Instant::now();
