serve: Ask peers for a later run when an end follows a silence

The record names neither request in a log.

Cause, as far as it is reproduced: an instance that stands still, or whose path is cut, while endpoints crash and start again reads the ends of all their streams together, and then finds processes that keep connections at their addresses. That this was behind the report is suspected, not shown. Ruled out by reading: a body that is cut inside its last chunk line, which is an error.

Change: if nothing of an answer arrived for 500 ms shortly before its end, two peers are asked as well. One that lists a later run at the address shows that the answer is cut short. Peers are asked whatever the age of their reports, those that reach the endpoint first.

Test: a_peer_that_lists_a_later_run_shows_that_a_stream_is_cut_short failed before and passes.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -9,9 +9,12 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
 use crate::life::{LifeError, check_life};
-use crate::life_question::lives_for_a_peer;
+use crate::life_question::{Finding, ask_peers};
 use crate::request_context::RequestContext;
 
+/// The silence after which an end is doubtful. Events are made many times a second.
+pub(crate) const MIN_SILENCE: Duration = Duration::from_millis(500);
+
 /// How long after the end of an answer bytes may be read that its endpoint sent before, in milliseconds: an
 /// instance that is short of processor time reads its other connections late.
 const LATE_BYTES_MS: u64 = 250;
@@ -21,6 +24,16 @@
 
 const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// What makes an end more or less doubtful.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Doubt {
+    /// Whether a further run may tell whether the answer was whole, so that proof is not waited for.
+    pub(crate) may_repeat: bool,
+    /// Whether nothing of the answer arrived for a while shortly before its end. A cut, or a pause of this
+    /// instance, may have hidden the end of the endpoint and the start of another.
+    pub(crate) follows_silence: bool,
+}
+
 /// What is known of the end of an answer.
 #[derive(Debug)]
 pub(crate) enum AnswerEnd {
@@ -51,14 +64,13 @@
 ///
 /// A head that was cut short may end with a blank line and without the field that frames its body. The
 /// kernel closes the connections of a process that ends as if the process had closed them, so that an
-/// answer which it cuts short looks complete. A doubt is not pursued for long if the request `may_repeat`,
-/// as a further run tells more.
+/// answer which it cuts short looks complete.
 pub(crate) async fn judge_end(
     context: &RequestContext,
     exchange: &Exchange,
     endpoint: &Endpoint,
     state: &EndpointState,
-    may_repeat: bool,
+    doubt: Doubt,
 ) -> AnswerEnd {
     if !exchange.ends_with_connection() {
         return AnswerEnd::Whole;
@@ -66,7 +78,7 @@
     if exchange.is_empty() {
         return AnswerEnd::CutShort(truncated("the answer has neither a length nor a body"));
     }
-    judge_life(context, endpoint, state, may_repeat).await
+    judge_life(context, endpoint, state, doubt).await
 }
 
 /// Judges whether an endpoint outlived the end of a connection.
@@ -78,21 +90,27 @@
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-    may_repeat: bool,
+    doubt: Doubt,
 ) -> AnswerEnd {
     let ended_ms = context.now_ms();
-    let err = match check_life(context, endpoint, state).await {
-        Ok(()) => return AnswerEnd::Whole,
-        Err(LifeError::Succeeded) => {
+    let own = check_life(context, endpoint, state).await;
+    if own.is_ok() && !doubt.follows_silence {
+        return AnswerEnd::Whole;
+    }
+    let found = match own {
+        Err(LifeError::Succeeded) => Finding::Ended,
+        _ => ask_peers(context, endpoint, state).await,
+    };
+    let err = match (found, own) {
+        (Finding::Ended, _) => {
             let message = "a later run of an endpoint listens at the address";
             return AnswerEnd::CutShort(truncated(message));
         }
-        Err(LifeError::Unreached(err)) => err,
+        (Finding::Unknown, Err(LifeError::Unreached(err))) => err,
+        _ => return AnswerEnd::Whole,
     };
     let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
-    if lives_for_a_peer(context, endpoint, state).await
-        || (!(is_refused && may_repeat) && goes_on(context, state, ended_ms).await)
-    {
+    if !(is_refused && doubt.may_repeat) && goes_on(context, state, ended_ms).await {
         return AnswerEnd::Whole;
     }
     AnswerEnd::Doubtful(truncated(&format!(
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -12,7 +12,7 @@
 use relay::{Exchange, ExchangeError, ResponseHead};
 
 use crate::active_request::{ActiveRequest, FailureResponse};
-use crate::answer_end::judge_end;
+use crate::answer_end::{Doubt, judge_end};
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
@@ -360,8 +360,11 @@
             endpoint_state.record_survival(&self.key, now_ms);
             self.keep_failure_response(context, &mut exchange, head)
                 .await;
-            let may_repeat = self.may_retry();
-            let end = judge_end(context, &exchange, &endpoint, &endpoint_state, may_repeat).await;
+            let doubt = Doubt {
+                may_repeat: self.may_retry(),
+                follows_silence: false,
+            };
+            let end = judge_end(context, &exchange, &endpoint, &endpoint_state, doubt).await;
             if let Err(err) = end.check_whole() {
                 self.log_send(&endpoint, "error truncated", &err.to_string(), sent_at);
                 self.failure_response = None;
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -34,7 +34,8 @@
     state: &EndpointState,
 ) -> Result<(), LifeError> {
     let alive = check_alive(context, endpoint, state).await;
-    if context.view().has_successor(endpoint) {
+    let view = context.view();
+    if view.has_successor(endpoint.addr, endpoint.started_ms) {
         return Err(LifeError::Succeeded);
     }
     alive.map_err(LifeError::Unreached)
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -1,5 +1,6 @@
-//! Asking peers whether an endpoint lives that this instance cannot reach.
+//! Asking peers whether an endpoint lives, of which this instance cannot be sure.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,17 @@
 /// The statuses of a peer's answer.
 const LIVES: u16 = 204;
 const UNKNOWN: u16 = 404;
+const ENDED: u16 = 410;
+
+/// What peers find of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// One of them reaches it.
+    Lives,
+    /// A later run is listed at its address.
+    Ended,
+    Unknown,
+}
 
 /// What an instance asks a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,17 +45,20 @@
     endpoint: String,
     /// Start of its run, in milliseconds since the Unix epoch, if it is known.
     started_ms: Option<u64>,
+    /// Its address.
+    addr: SocketAddr,
 }
 
-/// Returns whether a peer finds that an endpoint lives.
-pub(crate) async fn lives_for_a_peer(
+/// Asks peers whether an endpoint lives.
+pub(crate) async fn ask_peers(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-) -> bool {
+) -> Finding {
     let question = LifeQuestion {
         endpoint: endpoint.id.to_string(),
         started_ms: endpoint.started_ms,
+        addr: endpoint.addr,
     };
     let mut headers = Headers::default();
     headers.push("Host", &*context.settings.name);
@@ -55,8 +70,7 @@
         headers,
     };
     let bytes = head.to_bytes();
-    let mut peers = peer_addrs(&context.view(), context, &[state.shared_hash()]);
-    fastrand::shuffle(&mut peers);
+    let peers = peer_addrs(&context.view(), context, state.shared_hash());
     for addr in peers.into_iter().take(MAX_PEERS) {
         let until = Instant::now() + ANSWER_TIME;
         let answer = Exchange::start(addr, until, until, "GET", &bytes, &Bytes::new()).await;
@@ -68,11 +82,13 @@
             }
         };
         tracing::info!(endpoint = &*endpoint.id, %addr, status, "life: answer of a peer");
-        if status == LIVES {
-            return true;
+        match status {
+            LIVES => return Finding::Lives,
+            ENDED => return Finding::Ended,
+            _ => {}
         }
     }
-    false
+    Finding::Unknown
 }
 
 /// Answers the question of a peer, or returns `None` if the request holds none.
@@ -82,8 +98,11 @@
 ) -> Option<Response> {
     let question: LifeQuestion = take(QUESTION_FIELD, &mut inbound.head.headers)?;
     let view = context.view();
-    let mut listed = view.pools.values().flat_map(|pool| &pool.endpoints);
-    let found = listed
+    if view.has_successor(question.addr, question.started_ms) {
+        return Some(Response::new(ENDED));
+    }
+    let found = view
+        .endpoints()
         .find(|found| *found.id == *question.endpoint && found.started_ms == question.started_ms);
     let Some(endpoint) = found else {
         return Some(Response::new(UNKNOWN));
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -78,20 +78,15 @@
         && endpoints.any(|endpoint| !reach.out_of_reach.contains(endpoint))
 }
 
-/// Returns the addresses at which peers that may reach one of these endpoints take requests of others.
-pub(crate) fn peer_addrs(
-    view: &View,
-    context: &RequestContext,
-    endpoints: &[u64],
-) -> Vec<SocketAddr> {
-    let mut addrs = Vec::new();
-    for member in view.members.iter() {
-        if !may_reach(member, view, context, endpoints) {
-            continue;
-        }
-        addrs.extend(member.carry_addr.parse::<SocketAddr>());
-    }
-    addrs
+/// Returns the addresses at which peers take requests of others: in random order, first of those that may
+/// reach an endpoint, by the hash of its run. Reports are old after a pause of this instance.
+pub(crate) fn peer_addrs(view: &View, context: &RequestContext, endpoint: u64) -> Vec<SocketAddr> {
+    let mut members: Vec<&Member> = view.members.iter().collect();
+    members.retain(|member| Some(member.incarnation) != view.incarnation);
+    fastrand::shuffle(&mut members);
+    members.sort_by_key(|member| !may_reach(member, view, context, &[endpoint]));
+    let addrs = members.into_iter().map(|member| member.carry_addr.parse());
+    addrs.flatten().collect()
 }
 
 fn endpoint_hashes(request: &ActiveRequest, view: &View, context: &RequestContext) -> Vec<u64> {
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -12,7 +12,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::admission::admit;
-use crate::answer_end::judge_end;
+use crate::answer_end::{Doubt, MIN_SILENCE, judge_end};
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
 use crate::caller_protocol::CallerProtocol;
@@ -324,12 +324,16 @@
         let endpoint_state = started.call_guard.endpoint_state.clone();
         let whole_body = async {
             let buffered_bytes = &context.buffered_bytes;
+            let read_at = Instant::now();
             let body = buffered_bytes.read_to_end(&mut started.exchange).await?;
             let StartedResponse {
                 exchange, endpoint, ..
             } = &*started;
-            let may_repeat = request.may_retry();
-            let end = judge_end(context, exchange, endpoint, &endpoint_state, may_repeat).await;
+            let doubt = Doubt {
+                may_repeat: request.may_retry(),
+                follows_silence: read_at.elapsed() >= MIN_SILENCE,
+            };
+            let end = judge_end(context, exchange, endpoint, &endpoint_state, doubt).await;
             end.check_whole()?;
             Ok(body)
         };
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -10,7 +10,7 @@
 use rollout::{StreamProgress, is_slow_stream};
 
 use crate::active_request::ActiveRequest;
-use crate::answer_end::{AnswerEnd, judge_end, judge_life};
+use crate::answer_end::{AnswerEnd, Doubt, MIN_SILENCE, judge_end, judge_life};
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
 use crate::outcome::{Outcome, StreamRecord};
@@ -47,6 +47,9 @@
     is_continuation: bool,
     /// Whether the last run that brought events may have ended as a whole, which is not known.
     may_be_whole: bool,
+    /// When bytes of the current run were last read, and when a silence of it last ended.
+    read_at: Instant,
+    silence_ended: Option<Instant>,
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
@@ -80,6 +83,8 @@
             has_unnumbered: false,
             is_continuation: false,
             may_be_whole: false,
+            read_at: Instant::now(),
+            silence_ended: None,
             events: 0,
             run_started: Instant::now(),
             earlier_runs: 0,
@@ -137,7 +142,9 @@
             } else {
                 (Instant::now() + self.stall_timeout()).min(self.request.deadline)
             };
-            match timeout_at(until, self.response.exchange.next()).await? {
+            let read = timeout_at(until, self.response.exchange.next()).await;
+            self.record_read();
+            match read? {
                 Some(bytes) => {
                     self.response
                         .call_guard
@@ -154,6 +161,15 @@
         }
     }
 
+    /// Records that bytes or the end of the current run were read.
+    fn record_read(&mut self) {
+        let now = Instant::now();
+        if now >= self.read_at + MIN_SILENCE {
+            self.silence_ended = Some(now);
+        }
+        self.read_at = now;
+    }
+
     /// Checks that the current run is complete.
     ///
     /// A run that goes on after one whose end is in doubt tells whether that was whole: it brings no event
@@ -167,11 +183,15 @@
         } = &*self.response;
         let state = &call_guard.endpoint_state;
         let brings_nothing = exchange.ends_with_connection() && exchange.is_empty();
-        let may_repeat = self.request.may_retry() && !self.has_unnumbered;
+        let silence_ended = self.silence_ended;
+        let doubt = Doubt {
+            may_repeat: self.request.may_retry() && !self.has_unnumbered,
+            follows_silence: silence_ended.is_some_and(|ended| ended.elapsed() < MIN_SILENCE),
+        };
         let end = if self.may_be_whole && brings_nothing {
-            judge_life(&self.context, endpoint, state, may_repeat).await
+            judge_life(&self.context, endpoint, state, doubt).await
         } else {
-            judge_end(&self.context, exchange, endpoint, state, may_repeat).await
+            judge_end(&self.context, exchange, endpoint, state, doubt).await
         };
         if self.events > 0 {
             self.may_be_whole = matches!(end, AnswerEnd::Doubtful(_));
@@ -282,6 +302,8 @@
         self.earlier_runs += u32::from(self.events > 0);
         self.is_continuation = true;
         self.events = 0;
+        self.read_at = Instant::now();
+        self.silence_ended = None;
         self.run_started = Instant::now();
     }
 
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -1,6 +1,7 @@
 //! Immutable snapshot of configuration, endpoints and roll-outs.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use kernel::Incarnation;
@@ -64,13 +65,17 @@
 }
 
 impl View {
-    /// Returns whether a later run listens at the address of a run of an endpoint, which has ended then.
-    pub(crate) fn has_successor(&self, endpoint: &Endpoint) -> bool {
-        let mut listed = self.pools.values().flat_map(|pool| &pool.endpoints);
-        listed.any(|other| {
-            let is_later = other.started_ms > endpoint.started_ms;
-            is_later && endpoint.started_ms.is_some() && other.addr == endpoint.addr
-        })
+    /// Returns whether a later run than one that started at a time, in milliseconds since the Unix epoch,
+    /// listens at its address. The earlier one has ended then.
+    pub(crate) fn has_successor(&self, addr: SocketAddr, started_ms: Option<u64>) -> bool {
+        let mut listed = self.endpoints();
+        started_ms.is_some()
+            && listed.any(|other| other.addr == addr && other.started_ms > started_ms)
+    }
+
+    /// Returns the endpoints of all services.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.pools.values().flat_map(|pool| &pool.endpoints)
     }
 
     /// Returns how many instances rank before this one for an endpoint.
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -239,3 +239,27 @@
     assert!(short.is_complete);
     assert_eq!(ids(&short.body), [1, 2, 3]);
 }
+
+/// Issue 59, ORDER: an instance that stood still, or whose path was cut, did not know of the later run that
+/// kept its connection. Its peers do.
+#[test]
+fn a_peer_that_lists_a_later_run_shows_that_a_stream_is_cut_short() {
+    for (silence_ms, is_complete) in [(0, true), (700, false)] {
+        let script = vec![
+            unframed_head(),
+            unframed_events(1..=2),
+            Step::Sleep(silence_ms),
+            unframed_events(3..=3),
+        ];
+        let endpoint = ScriptedEndpoint::start(vec![script]);
+        let route = route(RetrySafety::NonIdempotentStream);
+        let addrs = vec![endpoint.addr];
+        let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
+        fleet.instances[0].list_starts(&[1_000]);
+        fleet.instances[1].list_starts(&[2_000]);
+        fleet.exchange_reach();
+        let received = fleet.send(0, "/x/1");
+        assert_eq!(received.is_complete, is_complete, "{silence_ms} ms");
+        assert_eq!(ids(&received.body), [1, 2, 3], "{silence_ms} ms");
+    }
+}
