serve: Let other requests go on while a body without end is read

Cause: where bytes come without end a read never waits, so that one task kept the thread until its body had taken 16 MiB, and the bodies came one after the other instead of together. Ruled out: receive buffers.

Change: the task yields after each read.

--- a/crates/serve/src/buffered_body.rs
+++ b/crates/serve/src/buffered_body.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 use relay::Exchange;
 
 /// Maximum size of one buffered body, in bytes.
@@ -43,7 +44,7 @@
     }
 
     /// Waits until the body has to give way, and returns why it cannot be read on.
-    async fn given_way(&self) -> io::Result<Option<Bytes>> {
+    async fn must_give_way(&self) -> io::Result<Option<Bytes>> {
         poll_fn(|context| {
             if self.gives_way.get() {
                 return Poll::Ready(Err(too_large()));
@@ -122,12 +123,14 @@
         };
         reservation.grow(first.len() as u64)?;
         let mut whole = BytesMut::new();
-        while let Some(bytes) = body.given_way().or(exchange.next()).await? {
+        while let Some(bytes) = body.must_give_way().or(exchange.next()).await? {
             reservation.grow(bytes.len() as u64)?;
             if whole.is_empty() {
                 whole.extend_from_slice(&first);
             }
             whole.extend_from_slice(&bytes);
+            // Bytes that come without end leave the thread no pause by themselves.
+            yield_now().await;
         }
         if whole.is_empty() {
             return Ok(first);
