serve: Take a silent endpoint for neither alive nor ended when a peer asks

Read again: a peer that got no connection to an endpoint in time answered that it lives, as silence clears an endpoint for an instance's own check. It answers that it does not know now; for an own check that is silent, peers are asked as well, and the answer stays whole if they do not know either. A request that bears the field of a question beside the order of a peer is served as the order says, as a caller may have sent the field.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -98,7 +98,7 @@
         return AnswerEnd::Whole;
     }
     let found = match own {
-        Err(LifeError::Succeeded) => Finding::Ended,
+        Err(LifeError::Replaced) => Finding::Ended,
         _ => ask_peers(context, endpoint, state).await,
     };
     let err = match (found, own) {
--- a/crates/serve/src/carry_handler.rs
+++ b/crates/serve/src/carry_handler.rs
@@ -45,10 +45,11 @@
     }
 
     async fn serve(&self, mut inbound: Request) -> Response {
-        if let Some(answer) = life_question::answer(&self.pipeline.context, &mut inbound).await {
-            return answer;
-        }
         let Some(order) = CarryOrder::take_from(&mut inbound.head.headers) else {
+            if let Some(answer) = life_question::answer(&self.pipeline.context, &mut inbound).await
+            {
+                return answer;
+            }
             tracing::warn!(peer = %inbound.peer_addr, "carry: request without a valid order");
             return Response::new(Reason::BadRequest.status());
         };
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -19,8 +19,10 @@
 pub(crate) enum LifeError {
     /// It refuses or closes a new connection.
     Unreached(io::Error),
+    /// No connection was established in time, which says nothing of it.
+    Silent,
     /// A later run listens at its address.
-    Succeeded,
+    Replaced,
 }
 
 /// Checks that an endpoint keeps a new connection, and that no later run listens at its address.
@@ -36,31 +38,32 @@
     let alive = check_alive(context, endpoint, state).await;
     let view = context.view();
     if view.has_successor(endpoint.addr, endpoint.started_ms) {
-        return Err(LifeError::Succeeded);
+        return Err(LifeError::Replaced);
     }
-    alive.map_err(LifeError::Unreached)
+    alive.map_err(|err| match err.kind() {
+        io::ErrorKind::TimedOut => LifeError::Silent,
+        _ => LifeError::Unreached(err),
+    })
 }
 
-/// Checks that an endpoint neither refuses nor closes a connection. One that does not answer in time may
-/// be busy or cut off, and says nothing.
+/// Checks that an endpoint keeps a connection.
+///
+/// # Errors
+///
+/// Fails with [`io::ErrorKind::TimedOut`] if no connection is established in time, as the endpoint is busy
+/// or cut off, and with other errors if it refuses or closes one.
 async fn check_alive(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
 ) -> io::Result<()> {
-    let kept = async {
-        let mut socket = reach::connect(context, endpoint, state).await?;
-        timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await
-    };
-    match kept.await {
+    let mut socket = reach::connect(context, endpoint, state).await?;
+    match timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await {
         Ok(true) => return Ok(()),
         Ok(false) => return Err(io::ErrorKind::ConnectionAborted.into()),
         Err(err) if err.kind() == io::ErrorKind::TimedOut => {}
         Err(err) => return Err(err),
     }
     // The connection may have been accepted just before the endpoint ended, and never be closed.
-    match reach::connect(context, endpoint, state).await {
-        Err(err) if err.kind() != io::ErrorKind::TimedOut => Err(err),
-        _ => Ok(()),
-    }
+    reach::connect(context, endpoint, state).await.map(drop)
 }
