--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -27,7 +27,7 @@
 pub use declarations::{Declaration, Declarations};
 pub use error::ValidationError;
 pub use key::{KeyRing, SigningKey, key_hash};
-pub use object::{Digest, Object, Position};
+pub use object::{Digest, Object, Position, kind_of};
 pub use replica::Replica;
 pub use resource::{
     Arm, EndpointSpec, Experiment, Model, Objective, Policy, Pool, PoolKind, Resource,
--- a/crates/catalog/src/object.rs
+++ b/crates/catalog/src/object.rs
@@ -20,11 +20,15 @@
 impl Object {
     /// Returns the kind, which is the part of the path before the first slash.
     pub fn kind(&self) -> &str {
-        let end = self.path.find('/').unwrap_or(self.path.len());
-        &self.path[..end]
+        kind_of(&self.path)
     }
 }
 
+/// Returns the kind of the objects at a path or under a prefix, which is the part before the first slash.
+pub fn kind_of(path: &str) -> &str {
+    path.split('/').next().unwrap_or(path)
+}
+
 /// A revision of the store. Those of a later era come after all of an earlier one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -6,7 +6,7 @@
 
 use serde_json::Value;
 
-use crate::object::{Digest, Object, Position};
+use crate::object::{Digest, Object, Position, kind_of};
 
 /// The path prefix of version specs.
 const VERSION_PREFIX: &str = "config/spec/version/";
@@ -215,8 +215,3 @@
         }
     }
 }
-
-/// Returns the kind of the objects under a prefix.
-fn kind_of(prefix: &str) -> &str {
-    prefix.split('/').next().unwrap_or(prefix)
-}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
-use catalog::{Object, Position, Replica};
+use catalog::{Object, Position, Replica, kind_of};
 use kernel::{Clock, Incarnation};
 use member::{Member, MemberTable as Members, MemberTableSettings, Status};
 use serve::{Pool, SharedLoads, VersionCounters, View};
@@ -233,18 +233,14 @@
 
     fn apply_listing_of(&self, kind: &str, listing: Listing) {
         let before = self.position_of(kind);
-        let Listing {
-            revision,
-            era,
-            objects,
-        } = listing;
-        let position = Position { era, revision };
+        let position = listing.position();
         let prefix = format!("{kind}/");
         let mut replica = self.replica.borrow_mut();
-        if !replica.apply_listing(&prefix, position, objects) {
+        if !replica.apply_listing(&prefix, position, listing.objects) {
             return;
         }
         drop(replica);
+        let Position { era, revision } = position;
         // An instance that starts takes its first objects from a peer as well.
         if era > before.era && before.revision > 0 {
             tracing::warn!(
@@ -264,11 +260,8 @@
     pub(crate) fn replace_listing(&self, feed: Feed, listing: Listing) {
         let kind = kind_of(self.codec.prefix(feed));
         let before = self.position_of(kind).revision;
-        let Listing {
-            revision,
-            era,
-            objects,
-        } = listing;
+        let position = listing.position();
+        let Position { era, revision } = position;
         tracing::warn!(
             kind,
             revision,
@@ -278,7 +271,7 @@
         );
         self.replica
             .borrow_mut()
-            .replace_kind(kind, Position { era, revision }, objects);
+            .replace_kind(kind, position, listing.objects);
         // The revision of the configuration in force may be given out again.
         self.table_position.set(Position::default());
         self.apply_all_of(kind);
@@ -642,10 +635,6 @@
     }
 }
 
-fn kind_of(prefix: &str) -> &str {
-    prefix.trim_end_matches('/')
-}
-
 fn incarnations(members: &[Member]) -> Vec<Incarnation> {
     members.iter().map(|member| member.incarnation).collect()
 }
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -168,7 +168,7 @@
 ) -> Result<Position, StoreError> {
     let prefix = control.codec.prefix(feed);
     let listing = control.store.list(prefix).await?;
-    let reached = position(&listing);
+    let reached = listing.position();
     let went_back = |known: Position| known.era == reached.era && known > reached;
     if known.is_some_and(went_back) {
         control.replace_listing(feed, listing);
@@ -178,13 +178,6 @@
     Ok(reached)
 }
 
-fn position(listing: &Listing) -> Position {
-    Position {
-        era: listing.era,
-        revision: listing.revision,
-    }
-}
-
 /// Watches once more from the same revision when the first watch may have been lost, without waiting
 /// for a change. The first one goes on meanwhile, as its response may be large and on its way.
 async fn watch_again(control: &Control, feed: Feed, revision: u64) -> Result<Listing, StoreError> {
@@ -224,7 +217,7 @@
     control.interrupts.clear(feed);
     let watch = control.store.watch(prefix, revision, wait_ms);
     let listing = watch.or(watch_again(control, feed, revision)).await?;
-    let reached = position(&listing);
+    let reached = listing.position();
     if reached.era != era || reached < cursor {
         return Err(StoreError::Expired);
     }
--- a/crates/entry/src/control/config_watch.rs
+++ b/crates/entry/src/control/config_watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalog::{CONFIG_PREFIX, Position};
+use catalog::CONFIG_PREFIX;
 use smol::Timer;
 use store::{ObjectApi, StoreError};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -78,10 +78,7 @@
     let listing = control.shared.platform.list(CONFIG_PREFIX).await?;
     control.record_contact();
     let revision = listing.revision;
-    let position = Position {
-        era: listing.era,
-        revision,
-    };
+    let position = listing.position();
     let changed =
         control
             .replica
--- a/crates/serve/src/buffered_body.rs
+++ b/crates/serve/src/buffered_body.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct BufferedBytes {
     bodies: RefCell<Vec<Rc<BufferedBody>>>,
+    /// The size of those that do not give way, in bytes.
+    total: Cell<u64>,
 }
 
 /// The size of one body that is being buffered.
@@ -64,7 +66,11 @@
 
 impl Reservation<'_> {
     fn grow(&self, bytes: u64) -> io::Result<()> {
+        if self.body.gives_way.get() {
+            return Err(too_large());
+        }
         self.body.bytes.set(self.body.bytes.get() + bytes);
+        self.buffered.total.set(self.buffered.total.get() + bytes);
         if self.body.bytes.get() > MAX_BODY_BYTES {
             return Err(too_large());
         }
@@ -78,6 +84,9 @@
 
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
+        if !self.body.gives_way.get() {
+            self.buffered.release(&self.body);
+        }
         let mut bodies = self.buffered.bodies.borrow_mut();
         bodies.retain(|body| !Rc::ptr_eq(body, &self.body));
     }
@@ -95,10 +104,10 @@
 
     /// Makes the largest bodies give way until the others are small enough together.
     fn make_room(&self) {
-        let bodies = self.bodies.borrow();
-        let kept = || bodies.iter().filter(|body| !body.gives_way.get());
-        while kept().map(|body| body.bytes.get()).sum::<u64>() > MAX_TOTAL_BYTES {
-            let Some(largest) = kept().max_by_key(|body| body.bytes.get()) else {
+        while self.total.get() > MAX_TOTAL_BYTES {
+            let bodies = self.bodies.borrow();
+            let kept = bodies.iter().filter(|body| !body.gives_way.get());
+            let Some(largest) = kept.max_by_key(|body| body.bytes.get()) else {
                 return;
             };
             tracing::info!(
@@ -106,9 +115,15 @@
                 "answer: body gives way to others"
             );
             largest.give_way();
+            self.release(largest);
         }
     }
 
+    /// Counts a body no longer.
+    fn release(&self, body: &BufferedBody) {
+        self.total.set(self.total.get() - body.bytes.get());
+    }
+
     /// Reads the rest of a response body.
     ///
     /// # Errors
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -2,7 +2,7 @@
 //! instance's own calls.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -529,12 +529,10 @@
 
     /// What an endpoint says of itself holds for its run, also while its entry lapses and comes back.
     fn drop_unlisted(&self, view: &View, now_ms: u64) {
-        let mut listed = std::collections::HashSet::new();
-        for pool in view.pools.values() {
-            for endpoint in &pool.endpoints {
-                listed.insert(EndpointKey::of(endpoint));
-            }
-        }
+        let endpoints = view.endpoints();
+        let listed: HashSet<EndpointKey> = endpoints
+            .map(|endpoint| EndpointKey::of(endpoint))
+            .collect();
         let mut states = self.by_key.borrow_mut();
         states.retain(|key, state| {
             let is_kept = state.is_kept(listed.contains(key), now_ms);
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -1,7 +1,6 @@
 //! Asking peers whether an endpoint lives, of which this instance cannot be sure.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -92,10 +91,7 @@
 }
 
 /// Answers the question of a peer, or returns `None` if the request holds none.
-pub(crate) async fn answer(
-    context: &Rc<RequestContext>,
-    inbound: &mut Request,
-) -> Option<Response> {
+pub(crate) async fn answer(context: &RequestContext, inbound: &mut Request) -> Option<Response> {
     let question: LifeQuestion = take(QUESTION_FIELD, &mut inbound.head.headers)?;
     let view = context.view();
     if view.has_successor(question.addr, question.started_ms) {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use catalog::Object;
+use catalog::{Object, Position};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use web::BoxFuture;
@@ -32,6 +32,16 @@
     pub objects: Vec<Object>,
 }
 
+impl Listing {
+    /// Returns the position as of which the listing is.
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 /// The versioned object store of the platform.
 pub trait ObjectApi: Send + Sync {
     /// Reads one object.
