serve: Log what shows whether an endpoint outlived its answer

Two lines for each answer with neither length nor chunks say so now: what the endpoint's address showed, and the verdict with the request's id. No decision changes.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -1,11 +1,12 @@
 //! Whether an answer that ended with its connection is complete.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use relay::Exchange;
 
+use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
 use crate::life::{LifeError, check_life};
@@ -67,6 +68,7 @@
 /// answer which it cuts short looks complete.
 pub(crate) async fn judge_end(
     context: &RequestContext,
+    request: &ActiveRequest,
     exchange: &Exchange,
     endpoint: &Endpoint,
     state: &EndpointState,
@@ -78,7 +80,7 @@
     if exchange.is_empty() {
         return AnswerEnd::CutShort(truncated("the answer has neither a length nor a body"));
     }
-    judge_life(context, endpoint, state, doubt).await
+    judge_life(context, request, endpoint, state, doubt).await
 }
 
 /// Judges whether an endpoint outlived the end of a connection.
@@ -87,6 +89,26 @@
 /// it leaves, is full or cannot be reached by this instance, but peers reach it, or it goes on with other
 /// answers. A later run at its address shows that it has ended.
 pub(crate) async fn judge_life(
+    context: &RequestContext,
+    request: &ActiveRequest,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+    doubt: Doubt,
+) -> AnswerEnd {
+    let judged_at = Instant::now();
+    let end = find_life(context, endpoint, state, doubt).await;
+    tracing::info!(
+        id = &*request.info.id,
+        endpoint = &*endpoint.id,
+        ?doubt,
+        ?end,
+        elapsed_ms = judged_at.elapsed().as_millis() as u64,
+        "life: end of an answer"
+    );
+    end
+}
+
+async fn find_life(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
@@ -94,6 +116,7 @@
 ) -> AnswerEnd {
     let ended_ms = context.now_ms();
     let own = check_life(context, endpoint, state).await;
+    tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
     if own.is_ok() && !doubt.follows_silence {
         return AnswerEnd::Whole;
     }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -364,7 +364,7 @@
                 may_repeat: self.may_retry(),
                 follows_silence: false,
             };
-            let end = judge_end(context, &exchange, &endpoint, &endpoint_state, doubt).await;
+            let end = judge_end(context, self, &exchange, &endpoint, &endpoint_state, doubt).await;
             if let Err(err) = end.check_whole() {
                 self.log_send(&endpoint, "error truncated", &err.to_string(), sent_at);
                 self.failure_response = None;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -333,7 +333,7 @@
                 may_repeat: request.may_retry(),
                 follows_silence: read_at.elapsed() >= MIN_SILENCE,
             };
-            let end = judge_end(context, exchange, endpoint, &endpoint_state, doubt).await;
+            let end = judge_end(context, request, exchange, endpoint, &endpoint_state, doubt).await;
             end.check_whole()?;
             Ok(body)
         };
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -189,9 +189,17 @@
             follows_silence: silence_ended.is_some_and(|ended| ended.elapsed() < MIN_SILENCE),
         };
         let end = if self.may_be_whole && brings_nothing {
-            judge_life(&self.context, endpoint, state, doubt).await
+            judge_life(&self.context, &self.request, endpoint, state, doubt).await
         } else {
-            judge_end(&self.context, exchange, endpoint, state, doubt).await
+            judge_end(
+                &self.context,
+                &self.request,
+                exchange,
+                endpoint,
+                state,
+                doubt,
+            )
+            .await
         };
         if self.events > 0 {
             self.may_be_whole = matches!(end, AnswerEnd::Doubtful(_));
