serve: Show a stream that ends as complete as a listener outlives its endpoint

The test fails: the stream of an endpoint that ended after 3 of 6 events is complete for its caller, as its address keeps connections for 50 ms after the end. It is the first of three times in the test, 50, 100 and 1,900 ms; the present test of such an end stops at 10 ms.

--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -80,6 +80,32 @@
     }
 }
 
+/// Issue 62, ORDER: streams of an endpoint that had ended were complete in their midst for callers, as its
+/// listener, held by another process, went on accepting connections.
+#[test]
+fn a_stream_whose_endpoint_ended_before_its_listener_does_not_end_as_complete() {
+    let cases = [
+        (RetrySafety::ResumableStream, true, 1..=6, 1),
+        (RetrySafety::NonIdempotentStream, false, 1..=3, 0),
+    ];
+    for (safety, is_complete, expected, sends) in cases {
+        for linger_ms in [50, 100, 1_900] {
+            let name = format!("{safety:?}, {linger_ms} ms");
+            let first = vec![
+                unframed_head(),
+                unframed_events(1..=3),
+                Step::ExitKeepingConnections(linger_ms),
+            ];
+            let second = vec![stream_head(90), events(4..=6), stream_end()];
+            let (received, asked) = send(safety, first, second);
+            assert_eq!(received.is_complete, is_complete, "{name}");
+            let expected: Vec<u64> = expected.clone().collect();
+            assert_eq!(ids(&received.body), expected, "{name}");
+            assert_eq!(asked, sends, "{name}");
+        }
+    }
+}
+
 #[test]
 fn an_answer_whose_endpoint_ended_is_not_passed_on_as_whole() {
     let cases = [
