serve: Take a stream for whole only if the run that sent it answers

Cause: when a connection ended, the instance opened another one to the address, and took it for a life of the endpoint that this was kept for 30 ms. That shows that something holds the listener: a parent process, a forwarder, a process that ends slowly, or another run.

Change: the instance asks for a health check that names the run. The run's own answer, or its refusal for want of room, shows its life; another run says that it is another one, and nothing answers for a process that has ended. An endpoint that is busy may take 0.5 s, or 1.2 s if no further run can tell, and bytes of its other answers count meanwhile. Answers that end together share a check. Endpoints that limit their requests are not asked; a connection that they keep counts as before. Without proof, of the endpoint or of peers, the end is in doubt, also if no connection was established in time: a stream that may be resumed is, another is reset.

What a stand-in of a living endpoint in the tests did not answer, a health check, it answers now; no check is changed by that. Starts under an end in doubt count as crashes at the time of the end, not once the doubt is settled, and a sign of life takes them back: an_answer_whose_endpoint_ended_before_its_listener_does_not_clear_its_prompt (not run on the code before).

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -186,6 +186,7 @@
         for (purpose, count) in [
             ("request", &counters.connections_for_requests),
             ("probe", &counters.connections_for_probes),
+            ("health_check", &counters.connections_for_health_checks),
         ] {
             self.endpoint_connections
                 .get_or_create(&ConnectionLabel { purpose })
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use relay::Exchange;
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::life::{LifeError, check_life};
+use crate::life::{Life, check_life};
 use crate::life_question::{Finding, ask_peers};
 use crate::request_context::RequestContext;
 
@@ -20,8 +21,13 @@
 /// instance that is short of processor time reads its other connections late.
 const LATE_BYTES_MS: u64 = 250;
 
-/// How long bytes of other answers are waited for, in milliseconds. The caller has all but the end by then.
-const MAX_PROOF_MS: u64 = 500;
+/// How long the endpoint itself may take to prove that it lives, in milliseconds. The caller has all but the
+/// end by then.
+const REPEATABLE_PROOF_MS: u64 = 500;
+
+/// As above, if no further run can tell whether the answer was whole. Sound endpoints may fall silent for a
+/// second, and callers wait for two.
+const ONLY_PROOF_MS: u64 = 1_200;
 
 const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -68,7 +74,7 @@
 /// answer which it cuts short looks complete.
 pub(crate) async fn judge_end(
     context: &RequestContext,
-    request: &ActiveRequest,
+    request: &mut ActiveRequest,
     exchange: &Exchange,
     endpoint: &Endpoint,
     state: &EndpointState,
@@ -85,18 +91,18 @@
 
 /// Judges whether an endpoint outlived the end of a connection.
 ///
-/// One that has ended refuses further connections, or does not keep them. A living one may do so too, while
-/// it leaves, is full or cannot be reached by this instance, but peers reach it, or it goes on with other
-/// answers. A later run at its address shows that it has ended.
+/// A connection that is accepted does not show that, as another process may hold the listener, and one that
+/// is refused does not show the contrary, as a living endpoint may leave, be full, or be out of reach for
+/// this instance. So the run itself has to answer, here or to a peer, or to go on with other answers.
 pub(crate) async fn judge_life(
     context: &RequestContext,
-    request: &ActiveRequest,
+    request: &mut ActiveRequest,
     endpoint: &Endpoint,
     state: &EndpointState,
     doubt: Doubt,
 ) -> AnswerEnd {
     let judged_at = Instant::now();
-    let end = find_life(context, endpoint, state, doubt).await;
+    let end = find_life(context, request, endpoint, state, doubt).await;
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
@@ -110,42 +116,60 @@
 
 async fn find_life(
     context: &RequestContext,
+    request: &mut ActiveRequest,
     endpoint: &Endpoint,
     state: &EndpointState,
     doubt: Doubt,
 ) -> AnswerEnd {
     let ended_ms = context.now_ms();
-    let own = check_life(context, endpoint, state).await;
-    tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
-    if own.is_ok() && !doubt.follows_silence {
-        return AnswerEnd::Whole;
-    }
-    let found = match own {
-        Err(LifeError::Replaced) => Finding::Ended,
-        _ => ask_peers(context, endpoint, state).await,
+    let proof_ms = if doubt.may_repeat {
+        REPEATABLE_PROOF_MS
+    } else {
+        ONLY_PROOF_MS
     };
-    let err = match (found, own) {
-        (Finding::Ended, _) => {
-            let message = "a later run of an endpoint listens at the address";
-            return AnswerEnd::CutShort(truncated(message));
+    let until = Instant::now() + Duration::from_millis(proof_ms);
+    let other_answers = async {
+        if !goes_on(state, ended_ms, until).await {
+            std::future::pending::<()>().await;
         }
-        (Finding::Unknown, Err(LifeError::Unreached(err))) => err,
-        _ => return AnswerEnd::Whole,
+        Life::Answers
     };
-    let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
-    if !(is_refused && doubt.may_repeat) && goes_on(context, state, ended_ms).await {
-        return AnswerEnd::Whole;
+    let own = check_life(context, endpoint, state, until)
+        .or(other_answers)
+        .await;
+    tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
+    match own {
+        Life::Answers | Life::KeepsConnection if !doubt.follows_silence => return AnswerEnd::Whole,
+        Life::Answers | Life::KeepsConnection => {}
+        Life::Replaced => return replaced(),
+        // Peers are to learn in time what may have crashed it.
+        _ => request.record_end_of_endpoint(endpoint, state, ended_ms),
+    }
+    let peers = ask_peers(context, endpoint, state).await;
+    match (peers, own) {
+        (Finding::Ended, _) => return replaced(),
+        (Finding::Unknown, Life::RefusesConnection) if doubt.may_repeat => {}
+        (Finding::Unknown, Life::RefusesConnection | Life::ClosesConnection) => {
+            if goes_on(state, ended_ms, until).await {
+                return AnswerEnd::Whole;
+            }
+        }
+        (Finding::Unknown, Life::NoAnswer | Life::NoConnection) => {}
+        _ => {
+            state.record_alive(context.now_ms(), context.now_ms());
+            return AnswerEnd::Whole;
+        }
     }
     AnswerEnd::Doubtful(truncated(&format!(
-        "the endpoint may have ended with its answer: {err}"
+        "the endpoint may have ended with its answer: {own:?}"
     )))
 }
 
-/// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds.
-async fn goes_on(context: &RequestContext, state: &EndpointState, ended_ms: u64) -> bool {
-    let until_ms = ended_ms + MAX_PROOF_MS;
+/// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds, and returns
+/// whether there are any.
+async fn goes_on(state: &EndpointState, ended_ms: u64, until: Instant) -> bool {
     // The call whose answer ended counts as well.
-    while state.connections() > 1 && context.now_ms() < until_ms {
+    while state.connections() > 1 && Instant::now() < until {
         if state.last_received_ms() >= ended_ms + LATE_BYTES_MS {
             return true;
         }
@@ -154,6 +178,11 @@
     false
 }
 
+fn replaced() -> AnswerEnd {
+    let message = "another run of an endpoint listens at the address";
+    AnswerEnd::CutShort(truncated(message))
+}
+
 fn truncated(message: &str) -> io::Error {
     io::Error::new(io::ErrorKind::UnexpectedEof, message)
 }
--- a/crates/serve/src/call_record.rs
+++ b/crates/serve/src/call_record.rs
@@ -114,8 +114,18 @@
         if !is_broken_connection(err) {
             return;
         }
-        let now_ms = context.now_ms();
-        for start in endpoint_state.record_broken(now_ms) {
+        self.record_end_of_endpoint(endpoint, endpoint_state, context.now_ms());
+    }
+
+    /// Records that an endpoint may have ended at a time, in milliseconds, and logs the answers that it began
+    /// shortly before. A later sign of life takes this back.
+    pub(crate) fn record_end_of_endpoint(
+        &mut self,
+        endpoint: &Endpoint,
+        endpoint_state: &EndpointState,
+        ended_ms: u64,
+    ) {
+        for start in endpoint_state.record_broken(ended_ms) {
             if self.key.is_same_request(&start.key) {
                 self.crashes += 1;
             }
@@ -124,7 +134,7 @@
                 endpoint = &*endpoint.id,
                 version = &*endpoint.version,
                 content = ?start.key,
-                running_ms = now_ms.saturating_sub(start.began_ms),
+                running_ms = ended_ms.saturating_sub(start.began_ms),
                 "endpoint: broke after a start"
             );
         }
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -40,6 +40,17 @@
     Answered,
 }
 
+/// Who answers a health check of a run of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Responder {
+    /// The run itself, which may refuse the check.
+    Run,
+    /// Another run, which listens at the address by now.
+    OtherRun,
+    /// The answer does not tell.
+    Unknown,
+}
+
 /// Decoded head of an endpoint's response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reply {
@@ -94,4 +105,10 @@
 
     /// Decodes the head of a response.
     fn decode(&self, info: &RequestInfo, head: &ResponseHead) -> Reply;
+
+    /// Encodes a health check that only this run of an endpoint is to answer.
+    fn encode_health_check(&self, endpoint: &Endpoint, path: &str) -> Vec<u8>;
+
+    /// Decodes who answers a health check of an endpoint.
+    fn decode_health(&self, endpoint: &Endpoint, head: &ResponseHead) -> Responder;
 }
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use async_lock::Mutex;
 use limits::{
     Crash, EndpointRate, EndpointUse, Health, OutlierDetector, Path, RateDivision,
     RefusalAllowance, RequestLoad,
@@ -14,6 +15,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::latency_ratio::LatencyRatio;
+use crate::life::LifeCheck;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
 use crate::shared_crashes::SharedCrashes;
@@ -81,6 +83,8 @@
     connected_ms: Cell<Option<u64>>,
     failed_ms: Cell<Option<u64>>,
     probed_ms: Cell<Option<u64>>,
+    /// The latest check of whether the endpoint is still there.
+    pub(crate) life_check: Mutex<Option<LifeCheck>>,
     /// Generation of the view for which the rank was taken, and the rank.
     rank: Cell<Option<(u64, usize)>>,
     recent_starts: RefCell<RecentStarts>,
@@ -269,6 +273,13 @@
         refusals.is_open(&place, now_ms)
     }
 
+    /// Returns whether the endpoint limits its requests, or wants none for a while.
+    pub(crate) fn wants_fewer_requests(&self, now_ms: u64) -> bool {
+        self.wanted_pause_ms(now_ms) > 0
+            || self.rate.borrow().is_some()
+            || self.refusals.borrow().is_some()
+    }
+
     /// Returns whether the endpoint's rate limit permits a request now.
     pub(crate) fn is_within_rate(&self, now_ms: u64) -> bool {
         let mut rate = self.rate.borrow_mut();
@@ -305,6 +316,11 @@
         self.record_life(None, now_ms);
     }
 
+    /// Records that the endpoint lives, as something that began at a time, in milliseconds, shows.
+    pub(crate) fn record_alive(&self, began_ms: u64, now_ms: u64) {
+        self.record_life(Some(began_ms), now_ms);
+    }
+
     /// Records that bytes arrived on a connection opened at a time, in milliseconds, if it is known.
     fn record_life(&self, opened_ms: Option<u64>, now_ms: u64) {
         self.last_received_ms.set(now_ms);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -59,7 +59,7 @@
 pub use caller_protocol::CallerProtocol;
 pub use carry_handler::CarryHandler;
 pub use endpoint::Endpoint;
-pub use endpoint_protocol::{Attempt, EndpointProtocol, ExecutionStatus, Reply};
+pub use endpoint_protocol::{Attempt, EndpointProtocol, ExecutionStatus, Reply, Responder};
 pub use endpoint_values::{parse_rate_per_s, parse_request_count, requested_pause_ms};
 pub use events::{Event, EventSplitter};
 pub use outcome::{Counters, Observer, Outcome};
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -1,49 +1,139 @@
-//! Whether an endpoint still lives, as a new connection to its address and the registry show.
+//! Whether the run of an endpoint that sent an answer is still there, as its address and the registry show.
 
 use std::io;
 use std::time::{Duration, Instant};
 
-use relay::timeout_at;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use relay::{Exchange, ExchangeError, timeout_at};
 
+use crate::call_record::{record_connected, record_unreachable};
 use crate::endpoint::Endpoint;
+use crate::endpoint_protocol::Responder;
 use crate::endpoint_state::EndpointState;
+use crate::outcome::Counters;
 use crate::reach;
 use crate::request_context::RequestContext;
 
-/// How long an endpoint has to keep a new connection open. The backlog of a process that ends, or a proxy
-/// before it, may accept a connection and close it a moment later.
-const LIVENESS_TIME: Duration = Duration::from_millis(30);
+/// How long an endpoint that is not asked has to keep a new connection open. The backlog of a process that
+/// ends, or a proxy before it, may accept a connection and close it a moment later.
+const KEPT_TIME: Duration = Duration::from_millis(30);
 
-/// Why an endpoint is not known to live.
-#[derive(Debug)]
-pub(crate) enum LifeError {
-    /// It refuses or closes a new connection.
-    Unreached(io::Error),
-    /// No connection was established in time, which says nothing of it.
-    Silent,
-    /// A later run listens at its address.
+/// What the address of an endpoint shows of its run, the strongest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// The run answers a health check.
+    Answers,
+    /// Another run answers, or a later one is listed at the address.
     Replaced,
+    /// It is not asked, as it wants fewer requests, and keeps a connection.
+    KeepsConnection,
+    RefusesConnection,
+    ClosesConnection,
+    /// It keeps a connection and does not answer in time. Another process may hold its listener.
+    NoAnswer,
+    /// No connection was established in time.
+    NoConnection,
 }
 
-/// Checks that an endpoint keeps a new connection, and that no later run listens at its address.
-///
-/// # Errors
-///
-/// Fails if the endpoint may have ended.
+/// A check of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LifeCheck {
+    started_at: Instant,
+    found: Life,
+}
+
+/// Checks whether the run of an endpoint is still there. Answers that end together share a check that
+/// starts after their ends.
 pub(crate) async fn check_life(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-) -> Result<(), LifeError> {
-    let alive = check_alive(context, endpoint, state).await;
+    until: Instant,
+) -> Life {
+    let asked_at = Instant::now();
+    let check = async {
+        let mut latest = state.life_check.lock().await;
+        if let Some(check) = *latest
+            && check.started_at > asked_at
+        {
+            return check.found;
+        }
+        let started_at = Instant::now();
+        let found = ask(context, endpoint, state, until).await;
+        *latest = Some(LifeCheck { started_at, found });
+        found
+    };
+    let expire = async {
+        Timer::at(until).await;
+        Life::NoAnswer
+    };
+    let found = check.or(expire).await;
     let view = context.view();
     if view.has_successor(endpoint.addr, endpoint.started_ms) {
-        return Err(LifeError::Replaced);
+        return Life::Replaced;
+    }
+    found
+}
+
+/// Asks an endpoint for its health, or only connects to it if it wants fewer requests.
+async fn ask(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+    until: Instant,
+) -> Life {
+    let opened_ms = context.now_ms();
+    let view = context.view();
+    let table = view.table.as_ref();
+    let service = table.and_then(|table| table.service(&endpoint.service));
+    let Some(service) = service.filter(|_| !state.wants_fewer_requests(opened_ms)) else {
+        return match connect(context, endpoint, state).await {
+            Ok(()) => Life::KeepsConnection,
+            Err(err) => unreached(&err),
+        };
+    };
+    let head = context
+        .endpoint_protocol
+        .encode_health_check(endpoint, &service.health_path);
+    Counters::add(&context.counters.connections_for_health_checks);
+    let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
+    let connect_until = until.min(Instant::now() + timeout);
+    let body = Bytes::new();
+    let answer = Exchange::start(endpoint.addr, connect_until, until, "GET", &head, &body).await;
+    let now_ms = context.now_ms();
+    match &answer {
+        Err(err) if !err.sent => record_unreachable(endpoint, state, opened_ms, now_ms),
+        _ => record_connected(endpoint, state, opened_ms),
+    }
+    let head = match answer {
+        Ok((_, head)) => head,
+        Err(err) => return unanswered(&err),
+    };
+    match context.endpoint_protocol.decode_health(endpoint, &head) {
+        Responder::Run => {
+            state.record_alive(opened_ms, now_ms);
+            Life::Answers
+        }
+        Responder::OtherRun => Life::Replaced,
+        Responder::Unknown => Life::NoAnswer,
+    }
+}
+
+fn unanswered(err: &ExchangeError) -> Life {
+    match err.source.kind() {
+        io::ErrorKind::TimedOut if err.sent => Life::NoAnswer,
+        _ => unreached(&err.source),
+    }
+}
+
+fn unreached(err: &io::Error) -> Life {
+    match err.kind() {
+        io::ErrorKind::TimedOut => Life::NoConnection,
+        io::ErrorKind::ConnectionRefused => Life::RefusesConnection,
+        _ => Life::ClosesConnection,
     }
-    alive.map_err(|err| match err.kind() {
-        io::ErrorKind::TimedOut => LifeError::Silent,
-        _ => LifeError::Unreached(err),
-    })
 }
 
 /// Checks that an endpoint keeps a connection.
@@ -52,13 +142,13 @@
 ///
 /// Fails with [`io::ErrorKind::TimedOut`] if no connection is established in time, as the endpoint is busy
 /// or cut off, and with other errors if it refuses or closes one.
-async fn check_alive(
+async fn connect(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
 ) -> io::Result<()> {
     let mut socket = reach::connect(context, endpoint, state).await?;
-    match timeout_at(Instant::now() + LIVENESS_TIME, socket.fill()).await {
+    match timeout_at(Instant::now() + KEPT_TIME, socket.fill()).await {
         Ok(true) => return Ok(()),
         Ok(false) => return Err(io::ErrorKind::ConnectionAborted.into()),
         Err(err) if err.kind() == io::ErrorKind::TimedOut => {}
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -10,7 +10,7 @@
 use crate::carry_message::{set, take};
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::life::check_life;
+use crate::life::{Life, check_life};
 use crate::peer_choice::peer_addrs;
 use crate::request_context::RequestContext;
 
@@ -22,6 +22,9 @@
 /// How long a peer has to answer: several times the check that it makes.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 
+/// How long a peer checks an endpoint, so that its answer arrives in time.
+const CHECK_TIME: Duration = Duration::from_millis(150);
+
 /// The statuses of a peer's answer.
 const LIVES: u16 = 204;
 const UNKNOWN: u16 = 404;
@@ -32,7 +35,7 @@
 pub(crate) enum Finding {
     /// One of them reaches it.
     Lives,
-    /// A later run is listed at its address.
+    /// Another run answers or is listed at its address.
     Ended,
     Unknown,
 }
@@ -104,6 +107,13 @@
         return Some(Response::new(UNKNOWN));
     };
     let state = context.endpoint_states.of(endpoint);
-    let lives = check_life(context, endpoint, &state).await.is_ok();
-    Some(Response::new(if lives { LIVES } else { UNKNOWN }))
+    let until = Instant::now() + CHECK_TIME;
+    let status = match check_life(context, endpoint, &state, until).await {
+        Life::Answers | Life::KeepsConnection => LIVES,
+        Life::Replaced => ENDED,
+        Life::RefusesConnection | Life::ClosesConnection | Life::NoAnswer | Life::NoConnection => {
+            UNKNOWN
+        }
+    };
+    Some(Response::new(status))
 }
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -48,6 +48,8 @@
     pub connections_for_requests: AtomicU64,
     /// Connections to endpoints without a request, to learn whether they are in reach.
     pub connections_for_probes: AtomicU64,
+    /// Connections opened to endpoints for health checks, established or not.
+    pub connections_for_health_checks: AtomicU64,
 }
 
 /// Receives the outcome of every request, for instance for histograms.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -322,6 +322,7 @@
     loop {
         let mut started = request.dispatch(context, None).await?;
         let endpoint_state = started.call_guard.endpoint_state.clone();
+        let deadline = request.deadline;
         let whole_body = async {
             let buffered_bytes = &context.buffered_bytes;
             let read_at = Instant::now();
@@ -337,7 +338,7 @@
             end.check_whole()?;
             Ok(body)
         };
-        let body = relay::timeout_at(request.deadline, whole_body).await;
+        let body = relay::timeout_at(deadline, whole_body).await;
         let now_ms = context.now_ms();
         match body {
             Ok(body) => {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -189,11 +189,11 @@
             follows_silence: silence_ended.is_some_and(|ended| ended.elapsed() < MIN_SILENCE),
         };
         let end = if self.may_be_whole && brings_nothing {
-            judge_life(&self.context, &self.request, endpoint, state, doubt).await
+            judge_life(&self.context, &mut self.request, endpoint, state, doubt).await
         } else {
             judge_end(
                 &self.context,
-                &self.request,
+                &mut self.request,
                 exchange,
                 endpoint,
                 state,
--- a/crates/serve/tests/common/cuts.rs
+++ b/crates/serve/tests/common/cuts.rs
@@ -7,7 +7,7 @@
 
 use socket2::SockRef;
 
-use super::{chunk, ids, read_head, stream_end};
+use super::{Health, answer_health, chunk, ids, read_head, stream_end};
 
 /// How the sender of an answer ends its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +48,9 @@
                 let Some(head) = read_head(&mut stream) else {
                     continue;
                 };
+                if answer_health(&mut stream, &head, Health::After(0)) {
+                    continue;
+                }
                 let mut script = shared.lock().unwrap();
                 let answer = (script.answering)(&head);
                 script.heads.push(head);
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -23,13 +23,14 @@
 use route::{Route, Service, Table, Target};
 use serve::{
     Attempt, CallerProtocol, Endpoint, EndpointProtocol, ExecutionStatus, Observer, Outcome,
-    Pipeline, Pool, PromptPart, Reply, RequestInfo, RolloutView, Settings, TokenUsage, View,
+    Pipeline, Pool, PromptPart, Reply, RequestInfo, Responder, RolloutView, Settings, TokenUsage,
+    View,
 };
 
 use clock::AgedClock;
 pub use scripted::{
-    ScriptedEndpoint, Step, answer, chunk, error_response, events, listen, read_head, refusal,
-    stream_end, stream_head, unframed_events, unframed_head,
+    Health, ScriptedEndpoint, Step, answer, answer_health, chunk, error_response, events, listen,
+    read_head, refusal, stream_end, stream_head, unframed_events, unframed_head,
 };
 
 /// Parses the numbers of prompt parts, separated by commas.
@@ -123,6 +124,18 @@
                 .and_then(|text| text.parse().ok()),
         }
     }
+
+    fn encode_health_check(&self, endpoint: &Endpoint, path: &str) -> Vec<u8> {
+        format!("GET {path} HTTP/1.1\r\nx-health: {}\r\n\r\n", endpoint.id).into_bytes()
+    }
+
+    fn decode_health(&self, endpoint: &Endpoint, head: &ResponseHead) -> Responder {
+        match head.headers.get("x-instance") {
+            Some(id) if *id == *endpoint.id => Responder::Run,
+            Some(_) => Responder::OtherRun,
+            None => Responder::Unknown,
+        }
+    }
 }
 
 struct NullObserver;
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -32,6 +32,40 @@
     ExitKeepingConnections(u64),
 }
 
+/// How an endpoint answers health checks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// After some milliseconds.
+    After(u64),
+    /// As another run would that listens at the address.
+    OtherRun,
+    /// As a proxy would that does not reach the endpoint.
+    Proxy,
+    /// It closes the connection, as it has too many.
+    Closes,
+}
+
+/// Answers a health check for the run that it names, and returns whether the request is one.
+pub fn answer_health(stream: &mut TcpStream, head: &str, health: Health) -> bool {
+    let mut lines = head.lines();
+    let Some(id) = lines.find_map(|line| line.strip_prefix("x-health: ")) else {
+        return false;
+    };
+    let id = match health {
+        Health::After(ms) => {
+            std::thread::sleep(Duration::from_millis(ms));
+            format!("x-instance: {id}\r\n")
+        }
+        Health::OtherRun => "x-instance: other\r\n".to_owned(),
+        Health::Proxy => String::new(),
+        Health::Closes => return true,
+    };
+    let text = format!("HTTP/1.1 200 OK\r\n{id}Content-Length: 0\r\n\r\n");
+    // The instance may have given up.
+    let _ = stream.write_all(text.as_bytes());
+    true
+}
+
 /// How long an endpoint that has ended keeps the connections that it is to keep.
 const KEPT_TIME: Duration = Duration::from_secs(2);
 
@@ -92,12 +126,14 @@
     Step::Write("0\r\n\r\n".to_owned())
 }
 
-/// An endpoint that answers each connection by the next script, and further ones by the last.
+/// An endpoint that answers each request by the next script, and further ones by the last.
 pub struct ScriptedEndpoint {
     pub addr: SocketAddr,
     pub heads: Arc<Mutex<Vec<String>>>,
     /// Bytes of endless texts that were written.
     pub endless_bytes: Arc<AtomicU64>,
+    health: Arc<Mutex<Health>>,
+    health_checks: Arc<AtomicUsize>,
 }
 
 impl ScriptedEndpoint {
@@ -108,13 +144,17 @@
         let seen = heads.clone();
         let endless_bytes: Arc<AtomicU64> = Arc::default();
         let written = endless_bytes.clone();
+        let health = Arc::new(Mutex::new(Health::After(0)));
+        let health_checks: Arc<AtomicUsize> = Arc::default();
+        let (current_health, checks) = (health.clone(), health_checks.clone());
+        let scripts = Arc::new(scripts);
         let listener = Arc::new(listener);
         let has_exited: Arc<AtomicBool> = Arc::default();
         let keeps_connections: Arc<AtomicBool> = Arc::default();
         std::thread::spawn(move || {
             let mut kept = Vec::new();
-            for (number, stream) in listener.incoming().enumerate() {
-                let Ok(stream) = stream else {
+            for stream in listener.incoming() {
+                let Ok(mut stream) = stream else {
                     break;
                 };
                 if keeps_connections.load(Ordering::SeqCst) {
@@ -124,15 +164,32 @@
                 if has_exited.load(Ordering::SeqCst) {
                     continue;
                 }
-                let script = scripts[number.min(scripts.len() - 1)].clone();
+                let scripts = scripts.clone();
                 let seen = seen.clone();
+                let (health, checks) = (current_health.clone(), checks.clone());
                 let written = written.clone();
                 let exit = Exit {
                     listener: listener.clone(),
                     has_exited: has_exited.clone(),
                     keeps_connections: keeps_connections.clone(),
                 };
-                std::thread::spawn(move || run_script(stream, script, &seen, &written, &exit));
+                std::thread::spawn(move || {
+                    let Some(head) = read_head(&mut stream) else {
+                        return;
+                    };
+                    let health = *health.lock().unwrap();
+                    if answer_health(&mut stream, &head, health) {
+                        checks.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
+                    let number = {
+                        let mut seen = seen.lock().unwrap();
+                        seen.push(head);
+                        seen.len() - 1
+                    };
+                    let script = scripts[number.min(scripts.len() - 1)].clone();
+                    run_script(stream, script, &seen, &written, &exit);
+                });
             }
             if !kept.is_empty() {
                 std::thread::sleep(KEPT_TIME);
@@ -142,9 +199,21 @@
             addr,
             heads,
             endless_bytes,
+            health,
+            health_checks,
         }
     }
 
+    /// Sets how it answers health checks.
+    pub fn set_health(&self, health: Health) {
+        *self.health.lock().unwrap() = health;
+    }
+
+    /// Returns the number of health checks answered.
+    pub fn health_check_count(&self) -> usize {
+        self.health_checks.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.heads.lock().unwrap().len()
@@ -205,10 +274,6 @@
     endless_bytes: &AtomicU64,
     exit: &Exit,
 ) {
-    let Some(head) = read_head(&mut stream) else {
-        return;
-    };
-    seen.lock().unwrap().push(head);
     for step in script {
         match step {
             Step::Write(text) => {
--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use common::{Harness, Received, listen, read_head, route};
+use common::{Harness, Health, Received, answer_health, listen, read_head, route};
 use kernel::Clock;
 use route::RetrySafety;
 
@@ -43,6 +43,8 @@
     bad_part: &'static str,
     framing: Framing,
     written: Written,
+    /// How long a crashed endpoint keeps further connections before it closes them.
+    kept_time: Duration,
 }
 
 impl Behavior {
@@ -51,6 +53,7 @@
             bad_part,
             framing: Framing::Chunked,
             written: Written::FirstEvent,
+            kept_time: Duration::ZERO,
         }
     }
 
@@ -58,6 +61,10 @@
         Behavior { framing, ..self }
     }
 
+    fn kept_time(self, kept_time: Duration) -> Behavior {
+        Behavior { kept_time, ..self }
+    }
+
     fn written(self, written: Written) -> Behavior {
         Behavior { written, ..self }
     }
@@ -125,6 +132,11 @@
     {
         let mut log = log.lock().unwrap();
         if log.is_down {
+            drop(log);
+            std::thread::sleep(behavior.kept_time);
+            return;
+        }
+        if answer_health(&mut stream, &head, Health::After(0)) {
             return;
         }
         log.connections.extend(stream.try_clone());
@@ -287,3 +299,18 @@
     let bad_starts = fleet.started_with("66");
     assert!(bad_starts <= MAX_BAD_STARTS, "{bad_starts} bad requests");
 }
+
+/// Guards against learning too late, or never, under which part endpoints end whose listeners outlive them.
+#[test]
+fn an_answer_whose_endpoint_ended_before_its_listener_does_not_clear_its_prompt() {
+    let behavior = Behavior::crashing_on("66")
+        .framing(Framing::UntilClose)
+        .kept_time(Duration::from_millis(100));
+    let fleet = Fleet::start(6, behavior);
+    for number in 0..16 {
+        fleet.send(&format!("1,66,{}", 5_000 + number));
+        std::thread::sleep(EVENT_INTERVAL);
+    }
+    let bad_starts = fleet.started_with("66");
+    assert!(bad_starts <= MAX_BAD_STARTS, "{bad_starts} bad requests");
+}
--- a/crates/serve/tests/fragmented_answers.rs
+++ b/crates/serve/tests/fragmented_answers.rs
@@ -9,7 +9,7 @@
 
 use common::cuts::{BODY_ENDS, CLOSES, Responder, SEALED_EVENTS, WholeAnswer, resumed_stream};
 use common::outcomes::{Expected, answers, assert_none, check};
-use common::{Harness, Received, ids, listen, read_head, route};
+use common::{Harness, Health, Received, answer_health, ids, listen, read_head, route};
 use route::RetrySafety;
 
 /// Time between the parts, in which the first one is read.
@@ -47,8 +47,10 @@
 }
 
 fn answer(mut stream: TcpStream, parts: &Mutex<Parts>) {
-    // A connection without a request asks whether the endpoint lives.
-    if read_head(&mut stream).is_none() {
+    let Some(head) = read_head(&mut stream) else {
+        return;
+    };
+    if answer_health(&mut stream, &head, Health::After(0)) {
         return;
     }
     stream.set_nodelay(true).unwrap();
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -8,8 +8,8 @@
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Received, ScriptedEndpoint, Step, answer, events, ids, route, stream_end, stream_head,
-    unframed_events, unframed_head,
+    Harness, Health, Received, ScriptedEndpoint, Step, answer, events, ids, route, stream_end,
+    stream_head, unframed_events, unframed_head,
 };
 use futures_lite::future::{block_on, zip};
 use route::RetrySafety;
@@ -289,3 +289,58 @@
         assert_eq!(ids(&received.body), [1, 2, 3], "{silence_ms} ms");
     }
 }
+
+/// Guards against taking the life of another run, or of a proxy, for that of the run that sent a stream.
+#[test]
+fn only_the_run_that_sent_a_stream_vouches_for_its_end() {
+    let cases = [
+        (Health::After(0), true),
+        (Health::After(400), true),
+        (Health::OtherRun, false),
+        (Health::Proxy, false),
+        (Health::Closes, false),
+    ];
+    for (health, is_complete) in cases {
+        let first = ScriptedEndpoint::start(vec![vec![unframed_head(), unframed_events(1..=3)]]);
+        first.set_health(health);
+        let route = route(RetrySafety::NonIdempotentStream);
+        let received = Harness::new(route, &[first.addr], 10.0).send(&[]);
+        assert_eq!(received.is_complete, is_complete, "{health:?}");
+        assert_eq!(ids(&received.body), [1, 2, 3], "{health:?}");
+    }
+}
+
+/// Guards against a health check for each of many streams that end together, which would crowd out requests.
+#[test]
+fn streams_of_an_endpoint_that_end_together_share_a_health_check() {
+    const STREAMS: usize = 24;
+    let script = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::AwaitRequests(STREAMS),
+        Step::Sleep(50),
+    ];
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    endpoint.set_health(Health::After(100));
+    let harness = Harness::new(
+        route(RetrySafety::NonIdempotentStream),
+        &[endpoint.addr],
+        10.0,
+    );
+    let executor = async_executor::LocalExecutor::new();
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let harness = &harness;
+        streams.push(executor.spawn(async move {
+            let target = format!("/x/{number}");
+            harness.send_to(&target, &[]).await
+        }));
+    }
+    block_on(executor.run(async {
+        for stream in streams {
+            assert!(stream.await.is_complete);
+        }
+    }));
+    let checks = endpoint.health_check_count();
+    assert!((1..=3).contains(&checks), "{checks} health checks");
+}
