serve: Wait for other answers where no further run can tell whether one was whole

What callers saw: whole streams of routes that may run a request once only were reset after their last event, though the endpoint went on with others and merely refused further connections.

Cause: an end in doubt is left to a further run if the endpoint refuses connections and the request may be repeated. may_retry, which was asked, looks at the runs that were recorded, and the one that has just ended is not recorded yet; so every request seemed repeatable, and also one on its last attempt.

Evidence: a_whole_stream_of_an_endpoint_that_goes_on_with_others_ends_as_complete closed further connections only; its new case, which refuses them, failed with may_retry and passes with may_repeat_after_run.

--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -152,6 +152,13 @@
         allowed && self.runs < self.route.max_attempts && self.refusals < MAX_REFUSALS
     }
 
+    /// Returns whether the request may be sent to an endpoint once the current one has run it.
+    pub(crate) fn may_repeat_after_run(&self) -> bool {
+        self.route.retry_safety.may_retry()
+            && self.runs + 1 < self.route.max_attempts
+            && self.refusals < MAX_REFUSALS
+    }
+
     /// Records that endpoints received the request. A peer that made several sends counts its own
     /// retries, which are all but its first.
     pub(crate) fn record_sends(&mut self, context: &RequestContext, sends: u32) {
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -331,7 +331,7 @@
                 exchange, endpoint, ..
             } = &*started;
             let doubt = Doubt {
-                may_repeat: request.may_retry(),
+                may_repeat: request.may_repeat_after_run(),
                 follows_silence: read_at.elapsed() >= MIN_SILENCE,
             };
             let end = judge_end(context, request, exchange, endpoint, &endpoint_state, doubt).await;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -185,7 +185,7 @@
         let brings_nothing = exchange.ends_with_connection() && exchange.is_empty();
         let silence_ended = self.silence_ended;
         let doubt = Doubt {
-            may_repeat: self.request.may_retry() && !self.has_unnumbered,
+            may_repeat: self.request.may_repeat_after_run() && !self.has_unnumbered,
             follows_silence: silence_ended.is_some_and(|ended| ended.elapsed() < MIN_SILENCE),
         };
         let end = if self.may_be_whole && brings_nothing {
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -234,36 +234,35 @@
     assert_eq!(there.request_count(), 0);
 }
 
-/// Guards against resetting whole streams of an endpoint that is full: it closes further connections, and
-/// goes on with the answers that it has begun.
+/// Guards against resetting whole streams of an endpoint that is full, or leaves: it closes or refuses further
+/// connections, and goes on with the answers that it has begun.
 #[test]
 fn a_whole_stream_of_an_endpoint_that_goes_on_with_others_ends_as_complete() {
-    let mut long = vec![stream_head(90), events(1..=1), Step::AwaitRequests(2)];
-    for id in 2..=8 {
-        long.extend([Step::Sleep(100), events(id..=id)]);
-    }
-    long.push(stream_end());
-    let short = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::ExitBehindListener,
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![long, short]);
-    let harness = Harness::new(
-        route(RetrySafety::NonIdempotentStream),
-        &[endpoint.addr],
-        10.0,
-    );
-    let second = async {
-        while endpoint.request_count() == 0 {
-            Timer::after(Duration::from_millis(1)).await;
+    for turns_away in [Step::ExitBehindListener, Step::Exit] {
+        let name = format!("{turns_away:?}");
+        let mut long = vec![stream_head(90), events(1..=1), Step::AwaitRequests(2)];
+        for id in 2..=8 {
+            long.extend([Step::Sleep(100), events(id..=id)]);
         }
-        harness.send_to("/x/2", &[]).await
-    };
-    let (long, short) = block_on(zip(harness.send_to("/x/1", &[]), second));
-    assert_eq!(ids(&long.body), (1..=8).collect::<Vec<_>>());
-    assert!(short.is_complete);
-    assert_eq!(ids(&short.body), [1, 2, 3]);
+        long.push(stream_end());
+        let short = vec![unframed_head(), unframed_events(1..=3), turns_away];
+        let endpoint = ScriptedEndpoint::start(vec![long, short]);
+        let harness = Harness::new(
+            route(RetrySafety::NonIdempotentStream),
+            &[endpoint.addr],
+            10.0,
+        );
+        let second = async {
+            while endpoint.request_count() == 0 {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            harness.send_to("/x/2", &[]).await
+        };
+        let (long, short) = block_on(zip(harness.send_to("/x/1", &[]), second));
+        assert_eq!(ids(&long.body), (1..=8).collect::<Vec<_>>(), "{name}");
+        assert!(short.is_complete, "{name}");
+        assert_eq!(ids(&short.body), [1, 2, 3], "{name}");
+    }
 }
 
 /// Issue 59, ORDER: an instance that stood still, or whose path was cut, did not know of the later run that
