serve: Let only the run itself vouch for its answers, also by peers and other answers

From the review of the fix by one who had not seen it, by reading:

- A peer vouched for an endpoint whose address kept its connection, which outweighed the own check.
It says now that the run answered (Rosemary-Life-Proof), and peers of builds before that count as not knowing.
Both peers are asked together, and have 0.4 s, as a check may wait for a slot; bytes of the endpoint's other answers count there too.
- Bytes of other answers won over a later run in the registry, and over a pause of this instance, after which bytes are read that were sent before.
The registry is looked at last, and a pause starts the time anew.
- The second of two streams at a silent endpoint started a check when its time was up, which marked the endpoint as out of reach.
It failed checks too late, or took the result of one that had less time.
- A dropped SYN ended the wait for other answers after 0.15 s.
- An end could be judged after the deadline of the request.
- A crash recorded for an earlier time moved the time of the latest break back, blamed answers that began after it, and was not recorded if another run was found.
- An endpoint with a rate limit or a refusal limit is asked within these; only one that wants no requests at all, or whose limit is used up, is judged by a connection that it keeps.

The check no longer lies in the future of each request: with both peers in it, debug builds overflowed the stacks of 18 test files.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -31,6 +31,9 @@
 
 const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// How late a check for proof may be, in milliseconds, if this instance did not stand still.
+const MAX_CHECK_DELAY_MS: u64 = 125;
+
 /// What makes an end more or less doubtful.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Doubt {
@@ -102,7 +105,8 @@
     doubt: Doubt,
 ) -> AnswerEnd {
     let judged_at = Instant::now();
-    let end = find_life(context, request, endpoint, state, doubt).await;
+    // Few answers end like this, so that the future of each request is not to hold what the check needs.
+    let end = Box::pin(find_life(context, request, endpoint, state, doubt)).await;
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
@@ -127,38 +131,51 @@
     } else {
         ONLY_PROOF_MS
     };
-    let until = Instant::now() + Duration::from_millis(proof_ms);
+    let until = request
+        .deadline
+        .min(Instant::now() + Duration::from_millis(proof_ms));
     let other_answers = async {
-        if !goes_on(state, ended_ms, until).await {
+        if !goes_on(context, state, ended_ms, until).await {
             std::future::pending::<()>().await;
         }
         Life::Answers
     };
-    let own = check_life(context, endpoint, state, until)
+    let mut own = check_life(context, endpoint, state, until)
         .or(other_answers)
         .await;
+    let view = context.view();
+    if view.has_successor(endpoint.addr, endpoint.started_ms) {
+        own = Life::Replaced;
+    }
     tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
-    match own {
-        Life::Answers | Life::KeepsConnection if !doubt.follows_silence => return AnswerEnd::Whole,
-        Life::Answers | Life::KeepsConnection => {}
-        Life::Replaced => return replaced(),
+    let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
+    if seems_alive && !doubt.follows_silence {
+        return AnswerEnd::Whole;
+    }
+    if !seems_alive {
         // Peers are to learn in time what may have crashed it.
-        _ => request.record_end_of_endpoint(endpoint, state, ended_ms),
+        request.record_end_of_endpoint(endpoint, state, ended_ms);
     }
-    let peers = ask_peers(context, endpoint, state).await;
-    match (peers, own) {
-        (Finding::Ended, _) => return replaced(),
-        (Finding::Unknown, Life::RefusesConnection) if doubt.may_repeat => {}
-        (Finding::Unknown, Life::RefusesConnection | Life::ClosesConnection) => {
-            if goes_on(state, ended_ms, until).await {
-                return AnswerEnd::Whole;
-            }
+    let found = match own {
+        Life::Replaced => Finding::Ended,
+        _ => ask_peers(context, endpoint, state).await,
+    };
+    match found {
+        Finding::Ended => {
+            request.record_end_of_endpoint(endpoint, state, ended_ms);
+            let message = "another run of an endpoint listens at the address";
+            return AnswerEnd::CutShort(truncated(message));
         }
-        (Finding::Unknown, Life::NoAnswer | Life::NoConnection) => {}
-        _ => {
+        Finding::Lives => {
             state.record_alive(context.now_ms(), context.now_ms());
             return AnswerEnd::Whole;
         }
+        Finding::Unknown if seems_alive => return AnswerEnd::Whole,
+        Finding::Unknown => {}
+    }
+    let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
+    if !can_repeat_now && goes_on(context, state, ended_ms, until).await {
+        return AnswerEnd::Whole;
     }
     AnswerEnd::Doubtful(truncated(&format!(
         "the endpoint may have ended with its answer: {own:?}"
@@ -167,20 +184,30 @@
 
 /// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds, and returns
 /// whether there are any.
-async fn goes_on(state: &EndpointState, ended_ms: u64, until: Instant) -> bool {
-    // The call whose answer ended counts as well.
-    while state.connections() > 1 && Instant::now() < until {
-        if state.last_received_ms() >= ended_ms + LATE_BYTES_MS {
+pub(crate) async fn goes_on(
+    context: &RequestContext,
+    state: &EndpointState,
+    ended_ms: u64,
+    until: Instant,
+) -> bool {
+    let mut since_ms = ended_ms;
+    let mut checked_ms = ended_ms;
+    loop {
+        let now_ms = context.now_ms();
+        if now_ms > checked_ms + MAX_CHECK_DELAY_MS {
+            // After a pause of this instance, bytes are read that were sent before it.
+            since_ms = now_ms;
+        }
+        checked_ms = now_ms;
+        if state.last_received_ms() >= since_ms + LATE_BYTES_MS {
             return true;
         }
+        // The call whose answer ended counts as well.
+        if state.connections() <= 1 || Instant::now() >= until {
+            return false;
+        }
         Timer::after(PROOF_CHECK_INTERVAL).await;
     }
-    false
-}
-
-fn replaced() -> AnswerEnd {
-    let message = "another run of an endpoint listens at the address";
-    AnswerEnd::CutShort(truncated(message))
 }
 
 fn truncated(message: &str) -> io::Error {
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -273,11 +273,15 @@
         refusals.is_open(&place, now_ms)
     }
 
-    /// Returns whether the endpoint limits its requests, or wants none for a while.
-    pub(crate) fn wants_fewer_requests(&self, now_ms: u64) -> bool {
-        self.wanted_pause_ms(now_ms) > 0
-            || self.rate.borrow().is_some()
-            || self.refusals.borrow().is_some()
+    /// Takes a health check from what the endpoint wants of requests, and returns whether it wants any.
+    pub(crate) fn try_acquire_check(&self, endpoint: &Endpoint, view: &View, now_ms: u64) -> bool {
+        let is_open = self.wanted_pause_ms(now_ms) == 0
+            && self.is_within_refusals(endpoint, view, now_ms)
+            && self.is_within_rate(now_ms);
+        if is_open {
+            self.acquire_rate(now_ms);
+        }
+        is_open
     }
 
     /// Returns whether the endpoint's rate limit permits a request now.
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -41,9 +41,19 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LifeCheck {
     started_at: Instant,
+    /// Until when an answer was waited for.
+    until: Instant,
     found: Life,
 }
 
+impl LifeCheck {
+    /// Returns whether this check tells as much as one would that starts at a later time.
+    fn replaces(&self, asked_at: Instant, until: Instant) -> bool {
+        let is_proof = matches!(self.found, Life::Answers | Life::Replaced);
+        self.started_at > asked_at && (is_proof || self.until >= until)
+    }
+}
+
 /// Checks whether the run of an endpoint is still there. Answers that end together share a check that
 /// starts after their ends.
 pub(crate) async fn check_life(
@@ -56,13 +66,20 @@
     let check = async {
         let mut latest = state.life_check.lock().await;
         if let Some(check) = *latest
-            && check.started_at > asked_at
+            && check.replaces(asked_at, until)
         {
             return check.found;
         }
         let started_at = Instant::now();
+        if started_at >= until {
+            return Life::NoAnswer;
+        }
         let found = ask(context, endpoint, state, until).await;
-        *latest = Some(LifeCheck { started_at, found });
+        *latest = Some(LifeCheck {
+            started_at,
+            until,
+            found,
+        });
         found
     };
     let expire = async {
@@ -88,7 +105,8 @@
     let view = context.view();
     let table = view.table.as_ref();
     let service = table.and_then(|table| table.service(&endpoint.service));
-    let Some(service) = service.filter(|_| !state.wants_fewer_requests(opened_ms)) else {
+    let Some(service) = service.filter(|_| state.try_acquire_check(endpoint, &view, opened_ms))
+    else {
         return match connect(context, endpoint, state).await {
             Ok(()) => Life::KeepsConnection,
             Err(err) => unreached(&err),
@@ -99,13 +117,17 @@
         .encode_health_check(endpoint, &service.health_path);
     Counters::add(&context.counters.connections_for_health_checks);
     let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
-    let connect_until = until.min(Instant::now() + timeout);
+    let full_timeout = Instant::now() + timeout;
+    let connect_until = until.min(full_timeout);
     let body = Bytes::new();
     let answer = Exchange::start(endpoint.addr, connect_until, until, "GET", &head, &body).await;
     let now_ms = context.now_ms();
     match &answer {
-        Err(err) if !err.sent => record_unreachable(endpoint, state, opened_ms, now_ms),
-        _ => record_connected(endpoint, state, opened_ms),
+        Err(err) if err.sent => record_connected(endpoint, state, opened_ms),
+        // Less than the usual time says nothing of the path.
+        Err(_) if connect_until < full_timeout => {}
+        Err(_) => record_unreachable(endpoint, state, opened_ms, now_ms),
+        Ok(_) => record_connected(endpoint, state, opened_ms),
     }
     let head = match answer {
         Ok((_, head)) => head,
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -4,9 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::zip;
 use relay::{Exchange, Headers, Request, RequestHead, Response};
 use serde::{Deserialize, Serialize};
 
+use crate::answer_end::goes_on;
 use crate::carry_message::{set, take};
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
@@ -16,14 +19,14 @@
 
 const QUESTION_FIELD: &str = "Rosemary-Life";
 
-/// The most peers that are asked about one end: a second one in case that the first is cut off as well.
-const MAX_PEERS: usize = 2;
+/// Set by a peer to which the run itself has answered.
+const PROOF_FIELD: &str = "Rosemary-Life-Proof";
 
-/// How long a peer has to answer: several times the check that it makes.
-const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// How long a peer has to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 
 /// How long a peer checks an endpoint, so that its answer arrives in time.
-const CHECK_TIME: Duration = Duration::from_millis(150);
+const CHECK_TIME: Duration = Duration::from_millis(330);
 
 /// The statuses of a peer's answer.
 const LIVES: u16 = 204;
@@ -31,13 +34,13 @@
 const ENDED: u16 = 410;
 
 /// What peers find of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Finding {
-    /// One of them reaches it.
+    Unknown,
+    /// Its run answers one of them.
     Lives,
     /// Another run answers or is listed at its address.
     Ended,
-    Unknown,
 }
 
 /// What an instance asks a peer.
@@ -72,25 +75,38 @@
         headers,
     };
     let bytes = head.to_bytes();
-    let peers = peer_addrs(&context.view(), context, state.shared_hash());
-    for addr in peers.into_iter().take(MAX_PEERS) {
-        let until = Instant::now() + ANSWER_TIME;
-        let answer = Exchange::start(addr, until, until, "GET", &bytes, &Bytes::new()).await;
-        let status = match answer {
-            Ok((_, head)) => head.status,
-            Err(err) => {
-                tracing::info!(%addr, error = %err, "life: no answer of a peer");
-                continue;
-            }
-        };
-        tracing::info!(endpoint = &*endpoint.id, %addr, status, "life: answer of a peer");
-        match status {
-            LIVES => return Finding::Lives,
-            ENDED => return Finding::Ended,
-            _ => {}
+    let mut peers = peer_addrs(&context.view(), context, state.shared_hash()).into_iter();
+    // The second one answers if the first is cut off as well.
+    let answers = zip(
+        ask_peer(endpoint, peers.next(), &bytes),
+        ask_peer(endpoint, peers.next(), &bytes),
+    );
+    let (first, second) = answers.await;
+    first.max(second)
+}
+
+/// Asks one peer, if there is one.
+async fn ask_peer(endpoint: &Endpoint, addr: Option<SocketAddr>, question: &[u8]) -> Finding {
+    let Some(addr) = addr else {
+        return Finding::Unknown;
+    };
+    let until = Instant::now() + ANSWER_TIME;
+    let answer = Exchange::start(addr, until, until, "GET", question, &Bytes::new()).await;
+    let head = match answer {
+        Ok((_, head)) => head,
+        Err(err) => {
+            tracing::info!(%addr, error = %err, "life: no answer of a peer");
+            return Finding::Unknown;
         }
+    };
+    let status = head.status;
+    tracing::info!(endpoint = &*endpoint.id, %addr, status, "life: answer of a peer");
+    match status {
+        // Builds before health checks vouch for an endpoint whose address keeps a connection.
+        LIVES if head.headers.get(PROOF_FIELD).is_some() => Finding::Lives,
+        ENDED => Finding::Ended,
+        _ => Finding::Unknown,
     }
-    Finding::Unknown
 }
 
 /// Answers the question of a peer, or returns `None` if the request holds none.
@@ -108,12 +124,20 @@
     };
     let state = context.endpoint_states.of(endpoint);
     let until = Instant::now() + CHECK_TIME;
-    let status = match check_life(context, endpoint, &state, until).await {
-        Life::Answers | Life::KeepsConnection => LIVES,
-        Life::Replaced => ENDED,
-        Life::RefusesConnection | Life::ClosesConnection | Life::NoAnswer | Life::NoConnection => {
-            UNKNOWN
+    let asked_ms = context.now_ms();
+    let other_answers = async {
+        if !goes_on(context, &state, asked_ms, until).await {
+            std::future::pending::<()>().await;
         }
+        Life::Answers
+    };
+    let found = check_life(context, endpoint, &state, until)
+        .or(other_answers)
+        .await;
+    let response = match found {
+        Life::Answers => Response::new(LIVES).header(PROOF_FIELD, "1"),
+        Life::Replaced => Response::new(ENDED),
+        _ => Response::new(UNKNOWN),
     };
-    Some(Response::new(status))
+    Some(response)
 }
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -90,12 +90,16 @@
         self.pending_suspects.push(key);
     }
 
-    /// Records that a connection broke, and returns the answers that began shortly before it. Each is
-    /// returned once.
+    /// Records that a connection broke at a time, in milliseconds, and returns the answers that began shortly
+    /// before it. Each is returned once.
     pub(crate) fn broke(&mut self, now_ms: u64) -> Vec<Start> {
-        self.broke_ms = now_ms;
+        self.broke_ms = self.broke_ms.max(now_ms);
         let mut suspects = Vec::new();
-        for start in self.starts.drain(..) {
+        for start in std::mem::take(&mut self.starts) {
+            if start.began_ms > now_ms {
+                self.starts.push_back(start);
+                continue;
+            }
             if now_ms < start.began_ms + CRASH_WINDOW_MS {
                 self.suspects.push(start.key.clone());
                 suspects.push(start);
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -343,3 +343,50 @@
     let checks = endpoint.health_check_count();
     assert!((1..=3).contains(&checks), "{checks} health checks");
 }
+
+/// Guards against streams that wait for the same check in vain, and against taking an endpoint that answers
+/// none in time for one that is out of reach.
+#[test]
+fn an_endpoint_slow_to_answer_health_checks_vouches_for_all_its_streams() {
+    let cases = [
+        (RetrySafety::NonIdempotentStream, 700, true),
+        (RetrySafety::NonIdempotentStream, 5_000, false),
+        (RetrySafety::ResumableStream, 350, true),
+    ];
+    for (safety, answers_after_ms, is_complete) in cases {
+        let name = format!("{safety:?}, {answers_after_ms} ms");
+        let script = vec![
+            unframed_head(),
+            unframed_events(1..=3),
+            Step::AwaitRequests(2),
+            Step::Sleep(50),
+        ];
+        let endpoint = ScriptedEndpoint::start(vec![script]);
+        endpoint.set_health(Health::After(answers_after_ms));
+        let harness = Harness::new(route(safety), &[endpoint.addr], 10.0);
+        let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
+        let (first, second) = block_on(streams);
+        assert_eq!(first.is_complete, is_complete, "{name}");
+        assert_eq!(second.is_complete, is_complete, "{name}");
+        let out_of_reach = harness.pipeline.shared_loads().out_of_reach();
+        assert!(out_of_reach.is_empty(), "{name}");
+    }
+}
+
+/// Guards against a peer that vouches for an endpoint whose address only keeps its connections.
+#[test]
+fn a_peer_does_not_vouch_for_an_endpoint_whose_listener_outlives_it() {
+    let script = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::ExitKeepingConnections(1_900),
+    ];
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let addrs = vec![endpoint.addr];
+    let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
+    fleet.exchange_reach();
+    let received = fleet.send(0, "/x/1");
+    assert!(!received.is_complete);
+    assert_eq!(ids(&received.body), [1, 2, 3]);
+}
