serve: Give the checks of a life and of other answers modules of their own

What a check found lies in life_check, what other answers show in other_answers, and own ends and peers' questions use one check for both.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -3,24 +3,20 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
-use futures_lite::FutureExt;
 use relay::Exchange;
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::life::{Life, check_life};
+use crate::life::check_life;
+use crate::life_check::Life;
 use crate::life_question::{Finding, ask_peers};
+use crate::other_answers::goes_on;
 use crate::request_context::RequestContext;
 
 /// The silence after which an end is doubtful. Events are made many times a second.
 pub(crate) const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-/// How long after the end of an answer bytes may be read that its endpoint sent before, in milliseconds: an
-/// instance that is short of processor time reads its other connections late.
-const LATE_BYTES_MS: u64 = 250;
-
 /// How long the endpoint itself may take to prove that it lives, in milliseconds. The caller has all but the
 /// end by then.
 const REPEATABLE_PROOF_MS: u64 = 500;
@@ -29,11 +25,6 @@
 /// second, and callers wait for two.
 const ONLY_PROOF_MS: u64 = 1_200;
 
-const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
-/// How late a check for proof may be, in milliseconds, if this instance did not stand still.
-const MAX_CHECK_DELAY_MS: u64 = 125;
-
 /// What makes an end more or less doubtful.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Doubt {
@@ -134,19 +125,7 @@
     let until = request
         .deadline
         .min(Instant::now() + Duration::from_millis(proof_ms));
-    let other_answers = async {
-        if !goes_on(context, state, ended_ms, until).await {
-            std::future::pending::<()>().await;
-        }
-        Life::Answers
-    };
-    let mut own = check_life(context, endpoint, state, until)
-        .or(other_answers)
-        .await;
-    let view = context.view();
-    if view.has_successor(endpoint.addr, endpoint.started_ms) {
-        own = Life::Replaced;
-    }
+    let own = check_life(context, endpoint, state, until).await;
     tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
     let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
     if seems_alive && !doubt.follows_silence {
@@ -182,34 +161,6 @@
     )))
 }
 
-/// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds, and returns
-/// whether there are any.
-pub(crate) async fn goes_on(
-    context: &RequestContext,
-    state: &EndpointState,
-    ended_ms: u64,
-    until: Instant,
-) -> bool {
-    let mut since_ms = ended_ms;
-    let mut checked_ms = ended_ms;
-    loop {
-        let now_ms = context.now_ms();
-        if now_ms > checked_ms + MAX_CHECK_DELAY_MS {
-            // After a pause of this instance, bytes are read that were sent before it.
-            since_ms = now_ms;
-        }
-        checked_ms = now_ms;
-        if state.last_received_ms() >= since_ms + LATE_BYTES_MS {
-            return true;
-        }
-        // The call whose answer ended counts as well.
-        if state.connections() <= 1 || Instant::now() >= until {
-            return false;
-        }
-        Timer::after(PROOF_CHECK_INTERVAL).await;
-    }
-}
-
 fn truncated(message: &str) -> io::Error {
     io::Error::new(io::ErrorKind::UnexpectedEof, message)
 }
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -15,7 +15,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::latency_ratio::LatencyRatio;
-use crate::life::LifeCheck;
+use crate::life_check::LifeCheck;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
 use crate::shared_crashes::SharedCrashes;
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -12,6 +12,8 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::Responder;
 use crate::endpoint_state::EndpointState;
+use crate::life_check::{Life, LifeCheck};
+use crate::other_answers::goes_on;
 use crate::outcome::Counters;
 use crate::reach;
 use crate::request_context::RequestContext;
@@ -20,43 +22,34 @@
 /// ends, or a proxy before it, may accept a connection and close it a moment later.
 const KEPT_TIME: Duration = Duration::from_millis(30);
 
-/// What the address of an endpoint shows of its run, the strongest first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Life {
-    /// The run answers a health check.
-    Answers,
-    /// Another run answers, or a later one is listed at the address.
-    Replaced,
-    /// It is not asked, as it wants fewer requests, and keeps a connection.
-    KeepsConnection,
-    RefusesConnection,
-    ClosesConnection,
-    /// It keeps a connection and does not answer in time. Another process may hold its listener.
-    NoAnswer,
-    /// No connection was established in time.
-    NoConnection,
-}
-
-/// A check of an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct LifeCheck {
-    started_at: Instant,
-    /// Until when an answer was waited for.
+/// Checks whether the run of an endpoint is still there: it answers a health check, or goes on with other
+/// answers.
+pub(crate) async fn check_life(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
     until: Instant,
-    found: Life,
-}
-
-impl LifeCheck {
-    /// Returns whether this check tells as much as one would that starts at a later time.
-    fn replaces(&self, asked_at: Instant, until: Instant) -> bool {
-        let is_proof = matches!(self.found, Life::Answers | Life::Replaced);
-        self.started_at > asked_at && (is_proof || self.until >= until)
+) -> Life {
+    let asked_ms = context.now_ms();
+    let other_answers = async {
+        if !goes_on(context, state, asked_ms, until).await {
+            std::future::pending::<()>().await;
+        }
+        Life::Answers
+    };
+    let found = check_address(context, endpoint, state, until)
+        .or(other_answers)
+        .await;
+    let view = context.view();
+    if view.has_successor(endpoint.addr, endpoint.started_ms) {
+        return Life::Replaced;
     }
+    found
 }
 
-/// Checks whether the run of an endpoint is still there. Answers that end together share a check that
-/// starts after their ends.
-pub(crate) async fn check_life(
+/// Checks what answers at the address of an endpoint. Answers that end together share a check that starts
+/// after their ends.
+async fn check_address(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
@@ -86,12 +79,7 @@
         Timer::at(until).await;
         Life::NoAnswer
     };
-    let found = check.or(expire).await;
-    let view = context.view();
-    if view.has_successor(endpoint.addr, endpoint.started_ms) {
-        return Life::Replaced;
-    }
-    found
+    check.or(expire).await
 }
 
 /// Asks an endpoint for its health, or only connects to it if it wants fewer requests.
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -4,16 +4,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use relay::{Exchange, Headers, Request, RequestHead, Response};
 use serde::{Deserialize, Serialize};
 
-use crate::answer_end::goes_on;
 use crate::carry_message::{set, take};
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::life::{Life, check_life};
+use crate::life::check_life;
+use crate::life_check::Life;
 use crate::peer_choice::peer_addrs;
 use crate::request_context::RequestContext;
 
@@ -124,17 +123,7 @@
     };
     let state = context.endpoint_states.of(endpoint);
     let until = Instant::now() + CHECK_TIME;
-    let asked_ms = context.now_ms();
-    let other_answers = async {
-        if !goes_on(context, &state, asked_ms, until).await {
-            std::future::pending::<()>().await;
-        }
-        Life::Answers
-    };
-    let found = check_life(context, endpoint, &state, until)
-        .or(other_answers)
-        .await;
-    let response = match found {
+    let response = match check_life(context, endpoint, &state, until).await {
         Life::Answers => Response::new(LIVES).header(PROOF_FIELD, "1"),
         Life::Replaced => Response::new(ENDED),
         _ => Response::new(UNKNOWN),
