serve: Take only answers that echo their request for signs of life

What callers saw: a stream was complete in its midst, as a proxy before the endpoint that had ended answered another request with an error of its own, and that counted as bytes which the endpoint had sent after the end.

Cause: the head of any response but a 421 was recorded as a sign of life, before it was known whose it is. Endpoints echo the id of the request. Found by the review, by reading.

Evidence: an_answer_to_another_request_that_is_not_the_endpoints_does_not_vouch_for_it failed (the first stream was complete) and passes; all tests of serve pass, at load 20.

--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -320,7 +320,7 @@
         record_connected(&endpoint, &endpoint_state, sent_ms);
         let time_to_head = sent_at.elapsed();
         let reply = context.endpoint_protocol.decode(&self.info, &head);
-        if reply.execution_status != ExecutionStatus::Misdirected {
+        if reply.matches_request && reply.execution_status != ExecutionStatus::Misdirected {
             endpoint_state.record_head(time_to_head.as_millis() as u64, now_ms);
         }
         context.baselines.record_prompt(
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -390,3 +390,29 @@
     assert!(!received.is_complete);
     assert_eq!(ids(&received.body), [1, 2, 3]);
 }
+
+/// Guards against taking an error that a proxy makes up for a sign of life of the endpoint behind it.
+#[test]
+fn an_answer_to_another_request_that_is_not_the_endpoints_does_not_vouch_for_it() {
+    let stream = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::AwaitRequests(2),
+    ];
+    let made_up = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let endpoint = ScriptedEndpoint::start(vec![
+        stream,
+        vec![Step::Sleep(400), Step::Write(made_up), Step::Sleep(500)],
+    ]);
+    endpoint.set_health(Health::Proxy);
+    let harness = Harness::new(
+        route(RetrySafety::NonIdempotentStream),
+        &[endpoint.addr],
+        10.0,
+    );
+    let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
+    let (first, second) = block_on(streams);
+    assert!(!first.is_complete);
+    assert_eq!(ids(&first.body), [1, 2, 3]);
+    assert_eq!(second.status, 502);
+}
