serve: Keep what other answers show while peers are asked, and share checks again

- A wait for other answers that began after the own check took the time of that check for a pause of the instance, so that bytes which had come meanwhile proved nothing.
- A peer with one stream of the endpoint counted it as the call that had ended, and did not wait for its bytes if the endpoint refused it a connection: a_peer_whose_stream_goes_on_vouches_for_an_endpoint_that_refuses_connections.
- Answers that end together shared only checks which proved something, so that the others queued for one after the other.
Silence is shared unless the earlier check had clearly less time.
- An end that was judged was recorded once more at the verdict, which blamed answers that had begun since; one that had no time for an answer was recorded as an end; and other answers that proved a life did not take it back.
- A refused health check counts as a refusal, and peers are asked until the deadline at most.

The test of made-up errors began both requests at once, so that the endpoint could take the second for the first; it failed so in one of two runs of all tests, and waits for the first now.

--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -86,6 +86,8 @@
     pub(crate) is_resumed: bool,
     /// Endpoints that ended just after they had begun the request.
     pub(crate) crashes: u32,
+    /// Whether the end of the endpoint under the current answer is recorded already.
+    pub(crate) end_is_recorded: bool,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
     /// Index of the smaller size whose answer was discarded before this run.
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -102,6 +102,7 @@
         is_resumed: false,
         verdict: Verdict::NotRun,
         crashes: 0,
+        end_is_recorded: false,
         size: None,
         unsure_size: None,
         confidence: None,
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -25,6 +25,12 @@
 /// second, and callers wait for two.
 const ONLY_PROOF_MS: u64 = 1_200;
 
+/// How long an endpoint must have had for an answer before its silence says anything of it.
+const MIN_ASKING_TIME: Duration = Duration::from_millis(150);
+
+/// The call whose answer ended is still counted.
+const ENDED_CALLS: u32 = 1;
+
 /// What makes an end more or less doubtful.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Doubt {
@@ -125,19 +131,22 @@
     let until = request
         .deadline
         .min(Instant::now() + Duration::from_millis(proof_ms));
-    let own = check_life(context, endpoint, state, until).await;
+    let judged_at = Instant::now();
+    let own = check_life(context, endpoint, state, ENDED_CALLS, until).await;
     tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
     let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
     if seems_alive && !doubt.follows_silence {
         return AnswerEnd::Whole;
     }
-    if !seems_alive {
+    let was_asked = own != Life::NoAnswer || judged_at.elapsed() >= MIN_ASKING_TIME;
+    if !seems_alive && was_asked {
         // Peers are to learn in time what may have crashed it.
         request.record_end_of_endpoint(endpoint, state, ended_ms);
+        request.end_is_recorded = true;
     }
     let found = match own {
         Life::Replaced => Finding::Ended,
-        _ => ask_peers(context, endpoint, state).await,
+        _ => ask_peers(context, endpoint, state, request.deadline).await,
     };
     match found {
         Finding::Ended => {
@@ -153,7 +162,8 @@
         Finding::Unknown => {}
     }
     let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
-    if !can_repeat_now && goes_on(context, state, ended_ms, until).await {
+    if !can_repeat_now && goes_on(context, state, ended_ms, ENDED_CALLS, until).await {
+        state.record_alive(context.now_ms(), context.now_ms());
         return AnswerEnd::Whole;
     }
     AnswerEnd::Doubtful(truncated(&format!(
--- a/crates/serve/src/call_record.rs
+++ b/crates/serve/src/call_record.rs
@@ -111,7 +111,8 @@
         endpoint_state: &EndpointState,
         err: &io::Error,
     ) {
-        if !is_broken_connection(err) {
+        let is_recorded = std::mem::take(&mut self.end_is_recorded);
+        if is_recorded || !is_broken_connection(err) {
             return;
         }
         self.record_end_of_endpoint(endpoint, endpoint_state, context.now_ms());
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -126,6 +126,7 @@
                 self.acquire_retry(context)?;
             }
             self.is_sent = true;
+            self.end_is_recorded = false;
             let result = match way {
                 Way::Endpoint(placement) => self.send(context, placement, resume_after).await,
                 Way::Peer(peer) => self.send_to_peer(context, &view, peer, resume_after).await,
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -43,8 +43,10 @@
 /// Who answers a health check of a run of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Responder {
-    /// The run itself, which may refuse the check.
+    /// The run itself.
     Run,
+    /// The run itself, which refuses the check for want of room.
+    FullRun,
     /// Another run, which listens at the address by now.
     OtherRun,
     /// The answer does not tell.
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -23,16 +23,17 @@
 const KEPT_TIME: Duration = Duration::from_millis(30);
 
 /// Checks whether the run of an endpoint is still there: it answers a health check, or goes on with other
-/// answers.
+/// answers. `ended_calls` of this instance's calls have ended and are still counted.
 pub(crate) async fn check_life(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
+    ended_calls: u32,
     until: Instant,
 ) -> Life {
     let asked_ms = context.now_ms();
     let other_answers = async {
-        if !goes_on(context, state, asked_ms, until).await {
+        if !goes_on(context, state, asked_ms, ended_calls, until).await {
             std::future::pending::<()>().await;
         }
         Life::Answers
@@ -126,6 +127,11 @@
             state.record_alive(opened_ms, now_ms);
             Life::Answers
         }
+        Responder::FullRun => {
+            state.record_alive(opened_ms, now_ms);
+            state.record_full(now_ms);
+            Life::Answers
+        }
         Responder::OtherRun => Life::Replaced,
         Responder::Unknown => Life::NoAnswer,
     }
--- a/crates/serve/src/life_check.rs
+++ b/crates/serve/src/life_check.rs
@@ -1,6 +1,9 @@
 //! What a check of an endpoint found.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How much less time an earlier check may have had to replace another.
+const MAX_LESS_TIME: Duration = Duration::from_millis(50);
 
 /// What the address of an endpoint shows of its run, the strongest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,7 +34,7 @@
 impl LifeCheck {
     /// Returns whether this check tells as much as one would that starts at a later time.
     pub(crate) fn replaces(&self, asked_at: Instant, until: Instant) -> bool {
-        let is_proof = matches!(self.found, Life::Answers | Life::Replaced);
-        self.started_at > asked_at && (is_proof || self.until >= until)
+        let waited = matches!(self.found, Life::NoAnswer | Life::NoConnection);
+        self.started_at > asked_at && (!waited || self.until + MAX_LESS_TIME >= until)
     }
 }
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -13,6 +13,7 @@
 use crate::endpoint_state::EndpointState;
 use crate::life::check_life;
 use crate::life_check::Life;
+use crate::other_answers::goes_on;
 use crate::peer_choice::peer_addrs;
 use crate::request_context::RequestContext;
 
@@ -58,6 +59,7 @@
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
+    deadline: Instant,
 ) -> Finding {
     let question = LifeQuestion {
         endpoint: endpoint.id.to_string(),
@@ -75,21 +77,26 @@
     };
     let bytes = head.to_bytes();
     let mut peers = peer_addrs(&context.view(), context, state.shared_hash()).into_iter();
+    let until = deadline.min(Instant::now() + ANSWER_TIME);
     // The second one answers if the first is cut off as well.
     let answers = zip(
-        ask_peer(endpoint, peers.next(), &bytes),
-        ask_peer(endpoint, peers.next(), &bytes),
+        ask_peer(endpoint, peers.next(), &bytes, until),
+        ask_peer(endpoint, peers.next(), &bytes, until),
     );
     let (first, second) = answers.await;
     first.max(second)
 }
 
 /// Asks one peer, if there is one.
-async fn ask_peer(endpoint: &Endpoint, addr: Option<SocketAddr>, question: &[u8]) -> Finding {
+async fn ask_peer(
+    endpoint: &Endpoint,
+    addr: Option<SocketAddr>,
+    question: &[u8],
+    until: Instant,
+) -> Finding {
     let Some(addr) = addr else {
         return Finding::Unknown;
     };
-    let until = Instant::now() + ANSWER_TIME;
     let answer = Exchange::start(addr, until, until, "GET", question, &Bytes::new()).await;
     let head = match answer {
         Ok((_, head)) => head,
@@ -123,10 +130,17 @@
     };
     let state = context.endpoint_states.of(endpoint);
     let until = Instant::now() + CHECK_TIME;
-    let response = match check_life(context, endpoint, &state, until).await {
-        Life::Answers => Response::new(LIVES).header(PROOF_FIELD, "1"),
-        Life::Replaced => Response::new(ENDED),
-        _ => Response::new(UNKNOWN),
+    let asked_ms = context.now_ms();
+    let found = check_life(context, endpoint, &state, 0, until).await;
+    let lives = match found {
+        Life::Answers => true,
+        Life::Replaced => return Some(Response::new(ENDED)),
+        _ => goes_on(context, &state, asked_ms, 0, until).await,
+    };
+    let response = if lives {
+        Response::new(LIVES).header(PROOF_FIELD, "1")
+    } else {
+        Response::new(UNKNOWN)
     };
     Some(response)
 }
--- a/crates/serve/src/other_answers.rs
+++ b/crates/serve/src/other_answers.rs
@@ -17,15 +17,16 @@
 const MAX_CHECK_DELAY_MS: u64 = 125;
 
 /// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds, and returns
-/// whether there are any.
+/// whether there are any. `ended_calls` of this instance's calls wait for them.
 pub(crate) async fn goes_on(
     context: &RequestContext,
     state: &EndpointState,
     ended_ms: u64,
+    ended_calls: u32,
     until: Instant,
 ) -> bool {
     let mut since_ms = ended_ms;
-    let mut checked_ms = ended_ms;
+    let mut checked_ms = context.now_ms();
     loop {
         let now_ms = context.now_ms();
         if now_ms > checked_ms + MAX_CHECK_DELAY_MS {
@@ -36,8 +37,7 @@
         if state.last_received_ms() >= since_ms + LATE_BYTES_MS {
             return true;
         }
-        // The call whose answer ended counts as well.
-        if state.connections() <= 1 || Instant::now() >= until {
+        if state.connections() <= ended_calls || Instant::now() >= until {
             return false;
         }
         Timer::after(PROOF_CHECK_INTERVAL).await;
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -410,9 +410,42 @@
         &[endpoint.addr],
         10.0,
     );
-    let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
-    let (first, second) = block_on(streams);
+    let other = async {
+        while endpoint.request_count() == 0 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        harness.send_to("/x/2", &[]).await
+    };
+    let (first, second) = block_on(zip(harness.send_to("/x/1", &[]), other));
     assert!(!first.is_complete);
     assert_eq!(ids(&first.body), [1, 2, 3]);
     assert_eq!(second.status, 502);
 }
+
+/// Guards against resetting whole streams of an endpoint that leaves and refuses further connections, while it
+/// goes on with the streams of other instances.
+#[test]
+fn a_peer_whose_stream_goes_on_vouches_for_an_endpoint_that_refuses_connections() {
+    let mut long = vec![stream_head(90), events(1..=1), Step::AwaitRequests(2)];
+    for id in 2..=12 {
+        long.extend([Step::Sleep(50), events(id..=id)]);
+    }
+    long.push(stream_end());
+    let short = vec![unframed_head(), unframed_events(1..=3), Step::Exit];
+    let endpoint = ScriptedEndpoint::start(vec![long, short]);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let addrs = vec![endpoint.addr];
+    let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
+    fleet.exchange_reach();
+    let short = async {
+        while endpoint.request_count() == 0 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        fleet.instances[0].send_to("/x/2", &[]).await
+    };
+    let streams = zip(fleet.instances[1].send_to("/x/1", &[]), short);
+    let (long, short) = block_on(fleet.executor.run(streams));
+    assert_eq!(ids(&long.body), (1..=12).collect::<Vec<_>>());
+    assert!(short.is_complete);
+    assert_eq!(ids(&short.body), [1, 2, 3]);
+}
