--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -17,13 +17,12 @@
 /// The silence after which an end is doubtful. Events are made many times a second.
 pub(crate) const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-/// How long the endpoint itself may take to prove that it lives, in milliseconds. The caller has all but the
-/// end by then.
-const REPEATABLE_PROOF_MS: u64 = 500;
+/// How long the endpoint itself may take to prove that it lives. The caller has all but the end by then.
+const REPEATABLE_PROOF_TIME: Duration = Duration::from_millis(500);
 
 /// As above, if no further run can tell whether the answer was whole. Sound endpoints may fall silent for a
 /// second, and callers wait for two.
-const ONLY_PROOF_MS: u64 = 1_200;
+const ONLY_PROOF_TIME: Duration = Duration::from_millis(1_200);
 
 /// How long an endpoint must have had for an answer before its silence says anything of it.
 const MIN_ASKING_TIME: Duration = Duration::from_millis(150);
@@ -41,6 +40,16 @@
     pub(crate) follows_silence: bool,
 }
 
+impl Doubt {
+    fn proof_time(self) -> Duration {
+        if self.may_repeat {
+            REPEATABLE_PROOF_TIME
+        } else {
+            ONLY_PROOF_TIME
+        }
+    }
+}
+
 /// What is known of the end of an answer.
 #[derive(Debug)]
 pub(crate) enum AnswerEnd {
@@ -103,7 +112,7 @@
 ) -> AnswerEnd {
     let judged_at = Instant::now();
     // Few answers end like this, so that the future of each request is not to hold what the check needs.
-    let end = Box::pin(find_life(context, request, endpoint, state, doubt)).await;
+    let end = Box::pin(find_end(context, request, endpoint, state, doubt)).await;
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
@@ -115,40 +124,33 @@
     end
 }
 
-async fn find_life(
+/// Judges the end by the endpoint's own answer, then by what peers find, then by its other answers.
+async fn find_end(
     context: &RequestContext,
     request: &mut ActiveRequest,
     endpoint: &Endpoint,
     state: &EndpointState,
     doubt: Doubt,
 ) -> AnswerEnd {
-    let ended_ms = context.now_ms();
-    let proof_ms = if doubt.may_repeat {
-        REPEATABLE_PROOF_MS
-    } else {
-        ONLY_PROOF_MS
-    };
-    let until = request
-        .deadline
-        .min(Instant::now() + Duration::from_millis(proof_ms));
-    let judged_at = Instant::now();
+    let (ended_at, ended_ms) = (Instant::now(), context.now_ms());
+    let until = request.deadline.min(ended_at + doubt.proof_time());
     let own = check_life(context, endpoint, state, ENDED_CALLS, until).await;
     tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
     let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
     if seems_alive && !doubt.follows_silence {
         return AnswerEnd::Whole;
     }
-    let was_asked = own != Life::NoAnswer || judged_at.elapsed() >= MIN_ASKING_TIME;
+    let was_asked = own != Life::NoAnswer || ended_at.elapsed() >= MIN_ASKING_TIME;
     if !seems_alive && was_asked {
         // Peers are to learn in time what may have crashed it.
         request.record_end_of_endpoint(endpoint, state, ended_ms);
         request.end_is_recorded = true;
     }
-    let found = match own {
+    let peers = match own {
         Life::Replaced => Finding::Ended,
         _ => ask_peers(context, endpoint, state, request.deadline).await,
     };
-    match found {
+    match peers {
         Finding::Ended => {
             request.record_end_of_endpoint(endpoint, state, ended_ms);
             let message = "another run of an endpoint listens at the address";
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -83,53 +83,63 @@
     check.or(expire).await
 }
 
-/// Asks an endpoint for its health, or only connects to it if it wants fewer requests.
+/// Asks an endpoint for its health, or only connects to it if it wants no more requests.
 async fn ask(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
     until: Instant,
 ) -> Life {
-    let opened_ms = context.now_ms();
+    let now_ms = context.now_ms();
     let view = context.view();
     let table = view.table.as_ref();
     let service = table.and_then(|table| table.service(&endpoint.service));
-    let Some(service) = service.filter(|_| state.try_acquire_check(endpoint, &view, opened_ms))
-    else {
-        return match connect(context, endpoint, state).await {
+    match service.filter(|_| state.try_acquire_check(endpoint, &view, now_ms)) {
+        Some(service) => ask_health(context, endpoint, state, &service.health_path, until).await,
+        None => match connect(context, endpoint, state).await {
             Ok(()) => Life::KeepsConnection,
             Err(err) => unreached(&err),
-        };
-    };
-    let head = context
-        .endpoint_protocol
-        .encode_health_check(endpoint, &service.health_path);
+        },
+    }
+}
+
+async fn ask_health(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+    path: &str,
+    until: Instant,
+) -> Life {
+    let opened_ms = context.now_ms();
+    let protocol = &context.endpoint_protocol;
+    let request = protocol.encode_health_check(endpoint, path);
     Counters::add(&context.counters.connections_for_health_checks);
     let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
     let full_timeout = Instant::now() + timeout;
     let connect_until = until.min(full_timeout);
     let body = Bytes::new();
-    let answer = Exchange::start(endpoint.addr, connect_until, until, "GET", &head, &body).await;
+    let answer = Exchange::start(endpoint.addr, connect_until, until, "GET", &request, &body).await;
     let now_ms = context.now_ms();
-    match &answer {
-        Err(err) if err.sent => record_connected(endpoint, state, opened_ms),
-        // Less than the usual time says nothing of the path.
-        Err(_) if connect_until < full_timeout => {}
-        Err(_) => record_unreachable(endpoint, state, opened_ms, now_ms),
-        Ok(_) => record_connected(endpoint, state, opened_ms),
-    }
     let head = match answer {
         Ok((_, head)) => head,
-        Err(err) => return unanswered(&err),
-    };
-    match context.endpoint_protocol.decode_health(endpoint, &head) {
-        Responder::Run => {
-            state.record_alive(opened_ms, now_ms);
-            Life::Answers
+        Err(err) => {
+            if err.sent {
+                record_connected(endpoint, state, opened_ms);
+            } else if connect_until == full_timeout {
+                // Less than the usual time says nothing of the path.
+                record_unreachable(endpoint, state, opened_ms, now_ms);
+            }
+            return unanswered(&err);
         }
-        Responder::FullRun => {
+    };
+    record_connected(endpoint, state, opened_ms);
+    let responder = protocol.decode_health(endpoint, &head);
+    if responder == Responder::FullRun {
+        state.record_full(now_ms);
+    }
+    match responder {
+        Responder::Run | Responder::FullRun => {
             state.record_alive(opened_ms, now_ms);
-            state.record_full(now_ms);
             Life::Answers
         }
         Responder::OtherRun => Life::Replaced,
--- a/crates/serve/src/life_check.rs
+++ b/crates/serve/src/life_check.rs
@@ -12,7 +12,7 @@
     Answers,
     /// Another run answers, or a later one is listed at the address.
     Replaced,
-    /// It is not asked, as it wants fewer requests, and keeps a connection.
+    /// It is not asked, as it wants no more requests, and keeps a connection.
     KeepsConnection,
     RefusesConnection,
     ClosesConnection,
--- a/crates/serve/src/other_answers.rs
+++ b/crates/serve/src/other_answers.rs
@@ -17,7 +17,7 @@
 const MAX_CHECK_DELAY_MS: u64 = 125;
 
 /// Waits for bytes of other answers that an endpoint has sent after a time, in milliseconds, and returns
-/// whether there are any. `ended_calls` of this instance's calls wait for them.
+/// whether there are any. `ended_calls` of this instance's calls have ended and are still counted.
 pub(crate) async fn goes_on(
     context: &RequestContext,
     state: &EndpointState,
