serve: Use what is there for timeouts, attempts and second requests

Read again: a race with a timer was relay::timeout_at once more, record_alive only renamed record_life, the test of attempts left stood in two functions, and three tests wrote the same wait for a first request.

--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -151,14 +151,16 @@
     /// Returns whether the request may be sent to an endpoint, for the first time or as a retry.
     pub(crate) fn may_retry(&self) -> bool {
         let allowed = self.verdict == Verdict::NotRun || self.route.retry_safety.may_retry();
-        allowed && self.runs < self.route.max_attempts && self.refusals < MAX_REFUSALS
+        allowed && self.has_attempt_left(self.runs)
     }
 
     /// Returns whether the request may be sent to an endpoint once the current one has run it.
     pub(crate) fn may_repeat_after_run(&self) -> bool {
-        self.route.retry_safety.may_retry()
-            && self.runs + 1 < self.route.max_attempts
-            && self.refusals < MAX_REFUSALS
+        self.route.retry_safety.may_retry() && self.has_attempt_left(self.runs + 1)
+    }
+
+    fn has_attempt_left(&self, runs: u32) -> bool {
+        runs < self.route.max_attempts && self.refusals < MAX_REFUSALS
     }
 
     /// Records that endpoints received the request. A peer that made several sends counts its own
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -157,7 +157,7 @@
             return AnswerEnd::CutShort(truncated(message));
         }
         Finding::Lives => {
-            state.record_alive(context.now_ms(), context.now_ms());
+            state.record_life(Some(context.now_ms()), context.now_ms());
             return AnswerEnd::Whole;
         }
         Finding::Unknown if seems_alive => return AnswerEnd::Whole,
@@ -165,7 +165,7 @@
     }
     let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
     if !can_repeat_now && goes_on(context, state, ended_ms, ENDED_CALLS, until).await {
-        state.record_alive(context.now_ms(), context.now_ms());
+        state.record_life(Some(context.now_ms()), context.now_ms());
         return AnswerEnd::Whole;
     }
     AnswerEnd::Doubtful(truncated(&format!(
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -320,13 +320,9 @@
         self.record_life(None, now_ms);
     }
 
-    /// Records that the endpoint lives, as something that began at a time, in milliseconds, shows.
-    pub(crate) fn record_alive(&self, began_ms: u64, now_ms: u64) {
-        self.record_life(Some(began_ms), now_ms);
-    }
-
-    /// Records that bytes arrived on a connection opened at a time, in milliseconds, if it is known.
-    fn record_life(&self, opened_ms: Option<u64>, now_ms: u64) {
+    /// Records that the endpoint lives, as bytes on a connection opened at a time, in milliseconds, show, or
+    /// proof that was asked for then. The time may not be known.
+    pub(crate) fn record_life(&self, opened_ms: Option<u64>, now_ms: u64) {
         self.last_received_ms.set(now_ms);
         let sign = self.recent_starts.borrow_mut().lives(opened_ms, now_ms);
         for key in sign.survived {
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use relay::{Exchange, ExchangeError, timeout_at};
@@ -62,11 +61,11 @@
         if let Some(check) = *latest
             && check.replaces(asked_at, until)
         {
-            return check.found;
+            return Ok(check.found);
         }
         let started_at = Instant::now();
         if started_at >= until {
-            return Life::NoAnswer;
+            return Ok(Life::NoAnswer);
         }
         let found = ask(context, endpoint, state, until).await;
         *latest = Some(LifeCheck {
@@ -74,13 +73,9 @@
             until,
             found,
         });
-        found
+        Ok(found)
     };
-    let expire = async {
-        Timer::at(until).await;
-        Life::NoAnswer
-    };
-    check.or(expire).await
+    timeout_at(until, check).await.unwrap_or(Life::NoAnswer)
 }
 
 /// Asks an endpoint for its health, or only connects to it if it wants no more requests.
@@ -139,7 +134,7 @@
     }
     match responder {
         Responder::Run | Responder::FullRun => {
-            state.record_alive(opened_ms, now_ms);
+            state.record_life(Some(opened_ms), now_ms);
             Life::Answers
         }
         Responder::OtherRun => Life::Replaced,
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -27,6 +27,14 @@
     (harness.send(&[]), second.request_count())
 }
 
+/// Sends a request once an endpoint has received another.
+async fn send_second(harness: &Harness, endpoint: &ScriptedEndpoint) -> Received {
+    while endpoint.request_count() == 0 {
+        Timer::after(Duration::from_millis(1)).await;
+    }
+    harness.send_to("/x/2", &[]).await
+}
+
 /// Issue 46: the kernel closes the connections of a process that ends as if it had closed them itself.
 #[test]
 fn a_stream_whose_endpoint_ended_between_events_does_not_end_as_complete() {
@@ -252,12 +260,7 @@
             &[endpoint.addr],
             10.0,
         );
-        let second = async {
-            while endpoint.request_count() == 0 {
-                Timer::after(Duration::from_millis(1)).await;
-            }
-            harness.send_to("/x/2", &[]).await
-        };
+        let second = send_second(&harness, &endpoint);
         let (long, short) = block_on(zip(harness.send_to("/x/1", &[]), second));
         assert_eq!(ids(&long.body), (1..=8).collect::<Vec<_>>(), "{name}");
         assert!(short.is_complete, "{name}");
@@ -410,12 +413,7 @@
         &[endpoint.addr],
         10.0,
     );
-    let other = async {
-        while endpoint.request_count() == 0 {
-            Timer::after(Duration::from_millis(1)).await;
-        }
-        harness.send_to("/x/2", &[]).await
-    };
+    let other = send_second(&harness, &endpoint);
     let (first, second) = block_on(zip(harness.send_to("/x/1", &[]), other));
     assert!(!first.is_complete);
     assert_eq!(ids(&first.body), [1, 2, 3]);
@@ -437,12 +435,7 @@
     let addrs = vec![endpoint.addr];
     let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
     fleet.exchange_reach();
-    let short = async {
-        while endpoint.request_count() == 0 {
-            Timer::after(Duration::from_millis(1)).await;
-        }
-        fleet.instances[0].send_to("/x/2", &[]).await
-    };
+    let short = send_second(&fleet.instances[0], &endpoint);
     let streams = zip(fleet.instances[1].send_to("/x/1", &[]), short);
     let (long, short) = block_on(fleet.executor.run(streams));
     assert_eq!(ids(&long.body), (1..=12).collect::<Vec<_>>());
