serve: Show a stream that ends as complete as its endpoint starts again under its id

The test ends an endpoint between two events and lets another run answer under the same id after 0, 20 and 300 ms, while the listener is held, as under a supervisor. The stream has neither length nor chunks.

It fails on at its first case: the caller gets 3 of 6 events and the end of a complete answer. The health check that follows the end is answered by the next run, and its answer names the id alone.

--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -1,10 +1,11 @@
 //! Endpoints that answer by scripts.
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Size of the send buffer of an endpoint that writes without end.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
@@ -30,6 +31,9 @@
     /// Ends an endpoint whose listener is closed after these milliseconds, and keeps the connections that
     /// were accepted until then.
     ExitKeepingConnections(u64),
+    /// Ends this run of the endpoint with all its connections. Another starts under its id after these
+    /// milliseconds and takes over the listener, which is held meanwhile.
+    StartAgain(u64),
 }
 
 /// How an endpoint answers health checks.
@@ -45,6 +49,32 @@
     Closes,
 }
 
+/// The run of an endpoint that answers now.
+#[derive(Debug)]
+struct Run {
+    /// Its connections, by number.
+    connections: HashMap<usize, TcpStream>,
+    /// When it listens.
+    listens_at: Instant,
+}
+
+impl Run {
+    fn new(start_time: Duration) -> Run {
+        Run {
+            connections: HashMap::new(),
+            listens_at: Instant::now() + start_time,
+        }
+    }
+
+    /// Ends this run as the kernel ends a process.
+    fn end(&self) {
+        for connection in self.connections.values() {
+            // It may have ended before.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Answers a health check for the run that it names, and returns whether the request is one.
 pub fn answer_health(stream: &mut TcpStream, head: &str, health: Health) -> bool {
     let mut lines = head.lines();
@@ -151,6 +181,7 @@
         let listener = Arc::new(listener);
         let has_exited: Arc<AtomicBool> = Arc::default();
         let keeps_connections: Arc<AtomicBool> = Arc::default();
+        let run = Arc::new(Mutex::new(Run::new(Duration::ZERO)));
         std::thread::spawn(move || {
             let mut kept = Vec::new();
             for stream in listener.incoming() {
@@ -164,6 +195,9 @@
                 if has_exited.load(Ordering::SeqCst) {
                     continue;
                 }
+                let listens_at = run.lock().unwrap().listens_at;
+                std::thread::sleep(listens_at.saturating_duration_since(Instant::now()));
+                let connection = Connection::of(&stream, &run);
                 let scripts = scripts.clone();
                 let seen = seen.clone();
                 let (health, checks) = (current_health.clone(), checks.clone());
@@ -172,6 +206,7 @@
                     listener: listener.clone(),
                     has_exited: has_exited.clone(),
                     keeps_connections: keeps_connections.clone(),
+                    run: run.clone(),
                 };
                 std::thread::spawn(move || {
                     let Some(head) = read_head(&mut stream) else {
@@ -188,7 +223,7 @@
                         seen.len() - 1
                     };
                     let script = scripts[number.min(scripts.len() - 1)].clone();
-                    run_script(stream, script, &seen, &written, &exit);
+                    run_script(stream, connection, script, &seen, &written, &exit);
                 });
             }
             if !kept.is_empty() {
@@ -252,23 +287,57 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
+/// A connection of the current run, until it is dropped.
+struct Connection {
+    number: usize,
+    run: Arc<Mutex<Run>>,
+}
+
+impl Connection {
+    fn of(stream: &TcpStream, run: &Arc<Mutex<Run>>) -> Connection {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let stream = stream.try_clone().unwrap();
+        run.lock().unwrap().connections.insert(number, stream);
+        Connection {
+            number,
+            run: run.clone(),
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.run.lock().unwrap().connections.remove(&self.number);
+    }
+}
+
 /// How a script ends its endpoint.
 struct Exit {
     listener: Arc<TcpListener>,
     has_exited: Arc<AtomicBool>,
     keeps_connections: Arc<AtomicBool>,
+    run: Arc<Mutex<Run>>,
 }
 
 impl Exit {
     /// Closes the listener. On Linux this ends a pending accept, and further connections are refused.
     fn close_listener(&self) {
         let socket = socket2::SockRef::from(&*self.listener);
-        socket.shutdown(std::net::Shutdown::Both).unwrap();
+        socket.shutdown(Shutdown::Both).unwrap();
+    }
+
+    /// Replaces the run by another that listens after a time.
+    fn start_again(&self, start_time: Duration) {
+        let mut run = self.run.lock().unwrap();
+        let ended = std::mem::replace(&mut *run, Run::new(start_time));
+        ended.end();
     }
 }
 
 fn run_script(
     mut stream: TcpStream,
+    connection: Connection,
     script: Vec<Step>,
     seen: &Mutex<Vec<String>>,
     endless_bytes: &AtomicU64,
@@ -308,11 +377,15 @@
             }
             Step::ExitKeepingConnections(linger_ms) => {
                 exit.keeps_connections.store(true, Ordering::SeqCst);
-                drop(stream);
+                drop((connection, stream));
                 std::thread::sleep(Duration::from_millis(linger_ms));
                 exit.close_listener();
                 return;
             }
+            Step::StartAgain(start_ms) => {
+                exit.start_again(Duration::from_millis(start_ms));
+                return;
+            }
             Step::ExitBehindListener => {
                 exit.has_exited.store(true, Ordering::SeqCst);
                 return;
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -114,6 +114,38 @@
     }
 }
 
+/// Issue 65, ORDER: the run that a supervisor started again under the id of the one before vouched for the
+/// streams of that one.
+#[test]
+fn a_stream_whose_endpoint_started_again_under_its_id_does_not_end_as_complete() {
+    let cases = [
+        (RetrySafety::ResumableStream, true, 1..=6, 1),
+        (RetrySafety::NonIdempotentStream, false, 1..=3, 0),
+    ];
+    for (safety, is_complete, expected, sends) in cases {
+        for start_ms in [0, 20, 300] {
+            let name = format!("{safety:?}, {start_ms} ms");
+            let script = vec![
+                unframed_head(),
+                unframed_events(1..=2),
+                Step::Sleep(150),
+                unframed_events(3..=3),
+                Step::StartAgain(start_ms),
+            ];
+            let first = ScriptedEndpoint::start(vec![script]);
+            let rest = vec![stream_head(90), events(4..=6), stream_end()];
+            let second = ScriptedEndpoint::start(vec![rest]);
+            let harness = Harness::new(route(safety), &[first.addr, second.addr], 10.0);
+            harness.list_starts(&[1_000, 1_000]);
+            let received = harness.send(&[]);
+            assert_eq!(received.is_complete, is_complete, "{name}");
+            let expected: Vec<u64> = expected.clone().collect();
+            assert_eq!(ids(&received.body), expected, "{name}");
+            assert_eq!(second.request_count(), sends, "{name}");
+        }
+    }
+}
+
 #[test]
 fn an_answer_whose_endpoint_ended_is_not_passed_on_as_whole() {
     let cases = [
