serve: Log which run an end is judged for, and what peers found

The check of an endpoint now names the request and the start of the run that sent its answer; the result of asking peers has a line of its own. The run that answers a check is not known yet: its answer holds the id alone. No decision changes.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -135,7 +135,13 @@
     let (ended_at, ended_ms) = (Instant::now(), context.now_ms());
     let until = request.deadline.min(ended_at + doubt.proof_time());
     let own = check_life(context, endpoint, state, ENDED_CALLS, until).await;
-    tracing::info!(endpoint = &*endpoint.id, ?own, "life: check of an endpoint");
+    tracing::info!(
+        id = &*request.info.id,
+        endpoint = &*endpoint.id,
+        started_ms = endpoint.started_ms,
+        ?own,
+        "life: check of an endpoint"
+    );
     let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
     if seems_alive && !doubt.follows_silence {
         return AnswerEnd::Whole;
@@ -150,6 +156,12 @@
         Life::Replaced => Finding::Ended,
         _ => ask_peers(context, endpoint, state, request.deadline).await,
     };
+    tracing::info!(
+        id = &*request.info.id,
+        endpoint = &*endpoint.id,
+        ?peers,
+        "life: finding of peers"
+    );
     match peers {
         Finding::Ended => {
             request.record_end_of_endpoint(endpoint, state, ended_ms);
