--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Client side: one request to an endpoint and its response, over a new connection.
+//! Client side: one request to an endpoint and its response.
 
 use std::fmt;
 use std::io;
@@ -41,6 +41,7 @@
 pub struct Exchange {
     socket: Socket,
     body: BodyReader,
+    read_at: Instant,
 }
 
 impl Exchange {
@@ -61,9 +62,27 @@
         body: &Bytes,
     ) -> Result<(Exchange, ResponseHead), ExchangeError> {
         let connected = Socket::connect(addr, connect_deadline).await;
+        let socket = connected.map_err(|source| ExchangeError {
+            sent: false,
+            source,
+        })?;
+        Exchange::start_on(socket, head_deadline, method, head, body).await
+    }
+
+    /// Sends a request over an open connection and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Exchange::start`], but for the connection being established.
+    pub async fn start_on(
+        mut socket: Socket,
+        head_deadline: Instant,
+        method: &str,
+        head: &[u8],
+        body: &Bytes,
+    ) -> Result<(Exchange, ResponseHead), ExchangeError> {
         // Bytes that precede the request answer no request.
-        let silent = connected.and_then(|socket| socket.check_silent().map(|()| socket));
-        let mut socket = silent.map_err(|source| ExchangeError {
+        socket.check_silent().map_err(|source| ExchangeError {
             sent: false,
             source,
         })?;
@@ -87,7 +106,13 @@
             source: io::Error::new(io::ErrorKind::InvalidData, err),
         })?;
         let body = BodyReader::new(framing);
-        Ok((Exchange { socket, body }, response))
+        let read_at = Instant::now();
+        let exchange = Exchange {
+            socket,
+            body,
+            read_at,
+        };
+        Ok((exchange, response))
     }
 
     /// Returns the next bytes of the response body, or `None` at its end.
@@ -96,7 +121,16 @@
     ///
     /// Fails if the body is truncated or malformed.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        self.body.next(&mut self.socket).await
+        let bytes = self.body.next(&mut self.socket).await?;
+        if bytes.is_some() {
+            self.read_at = Instant::now();
+        }
+        Ok(bytes)
+    }
+
+    /// Returns when [`Exchange::next`] last returned bytes of the body, or when the head was read.
+    pub fn read_at(&self) -> Instant {
+        self.read_at
     }
 
     /// Reads the rest of the response body.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -108,7 +108,7 @@
     ///
     /// Fails with [`io::ErrorKind::InvalidData`] if bytes have arrived, and if the connection fails or is
     /// closed.
-    pub(crate) fn check_silent(&self) -> io::Result<()> {
+    pub fn check_silent(&self) -> io::Result<()> {
         let mut byte = [0];
         match self.stream.get_ref().peek(&mut byte) {
             Ok(0) => Err(io::ErrorKind::ConnectionAborted.into()),
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -13,12 +13,13 @@
 use crate::baseline::BaselineKey;
 use crate::carried::Carried;
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::{EndpointKey, EndpointState};
+use crate::endpoint_state::EndpointState;
 use crate::late_repeats::RequestRepeats;
 use crate::outcome::Counters;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_key::RequestKey;
+use crate::run::Run;
 
 /// Refusals by endpoints after which the caller is told to retry later.
 const MAX_REFUSALS: u32 = 4;
@@ -61,7 +62,7 @@
     pub(crate) workspace: Option<Arc<Workspace>>,
     pub(crate) deadline: Instant,
     /// Endpoint runs that refused or failed the request.
-    pub(crate) tried: Vec<EndpointKey>,
+    pub(crate) tried: Vec<Run>,
     /// Endpoints that received the request.
     pub(crate) sends: u32,
     /// Endpoints that may have run the request.
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -11,7 +11,7 @@
 use crate::life::check_life;
 use crate::life_check::Life;
 use crate::life_question::{Finding, ask_peers};
-use crate::other_answers::goes_on;
+use crate::other_answers::{EndTime, goes_on};
 use crate::request_context::RequestContext;
 
 /// The silence after which an end is doubtful. Events are made many times a second.
@@ -35,6 +35,8 @@
 pub(crate) struct Doubt {
     /// Whether a further run may tell whether the answer was whole, so that proof is not waited for.
     pub(crate) may_repeat: bool,
+    /// Until when its run is known to have been there.
+    pub(crate) alive_at: Instant,
     /// Whether nothing of the answer arrived for a while shortly before its end. A cut, or a pause of this
     /// instance, may have hidden the end of the endpoint and the start of another.
     pub(crate) follows_silence: bool,
@@ -132,9 +134,14 @@
     state: &EndpointState,
     doubt: Doubt,
 ) -> AnswerEnd {
-    let (ended_at, ended_ms) = (Instant::now(), context.now_ms());
+    let ended_at = Instant::now();
+    let end = EndTime {
+        ended_ms: context.now_ms(),
+        alive_at: doubt.alive_at,
+        ended_calls: ENDED_CALLS,
+    };
     let until = request.deadline.min(ended_at + doubt.proof_time());
-    let own = check_life(context, endpoint, state, ENDED_CALLS, until).await;
+    let own = check_life(context, endpoint, state, end, until).await.life;
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
@@ -142,19 +149,20 @@
         ?own,
         "life: check of an endpoint"
     );
-    let seems_alive = matches!(own, Life::Answers | Life::KeepsConnection);
+    let seems_alive = own.seems_alive();
     if seems_alive && !doubt.follows_silence {
         return AnswerEnd::Whole;
     }
     let was_asked = own != Life::NoAnswer || ended_at.elapsed() >= MIN_ASKING_TIME;
-    if !seems_alive && was_asked {
+    let may_have_ended = !seems_alive && was_asked;
+    if may_have_ended {
         // Peers are to learn in time what may have crashed it.
-        request.record_end_of_endpoint(endpoint, state, ended_ms);
+        request.record_end_of_endpoint(endpoint, state, end.ended_ms);
         request.end_is_recorded = true;
     }
     let peers = match own {
         Life::Replaced => Finding::Ended,
-        _ => ask_peers(context, endpoint, state, request.deadline).await,
+        _ => ask_peers(context, endpoint, state, end, request.deadline).await,
     };
     tracing::info!(
         id = &*request.info.id,
@@ -164,11 +172,11 @@
     );
     match peers {
         Finding::Ended => {
-            request.record_end_of_endpoint(endpoint, state, ended_ms);
+            request.record_end_of_endpoint(endpoint, state, end.ended_ms);
             let message = "another run of an endpoint listens at the address";
             return AnswerEnd::CutShort(truncated(message));
         }
-        Finding::Lives => {
+        Finding::Reached | Finding::Lives => {
             state.record_life(Some(context.now_ms()), context.now_ms());
             return AnswerEnd::Whole;
         }
@@ -176,7 +184,7 @@
         Finding::Unknown => {}
     }
     let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
-    if !can_repeat_now && goes_on(context, state, ended_ms, ENDED_CALLS, until).await {
+    if !can_repeat_now && goes_on(context, state, end, until).await.is_some() {
         state.record_life(Some(context.now_ms()), context.now_ms());
         return AnswerEnd::Whole;
     }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -16,12 +16,13 @@
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
-use crate::endpoint_state::{CallGuard, EndpointKey, EndpointState};
+use crate::endpoint_state::{CallGuard, EndpointState};
 use crate::outcome::Counters;
 use crate::peer_choice::Peer;
 use crate::peer_states::CarriedCall;
 use crate::placement::{self, Placement};
 use crate::request_context::RequestContext;
+use crate::run::Run;
 use crate::version_counters::{CallOutcome, VersionCounters};
 use crate::view::View;
 
@@ -289,7 +290,7 @@
             Err(err) if err.sent && is_silence(&err.source) => self.repeats.record_silence(),
             _ => self.repeats.record_end(),
         }
-        self.tried.push(EndpointKey::of(&endpoint));
+        self.tried.push(Run::of(&endpoint));
         self.last_endpoint = Some(endpoint.clone());
         let now_ms = context.now_ms();
         let (mut exchange, head) = match started {
@@ -330,7 +331,7 @@
             self.info.new_tokens(),
             time_to_head.as_millis() as f64,
         );
-        call_guard.response_started();
+        call_guard.response_started(now_ms);
         self.record_sends(context, 1);
         if reply.tells_rate_limit() {
             let limit_per_s = reply.rate_limit_per_s;
@@ -363,6 +364,7 @@
                 .await;
             let doubt = Doubt {
                 may_repeat: self.may_retry(),
+                alive_at: Instant::now(),
                 follows_silence: false,
             };
             let end = judge_end(context, self, &exchange, &endpoint, &endpoint_state, doubt).await;
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -1,5 +1,7 @@
 //! Protocol between the router and endpoints.
 
+use std::sync::Arc;
+
 use relay::{RequestHead, ResponseHead};
 
 use crate::endpoint::Endpoint;
@@ -40,17 +42,17 @@
     Answered,
 }
 
-/// Who answers a health check of a run of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Responder {
-    /// The run itself.
-    Run,
-    /// The run itself, which refuses the check for want of room.
-    FullRun,
-    /// Another run, which listens at the address by now.
-    OtherRun,
-    /// The answer does not tell.
-    Unknown,
+/// What the answer to a health check or to a request for a report says of the run that sends it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Responder {
+    /// Identifier of the endpoint.
+    pub id: Option<Arc<str>>,
+    /// Start of the run, in milliseconds since the Unix epoch.
+    pub started_ms: Option<u64>,
+    /// Whether it refuses for want of room.
+    pub is_full: bool,
+    /// Whether it says that it is not the endpoint that was asked.
+    pub is_misdirected: bool,
 }
 
 /// Decoded head of an endpoint's response.
@@ -108,9 +110,13 @@
     /// Decodes the head of a response.
     fn decode(&self, info: &RequestInfo, head: &ResponseHead) -> Reply;
 
-    /// Encodes a health check that only this run of an endpoint is to answer.
+    /// Encodes a health check that only an endpoint with the same identifier is to answer.
     fn encode_health_check(&self, endpoint: &Endpoint, path: &str) -> Vec<u8>;
 
-    /// Decodes who answers a health check of an endpoint.
-    fn decode_health(&self, endpoint: &Endpoint, head: &ResponseHead) -> Responder;
+    /// Encodes a request for the report of an endpoint with the same identifier, in which it says when it
+    /// started.
+    fn encode_report_request(&self, endpoint: &Endpoint) -> Vec<u8>;
+
+    /// Decodes who answers a health check or a request for a report of an endpoint.
+    fn decode_responder(&self, endpoint: &Endpoint, head: &ResponseHead, body: &[u8]) -> Responder;
 }
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -5,22 +5,24 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_lock::Mutex;
 use limits::{
     Crash, EndpointRate, EndpointUse, Health, OutlierDetector, Path, RateDivision,
     RefusalAllowance, RequestLoad,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
 use crate::latency_ratio::LatencyRatio;
 use crate::life_check::LifeCheck;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
+use crate::run::Run;
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
+use crate::witness::WitnessSlot;
 
 /// Pause after an endpoint refuses a request as full, in milliseconds: a few plain requests.
 const FULL_PAUSE_MS: u64 = 60;
@@ -39,31 +41,9 @@
 /// Weight of the latest sample in the moving averages.
 const SMOOTHING: f64 = 0.15;
 
-/// Identity of one run of one endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct EndpointKey {
-    pub(crate) id: Arc<str>,
-    pub(crate) started_ms: Option<u64>,
-}
-
-impl EndpointKey {
-    pub(crate) fn of(endpoint: &Endpoint) -> EndpointKey {
-        EndpointKey {
-            id: endpoint.id.clone(),
-            started_ms: endpoint.started_ms,
-        }
-    }
-
-    /// Returns a hash that is the same on all instances.
-    fn shared_hash(&self) -> u64 {
-        xxh3_64(self.id.as_bytes()) ^ self.started_ms.unwrap_or_default()
-    }
-}
-
 /// State of one run of one endpoint, as this instance's calls show it.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointState {
-    connections: Cell<u32>,
     load: Cell<f64>,
     shared_load: Arc<EndpointLoad>,
     outlier: RefCell<OutlierDetector>,
@@ -85,6 +65,9 @@
     probed_ms: Cell<Option<u64>>,
     /// The latest check of whether the endpoint is still there.
     pub(crate) life_check: Mutex<Option<LifeCheck>>,
+    pub(crate) witness: WitnessSlot,
+    /// The calls in flight.
+    calls: RefCell<Vec<Rc<CallProgress>>>,
     /// Generation of the view for which the rank was taken, and the rank.
     rank: Cell<Option<(u64, usize)>>,
     recent_starts: RefCell<RecentStarts>,
@@ -104,7 +87,23 @@
     }
 
     pub(crate) fn connections(&self) -> u32 {
-        self.connections.get()
+        self.calls.borrow().len() as u32
+    }
+
+    /// Returns the number of calls whose answers had begun by a time, so that the run sends them that was
+    /// there then.
+    pub(crate) fn calls_begun_before(&self, time: Instant) -> u32 {
+        let calls = self.calls.borrow();
+        calls.iter().filter(|call| call.began_before(time)).count() as u32
+    }
+
+    /// Returns when the first of such calls began of which bytes arrived at a later time, in milliseconds, or
+    /// after it.
+    pub(crate) fn received_by_calls_since(&self, time: Instant, later_ms: u64) -> Option<Instant> {
+        let calls = self.calls.borrow();
+        let begun = calls.iter().filter(|call| call.began_before(time));
+        let received = begun.filter(|call| call.received_ms.get() >= later_ms);
+        received.filter_map(|call| call.began_at.get()).min()
     }
 
     /// Returns the ratio of latencies to the baseline.
@@ -235,6 +234,11 @@
         self.shared_hash
     }
 
+    /// Returns when the latest connection that was established was opened, in milliseconds.
+    pub(crate) fn connected_ms(&self) -> Option<u64> {
+        self.connected_ms.get()
+    }
+
     /// Returns whether no connection to the endpoint was established since one was not.
     pub(crate) fn is_out_of_reach(&self) -> bool {
         self.out_of_reach_since_ms.get().is_some()
@@ -266,7 +270,7 @@
         let place = EndpointUse {
             rank: view.rank_for(&endpoint.id),
             instances: view.instance_count,
-            own_requests: self.connections.get(),
+            own_requests: self.connections(),
             load: self.load(),
             slots: endpoint.slots,
         };
@@ -417,7 +421,7 @@
         }
         let since_ms = self.unlisted_since_ms.get().unwrap_or(now_ms);
         self.unlisted_since_ms.set(Some(since_ms));
-        self.connections.get() > 0 || now_ms < since_ms + UNLISTED_KEEP_MS
+        self.connections() > 0 || now_ms < since_ms + UNLISTED_KEEP_MS
     }
 
     fn pause_until(&self, until_ms: u64) {
@@ -426,10 +430,26 @@
     }
 }
 
+/// How far the answer to a call has come.
+#[derive(Debug, Default)]
+struct CallProgress {
+    /// When its head arrived.
+    began_at: Cell<Option<Instant>>,
+    /// When its last bytes arrived, in milliseconds.
+    received_ms: Cell<u64>,
+}
+
+impl CallProgress {
+    fn began_before(&self, time: Instant) -> bool {
+        self.began_at.get().is_some_and(|began_at| began_at < time)
+    }
+}
+
 /// Guard that counts a call as in flight at an endpoint until it is dropped.
 #[derive(Debug)]
 pub(crate) struct CallGuard {
     pub(crate) endpoint_state: Rc<EndpointState>,
+    progress: Rc<CallProgress>,
     load: f64,
     load_after_head: f64,
 }
@@ -437,31 +457,39 @@
 impl CallGuard {
     pub(crate) fn new(endpoint_state: Rc<EndpointState>, request_load: RequestLoad) -> CallGuard {
         let load = request_load.prefill + request_load.response;
-        endpoint_state
-            .connections
-            .set(endpoint_state.connections.get() + 1);
+        let progress = Rc::new(CallProgress::default());
+        endpoint_state.calls.borrow_mut().push(progress.clone());
         endpoint_state.add(load);
         CallGuard {
             endpoint_state,
+            progress,
             load,
             load_after_head: request_load.response,
         }
     }
 
     /// Releases the load of reading the prompt, which ends when the response starts.
-    pub(crate) fn response_started(&mut self) {
+    pub(crate) fn response_started(&mut self, now_ms: u64) {
+        self.progress.began_at.set(Some(Instant::now()));
+        self.progress.received_ms.set(now_ms);
         let done = self.load - self.load_after_head;
         self.load = self.load_after_head;
         self.endpoint_state.add(-done);
     }
+
+    /// Records that bytes of the response arrived.
+    pub(crate) fn record_received(&self, now_ms: u64) {
+        self.progress.received_ms.set(now_ms);
+        self.endpoint_state.record_received(now_ms);
+    }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         let endpoint_state = &self.endpoint_state;
-        endpoint_state
-            .connections
-            .set(endpoint_state.connections.get().saturating_sub(1));
+        let mut calls = endpoint_state.calls.borrow_mut();
+        calls.retain(|call| !Rc::ptr_eq(call, &self.progress));
+        drop(calls);
         endpoint_state.add(-self.load);
     }
 }
@@ -469,7 +497,7 @@
 /// States of all endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointStates {
-    by_key: RefCell<HashMap<EndpointKey, Rc<EndpointState>>>,
+    by_key: RefCell<HashMap<Run, Rc<EndpointState>>>,
     /// Generation of the view and number of limit changes that the states reflect.
     synced: Cell<Option<(u64, u64)>>,
     shared_loads: Arc<SharedLoads>,
@@ -479,7 +507,7 @@
     /// Returns the state of an endpoint, which is created if there is none yet.
     pub(crate) fn of(&self, endpoint: &Endpoint) -> Rc<EndpointState> {
         let mut states = self.by_key.borrow_mut();
-        let key = EndpointKey::of(endpoint);
+        let key = Run::of(endpoint);
         if let Some(state) = states.get(&key) {
             return state.clone();
         }
@@ -495,6 +523,13 @@
         state
     }
 
+    /// Closes the idle connections that no answer has needed for a while.
+    pub(crate) fn drop_unused_witnesses(&self) {
+        for state in self.by_key.borrow().values() {
+            state.witness.drop_unused();
+        }
+    }
+
     /// Returns what crashes endpoints.
     pub(crate) fn crashes(&self) -> &SharedCrashes {
         self.shared_loads.crashes()
@@ -511,7 +546,7 @@
         limit_per_s: Option<f64>,
         now_ms: u64,
     ) {
-        let endpoint = EndpointKey::of(endpoint).shared_hash();
+        let endpoint = Run::of(endpoint).shared_hash();
         let limits = self.shared_loads.limits();
         limits.observe(endpoint, limit_per_s, now_ms);
     }
@@ -546,9 +581,7 @@
     /// What an endpoint says of itself holds for its run, also while its entry lapses and comes back.
     fn drop_unlisted(&self, view: &View, now_ms: u64) {
         let endpoints = view.endpoints();
-        let listed: HashSet<EndpointKey> = endpoints
-            .map(|endpoint| EndpointKey::of(endpoint))
-            .collect();
+        let listed: HashSet<Run> = endpoints.map(|endpoint| Run::of(endpoint)).collect();
         let mut states = self.by_key.borrow_mut();
         states.retain(|key, state| {
             let is_kept = state.is_kept(listed.contains(key), now_ms);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -48,6 +48,7 @@
 mod request_context;
 mod request_key;
 mod request_log;
+mod run;
 mod settings;
 mod shared_crashes;
 mod shared_limit;
@@ -57,6 +58,7 @@
 mod stream;
 mod version_counters;
 mod view;
+mod witness;
 
 pub use caller_protocol::CallerProtocol;
 pub use carry_handler::CarryHandler;
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -3,46 +3,52 @@
 use std::io;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use relay::{Exchange, ExchangeError, timeout_at};
+use futures_lite::future::zip;
+use relay::{Exchange, ExchangeError, Socket, timeout_at};
 
 use crate::call_record::{record_connected, record_unreachable};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::Responder;
 use crate::endpoint_state::EndpointState;
-use crate::life_check::{Life, LifeCheck};
-use crate::other_answers::goes_on;
+use crate::life_check::{Life, LifeCheck, Sign};
+use crate::other_answers::{EndTime, goes_on};
 use crate::outcome::Counters;
 use crate::reach;
 use crate::request_context::RequestContext;
+use crate::run::{Identity, Run};
+use crate::witness::{ACCEPT_TIME, Testimony};
 
-/// How long an endpoint that is not asked has to keep a new connection open. The backlog of a process that
-/// ends, or a proxy before it, may accept a connection and close it a moment later.
+/// How long an endpoint that is not asked has to keep a connection open. The backlog of a process that ends,
+/// or a proxy before it, may accept a connection and close it a moment later.
 const KEPT_TIME: Duration = Duration::from_millis(30);
 
-/// Checks whether the run of an endpoint is still there: it answers a health check, or goes on with other
-/// answers. `ended_calls` of this instance's calls have ended and are still counted.
+/// Maximum size of what an endpoint says of itself, in bytes.
+const MAX_REPORT_BYTES: u64 = 64 << 10;
+
+/// Checks whether the run of an endpoint that sent an answer is still there: it answers, or goes on with other
+/// answers.
 pub(crate) async fn check_life(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
-    ended_calls: u32,
+    end: EndTime,
     until: Instant,
-) -> Life {
-    let asked_ms = context.now_ms();
+) -> Sign {
     let other_answers = async {
-        if !goes_on(context, state, asked_ms, ended_calls, until).await {
-            std::future::pending::<()>().await;
+        match goes_on(context, state, end, until).await {
+            Some(sign) => sign,
+            None => std::future::pending().await,
         }
-        Life::Answers
     };
-    let found = check_address(context, endpoint, state, until)
+    let found = check_address(context, endpoint, state, end, until)
         .or(other_answers)
         .await;
     let view = context.view();
     if view.has_successor(endpoint.addr, endpoint.started_ms) {
-        return Life::Replaced;
+        return Sign::new(Life::Replaced);
     }
     found
 }
@@ -53,92 +59,198 @@
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
+    end: EndTime,
     until: Instant,
-) -> Life {
+) -> Sign {
     let asked_at = Instant::now();
     let check = async {
         let mut latest = state.life_check.lock().await;
         if let Some(check) = *latest
             && check.replaces(asked_at, until)
         {
-            return Ok(check.found);
+            return Ok(check.sign_of(end.alive_at));
         }
-        let started_at = Instant::now();
-        if started_at >= until {
-            return Ok(Life::NoAnswer);
+        if Instant::now() >= until {
+            return Ok(Sign::new(Life::NoAnswer));
         }
-        let found = ask(context, endpoint, state, until).await;
-        *latest = Some(LifeCheck {
-            started_at,
+        let question = Question {
+            context,
+            endpoint,
+            state,
             until,
-            found,
-        });
-        Ok(found)
+        };
+        let check = Box::pin(question.ask()).await;
+        *latest = Some(check);
+        Ok(check.sign_of(end.alive_at))
     };
-    timeout_at(until, check).await.unwrap_or(Life::NoAnswer)
+    let checked = timeout_at(until, check).await;
+    checked.unwrap_or(Sign::new(Life::NoAnswer))
 }
 
-/// Asks an endpoint for its health, or only connects to it if it wants no more requests.
-async fn ask(
-    context: &RequestContext,
-    endpoint: &Endpoint,
-    state: &EndpointState,
+/// The question whether a run is still there.
+struct Question<'a> {
+    context: &'a RequestContext,
+    endpoint: &'a Endpoint,
+    state: &'a EndpointState,
     until: Instant,
-) -> Life {
-    let now_ms = context.now_ms();
-    let view = context.view();
-    let table = view.table.as_ref();
-    let service = table.and_then(|table| table.service(&endpoint.service));
-    match service.filter(|_| state.try_acquire_check(endpoint, &view, now_ms)) {
-        Some(service) => ask_health(context, endpoint, state, &service.health_path, until).await,
-        None => match connect(context, endpoint, state).await {
-            Ok(()) => Life::KeepsConnection,
-            Err(err) => unreached(&err),
-        },
-    }
 }
 
-async fn ask_health(
-    context: &RequestContext,
-    endpoint: &Endpoint,
-    state: &EndpointState,
-    path: &str,
-    until: Instant,
-) -> Life {
-    let opened_ms = context.now_ms();
-    let protocol = &context.endpoint_protocol;
-    let request = protocol.encode_health_check(endpoint, path);
-    Counters::add(&context.counters.connections_for_health_checks);
-    let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
-    let full_timeout = Instant::now() + timeout;
-    let connect_until = until.min(full_timeout);
-    let body = Bytes::new();
-    let answer = Exchange::start(endpoint.addr, connect_until, until, "GET", &request, &body).await;
-    let now_ms = context.now_ms();
-    let head = match answer {
-        Ok((_, head)) => head,
-        Err(err) => {
-            if err.sent {
-                record_connected(endpoint, state, opened_ms);
-            } else if connect_until == full_timeout {
-                // Less than the usual time says nothing of the path.
-                record_unreachable(endpoint, state, opened_ms, now_ms);
+impl Question<'_> {
+    /// Asks on the idle connection to the endpoint, if there is one, and else on a new one.
+    async fn ask(&self) -> LifeCheck {
+        let view = self.context.view();
+        let table = view.table.as_ref();
+        let service = table.and_then(|table| table.service(&self.endpoint.service));
+        let now_ms = self.context.now_ms();
+        let wants_checks = self.state.try_acquire_check(self.endpoint, &view, now_ms);
+        let health_path = service
+            .filter(|_| wants_checks)
+            .map(|service| &*service.health_path);
+        match self.state.witness.take() {
+            Testimony::Open(socket, established_at) => {
+                if wants_checks {
+                    self.replace_witness().await;
+                }
+                let started_at = Instant::now();
+                let asking = Box::pin(self.ask_witness(socket, health_path));
+                if let Some((found, by_connection)) = asking.await {
+                    let established_at = by_connection.then_some(established_at);
+                    return self.check(started_at, found, established_at);
+                }
             }
-            return unanswered(&err);
+            Testimony::Closed | Testimony::None => {}
         }
-    };
-    record_connected(endpoint, state, opened_ms);
-    let responder = protocol.decode_health(endpoint, &head);
-    if responder == Responder::FullRun {
-        state.record_full(now_ms);
+        let started_at = Instant::now();
+        let found = match health_path {
+            Some(path) => Box::pin(self.ask_on_new_connection(path)).await,
+            None => Box::pin(self.connect()).await,
+        };
+        self.check(started_at, found, None)
     }
-    match responder {
-        Responder::Run | Responder::FullRun => {
-            state.record_life(Some(opened_ms), now_ms);
-            Life::Answers
+
+    fn check(
+        &self,
+        started_at: Instant,
+        found: Life,
+        established_at: Option<Instant>,
+    ) -> LifeCheck {
+        LifeCheck {
+            started_at,
+            until: self.until,
+            found,
+            established_at,
+        }
+    }
+
+    /// Opens another idle connection. It can show the life of the run once the run has accepted it, so that
+    /// further ends until then are to share this check.
+    async fn replace_witness(&self) {
+        let opening = reach::connect(self.context, self.endpoint, self.state);
+        let accepting = Timer::after(ACCEPT_TIME);
+        let (opened, _) = zip(opening, accepting).await;
+        self.state.witness.set(opened);
+    }
+
+    /// Asks on an idle connection, or only waits whether it is kept if the endpoint wants no more requests.
+    /// Returns what is found, and whether only the connection tells the run from a later one, or `None` if the
+    /// connection has ended.
+    async fn ask_witness(
+        &self,
+        mut socket: Socket,
+        health_path: Option<&str>,
+    ) -> Option<(Life, bool)> {
+        let Some(path) = health_path else {
+            let is_kept = is_kept(&mut socket).await;
+            return is_kept.is_ok().then_some((Life::KeepsConnection, true));
+        };
+        let protocol = &self.context.endpoint_protocol;
+        let request = protocol.encode_health_check(self.endpoint, path);
+        let answer = Exchange::start_on(socket, self.until, "GET", &request, &Bytes::new()).await;
+        match self.identify(answer).await {
+            Ok((Identity::Unknown, responder)) if responder.id.is_some() => {
+                Some((self.record_life(), true))
+            }
+            Ok((identity, _)) => Some((self.record(identity), false)),
+            Err(err) if err.source.kind() == io::ErrorKind::TimedOut => {
+                Some((Life::NoAnswer, false))
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Asks for the endpoint's health, and then for its report if that does not tell the run.
+    async fn ask_on_new_connection(&self, health_path: &str) -> Life {
+        let protocol = &self.context.endpoint_protocol;
+        let request = protocol.encode_health_check(self.endpoint, health_path);
+        match self.ask_once(&request).await {
+            Ok((Identity::Unknown, responder)) if responder.id.is_some() => {}
+            Ok((identity, _)) => return self.record(identity),
+            Err(found) => return found,
+        }
+        let request = protocol.encode_report_request(self.endpoint);
+        match self.ask_once(&request).await {
+            Ok((identity, _)) => self.record(identity),
+            Err(found) => found,
+        }
+    }
+
+    async fn ask_once(&self, request: &[u8]) -> Result<(Identity, Responder), Life> {
+        let opened_ms = self.context.now_ms();
+        Counters::add(&self.context.counters.connections_for_health_checks);
+        let timeout = Duration::from_millis(self.context.settings.connect_timeout_ms);
+        let full_timeout = Instant::now() + timeout;
+        let connect_until = self.until.min(full_timeout);
+        let (addr, body) = (self.endpoint.addr, Bytes::new());
+        let answer = Exchange::start(addr, connect_until, self.until, "GET", request, &body).await;
+        let now_ms = self.context.now_ms();
+        match &answer {
+            // Less than the usual time says nothing of the path.
+            Err(err) if !err.sent && connect_until < full_timeout => {}
+            Err(err) if !err.sent => {
+                record_unreachable(self.endpoint, self.state, opened_ms, now_ms);
+            }
+            _ => record_connected(self.endpoint, self.state, opened_ms),
+        }
+        self.identify(answer).await.map_err(|err| unanswered(&err))
+    }
+
+    /// Reads who answers.
+    async fn identify(
+        &self,
+        answer: Result<(Exchange, relay::ResponseHead), ExchangeError>,
+    ) -> Result<(Identity, Responder), ExchangeError> {
+        let (mut exchange, head) = answer?;
+        let body = timeout_at(self.until, exchange.read_to_end(MAX_REPORT_BYTES)).await;
+        // The head may tell enough.
+        let body = body.unwrap_or_default();
+        let protocol = &self.context.endpoint_protocol;
+        let responder = protocol.decode_responder(self.endpoint, &head, &body);
+        if responder.is_full {
+            self.state.record_full(self.context.now_ms());
+        }
+        Ok((Run::of(self.endpoint).identify(&responder), responder))
+    }
+
+    fn record(&self, identity: Identity) -> Life {
+        match identity {
+            Identity::Same => self.record_life(),
+            Identity::Other => Life::Replaced,
+            Identity::Unknown => Life::NoAnswer,
+        }
+    }
+
+    fn record_life(&self) -> Life {
+        let now_ms = self.context.now_ms();
+        self.state.record_life(Some(now_ms), now_ms);
+        Life::Answers
+    }
+
+    /// Connects to an endpoint that wants no more requests.
+    async fn connect(&self) -> Life {
+        match connect(self.context, self.endpoint, self.state).await {
+            Ok(()) => Life::KeepsConnection,
+            Err(err) => unreached(&err),
         }
-        Responder::OtherRun => Life::Replaced,
-        Responder::Unknown => Life::NoAnswer,
     }
 }
 
@@ -157,7 +269,7 @@
     }
 }
 
-/// Checks that an endpoint keeps a connection.
+/// Checks that an endpoint keeps a new connection.
 ///
 /// # Errors
 ///
@@ -169,12 +281,21 @@
     state: &EndpointState,
 ) -> io::Result<()> {
     let mut socket = reach::connect(context, endpoint, state).await?;
-    match timeout_at(Instant::now() + KEPT_TIME, socket.fill()).await {
-        Ok(true) => return Ok(()),
-        Ok(false) => return Err(io::ErrorKind::ConnectionAborted.into()),
-        Err(err) if err.kind() == io::ErrorKind::TimedOut => {}
-        Err(err) => return Err(err),
-    }
+    is_kept(&mut socket).await?;
     // The connection may have been accepted just before the endpoint ended, and never be closed.
     reach::connect(context, endpoint, state).await.map(drop)
 }
+
+/// Checks that a connection is kept for a while.
+///
+/// # Errors
+///
+/// Fails if it is closed.
+async fn is_kept(socket: &mut Socket) -> io::Result<()> {
+    match timeout_at(Instant::now() + KEPT_TIME, socket.fill()).await {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Err(err) if err.kind() == io::ErrorKind::TimedOut => Ok(()),
+        Err(err) => Err(err),
+    }
+}
--- a/crates/serve/src/life_check.rs
+++ b/crates/serve/src/life_check.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+use crate::witness::ACCEPT_TIME;
+
 /// How much less time an earlier check may have had to replace another.
 const MAX_LESS_TIME: Duration = Duration::from_millis(50);
 
-/// What the address of an endpoint shows of its run, the strongest first.
+/// What an endpoint, its address and the registry show of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Life {
-    /// The run answers a health check.
+    /// The run answers.
     Answers,
     /// Another run answers, or a later one is listed at the address.
     Replaced,
@@ -16,12 +18,19 @@
     KeepsConnection,
     RefusesConnection,
     ClosesConnection,
-    /// It keeps a connection and does not answer in time. Another process may hold its listener.
+    /// It does not answer in time, or not as this run. Another process may hold its listener.
     NoAnswer,
     /// No connection was established in time.
     NoConnection,
 }
 
+impl Life {
+    /// Returns whether the run lives, by what is known so far.
+    pub(crate) fn seems_alive(self) -> bool {
+        matches!(self, Life::Answers | Life::KeepsConnection)
+    }
+}
+
 /// A check of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LifeCheck {
@@ -29,6 +38,23 @@
     /// Until when an answer was waited for.
     pub(crate) until: Instant,
     pub(crate) found: Life,
+    /// When the connection was established on which it was found, if only that tells the run from a later one.
+    pub(crate) established_at: Option<Instant>,
+}
+
+/// What is known of the run that sent an answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sign {
+    pub(crate) life: Life,
+    /// Since when the run that shows it is known to be there, if only that tells it from a later one.
+    pub(crate) since: Option<Instant>,
+}
+
+impl Sign {
+    /// Creates a sign that does not depend on when the run was there.
+    pub(crate) fn new(life: Life) -> Sign {
+        Sign { life, since: None }
+    }
 }
 
 impl LifeCheck {
@@ -37,4 +63,18 @@
         let waited = matches!(self.found, Life::NoAnswer | Life::NoConnection);
         self.started_at > asked_at && (!waited || self.until + MAX_LESS_TIME >= until)
     }
+
+    /// Returns what the check shows of the run that was there at a time.
+    pub(crate) fn sign_of(&self, alive_at: Instant) -> Sign {
+        let since = self
+            .established_at
+            .map(|established_at| established_at + ACCEPT_TIME);
+        if self.found.seems_alive() && since.is_some_and(|since| since > alive_at) {
+            return Sign::new(Life::NoAnswer);
+        }
+        Sign {
+            life: self.found,
+            since,
+        }
+    }
 }
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -13,15 +13,18 @@
 use crate::endpoint_state::EndpointState;
 use crate::life::check_life;
 use crate::life_check::Life;
-use crate::other_answers::goes_on;
+use crate::other_answers::{EndTime, goes_on};
 use crate::peer_choice::peer_addrs;
 use crate::request_context::RequestContext;
 
 const QUESTION_FIELD: &str = "Rosemary-Life";
 
-/// Set by a peer to which the run itself has answered.
+/// Set by a peer to which an endpoint with the identifier has answered, for builds that know no more.
 const PROOF_FIELD: &str = "Rosemary-Life-Proof";
 
+/// What a peer knows of the run itself, if it lives.
+const RUN_FIELD: &str = "Rosemary-Life-Run";
+
 /// How long a peer has to answer.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
@@ -37,8 +40,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Finding {
     Unknown,
-    /// Its run answers one of them.
+    /// Its run lives, and refuses their connections too.
     Lives,
+    /// Its run answers one of them, which could open a connection.
+    Reached,
     /// Another run answers or is listed at its address.
     Ended,
 }
@@ -52,6 +57,31 @@
     started_ms: Option<u64>,
     /// Its address.
     addr: SocketAddr,
+    /// How long ago the run was known to be there, in milliseconds.
+    #[serde(default)]
+    alive_ms_ago: u64,
+}
+
+/// What a peer knows of a run that lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct LifeProof {
+    /// For how long the run that shows this is known to have been there, in microseconds, if only that tells it
+    /// from a later one.
+    age_us: Option<u64>,
+    /// Whether the peer could open a connection to it.
+    is_reached: bool,
+}
+
+impl LifeProof {
+    /// Returns what this shows of a run that was there some time ago.
+    fn finding(self, alive_ago: Duration) -> Finding {
+        let age = self.age_us.map(Duration::from_micros);
+        match self.is_reached {
+            _ if age.is_some_and(|age| age <= alive_ago) => Finding::Unknown,
+            true => Finding::Reached,
+            false => Finding::Lives,
+        }
+    }
 }
 
 /// Asks peers whether an endpoint lives.
@@ -59,12 +89,14 @@
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
+    end: EndTime,
     deadline: Instant,
 ) -> Finding {
     let question = LifeQuestion {
         endpoint: endpoint.id.to_string(),
         started_ms: endpoint.started_ms,
         addr: endpoint.addr,
+        alive_ms_ago: end.alive_at.elapsed().as_millis() as u64,
     };
     let mut headers = Headers::default();
     headers.push("Host", &*context.settings.name);
@@ -80,8 +112,8 @@
     let until = deadline.min(Instant::now() + ANSWER_TIME);
     // The second one answers if the first is cut off as well.
     let answers = zip(
-        ask_peer(endpoint, peers.next(), &bytes, until),
-        ask_peer(endpoint, peers.next(), &bytes, until),
+        ask_peer(endpoint, peers.next(), &bytes, end, until),
+        ask_peer(endpoint, peers.next(), &bytes, end, until),
     );
     let (first, second) = answers.await;
     first.max(second)
@@ -92,13 +124,14 @@
     endpoint: &Endpoint,
     addr: Option<SocketAddr>,
     question: &[u8],
+    end: EndTime,
     until: Instant,
 ) -> Finding {
     let Some(addr) = addr else {
         return Finding::Unknown;
     };
     let answer = Exchange::start(addr, until, until, "GET", question, &Bytes::new()).await;
-    let head = match answer {
+    let mut head = match answer {
         Ok((_, head)) => head,
         Err(err) => {
             tracing::info!(%addr, error = %err, "life: no answer of a peer");
@@ -106,11 +139,12 @@
         }
     };
     let status = head.status;
-    tracing::info!(endpoint = &*endpoint.id, %addr, status, "life: answer of a peer");
-    match status {
-        // Builds before health checks vouch for an endpoint whose address keeps a connection.
-        LIVES if head.headers.get(PROOF_FIELD).is_some() => Finding::Lives,
-        ENDED => Finding::Ended,
+    // Builds before this one vouch for the run that has the identifier by now.
+    let proof: Option<LifeProof> = take(RUN_FIELD, &mut head.headers);
+    tracing::info!(endpoint = &*endpoint.id, %addr, status, ?proof, "life: answer of a peer");
+    match (status, proof) {
+        (LIVES, Some(proof)) => proof.finding(end.alive_at.elapsed()),
+        (ENDED, _) => Finding::Ended,
         _ => Finding::Unknown,
     }
 }
@@ -131,16 +165,28 @@
     let state = context.endpoint_states.of(endpoint);
     let until = Instant::now() + CHECK_TIME;
     let asked_ms = context.now_ms();
-    let found = check_life(context, endpoint, &state, 0, until).await;
-    let lives = match found {
-        Life::Answers => true,
+    let now = Instant::now();
+    let alive_ago = Duration::from_millis(question.alive_ms_ago);
+    let end = EndTime {
+        ended_ms: asked_ms,
+        alive_at: now.checked_sub(alive_ago).unwrap_or(now),
+        ended_calls: 0,
+    };
+    let sign = check_life(context, endpoint, &state, end, until).await;
+    let since = match sign.life {
+        Life::Answers => sign.since,
         Life::Replaced => return Some(Response::new(ENDED)),
-        _ => goes_on(context, &state, asked_ms, 0, until).await,
+        _ => match goes_on(context, &state, end, until).await {
+            Some(sign) => sign.since,
+            None => return Some(Response::new(UNKNOWN)),
+        },
     };
-    let response = if lives {
-        Response::new(LIVES).header(PROOF_FIELD, "1")
-    } else {
-        Response::new(UNKNOWN)
+    let connected_ms = state.connected_ms();
+    let proof = LifeProof {
+        age_us: since.map(|since| since.elapsed().as_micros() as u64),
+        is_reached: connected_ms.is_some_and(|connected_ms| connected_ms >= asked_ms),
     };
+    let mut response = Response::new(LIVES).header(PROOF_FIELD, "1");
+    set(&proof, RUN_FIELD, &mut response.headers);
     Some(response)
 }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -1,11 +1,13 @@
 //! Handling of one request from its head to its response.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use kernel::{Clock, Failure, Reason, Verdict};
 use limits::FleetSize;
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
@@ -33,6 +35,7 @@
 use crate::stream::Stream;
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
+use crate::witness::Witnessing;
 
 /// Statuses by which callers conclude that a request did not run. They are not forwarded from an
 /// endpoint that ran it.
@@ -324,15 +327,21 @@
         let endpoint_state = started.call_guard.endpoint_state.clone();
         let deadline = request.deadline;
         let whole_body = async {
-            let buffered_bytes = &context.buffered_bytes;
-            let read_at = Instant::now();
-            let body = buffered_bytes.read_to_end(&mut started.exchange).await?;
+            let started_at = Instant::now();
+            let body = read_whole(context, &mut started).await?;
             let StartedResponse {
                 exchange, endpoint, ..
             } = &*started;
+            let follows_silence = started_at.elapsed() >= MIN_SILENCE;
+            let ended_at = Instant::now();
             let doubt = Doubt {
                 may_repeat: request.may_repeat_after_run(),
-                follows_silence: read_at.elapsed() >= MIN_SILENCE,
+                alive_at: if follows_silence {
+                    started_at
+                } else {
+                    ended_at
+                },
+                follows_silence,
             };
             let end = judge_end(context, request, exchange, endpoint, &endpoint_state, doubt).await;
             end.check_whole()?;
@@ -366,6 +375,28 @@
     }
 }
 
+/// Reads a whole body, and has a witness of its endpoint meanwhile if only the end of the connection ends it.
+async fn read_whole(
+    context: &Rc<RequestContext>,
+    started: &mut StartedResponse,
+) -> io::Result<Bytes> {
+    let StartedResponse {
+        exchange,
+        endpoint,
+        call_guard,
+        ..
+    } = started;
+    let ends_with_connection = exchange.ends_with_connection();
+    let reading = context.buffered_bytes.read_to_end(exchange);
+    if !ends_with_connection {
+        return reading.await;
+    }
+    let state = &call_guard.endpoint_state;
+    Witnessing::default()
+        .while_reading(context, endpoint, state, reading)
+        .await
+}
+
 fn record_answered(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
     if started.carried.is_some() {
         return;
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -8,7 +8,8 @@
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::{EndpointKey, EndpointState, EndpointStates};
+use crate::endpoint_state::{EndpointState, EndpointStates};
+use crate::run::Run;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
 
@@ -47,7 +48,7 @@
         let state = endpoint_states.of(endpoint);
         if state.is_misdirected()
             || state.is_leaving()
-            || request.tried.contains(&EndpointKey::of(endpoint))
+            || request.tried.contains(&Run::of(endpoint))
         {
             continue;
         }
@@ -142,7 +143,7 @@
 }
 
 /// Returns this instance's share of the connections to one endpoint, at least 1.
-fn max_connections(endpoint_max: u32, instances: usize) -> u32 {
+pub(crate) fn max_connections(endpoint_max: u32, instances: usize) -> u32 {
     let share = f64::from(endpoint_max) * CONNECTION_SHARE / instances.max(1) as f64;
     (share as u32).max(1)
 }
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -79,6 +79,7 @@
     let now_ms = context.now_ms();
     let view = context.view();
     let states = &context.endpoint_states;
+    states.drop_unused_witnesses();
     let mut targets = Vec::new();
     let mut cut_off = HashSet::new();
     for (service, pool) in &view.pools {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
+use crate::witness::Witnessing;
 
 /// Shortest silence after which a stream is resumed at another endpoint. Callers disconnect after
 /// two seconds at the earliest.
@@ -34,6 +35,24 @@
 /// Minimum number of events for a latency sample.
 const MIN_TIMED_EVENTS: u32 = 4;
 
+/// A while in which nothing of a run arrived.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    began_at: Instant,
+    ended_at: Instant,
+}
+
+impl Silence {
+    /// Returns the time since bytes were last read, if it is a silence.
+    fn until_now(read_at: Instant) -> Option<Silence> {
+        let ended_at = Instant::now();
+        (ended_at >= read_at + MIN_SILENCE).then_some(Silence {
+            began_at: read_at,
+            ended_at,
+        })
+    }
+}
+
 /// A stream to a caller, which can be resumed at another endpoint.
 pub(crate) struct Stream {
     context: Rc<RequestContext>,
@@ -47,9 +66,10 @@
     is_continuation: bool,
     /// Whether the last run that brought events may have ended as a whole, which is not known.
     may_be_whole: bool,
-    /// When bytes of the current run were last read, and when a silence of it last ended.
+    /// When bytes of the current run were last read, and its last silence.
     read_at: Instant,
-    silence_ended: Option<Instant>,
+    silence: Option<Silence>,
+    witnessing: Witnessing,
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
@@ -84,7 +104,8 @@
             is_continuation: false,
             may_be_whole: false,
             read_at: Instant::now(),
-            silence_ended: None,
+            silence: None,
+            witnessing: Witnessing::default(),
             events: 0,
             run_started: Instant::now(),
             earlier_runs: 0,
@@ -142,14 +163,12 @@
             } else {
                 (Instant::now() + self.stall_timeout()).min(self.request.deadline)
             };
-            let read = timeout_at(until, self.response.exchange.next()).await;
-            self.record_read();
+            let read = timeout_at(until, self.read_bytes()).await;
             match read? {
                 Some(bytes) => {
-                    self.response
-                        .call_guard
-                        .endpoint_state
-                        .record_received(self.context.now_ms());
+                    self.record_read();
+                    let now_ms = self.context.now_ms();
+                    self.response.call_guard.record_received(now_ms);
                     self.splitter.push(&bytes);
                 }
                 None if self.splitter.is_empty() => {
@@ -161,13 +180,29 @@
         }
     }
 
-    /// Records that bytes or the end of the current run were read.
-    fn record_read(&mut self) {
-        let now = Instant::now();
-        if now >= self.read_at + MIN_SILENCE {
-            self.silence_ended = Some(now);
+    /// Reads the next bytes of the current run, and has a witness of it meanwhile if only the end of the
+    /// connection is to end it.
+    async fn read_bytes(&mut self) -> io::Result<Option<Bytes>> {
+        let StartedResponse {
+            exchange,
+            endpoint,
+            call_guard,
+            ..
+        } = &mut *self.response;
+        if !exchange.ends_with_connection() {
+            return exchange.next().await;
         }
-        self.read_at = now;
+        let state = &call_guard.endpoint_state;
+        self.witnessing
+            .while_reading(&self.context, endpoint, state, exchange.next())
+            .await
+    }
+
+    /// Records that bytes of the current run were read.
+    fn record_read(&mut self) {
+        let silence = Silence::until_now(self.read_at);
+        self.silence = silence.or(self.silence);
+        self.read_at = Instant::now();
     }
 
     /// Checks that the current run is complete.
@@ -183,10 +218,13 @@
         } = &*self.response;
         let state = &call_guard.endpoint_state;
         let brings_nothing = exchange.ends_with_connection() && exchange.is_empty();
-        let silence_ended = self.silence_ended;
+        let silence = Silence::until_now(self.read_at).or(self.silence);
+        let silence = silence.filter(|silence| silence.ended_at.elapsed() < MIN_SILENCE);
+        let alive_at = silence.map_or_else(Instant::now, |silence| silence.began_at);
         let doubt = Doubt {
             may_repeat: self.request.may_repeat_after_run() && !self.has_unnumbered,
-            follows_silence: silence_ended.is_some_and(|ended| ended.elapsed() < MIN_SILENCE),
+            alive_at,
+            follows_silence: silence.is_some(),
         };
         let end = if self.may_be_whole && brings_nothing {
             judge_life(&self.context, &mut self.request, endpoint, state, doubt).await
@@ -311,7 +349,8 @@
         self.is_continuation = true;
         self.events = 0;
         self.read_at = Instant::now();
-        self.silence_ended = None;
+        self.silence = None;
+        self.witnessing = Witnessing::default();
         self.run_started = Instant::now();
     }
 
--- a/crates/serve/tests/common/cuts.rs
+++ b/crates/serve/tests/common/cuts.rs
@@ -26,6 +26,22 @@
     heads: Vec<String>,
 }
 
+/// Answers the request of a connection.
+fn respond(mut stream: TcpStream, shared: &Mutex<Script>) {
+    let Some(head) = read_head(&mut stream) else {
+        return;
+    };
+    if answer_health(&mut stream, &head, Health::After(0), None) {
+        return;
+    }
+    let mut script = shared.lock().unwrap();
+    let answer = (script.answering)(&head);
+    script.heads.push(head);
+    let close = script.close;
+    drop(script);
+    end_after(stream, &answer, close);
+}
+
 /// An endpoint or a peer that answers one request for each connection by a script that can be replaced.
 pub struct Responder {
     pub addr: SocketAddr,
@@ -44,19 +60,9 @@
         }));
         let shared = script.clone();
         std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let Some(head) = read_head(&mut stream) else {
-                    continue;
-                };
-                if answer_health(&mut stream, &head, Health::After(0)) {
-                    continue;
-                }
-                let mut script = shared.lock().unwrap();
-                let answer = (script.answering)(&head);
-                script.heads.push(head);
-                let close = script.close;
-                drop(script);
-                end_after(stream, &answer, close);
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                std::thread::spawn(move || respond(stream, &shared));
             }
         });
         Responder { addr, script }
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -129,11 +129,21 @@
         format!("GET {path} HTTP/1.1\r\nx-health: {}\r\n\r\n", endpoint.id).into_bytes()
     }
 
-    fn decode_health(&self, endpoint: &Endpoint, head: &ResponseHead) -> Responder {
-        match head.headers.get("x-instance") {
-            Some(id) if *id == *endpoint.id => Responder::Run,
-            Some(_) => Responder::OtherRun,
-            None => Responder::Unknown,
+    fn encode_report_request(&self, endpoint: &Endpoint) -> Vec<u8> {
+        format!("GET /report HTTP/1.1\r\nx-report: {}\r\n\r\n", endpoint.id).into_bytes()
+    }
+
+    fn decode_responder(
+        &self,
+        _endpoint: &Endpoint,
+        head: &ResponseHead,
+        _body: &[u8],
+    ) -> Responder {
+        let started = head.headers.get("x-started");
+        Responder {
+            id: head.headers.get("x-instance").map(Into::into),
+            started_ms: started.and_then(|text| text.parse().ok()),
+            ..Responder::default()
         }
     }
 }
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -23,11 +23,17 @@
     AwaitRequests(usize),
     /// Closes the connection with a reset.
     Reset,
-    /// Ends the endpoint as the kernel ends a process: its listener and then its connection are closed.
+    /// Ends the endpoint as the kernel ends a process: its listener and then its connections are closed.
     Exit,
     /// Ends an endpoint before which a backlog or a proxy still accepts connections, and closes them at
     /// once.
     ExitBehindListener,
+    /// Refuses further connections, as an endpoint that leaves, and goes on with those it has.
+    RefuseConnections,
+    /// Closes further connections at once, as an endpoint that is full, and goes on with those it has.
+    CloseFurtherConnections,
+    /// Closes all connections, as a path that is cut, while the run of the endpoint goes on.
+    CloseAllConnections,
     /// Ends an endpoint whose listener is closed after these milliseconds, and keeps the connections that
     /// were accepted until then.
     ExitKeepingConnections(u64),
@@ -56,17 +62,20 @@
     connections: HashMap<usize, TcpStream>,
     /// When it listens.
     listens_at: Instant,
+    /// When it started, in milliseconds, if its reports say so.
+    started_ms: Option<u64>,
 }
 
 impl Run {
-    fn new(start_time: Duration) -> Run {
+    fn new(start_time: Duration, started_ms: Option<u64>) -> Run {
         Run {
             connections: HashMap::new(),
             listens_at: Instant::now() + start_time,
+            started_ms,
         }
     }
 
-    /// Ends this run as the kernel ends a process.
+    /// Closes its connections, as the kernel does when a process ends.
     fn end(&self) {
         for connection in self.connections.values() {
             // It may have ended before.
@@ -75,13 +84,20 @@
     }
 }
 
-/// Answers a health check for the run that it names, and returns whether the request is one.
-pub fn answer_health(stream: &mut TcpStream, head: &str, health: Health) -> bool {
-    let mut lines = head.lines();
-    let Some(id) = lines.find_map(|line| line.strip_prefix("x-health: ")) else {
+/// Answers a health check or a request for a report, and returns whether the request is one. Only a report says
+/// when the run started, in milliseconds, if it does.
+pub fn answer_health(
+    stream: &mut TcpStream,
+    head: &str,
+    health: Health,
+    started_ms: Option<u64>,
+) -> bool {
+    let asked = |field| head.lines().find_map(|line| line.strip_prefix(field));
+    let report = asked("x-report: ");
+    let Some(id) = asked("x-health: ").or(report) else {
         return false;
     };
-    let id = match health {
+    let mut fields = match health {
         Health::After(ms) => {
             std::thread::sleep(Duration::from_millis(ms));
             format!("x-instance: {id}\r\n")
@@ -90,7 +106,10 @@
         Health::Proxy => String::new(),
         Health::Closes => return true,
     };
-    let text = format!("HTTP/1.1 200 OK\r\n{id}Content-Length: 0\r\n\r\n");
+    if let Some(started_ms) = started_ms.filter(|_| report.is_some()) {
+        fields.push_str(&format!("x-started: {started_ms}\r\n"));
+    }
+    let text = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
     // The instance may have given up.
     let _ = stream.write_all(text.as_bytes());
     true
@@ -164,6 +183,7 @@
     pub endless_bytes: Arc<AtomicU64>,
     health: Arc<Mutex<Health>>,
     health_checks: Arc<AtomicUsize>,
+    run: Arc<Mutex<Run>>,
 }
 
 impl ScriptedEndpoint {
@@ -181,7 +201,8 @@
         let listener = Arc::new(listener);
         let has_exited: Arc<AtomicBool> = Arc::default();
         let keeps_connections: Arc<AtomicBool> = Arc::default();
-        let run = Arc::new(Mutex::new(Run::new(Duration::ZERO)));
+        let run = Arc::new(Mutex::new(Run::new(Duration::ZERO, None)));
+        let first_run = run.clone();
         std::thread::spawn(move || {
             let mut kept = Vec::new();
             for stream in listener.incoming() {
@@ -201,6 +222,7 @@
                 let scripts = scripts.clone();
                 let seen = seen.clone();
                 let (health, checks) = (current_health.clone(), checks.clone());
+                let current_run = run.clone();
                 let written = written.clone();
                 let exit = Exit {
                     listener: listener.clone(),
@@ -213,7 +235,8 @@
                         return;
                     };
                     let health = *health.lock().unwrap();
-                    if answer_health(&mut stream, &head, health) {
+                    let started_ms = current_run.lock().unwrap().started_ms;
+                    if answer_health(&mut stream, &head, health, started_ms) {
                         checks.fetch_add(1, Ordering::SeqCst);
                         return;
                     }
@@ -236,9 +259,15 @@
             endless_bytes,
             health,
             health_checks,
+            run: first_run,
         }
     }
 
+    /// Makes its reports say when its run started, in milliseconds.
+    pub fn set_started(&self, started_ms: u64) {
+        self.run.lock().unwrap().started_ms = Some(started_ms);
+    }
+
     /// Sets how it answers health checks.
     pub fn set_health(&self, health: Health) {
         *self.health.lock().unwrap() = health;
@@ -330,7 +359,8 @@
     /// Replaces the run by another that listens after a time.
     fn start_again(&self, start_time: Duration) {
         let mut run = self.run.lock().unwrap();
-        let ended = std::mem::replace(&mut *run, Run::new(start_time));
+        let started_ms = run.started_ms.map(|started_ms| started_ms + 1);
+        let ended = std::mem::replace(&mut *run, Run::new(start_time, started_ms));
         ended.end();
     }
 }
@@ -373,10 +403,18 @@
             }
             Step::Exit => {
                 exit.close_listener();
+                exit.run.lock().unwrap().end();
+                return;
+            }
+            Step::RefuseConnections => exit.close_listener(),
+            Step::CloseFurtherConnections => exit.has_exited.store(true, Ordering::SeqCst),
+            Step::CloseAllConnections => {
+                exit.run.lock().unwrap().end();
                 return;
             }
             Step::ExitKeepingConnections(linger_ms) => {
                 exit.keeps_connections.store(true, Ordering::SeqCst);
+                exit.run.lock().unwrap().end();
                 drop((connection, stream));
                 std::thread::sleep(Duration::from_millis(linger_ms));
                 exit.close_listener();
@@ -388,6 +426,7 @@
             }
             Step::ExitBehindListener => {
                 exit.has_exited.store(true, Ordering::SeqCst);
+                exit.run.lock().unwrap().end();
                 return;
             }
         }
--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -136,7 +136,7 @@
             std::thread::sleep(behavior.kept_time);
             return;
         }
-        if answer_health(&mut stream, &head, Health::After(0)) {
+        if answer_health(&mut stream, &head, Health::After(0), None) {
             return;
         }
         log.connections.extend(stream.try_clone());
--- a/crates/serve/tests/fragmented_answers.rs
+++ b/crates/serve/tests/fragmented_answers.rs
@@ -50,7 +50,7 @@
     let Some(head) = read_head(&mut stream) else {
         return;
     };
-    if answer_health(&mut stream, &head, Health::After(0)) {
+    if answer_health(&mut stream, &head, Health::After(0), None) {
         return;
     }
     stream.set_nodelay(true).unwrap();
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -123,16 +123,27 @@
         (RetrySafety::NonIdempotentStream, false, 1..=3, 0),
     ];
     for (safety, is_complete, expected, sends) in cases {
-        for start_ms in [0, 20, 300] {
-            let name = format!("{safety:?}, {start_ms} ms");
+        for (length_ms, start_ms, says_start) in [
+            (150, 0, false),
+            (150, 20, false),
+            (150, 300, false),
+            (150, 20, true),
+            (0, 0, false),
+            (0, 20, false),
+            (0, 20, true),
+        ] {
+            let name = format!("{safety:?}, {length_ms} ms, {start_ms} ms, {says_start}");
             let script = vec![
                 unframed_head(),
                 unframed_events(1..=2),
-                Step::Sleep(150),
+                Step::Sleep(length_ms),
                 unframed_events(3..=3),
                 Step::StartAgain(start_ms),
             ];
             let first = ScriptedEndpoint::start(vec![script]);
+            if says_start {
+                first.set_started(1_000);
+            }
             let rest = vec![stream_head(90), events(4..=6), stream_end()];
             let second = ScriptedEndpoint::start(vec![rest]);
             let harness = Harness::new(route(safety), &[first.addr, second.addr], 10.0);
@@ -278,7 +289,7 @@
 /// connections, and goes on with the answers that it has begun.
 #[test]
 fn a_whole_stream_of_an_endpoint_that_goes_on_with_others_ends_as_complete() {
-    for turns_away in [Step::ExitBehindListener, Step::Exit] {
+    for turns_away in [Step::CloseFurtherConnections, Step::RefuseConnections] {
         let name = format!("{turns_away:?}");
         let mut long = vec![stream_head(90), events(1..=1), Step::AwaitRequests(2)];
         for id in 2..=8 {
@@ -287,6 +298,7 @@
         long.push(stream_end());
         let short = vec![unframed_head(), unframed_events(1..=3), turns_away];
         let endpoint = ScriptedEndpoint::start(vec![long, short]);
+        endpoint.set_health(Health::Closes);
         let harness = Harness::new(
             route(RetrySafety::NonIdempotentStream),
             &[endpoint.addr],
@@ -313,6 +325,7 @@
         ];
         let endpoint = ScriptedEndpoint::start(vec![script]);
         let route = route(RetrySafety::NonIdempotentStream);
+        endpoint.set_started(1_000);
         let addrs = vec![endpoint.addr];
         let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
         fleet.instances[0].list_starts(&[1_000]);
@@ -461,8 +474,13 @@
         long.extend([Step::Sleep(50), events(id..=id)]);
     }
     long.push(stream_end());
-    let short = vec![unframed_head(), unframed_events(1..=3), Step::Exit];
+    let short = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::RefuseConnections,
+    ];
     let endpoint = ScriptedEndpoint::start(vec![long, short]);
+    endpoint.set_health(Health::Closes);
     let route = route(RetrySafety::NonIdempotentStream);
     let addrs = vec![endpoint.addr];
     let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
