serve: Do not take the end of a path for the end of an answer

A path that closes the connections of one instance (a relay that ends, a proxy) ends its streams as their endpoint would, and the endpoint, which lives, vouched for them: by a new connection from here, or to a peer.

Cause: the life of an endpoint taken for proof that the endpoint ended the answer. Two signs tell of a path. The idle connection to the endpoint ended with the answer, and the run answers on a new one. Or this instance gets no connection and a peer does, and nothing known before the end explains that: the endpoint leaves, wants no requests, or had refused connections for 250 ms while the answer went on. Then the answer is in doubt: it is resumed where it may be, and reset otherwise.

Ruled out: asking a further run at each end, which repeats whole streams and draws on the retry budget.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -30,11 +30,17 @@
 /// The call whose answer ended is still counted.
 const ENDED_CALLS: u32 = 1;
 
+/// How long before the end of an answer new connections must have failed, in milliseconds, if the end is not
+/// to be that of a path.
+const MIN_CUT_MS: u64 = 250;
+
 /// What makes an end more or less doubtful.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Doubt {
     /// Whether a further run may tell whether the answer was whole, so that proof is not waited for.
     pub(crate) may_repeat: bool,
+    /// When the last bytes of the answer were read, in milliseconds.
+    pub(crate) read_ms: u64,
     /// Until when its run is known to have been there.
     pub(crate) alive_at: Instant,
     /// Whether nothing of the answer arrived for a while shortly before its end. A cut, or a pause of this
@@ -141,12 +147,14 @@
         ended_calls: ENDED_CALLS,
     };
     let until = request.deadline.min(ended_at + doubt.proof_time());
+    let explains_refusal = explains_refusal(context, endpoint, state, doubt);
     let own = check_life(context, endpoint, state, end, until).await.life;
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
         started_ms = endpoint.started_ms,
         ?own,
+        explains_refusal,
         "life: check of an endpoint"
     );
     let seems_alive = own.seems_alive();
@@ -154,7 +162,7 @@
         return AnswerEnd::Whole;
     }
     let was_asked = own != Life::NoAnswer || ended_at.elapsed() >= MIN_ASKING_TIME;
-    let may_have_ended = !seems_alive && was_asked;
+    let may_have_ended = !seems_alive && own != Life::LostConnection && was_asked;
     if may_have_ended {
         // Peers are to learn in time what may have crashed it.
         request.record_end_of_endpoint(endpoint, state, end.ended_ms);
@@ -162,6 +170,7 @@
     }
     let peers = match own {
         Life::Replaced => Finding::Ended,
+        Life::LostConnection => Finding::Unknown,
         _ => ask_peers(context, endpoint, state, end, request.deadline).await,
     };
     tracing::info!(
@@ -176,6 +185,10 @@
             let message = "another run of an endpoint listens at the address";
             return AnswerEnd::CutShort(truncated(message));
         }
+        // Only the path of this instance is cut, so that the path may have ended the answer.
+        Finding::Reached if own.is_unreached() && !explains_refusal => {
+            state.record_life(Some(context.now_ms()), context.now_ms());
+        }
         Finding::Reached | Finding::Lives => {
             state.record_life(Some(context.now_ms()), context.now_ms());
             return AnswerEnd::Whole;
@@ -193,6 +206,21 @@
     )))
 }
 
+/// Returns whether it was known before the end of an answer why its endpoint would refuse connections: it
+/// leaves, wants no requests, or had been out of reach for this instance while the answer went on.
+fn explains_refusal(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+    doubt: Doubt,
+) -> bool {
+    let since_ms = state.out_of_reach_since_ms();
+    endpoint.draining
+        || state.is_leaving()
+        || state.wanted_pause_ms(context.now_ms()) > 0
+        || since_ms.is_some_and(|since_ms| since_ms + MIN_CUT_MS <= doubt.read_ms)
+}
+
 fn truncated(message: &str) -> io::Error {
     io::Error::new(io::ErrorKind::UnexpectedEof, message)
 }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -364,6 +364,7 @@
                 .await;
             let doubt = Doubt {
                 may_repeat: self.may_retry(),
+                read_ms: now_ms,
                 alive_at: Instant::now(),
                 follows_silence: false,
             };
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -239,6 +239,12 @@
         self.connected_ms.get()
     }
 
+    /// Returns since when no connection to the endpoint was established, in milliseconds, if the last one was
+    /// not.
+    pub(crate) fn out_of_reach_since_ms(&self) -> Option<u64> {
+        self.out_of_reach_since_ms.get()
+    }
+
     /// Returns whether no connection to the endpoint was established since one was not.
     pub(crate) fn is_out_of_reach(&self) -> bool {
         self.out_of_reach_since_ms.get().is_some()
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -106,6 +106,7 @@
         let health_path = service
             .filter(|_| wants_checks)
             .map(|service| &*service.health_path);
+        let mut has_lost = false;
         match self.state.witness.take() {
             Testimony::Open(socket, established_at) => {
                 if wants_checks {
@@ -117,15 +118,22 @@
                     let established_at = by_connection.then_some(established_at);
                     return self.check(started_at, found, established_at);
                 }
+                has_lost = true;
             }
-            Testimony::Closed | Testimony::None => {}
+            Testimony::Closed => has_lost = true,
+            Testimony::None => {}
         }
         let started_at = Instant::now();
         let found = match health_path {
             Some(path) => Box::pin(self.ask_on_new_connection(path)).await,
             None => Box::pin(self.connect()).await,
         };
-        self.check(started_at, found, None)
+        match found {
+            Life::Answers | Life::KeepsConnection if has_lost => {
+                self.check(started_at, Life::LostConnection, None)
+            }
+            _ => self.check(started_at, found, None),
+        }
     }
 
     fn check(
--- a/crates/serve/src/life_check.rs
+++ b/crates/serve/src/life_check.rs
@@ -16,6 +16,8 @@
     Replaced,
     /// It is not asked, as it wants no more requests, and keeps a connection.
     KeepsConnection,
+    /// The run answers on a new connection, but its idle one ended with the answer.
+    LostConnection,
     RefusesConnection,
     ClosesConnection,
     /// It does not answer in time, or not as this run. Another process may hold its listener.
@@ -29,6 +31,14 @@
     pub(crate) fn seems_alive(self) -> bool {
         matches!(self, Life::Answers | Life::KeepsConnection)
     }
+
+    /// Returns whether no new connection to the endpoint could be used.
+    pub(crate) fn is_unreached(self) -> bool {
+        matches!(
+            self,
+            Life::RefusesConnection | Life::ClosesConnection | Life::NoConnection
+        )
+    }
 }
 
 /// A check of an endpoint.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -336,6 +336,7 @@
             let ended_at = Instant::now();
             let doubt = Doubt {
                 may_repeat: request.may_repeat_after_run(),
+                read_ms: context.ms_at(exchange.read_at()),
                 alive_at: if follows_silence {
                     started_at
                 } else {
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use kernel::Clock;
@@ -66,6 +67,12 @@
         self.clock.mono_ms()
     }
 
+    /// Returns the monotonic time at a moment that has passed, in milliseconds.
+    pub(crate) fn ms_at(&self, at: Instant) -> u64 {
+        self.now_ms()
+            .saturating_sub(at.elapsed().as_millis() as u64)
+    }
+
     pub(crate) fn record_request(&self, service: &Arc<str>) {
         let now_ms = self.now_ms();
         self.fleet(now_ms);
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -223,6 +223,7 @@
         let alive_at = silence.map_or_else(Instant::now, |silence| silence.began_at);
         let doubt = Doubt {
             may_repeat: self.request.may_repeat_after_run() && !self.has_unnumbered,
+            read_ms: self.context.ms_at(self.read_at),
             alive_at,
             follows_silence: silence.is_some(),
         };
