serve: Take a stream for whole that a later run sent before it was listed

Callers got whole streams reset: where an endpoint starts again under its id and the registry tells of it late, the next run gets requests that are meant for the earlier one, and its streams end after the registry has told of it. The end was then judged for the run that had been listed, which has a successor, and the stream counted as cut short.

The run that answers on a connection from before the end, or goes on with answers from before it, is the one that sent the stream, whatever it is listed as. Only proof that rests on what is listed is overruled by a successor.

a_whole_stream_of_a_later_run_that_was_not_listed_yet_ends_as_complete failed before.

--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -46,8 +46,10 @@
     let found = check_address(context, endpoint, state, end, until)
         .or(other_answers)
         .await;
+    // Until the registry told of a later run, that one may have sent the answer.
+    let is_witnessed = found.life == Life::Answers && found.since.is_some();
     let view = context.view();
-    if view.has_successor(endpoint.addr, endpoint.started_ms) {
+    if !is_witnessed && view.has_successor(endpoint.addr, endpoint.started_ms) {
         return Sign::new(Life::Replaced);
     }
     found
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -313,6 +313,29 @@
     assert_eq!(ids(&received.body), (1..=6).collect::<Vec<_>>());
 }
 
+/// Guards against resetting whole streams that a later run sent before the registry told of it.
+#[test]
+fn a_whole_stream_of_a_later_run_that_was_not_listed_yet_ends_as_complete() {
+    let mut script = vec![unframed_head()];
+    for id in 1..=4 {
+        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
+    }
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    let harness = Harness::new(
+        route(RetrySafety::NonIdempotentStream),
+        &[endpoint.addr],
+        10.0,
+    );
+    harness.list_starts(&[1_000]);
+    let listing = async {
+        Timer::after(Duration::from_millis(200)).await;
+        harness.list_starts(&[2_000]);
+    };
+    let (received, ()) = block_on(zip(harness.send_to("/x/1", &[]), listing));
+    assert!(received.is_complete);
+    assert_eq!(ids(&received.body), [1, 2, 3, 4]);
+}
+
 /// Issue 59, LOST: an instance that could open no connections to the endpoints reset whole streams, though
 /// its peers reach those, and repeats of all of them are more than the budget allows.
 #[test]
