serve: Date the next idle connection by when it was established

Callers got whole streams reset that ended 50 to 100 ms after another of the same endpoint: the idle connection that takes the place of the one that is asked counted as opened 50 ms late, as it was set after the time in which further ends gather. It is set when it is established.

--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -6,7 +6,6 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::zip;
 use relay::{Exchange, ExchangeError, Socket, timeout_at};
 
 use crate::call_record::{record_connected, record_unreachable};
@@ -155,10 +154,12 @@
     /// Opens another idle connection. It can show the life of the run once the run has accepted it, so that
     /// further ends until then are to share this check.
     async fn replace_witness(&self) {
-        let opening = reach::connect(self.context, self.endpoint, self.state);
-        let accepting = Timer::after(ACCEPT_TIME);
-        let (opened, _) = zip(opening, accepting).await;
+        let opened = reach::connect(self.context, self.endpoint, self.state).await;
+        let is_open = opened.is_ok();
         self.state.witness.set(opened);
+        if is_open {
+            Timer::after(ACCEPT_TIME).await;
+        }
     }
 
     /// Asks on an idle connection, or only waits whether it is kept if the endpoint wants no more requests.
