serve: Let the bytes of a later run excuse a crash only until it is listed

Cause: until the registry tells, answers of the next run are recorded for the run that crashed. The first one that was sent after the break counted as a sign of life and as a survival of the part, which forgets its crashes at all endpoints and instances.

Bytes of an answer that began after a break show that either a living run had a broken connection or the next run answers. So they leave out the crash of this endpoint for now, and nothing else. If a later run under the id is listed within 2 s of them, the crash counts again at its own time; if none is, the crash is taken back as before. Bytes of answers that began before the break, and checks that identified the run, take it back at once as before.

Ruled out: to drop these signs. To ask the run costs a request per break at an endpoint that may have just crashed.

Not covered: two crashes under one id before the registry tells of either bear the same hash and count once. A start whose call this instance gave up before the crash still counts as survived by bytes of the next run.

--- a/crates/limits/src/crash_guard.rs
+++ b/crates/limits/src/crash_guard.rs
@@ -131,6 +131,20 @@
     /// If one of them is known to crash endpoints, the others are not held responsible.
     pub fn record_crash(&mut self, subjects: &[Subject], crash: Crash) {
         self.count_start(subjects, true);
+        self.restore_crash(subjects, crash);
+    }
+
+    /// Leaves out the crash of an endpoint, by the hash of its run, that is not certain. Blocks stay.
+    pub fn excuse_crash(&mut self, subjects: &[Subject], endpoint: u64) {
+        for subject in subjects {
+            if let Some(history) = self.own.get_mut(subject) {
+                history.remove_crash(endpoint);
+            }
+        }
+    }
+
+    /// Counts a crash again that was left out.
+    pub fn restore_crash(&mut self, subjects: &[Subject], crash: Crash) {
         let mut known = subjects.iter().copied();
         if let Some(part) = known.find(|subject| !subject.is_request() && self.is_blocked(subject))
         {
@@ -163,9 +177,7 @@
                 self.record_survival(&[*subject], now_ms);
                 continue;
             }
-            if let Some(history) = self.own.get_mut(subject) {
-                history.remove_crash(endpoint);
-            }
+            self.excuse_crash(&[*subject], endpoint);
         }
     }
 
--- a/crates/limits/tests/crash_guard.rs
+++ b/crates/limits/tests/crash_guard.rs
@@ -164,6 +164,33 @@
     assert!(!decides_to_block(&mut guard, BAD, 3_200));
 }
 
+/// Guards against forgetting the crashes of other endpoints for one that may have lived.
+#[test]
+fn a_crash_that_is_left_out_counts_again_at_its_own_time() {
+    let mut guard = CrashGuard::default();
+    for now_ms in [1_000, 2_000, 3_000] {
+        guard.record_crash(&[BAD], crash(now_ms));
+    }
+    guard.excuse_crash(&[BAD], crash(2_000).endpoint);
+    assert!(!decides_to_block(&mut guard, BAD, 3_200));
+    guard.restore_crash(&[BAD], crash(2_000));
+    assert!(decides_to_block(&mut guard, BAD, 3_300));
+}
+
+/// As above, but the part has survived meanwhile.
+#[test]
+fn a_crash_that_counts_again_does_not_outlast_a_survival() {
+    let mut guard = CrashGuard::default();
+    guard.record_crash(&[BAD], crash(1_000));
+    guard.excuse_crash(&[BAD], crash(1_000).endpoint);
+    guard.record_survival(&[BAD], 1_500);
+    guard.restore_crash(&[BAD], crash(1_000));
+    for now_ms in [2_000, 3_000] {
+        guard.record_crash(&[BAD], crash(now_ms));
+    }
+    assert!(!decides_to_block(&mut guard, BAD, 3_200));
+}
+
 #[test]
 fn crashes_at_several_instances_block_a_part_at_all_of_them() {
     let mut guards = [
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -325,16 +325,18 @@
         before != division.map(limit)
     }
 
-    /// Records that bytes of any response arrived.
-    pub(crate) fn record_received(&self, now_ms: u64) {
-        self.record_life(None, now_ms);
+    /// Records that the run lives, as proof shows that was asked for at a time, in milliseconds.
+    pub(crate) fn record_life(&self, asked_ms: Option<u64>, now_ms: u64) {
+        self.record_sign(asked_ms, None, now_ms);
     }
 
-    /// Records that the endpoint lives, as bytes on a connection opened at a time, in milliseconds, show, or
-    /// proof that was asked for then. The time may not be known.
-    pub(crate) fn record_life(&self, opened_ms: Option<u64>, now_ms: u64) {
+    /// Records that bytes arrived on a connection opened at a time, in milliseconds, if that is known: of an
+    /// answer that began at a time, or proof that the run itself lives.
+    fn record_sign(&self, opened_ms: Option<u64>, began_ms: Option<u64>, now_ms: u64) {
         self.last_received_ms.set(now_ms);
-        let sign = self.recent_starts.borrow_mut().lives(opened_ms, now_ms);
+        let mut starts = self.recent_starts.borrow_mut();
+        let sign = starts.lives(opened_ms, began_ms, now_ms);
+        drop(starts);
         for key in sign.survived {
             self.crashes.record_survival(key.subjects(), now_ms);
         }
@@ -346,6 +348,17 @@
             self.crashes
                 .retract_pending_crash(key.subjects(), endpoint, now_ms);
         }
+        for key in sign.excused {
+            self.crashes.excuse_crash(key.subjects(), self.shared_hash);
+        }
+    }
+
+    /// Records that a later run is listed, so that this one has ended.
+    fn record_ended(&self, now_ms: u64) {
+        for suspect in self.recent_starts.borrow_mut().ended(now_ms) {
+            let crash = self.crash(suspect.broke_ms);
+            self.crashes.restore_crash(suspect.key.subjects(), crash);
+        }
     }
 
     /// Records that an answer to a request began.
@@ -393,7 +406,8 @@
 
     /// Records the time to the head of a response.
     pub(crate) fn record_head(&self, head_ms: u64, now_ms: u64) {
-        self.record_life(Some(now_ms.saturating_sub(head_ms)), now_ms);
+        let sent_ms = now_ms.saturating_sub(head_ms);
+        self.record_sign(Some(sent_ms), Some(now_ms), now_ms);
         let head_ms = head_ms as f64;
         let mean = self.head_ms.get().unwrap_or(head_ms);
         self.head_ms.set(Some(mean + SMOOTHING * (head_ms - mean)));
@@ -439,8 +453,9 @@
 /// How far the answer to a call has come.
 #[derive(Debug, Default)]
 struct CallProgress {
-    /// When its head arrived.
+    /// When its head arrived, and that in milliseconds.
     began_at: Cell<Option<Instant>>,
+    began_ms: Cell<Option<u64>>,
     /// When its last bytes arrived, in milliseconds.
     received_ms: Cell<u64>,
 }
@@ -477,6 +492,7 @@
     /// Releases the load of reading the prompt, which ends when the response starts.
     pub(crate) fn response_started(&mut self, now_ms: u64) {
         self.progress.began_at.set(Some(Instant::now()));
+        self.progress.began_ms.set(Some(now_ms));
         self.progress.received_ms.set(now_ms);
         let done = self.load - self.load_after_head;
         self.load = self.load_after_head;
@@ -486,7 +502,8 @@
     /// Records that bytes of the response arrived.
     pub(crate) fn record_received(&self, now_ms: u64) {
         self.progress.received_ms.set(now_ms);
-        self.endpoint_state.record_received(now_ms);
+        let began_ms = self.progress.began_ms.get();
+        self.endpoint_state.record_sign(None, began_ms, now_ms);
     }
 }
 
@@ -590,7 +607,11 @@
         let listed: HashSet<Run> = endpoints.map(|endpoint| Run::of(endpoint)).collect();
         let mut states = self.by_key.borrow_mut();
         states.retain(|key, state| {
-            let is_kept = state.is_kept(listed.contains(key), now_ms);
+            let is_listed = listed.contains(key);
+            if !is_listed && listed.iter().any(|run| run.follows(key)) {
+                state.record_ended(now_ms);
+            }
+            let is_kept = state.is_kept(is_listed, now_ms);
             if !is_kept {
                 self.shared_loads.remove(key.shared_hash());
             }
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -16,6 +16,10 @@
 /// in milliseconds: an instance that is short of processor time reads its other connections late.
 const LATE_BYTES_MS: u64 = 500;
 
+/// How long after its first bytes the registry may take to tell of a run that follows under the identifier of
+/// another, in milliseconds.
+const LISTING_MS: u64 = 2_000;
+
 /// The most answers of one endpoint that are remembered.
 const MAX_STARTS: usize = 256;
 
@@ -26,6 +30,34 @@
     pub(crate) began_ms: u64,
 }
 
+/// What is taken for the cause of the end of a run.
+#[derive(Debug, Clone)]
+pub(crate) struct Suspect {
+    pub(crate) key: RequestKey,
+    pub(crate) broke_ms: u64,
+    /// Whether the connection broke before an answer began.
+    is_pending: bool,
+    /// When bytes first came that the run may have sent, or another that follows under its identifier.
+    excused_ms: Option<u64>,
+}
+
+impl Suspect {
+    fn new(key: RequestKey, broke_ms: u64, is_pending: bool) -> Suspect {
+        Suspect {
+            key,
+            broke_ms,
+            is_pending,
+            excused_ms: None,
+        }
+    }
+
+    /// Returns whether the registry has had the time to tell of a run that follows.
+    fn is_cleared(&self, now_ms: u64) -> bool {
+        self.excused_ms
+            .is_some_and(|excused_ms| now_ms > excused_ms + LISTING_MS)
+    }
+}
+
 /// What the bytes of a living endpoint show about answers that it began.
 #[derive(Debug, Default)]
 pub(crate) struct SignOfLife {
@@ -35,16 +67,25 @@
     pub(crate) cleared: Vec<RequestKey>,
     /// As above, but the endpoint may not have begun them.
     pub(crate) cleared_pending: Vec<RequestKey>,
+    /// These are no cause of an end unless a run is listed that follows.
+    pub(crate) excused: Vec<RequestKey>,
+}
+
+impl SignOfLife {
+    fn clear(&mut self, suspect: Suspect) {
+        match suspect.is_pending {
+            true => self.cleared_pending.push(suspect.key),
+            false => self.cleared.push(suspect.key),
+        }
+    }
 }
 
 /// The answers that one run of an endpoint began lately.
 #[derive(Debug, Default)]
 pub(crate) struct RecentStarts {
     starts: VecDeque<Start>,
-    /// Those that began shortly before a connection broke.
-    suspects: Vec<RequestKey>,
-    /// Those whose connection broke before an answer began.
-    pending_suspects: Vec<RequestKey>,
+    /// Those that began shortly before a connection broke, and those whose connection broke before that.
+    suspects: Vec<Suspect>,
     broke_ms: u64,
 }
 
@@ -66,14 +107,18 @@
     }
 
     /// Records that the endpoint sent bytes on a connection opened at a time, in milliseconds, which
-    /// shows that it lives.
-    pub(crate) fn lives(&mut self, opened_ms: Option<u64>, now_ms: u64) -> SignOfLife {
+    /// shows that it lives. Those of an answer that began after a break may be of a run that follows.
+    pub(crate) fn lives(
+        &mut self,
+        opened_ms: Option<u64>,
+        began_ms: Option<u64>,
+        now_ms: u64,
+    ) -> SignOfLife {
         let mut sign = SignOfLife::default();
         let opened_later = opened_ms.is_some_and(|opened_ms| opened_ms > self.broke_ms);
         let is_late = now_ms > self.broke_ms + LATE_BYTES_MS;
         if opened_later || is_late {
-            sign.cleared = std::mem::take(&mut self.suspects);
-            sign.cleared_pending = std::mem::take(&mut self.pending_suspects);
+            self.clear(began_ms, now_ms, &mut sign);
         }
         while let Some(start) = self.starts.front()
             && now_ms >= start.began_ms + SURVIVAL_MS
@@ -84,10 +129,32 @@
         sign
     }
 
+    fn clear(&mut self, began_ms: Option<u64>, now_ms: u64, sign: &mut SignOfLife) {
+        for mut suspect in std::mem::take(&mut self.suspects) {
+            let is_same_run = began_ms.is_none_or(|began_ms| began_ms < suspect.broke_ms);
+            if is_same_run || suspect.is_cleared(now_ms) {
+                sign.clear(suspect);
+                continue;
+            }
+            if suspect.excused_ms.is_none() {
+                suspect.excused_ms = Some(now_ms);
+                sign.excused.push(suspect.key.clone());
+            }
+            self.suspects.push(suspect);
+        }
+    }
+
+    /// Records that the run has ended, and returns what was excused and may have ended it.
+    pub(crate) fn ended(&mut self, now_ms: u64) -> Vec<Suspect> {
+        let mut suspects = std::mem::take(&mut self.suspects);
+        suspects.retain(|suspect| suspect.excused_ms.is_some() && !suspect.is_cleared(now_ms));
+        suspects
+    }
+
     /// Records that the connection of a request broke before its answer began.
     pub(crate) fn broke_before_start(&mut self, key: RequestKey, now_ms: u64) {
         self.broke_ms = now_ms;
-        self.pending_suspects.push(key);
+        self.suspects.push(Suspect::new(key, now_ms, true));
     }
 
     /// Records that a connection broke at a time, in milliseconds, and returns the answers that began shortly
@@ -101,7 +168,8 @@
                 continue;
             }
             if now_ms < start.began_ms + CRASH_WINDOW_MS {
-                self.suspects.push(start.key.clone());
+                let suspect = Suspect::new(start.key.clone(), now_ms, false);
+                self.suspects.push(suspect);
                 suspects.push(start);
             }
         }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -36,6 +36,13 @@
         xxh3_64(self.id.as_bytes()) ^ self.started_ms.unwrap_or_default()
     }
 
+    /// Returns whether this is a later run under the identifier of another.
+    pub(crate) fn follows(&self, earlier: &Run) -> bool {
+        self.id == earlier.id
+            && earlier.started_ms.is_some()
+            && self.started_ms > earlier.started_ms
+    }
+
     /// Returns whether a responder is this run, by what it says of itself.
     pub(crate) fn identify(&self, responder: &Responder) -> Identity {
         let has_id = responder.id.as_deref().map(|id| *id == *self.id);
--- a/crates/serve/src/shared_crashes.rs
+++ b/crates/serve/src/shared_crashes.rs
@@ -65,6 +65,16 @@
             .retract_pending_crash(subjects, endpoint, now_ms);
     }
 
+    /// Leaves out the crash of an endpoint, by its hash, that is not certain.
+    pub(crate) fn excuse_crash(&self, subjects: &[Subject], endpoint: u64) {
+        self.lock().excuse_crash(subjects, endpoint);
+    }
+
+    /// Counts a crash again that was left out.
+    pub(crate) fn restore_crash(&self, subjects: &[Subject], crash: Crash) {
+        self.lock().restore_crash(subjects, crash);
+    }
+
     /// Returns whether a request with these subjects may be sent.
     pub fn admit(
         &self,
--- a/crates/serve/tests/crashing_prompts.rs
+++ b/crates/serve/tests/crashing_prompts.rs
@@ -45,6 +45,8 @@
     written: Written,
     /// How long a crashed endpoint keeps further connections before it closes them.
     kept_time: Duration,
+    /// Whether only the connection of an answer with the part ends, with a reset.
+    resets_only: bool,
 }
 
 impl Behavior {
@@ -54,6 +56,14 @@
             framing: Framing::Chunked,
             written: Written::FirstEvent,
             kept_time: Duration::ZERO,
+            resets_only: false,
+        }
+    }
+
+    fn resetting_on(part: &'static str) -> Behavior {
+        Behavior {
+            resets_only: true,
+            ..Behavior::crashing_on(part)
         }
     }
 
@@ -87,7 +97,7 @@
 
 #[derive(Debug, Default)]
 struct EndpointLog {
-    crashes: u64,
+    crashed_at: Vec<Instant>,
     is_down: bool,
     /// The requests that were started, by the parts of their prompts.
     started: Vec<String>,
@@ -110,7 +120,14 @@
     }
 
     fn crashes(&self) -> u64 {
-        self.log.lock().unwrap().crashes
+        self.log.lock().unwrap().crashed_at.len() as u64
+    }
+
+    /// Returns the number of crashes after which it was back some time ago.
+    fn restarts_before(&self, ago: Duration) -> u64 {
+        let log = self.log.lock().unwrap();
+        let is_older = |at: &&Instant| at.elapsed() >= RESTART_TIME + ago;
+        log.crashed_at.iter().filter(is_older).count() as u64
     }
 
     fn started_with(&self, part: &str) -> usize {
@@ -147,9 +164,15 @@
         return;
     }
     std::thread::sleep(CRASH_DELAY);
+    if is_bad && behavior.resets_only {
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+        log.lock().unwrap().connections.clear();
+        return;
+    }
     if is_bad {
         let mut log = log.lock().unwrap();
-        log.crashes += 1;
+        log.crashed_at.push(Instant::now());
         log.is_down = true;
         for connection in log.connections.drain(..) {
             let _ = connection.shutdown(std::net::Shutdown::Both);
@@ -173,11 +196,16 @@
 
 impl Fleet {
     fn start(count: usize, behavior: Behavior) -> Fleet {
+        Fleet::with_attempts(2, count, behavior)
+    }
+
+    /// Starts a fleet whose requests may run this many times.
+    fn with_attempts(attempts: u32, count: usize, behavior: Behavior) -> Fleet {
         let endpoints: Vec<CrashingEndpoint> = (0..count)
             .map(|_| CrashingEndpoint::start(behavior))
             .collect();
         let addrs: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
-        let route = route(RetrySafety::ResumableStream);
+        let route = route(RetrySafety::ResumableStream).max_attempts(attempts);
         Fleet {
             harness: Harness::new(route, &addrs, 1_000.0),
             endpoints,
@@ -201,11 +229,13 @@
     fn send(&self, parts: &str) -> Received {
         std::thread::sleep(RESTART_TIME);
         self.await_restarts();
-        let starts: Vec<u64> = self
-            .endpoints
-            .iter()
-            .map(CrashingEndpoint::crashes)
-            .collect();
+        self.send_listed(parts, Duration::ZERO)
+    }
+
+    /// Sends a request while the registry tells only of the runs that began some time ago.
+    fn send_listed(&self, parts: &str, lateness: Duration) -> Received {
+        let restarts = |endpoint: &CrashingEndpoint| endpoint.restarts_before(lateness);
+        let starts: Vec<u64> = self.endpoints.iter().map(restarts).collect();
         self.harness.list_starts(&starts);
         // The control thread does this at each report of the others.
         let crashes = self.harness.pipeline.shared_loads().crashes().clone();
@@ -314,3 +344,60 @@
     let bad_starts = fleet.started_with("66");
     assert!(bad_starts <= MAX_BAD_STARTS, "{bad_starts} bad requests");
 }
+
+/// Sends requests with the bad part among sound ones while the registry is late to tell of the runs that follow
+/// those which crashed, and checks that it is learned in time.
+fn check_that_the_bad_part_is_learned_from_a_late_registry(lateness: Duration) {
+    let fleet = Fleet::with_attempts(1, 6, Behavior::crashing_on("66"));
+    fleet.harness.list_all_in_zone();
+    for number in 0..12 {
+        fleet.send_listed(&format!("1,66,{}", 5_000 + number), lateness);
+        std::thread::sleep(RESTART_TIME + EVENT_INTERVAL);
+        fleet.await_restarts();
+        for sound in 0..12 {
+            let own = 1_000 + 12 * number + sound;
+            let received = fleet.send_listed(&format!("1,{},{own}", 20 + sound % 4), lateness);
+            assert_eq!(received.status, 200, "{lateness:?}: sound request {own}");
+        }
+    }
+    let bad_starts = fleet.started_with("66");
+    assert!(
+        bad_starts <= MAX_BAD_STARTS,
+        "{lateness:?}: {bad_starts} bad requests"
+    );
+}
+
+/// Guards against taking bytes of the run that follows under an identifier for a sign of life of the one that
+/// crashed, so that the crashes of a part are forgotten.
+#[test]
+fn a_run_that_follows_under_the_same_id_does_not_clear_a_prompt() {
+    check_that_the_bad_part_is_learned_from_a_late_registry(Duration::from_millis(300));
+}
+
+/// As above.
+#[test]
+fn a_run_that_is_listed_a_second_later_does_not_clear_a_prompt() {
+    check_that_the_bad_part_is_learned_from_a_late_registry(Duration::from_secs(1));
+}
+
+/// Guards against refusing sound requests because connections to living endpoints are reset.
+#[test]
+fn connections_that_are_reset_block_no_prompt() {
+    let fleet = Fleet::with_attempts(1, 6, Behavior::resetting_on("66"));
+    fleet.harness.list_all_in_zone();
+    let mut refused = BTreeSet::new();
+    for number in 0..24 {
+        let own = 5_000 + number;
+        let received = fleet.send_listed(&format!("1,66,{own}"), Duration::ZERO);
+        if received.status == 503 {
+            refused.insert(number);
+        }
+        std::thread::sleep(EVENT_INTERVAL);
+        for sound in 0..12 {
+            let own = 1_000 + 12 * number + sound;
+            let received = fleet.send_listed(&format!("2,{own}"), Duration::ZERO);
+            assert_eq!(received.status, 200, "sound request {own}");
+        }
+    }
+    assert!(refused.is_empty(), "refused: {refused:?}");
+}
