serve, relay, platform: Keep the idle connection on which an endpoint is asked

Callers got whole streams reset: each check of an endpoint took the idle connection to it, and an endpoint that is full, leaves or resets further connections gives no other, so that the next whole stream had nothing to vouch for it.

The run that answers on a connection from before the end sent the stream, whatever start the registry lists for its id. An endpoint that leaves is known by the current listing and not by the one of when the request was sent.

A caller that reads slowly meets the end of a stream long after its run ended.

whole_streams_of_an_endpoint_that_turns_connections_away_end_as_complete failed before.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -162,6 +162,12 @@
         Ok(body.freeze())
     }
 
+    /// Returns the connection if another request may follow on it, as far as the body tells.
+    pub fn into_socket(self) -> Option<Socket> {
+        let is_free = self.is_complete() && !self.ends_with_connection();
+        (is_free && self.socket.buffered().is_empty()).then_some(self.socket)
+    }
+
     /// Returns how the end of the response body is determined.
     pub fn framing(&self) -> Framing {
         self.body.framing()
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -7,12 +7,13 @@
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::EndpointState;
+use crate::endpoint_state::{CallGuard, EndpointState};
 use crate::life::check_life;
 use crate::life_check::Life;
 use crate::life_question::{Finding, ask_peers};
 use crate::other_answers::{EndTime, goes_on};
 use crate::request_context::RequestContext;
+use crate::run::Run;
 
 /// The silence after which an end is doubtful. Events are made many times a second.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
@@ -50,13 +51,21 @@
 
 impl Doubt {
     /// Creates the doubt about an answer that ends now.
-    pub(crate) fn new(context: &RequestContext, exchange: &Exchange, may_repeat: bool) -> Doubt {
+    pub(crate) fn new(
+        context: &RequestContext,
+        exchange: &Exchange,
+        call: &CallGuard,
+        may_repeat: bool,
+    ) -> Doubt {
         let ended_at = Instant::now();
         let read_times = exchange.read_times();
+        let steady_until = read_times.steady_until(ended_at);
+        // A caller may read so slowly that the end is met long after the run has ended.
+        let lost_at = call.endpoint_state.witness.lost_since(call.sent_at());
         Doubt {
             may_repeat,
             read_ms: context.ms_at(read_times.last()),
-            alive_at: read_times.steady_until(ended_at),
+            alive_at: lost_at.map_or(steady_until, |lost_at| lost_at.min(steady_until)),
             follows_silence: read_times.longest_gap(ended_at) >= MIN_SILENCE,
         }
     }
@@ -226,7 +235,11 @@
 
 /// Returns whether an endpoint leaves or wants no requests, so that it may refuse connections and close idle ones.
 fn wants_none(context: &RequestContext, endpoint: &Endpoint, state: &EndpointState) -> bool {
-    endpoint.draining || state.is_leaving() || state.wanted_pause_ms(context.now_ms()) > 0
+    let view = context.view();
+    let run = Run::of(endpoint);
+    let mut listed = view.endpoints().filter(|listed| Run::of(listed) == run);
+    let is_draining = listed.next().is_none_or(|listed| listed.draining);
+    is_draining || state.is_leaving() || state.wanted_pause_ms(context.now_ms()) > 0
 }
 
 /// Returns whether an endpoint had been out of reach for this instance while its answer went on.
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -362,7 +362,7 @@
             endpoint_state.record_survival(&self.key, now_ms);
             self.keep_failure_response(context, &mut exchange, head)
                 .await;
-            let doubt = Doubt::new(context, &exchange, self.may_retry());
+            let doubt = Doubt::new(context, &exchange, &call_guard, self.may_retry());
             let end = judge_end(context, self, &exchange, &endpoint, &endpoint_state, doubt).await;
             if let Err(err) = end.check_whole() {
                 self.log_send(&endpoint, "error truncated", &err.to_string(), sent_at);
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -110,7 +110,8 @@
     /// Decodes the head of a response.
     fn decode(&self, info: &RequestInfo, head: &ResponseHead) -> Reply;
 
-    /// Encodes a health check that only an endpoint with the same identifier is to answer.
+    /// Encodes a health check that only an endpoint with the same identifier is to answer. The connection is
+    /// to be kept.
     fn encode_health_check(&self, endpoint: &Endpoint, path: &str) -> Vec<u8>;
 
     /// Encodes a request for the report of an endpoint with the same identifier, in which it says when it
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -471,6 +471,7 @@
 pub(crate) struct CallGuard {
     pub(crate) endpoint_state: Rc<EndpointState>,
     progress: Rc<CallProgress>,
+    sent_at: Instant,
     load: f64,
     load_after_head: f64,
 }
@@ -484,6 +485,7 @@
         CallGuard {
             endpoint_state,
             progress,
+            sent_at: Instant::now(),
             load,
             load_after_head: request_load.response,
         }
@@ -499,6 +501,11 @@
         self.endpoint_state.add(-done);
     }
 
+    /// Returns when the call was sent.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// Records that bytes of the response arrived.
     pub(crate) fn record_received(&self, now_ms: u64) {
         self.progress.received_ms.set(now_ms);
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use relay::{Exchange, ExchangeError, Socket, timeout_at};
+use relay::{Exchange, ExchangeError, ResponseHead, Socket, timeout_at};
 
 use crate::call_record::{record_connected, record_unreachable};
 use crate::endpoint::Endpoint;
@@ -94,6 +94,12 @@
     checked.unwrap_or(Sign::new(Life::NoAnswer))
 }
 
+/// The answer to a question, and its connection if it is kept.
+struct Answer {
+    responder: Responder,
+    socket: Option<Socket>,
+}
+
 /// The question whether a run is still there.
 struct Question<'a> {
     context: &'a RequestContext,
@@ -118,11 +124,11 @@
         let mut has_lost_witness = false;
         match self.state.witness.take(self.alive_at) {
             Testimony::Open(socket, established_at) => {
-                if wants_checks {
-                    self.replace_witness().await;
-                }
+                // The only connection that can be had is not spent on a question that may end it.
+                let may_ask = wants_checks && self.has_another_witness().await;
                 let started_at = Instant::now();
-                let asking = Box::pin(self.ask_witness(socket, health_path));
+                let health_path = health_path.filter(|_| may_ask);
+                let asking = Box::pin(self.ask_witness(socket, established_at, health_path));
                 if let Some((found, by_connection)) = asking.await {
                     return LifeCheck {
                         established_at: by_connection.then_some(established_at),
@@ -157,41 +163,56 @@
         }
     }
 
-    /// Opens another idle connection. It can show the life of the run once the run has accepted it, so that
+    /// Returns whether there is an idle connection after a question, as the endpoint keeps the one that it is asked
+    /// on, or as another is open. That one can show the life of the run once the run has accepted it, so that
     /// further ends until then are to share this check.
-    async fn replace_witness(&self) {
+    async fn has_another_witness(&self) -> bool {
+        if self.state.witness.keeps_alive() {
+            Timer::after(GATHER_TIME).await;
+            return true;
+        }
         let opened = reach::connect(self.context, self.endpoint, self.state).await;
         let is_open = opened.is_ok();
         self.state.witness.set(opened);
         if is_open {
             Timer::after(ACCEPT_TIME).await;
         }
+        self.state.witness.is_open()
     }
 
-    /// Asks on an idle connection, or only waits whether it is kept if the endpoint wants no more requests.
-    /// Returns what is found, and whether only the connection tells the run from a later one, or `None` if the
-    /// connection has ended.
+    /// Asks on an idle connection, or only waits whether it is kept. Returns what is found, and whether only the
+    /// connection tells the run from a later one, or `None` if the connection has ended.
     async fn ask_witness(
         &self,
         mut socket: Socket,
+        established_at: Instant,
         health_path: Option<&str>,
     ) -> Option<(Life, bool)> {
+        let witness = &self.state.witness;
         let Some(path) = health_path else {
-            let is_kept = is_kept(&mut socket).await;
-            return is_kept.is_ok().then_some((Life::KeepsConnection, true));
+            is_kept(&mut socket).await.ok()?;
+            witness.put_back(socket, established_at, false);
+            return Some((Life::KeepsConnection, true));
         };
         let protocol = &self.context.endpoint_protocol;
         let request = protocol.encode_health_check(self.endpoint, path);
         let answer = Exchange::start_on(socket, self.until, "GET", &request, &Bytes::new()).await;
-        match self.identify(answer).await {
-            Ok((Identity::Unknown, responder)) if responder.id.is_some() => {
-                Some((self.record_life(), true))
-            }
-            Ok((identity, _)) => Some((self.record(identity), false)),
+        let answer = match self.read_answer(answer).await {
+            Ok(answer) => answer,
             Err(err) if err.source.kind() == io::ErrorKind::TimedOut => {
-                Some((Life::NoAnswer, false))
+                return Some((Life::NoAnswer, false));
             }
-            Err(_) => None,
+            Err(_) => return None,
+        };
+        if let Some(socket) = answer.socket {
+            witness.put_back(socket, established_at, true);
+        }
+        let run = Run::of(self.endpoint);
+        match run.identify(&answer.responder) {
+            Identity::Same => Some((self.record_life(), false)),
+            // The registry may list the run late that accepted the connection.
+            _ if run.has_id_of(&answer.responder) => Some((self.record_life(), true)),
+            identity => Some((self.record(identity), false)),
         }
     }
 
@@ -234,14 +255,16 @@
             }
             _ => record_connected(self.endpoint, self.state, opened_ms),
         }
-        self.identify(answer).await.map_err(|err| unanswered(&err))
+        let answer = self.read_answer(answer).await;
+        let responder = answer.map_err(|err| unanswered(&err))?.responder;
+        Ok((Run::of(self.endpoint).identify(&responder), responder))
     }
 
     /// Reads who answers.
-    async fn identify(
+    async fn read_answer(
         &self,
-        answer: Result<(Exchange, relay::ResponseHead), ExchangeError>,
-    ) -> Result<(Identity, Responder), ExchangeError> {
+        answer: Result<(Exchange, ResponseHead), ExchangeError>,
+    ) -> Result<Answer, ExchangeError> {
         let (mut exchange, head) = answer?;
         let body = timeout_at(self.until, exchange.read_to_end(MAX_REPORT_BYTES)).await;
         // The head may tell enough.
@@ -251,7 +274,9 @@
         if responder.is_full {
             self.state.record_full(self.context.now_ms());
         }
-        Ok((Run::of(self.endpoint).identify(&responder), responder))
+        let is_closed = head.minor_version == 0 || head.headers.has_token("connection", "close");
+        let socket = exchange.into_socket().filter(|_| !is_closed);
+        Ok(Answer { responder, socket })
     }
 
     fn record(&self, identity: Identity) -> Life {
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -329,9 +329,17 @@
         let whole_body = async {
             let body = read_whole(context, &mut started).await?;
             let StartedResponse {
-                exchange, endpoint, ..
+                exchange,
+                endpoint,
+                call_guard,
+                ..
             } = &*started;
-            let doubt = Doubt::new(context, exchange, request.may_repeat_after_run());
+            let doubt = Doubt::new(
+                context,
+                exchange,
+                call_guard,
+                request.may_repeat_after_run(),
+            );
             let end = judge_end(context, request, exchange, endpoint, &endpoint_state, doubt).await;
             end.check_whole()?;
             Ok(body)
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -43,6 +43,11 @@
             && self.started_ms > earlier.started_ms
     }
 
+    /// Returns whether a responder has the identifier of this run.
+    pub(crate) fn has_id_of(&self, responder: &Responder) -> bool {
+        !responder.is_misdirected && responder.id.as_deref() == Some(&*self.id)
+    }
+
     /// Returns whether a responder is this run, by what it says of itself.
     pub(crate) fn identify(&self, responder: &Responder) -> Identity {
         let has_id = responder.id.as_deref().map(|id| *id == *self.id);
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -188,7 +188,7 @@
         let state = &call_guard.endpoint_state;
         let brings_nothing = exchange.ends_with_connection() && exchange.is_empty();
         let may_repeat = self.request.may_repeat_after_run() && !self.has_unnumbered;
-        let doubt = Doubt::new(&self.context, exchange, may_repeat);
+        let doubt = Doubt::new(&self.context, exchange, call_guard, may_repeat);
         let end = if self.may_be_whole && brings_nothing {
             judge_life(&self.context, &mut self.request, endpoint, state, doubt).await
         } else {
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -36,6 +36,12 @@
 /// A witness that closes within this time before an answer ends has ended with it.
 const SAME_TIME: Duration = Duration::from_millis(500);
 
+/// How long an endpoint may take to close a connection after an answer, if it closes it.
+const SETTLING_TIME: Duration = Duration::from_millis(200);
+
+/// The most losses that are remembered.
+const MAX_LOSSES: usize = 64;
+
 /// The fewest connections that this instance may have to an endpoint, if one of them is to be idle.
 const MIN_CONNECTIONS: u32 = 8;
 
@@ -44,12 +50,22 @@
 struct Witness {
     socket: Socket,
     established_at: Instant,
+    /// When a question on it was answered, until the endpoint has kept it for a while after that.
+    asked_at: Option<Instant>,
 }
 
 impl Witness {
     fn is_open(&self) -> bool {
         self.socket.check_silent().is_ok()
     }
+
+    /// Notes that it is open.
+    fn settle(&mut self, now: Instant) {
+        let is_settled = |asked_at: Instant| now >= asked_at + SETTLING_TIME;
+        if self.asked_at.is_some_and(is_settled) {
+            self.asked_at = None;
+        }
+    }
 }
 
 /// What the witness of an endpoint shows when an answer ends.
@@ -63,6 +79,14 @@
     None,
 }
 
+/// The loss of the last witness of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Loss {
+    /// When it was last known to be open, and when it was found closed.
+    open_at: Instant,
+    found_at: Instant,
+}
+
 /// The place of the witness of one endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct WitnessSlot {
@@ -72,11 +96,32 @@
     checked_at: Cell<Option<Instant>>,
     wanted_at: Cell<Option<Instant>>,
     refused_at: Cell<Option<Instant>>,
-    /// When the last witness was found closed.
-    lost_at: Cell<Option<Instant>>,
+    losses: RefCell<VecDeque<Loss>>,
+    /// Whether the endpoint keeps connections after answers.
+    keeps_alive: Cell<bool>,
 }
 
 impl WitnessSlot {
+    /// Returns until when the run that answers a request sent at a time is known to have been there, if a witness
+    /// was lost since. What was opened later may be of a later run.
+    pub(crate) fn lost_since(&self, sent_at: Instant) -> Option<Instant> {
+        self.drop_closed();
+        let losses = self.losses.borrow();
+        let mut since = losses.iter().filter(|loss| loss.found_at > sent_at);
+        since.next().map(|loss| loss.open_at)
+    }
+
+    /// Returns whether the endpoint has kept a connection after an answer.
+    pub(crate) fn keeps_alive(&self) -> bool {
+        self.keeps_alive.get()
+    }
+
+    /// Returns whether there is a witness that is open.
+    pub(crate) fn is_open(&self) -> bool {
+        self.drop_closed();
+        !self.witnesses.borrow().is_empty()
+    }
+
     /// Takes the witness for a question about a run that was there at a time.
     pub(crate) fn take(&self, alive_at: Instant) -> Testimony {
         self.drop_closed();
@@ -92,9 +137,24 @@
         }
     }
 
+    /// Sets a witness back after a question, or after a wait without one.
+    pub(crate) fn put_back(&self, socket: Socket, established_at: Instant, is_asked: bool) {
+        self.witnesses.borrow_mut().push_front(Witness {
+            socket,
+            established_at,
+            asked_at: is_asked.then(Instant::now),
+        });
+    }
+
     /// Records that the connection of a question closed as the answer ended.
     pub(crate) fn record_lost(&self) {
-        self.lost_at.set(Some(Instant::now()));
+        let found_at = Instant::now();
+        let open_at = self.checked_at.get().unwrap_or(found_at);
+        let mut losses = self.losses.borrow_mut();
+        if losses.len() == MAX_LOSSES {
+            losses.pop_front();
+        }
+        losses.push_back(Loss { open_at, found_at });
     }
 
     /// Drops a witness that no answer has needed for a while.
@@ -118,6 +178,7 @@
                 self.witnesses.borrow_mut().push_back(Witness {
                     socket,
                     established_at: now,
+                    asked_at: None,
                 });
             }
             Err(err) => {
@@ -136,9 +197,9 @@
         if checked_at.is_some_and(|checked_at| now < checked_at + CHECK_INTERVAL / 2) {
             return false;
         }
-        self.checked_at.set(Some(now));
         self.drop_closed();
         self.drop_replaced();
+        self.checked_at.set(Some(now));
         let witnesses = self.witnesses.borrow();
         let is_fresh = |witness: &Witness| now < witness.established_at + MAX_AGE;
         let has_fresh = witnesses.back().is_some_and(is_fresh);
@@ -151,16 +212,25 @@
     fn drop_closed(&self) {
         let mut witnesses = self.witnesses.borrow_mut();
         let now = Instant::now();
-        let count = witnesses.len();
-        witnesses.retain(|witness| {
-            let is_open = witness.is_open();
-            if !is_open && now < witness.established_at + MAX_AGE {
-                self.refused_at.set(Some(now));
+        let mut is_lost = false;
+        witnesses.retain_mut(|witness| {
+            if witness.is_open() {
+                let was_asked = witness.asked_at.is_some();
+                witness.settle(now);
+                let keeps_alive = was_asked && witness.asked_at.is_none();
+                self.keeps_alive.set(self.keeps_alive.get() || keeps_alive);
+                return true;
+            }
+            if witness.asked_at.is_none() {
+                is_lost = true;
+                let is_early = now < witness.established_at + MAX_AGE;
+                self.refused_at.set(is_early.then_some(now));
             }
-            is_open
+            false
         });
-        if count > 0 && witnesses.is_empty() {
-            self.lost_at.set(Some(now));
+        drop(witnesses);
+        if is_lost && self.witnesses.borrow().is_empty() {
+            self.record_lost();
         }
     }
 
@@ -174,8 +244,10 @@
     }
 
     fn is_lost(&self) -> bool {
-        let lost_at = self.lost_at.get();
-        lost_at.is_some_and(|lost_at| lost_at.elapsed() < SAME_TIME)
+        let losses = self.losses.borrow();
+        losses
+            .back()
+            .is_some_and(|loss| loss.found_at.elapsed() < SAME_TIME)
     }
 }
 
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -321,6 +321,33 @@
     assert_eq!(ids(&received.body), (1..=6).collect::<Vec<_>>());
 }
 
+/// Issue 65, LOST: each check of an endpoint that turns further connections away took the only idle connection to
+/// it, so that only the first of its whole streams was not reset.
+#[test]
+fn whole_streams_of_an_endpoint_that_turns_connections_away_end_as_complete() {
+    const STREAMS: usize = 4;
+    for turns_away in [Step::CloseFurtherConnections, Step::RefuseConnections] {
+        let name = format!("{turns_away:?}");
+        let script = |end_ms| {
+            let mut script = vec![unframed_head()];
+            for id in 1..=4 {
+                script.extend([unframed_events(id..=id), Step::Sleep(40)]);
+            }
+            script.extend([Step::AwaitRequests(STREAMS), turns_away.clone()]);
+            script.extend([Step::Sleep(end_ms), unframed_events(5..=5)]);
+            script
+        };
+        let ends_ms = [100, 250, 400, 550];
+        let endpoint = ScriptedEndpoint::start(ends_ms.map(script).to_vec());
+        let route = route(RetrySafety::NonIdempotentStream);
+        let harness = Harness::new(route, &[endpoint.addr], 10.0);
+        harness.list_starts(&[1_000]);
+        for received in send_together(&harness, STREAMS) {
+            assert!(received.is_complete, "{name}");
+        }
+    }
+}
+
 /// Guards against resetting whole streams that a later run sent before the registry told of it.
 #[test]
 fn a_whole_stream_of_a_later_run_that_was_not_listed_yet_ends_as_complete() {
