serve: Keep the pause that a run asks for before it is listed

What endpoints saw: one that starts again under its id and asks for a pause before the registry tells of it gets requests as soon as it is listed.

Cause: until then what it says is recorded for the run that has ended, and the state of the new run starts afresh. Now that takes over a pause that was asked for at or after the latest break of a connection to the earlier run. A pause asked for before is the earlier run's and ends with it.

Ruled out: to take over any pause. The new run would be left alone for up to the whole pause of the one before; a test guards against this and fails then. To take over that an endpoint leaves: that never ends, so that a wish of the earlier run would shut out the new one for good, while a run that leaves says so in each answer.

--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -51,6 +51,8 @@
     paused_until_ms: Cell<u64>,
     /// Until when the endpoint itself wants no requests from this instance.
     wanted_pause_until_ms: Cell<u64>,
+    /// When it last said so.
+    wanted_pause_at_ms: Cell<u64>,
     misdirected: Cell<bool>,
     /// This instance's part of the endpoint's rate limit, if it has one.
     rate: RefCell<Option<EndpointRate>>,
@@ -149,6 +151,19 @@
         let until_ms = now_ms + pause_ms + spread_ms;
         let latest_ms = until_ms.max(self.wanted_pause_until_ms.get());
         self.wanted_pause_until_ms.set(latest_ms);
+        self.wanted_pause_at_ms.set(now_ms);
+    }
+
+    /// Takes over the pause that this run wanted before it was listed, when what it said was recorded for an
+    /// earlier one. One that was wanted before a connection to that one broke is its own.
+    fn take_over_pause(&self, earlier: &EndpointState) {
+        let broke_ms = earlier.recent_starts.borrow().broke_ms();
+        let wanted_at_ms = earlier.wanted_pause_at_ms.get();
+        if broke_ms.is_some_and(|broke_ms| wanted_at_ms >= broke_ms) {
+            let until_ms = earlier.wanted_pause_until_ms.get();
+            self.wanted_pause_until_ms.set(until_ms);
+            self.wanted_pause_at_ms.set(wanted_at_ms);
+        }
     }
 
     pub(crate) fn record_full(&self, now_ms: u64) {
@@ -547,6 +562,10 @@
             shared_hash: key.shared_hash(),
             ..EndpointState::default()
         });
+        let earlier = states.iter().filter(|(run, _)| key.follows(run));
+        if let Some((_, earlier)) = earlier.max_by_key(|(run, _)| run.started_ms) {
+            state.take_over_pause(earlier);
+        }
         states.insert(key, state.clone());
         // Others may have reported a rate limit of this endpoint.
         self.synced.set(None);
--- a/crates/serve/src/recent_starts.rs
+++ b/crates/serve/src/recent_starts.rs
@@ -90,6 +90,11 @@
 }
 
 impl RecentStarts {
+    /// Returns when the latest connection broke, in milliseconds, if one did.
+    pub(crate) fn broke_ms(&self) -> Option<u64> {
+        (self.broke_ms > 0).then_some(self.broke_ms)
+    }
+
     /// Records that an answer began.
     pub(crate) fn began(&mut self, key: RequestKey, now_ms: u64) {
         if self.starts.len() == MAX_STARTS {
--- a/crates/serve/tests/endpoint_wishes.rs
+++ b/crates/serve/tests/endpoint_wishes.rs
@@ -4,7 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Harness, ScriptedEndpoint, Step, answer, route};
+use common::{
+    Harness, ScriptedEndpoint, Step, answer, events, ids, route, stream_end, stream_head,
+};
+use futures_lite::future::zip;
 use route::RetrySafety;
 
 fn response(status_line: &str, header: &str, body: &str) -> Vec<Step> {
@@ -142,3 +145,50 @@
         assert_eq!(first.request_count(), expected, "{name}");
     }
 }
+
+/// Guards against taking a wish of the run that follows under an identifier, which is not listed yet, for one of the
+/// run that has ended.
+#[test]
+fn a_run_that_asks_for_a_pause_before_it_is_listed_gets_no_request_until_its_end() {
+    let scripts = vec![vec![Step::StartAgain(0)], pause(600), answer("again")];
+    let endpoint = ScriptedEndpoint::start(scripts);
+    let route = route(RetrySafety::Idempotent).max_attempts(1);
+    let harness = Harness::new(route, &[endpoint.addr], 10.0);
+    harness.list_starts(&[1]);
+    harness.send(&[]);
+    assert_eq!(harness.send(&[]).status, 503);
+    harness.list_starts(&[2]);
+    assert_eq!(harness.send(&[]).status, 503);
+    assert_eq!(endpoint.request_count(), 2);
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(harness.send(&[]).body, "again");
+}
+
+/// Guards against leaving a run alone for a wish of the one before.
+#[test]
+fn a_pause_that_an_endpoint_asked_for_ends_with_its_run() {
+    let stream = vec![
+        stream_head(50),
+        events(1..=1),
+        Step::AwaitRequests(2),
+        Step::Sleep(100),
+        Step::StartAgain(0),
+    ];
+    let next = vec![stream_head(50), events(1..=2), stream_end()];
+    let endpoint = ScriptedEndpoint::start(vec![stream, pause(60_000), next]);
+    let route = route(RetrySafety::ResumableStream).max_attempts(1);
+    let harness = Harness::new(route, &[endpoint.addr], 10.0);
+    harness.list_starts(&[1]);
+    let refused = async {
+        while endpoint.request_count() == 0 {
+            async_io::Timer::after(Duration::from_millis(1)).await;
+        }
+        harness.send_async(&[]).await
+    };
+    let (_, refused) = async_io::block_on(zip(harness.send_async(&[]), refused));
+    assert_eq!(refused.status, 503);
+    harness.list_starts(&[2]);
+    let received = harness.send(&[]);
+    assert!(received.is_complete, "{received:?}");
+    assert_eq!(ids(&received.body), [1, 2]);
+}
