serve: Leave a stream in doubt whose idle connection was cut, whoever else is reached

Two are mended here. Other answers, which go on over connections that were not cut, made the stream whole although the path was in doubt and not the life of the run. And a peer that had not tried a connection counted as one that is refused as well: it tries one now, that has to be kept.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -210,8 +210,8 @@
             let message = "another run of an endpoint listens at the address";
             return AnswerEnd::CutShort(truncated(message));
         }
-        // The run lives, so that the path may have ended the answer.
-        _ if seems_alive && has_lost_path => {}
+        // The run may live, so that the path may have ended the answer.
+        _ if has_lost_path => return in_doubt(own),
         // Only the path of this instance is cut.
         Finding::Reached if own.is_unreached() && !explains_refusal => {
             state.record_life(Some(context.now_ms()), context.now_ms());
@@ -228,6 +228,10 @@
         state.record_life(Some(context.now_ms()), context.now_ms());
         return AnswerEnd::Whole;
     }
+    in_doubt(own)
+}
+
+fn in_doubt(own: Life) -> AnswerEnd {
     AnswerEnd::Doubtful(truncated(&format!(
         "the endpoint may have ended with its answer: {own:?}"
     )))
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -249,11 +249,6 @@
         self.shared_hash
     }
 
-    /// Returns when the latest connection that was established was opened, in milliseconds.
-    pub(crate) fn connected_ms(&self) -> Option<u64> {
-        self.connected_ms.get()
-    }
-
     /// Returns since when no connection to the endpoint was established, in milliseconds, if the last one was
     /// not.
     pub(crate) fn out_of_reach_since_ms(&self) -> Option<u64> {
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -327,7 +327,7 @@
 ///
 /// Fails with [`io::ErrorKind::TimedOut`] if no connection is established in time, as the endpoint is busy
 /// or cut off, and with other errors if it refuses or closes one.
-async fn connect(
+pub(crate) async fn connect(
     context: &RequestContext,
     endpoint: &Endpoint,
     state: &EndpointState,
--- a/crates/serve/src/life_question.rs
+++ b/crates/serve/src/life_question.rs
@@ -11,7 +11,7 @@
 use crate::carry_message::{set, take};
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
-use crate::life::check_life;
+use crate::life::{check_life, connect};
 use crate::life_check::Life;
 use crate::other_answers::{EndTime, goes_on};
 use crate::peer_choice::peer_addrs;
@@ -184,10 +184,10 @@
         // A build before this one does not compare how long the run is known.
         return Some(Response::new(UNKNOWN));
     }
-    let connected_ms = state.connected_ms();
+    let is_reached = connect(context, endpoint, &state).await.is_ok();
     let proof = LifeProof {
         age_us: since.map(|since| since.elapsed().as_micros() as u64),
-        is_reached: connected_ms.is_some_and(|connected_ms| connected_ms >= asked_ms),
+        is_reached,
     };
     let mut response = Response::new(LIVES).header(PROOF_FIELD, "1");
     set(&proof, RUN_FIELD, &mut response.headers);
