serve: Keep idle connections in one module and the watch over them in another

The slot needs no state; the watch that opens connections while an answer is read does, and has a module of its own.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -59,6 +59,7 @@
 mod version_counters;
 mod view;
 mod witness;
+mod witnessing;
 
 pub use caller_protocol::CallerProtocol;
 pub use carry_handler::CarryHandler;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -35,7 +35,7 @@
 use crate::stream::Stream;
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
-use crate::witness::Witnessing;
+use crate::witnessing::Witnessing;
 
 /// Statuses by which callers conclude that a request did not run. They are not forwarded from an
 /// endpoint that ran it.
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
-use crate::witness::Witnessing;
+use crate::witnessing::Witnessing;
 
 /// Shortest silence after which a stream is resumed at another endpoint. Callers disconnect after
 /// two seconds at the earliest.
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -3,19 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
-use futures_lite::FutureExt;
-use relay::{LocalFuture, Socket};
-
-use crate::endpoint::Endpoint;
-use crate::endpoint_state::EndpointState;
-use crate::placement::max_connections;
-use crate::reach;
-use crate::request_context::RequestContext;
+use relay::Socket;
 
 /// How long a run that answers requests may take to accept a connection. Until then the connection may go to
 /// a later run that takes over the listener.
@@ -31,7 +21,7 @@
 const MAX_AGE: Duration = Duration::from_secs(1);
 
 /// How often it is checked whether a witness is open.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A witness that closes within this time before an answer ends has ended with it.
 const SAME_TIME: Duration = Duration::from_millis(500);
@@ -42,9 +32,6 @@
 /// The most losses that are remembered.
 const MAX_LOSSES: usize = 64;
 
-/// The fewest connections that this instance may have to an endpoint, if one of them is to be idle.
-const MIN_CONNECTIONS: u32 = 8;
-
 /// An idle connection to an endpoint.
 #[derive(Debug)]
 struct Witness {
@@ -189,7 +176,7 @@
     }
 
     /// Returns whether a witness is to be opened while an answer is read.
-    fn is_wanted(&self) -> bool {
+    pub(crate) fn is_wanted(&self) -> bool {
         let now = Instant::now();
         self.wanted_at.set(Some(now));
         let checked_at = self.checked_at.get();
@@ -208,6 +195,12 @@
         !has_fresh && !is_refused && !self.is_opening.get()
     }
 
+    /// Keeps others from opening a witness until the guard is dropped.
+    pub(crate) fn begin_opening(&self) -> Opening<'_> {
+        self.is_opening.set(true);
+        Opening(self)
+    }
+
     /// Drops witnesses that have closed. The last of them may have ended with an answer that ends soon.
     fn drop_closed(&self) {
         let mut witnesses = self.witnesses.borrow_mut();
@@ -251,66 +244,11 @@
     }
 }
 
-/// Watches the witness of an endpoint while an answer of it is read.
-#[derive(Default)]
-pub(crate) struct Witnessing {
-    watching: Option<LocalFuture<'static, ()>>,
-}
-
-/// Marks a slot as free for another attempt if opening is given up.
-struct Opening<'a>(&'a WitnessSlot);
+/// Guard of an attempt to open a witness.
+pub(crate) struct Opening<'a>(&'a WitnessSlot);
 
 impl Drop for Opening<'_> {
     fn drop(&mut self) {
         self.0.is_opening.set(false);
     }
 }
-
-impl Witnessing {
-    /// Reads, and keeps a witness meanwhile.
-    pub(crate) async fn while_reading<T>(
-        &mut self,
-        context: &Rc<RequestContext>,
-        endpoint: &Arc<Endpoint>,
-        state: &Rc<EndpointState>,
-        read: impl Future<Output = T>,
-    ) -> T {
-        let watching = self.watching.get_or_insert_with(|| {
-            Box::pin(watch(context.clone(), endpoint.clone(), state.clone()))
-        });
-        let watching = async {
-            watching.await;
-            std::future::pending().await
-        };
-        read.or(watching).await
-    }
-}
-
-/// Opens witnesses of an endpoint, and notices when they close.
-async fn watch(context: Rc<RequestContext>, endpoint: Arc<Endpoint>, state: Rc<EndpointState>) {
-    loop {
-        if state.witness.is_wanted() && has_room(&context, &endpoint, &state) {
-            state.witness.is_opening.set(true);
-            let _opening = Opening(&state.witness);
-            let opened = reach::connect(&context, &endpoint, &state).await;
-            state.witness.set(opened);
-        }
-        Timer::after(CHECK_INTERVAL).await;
-    }
-}
-
-/// Returns whether the endpoint has room for an idle connection of each instance.
-fn has_room(context: &RequestContext, endpoint: &Endpoint, state: &EndpointState) -> bool {
-    let view = context.view();
-    let service = view
-        .table
-        .as_ref()
-        .and_then(|table| table.service(&endpoint.service));
-    let share = service.map_or(0, |service| {
-        max_connections(service.max_connections, view.instance_count)
-    });
-    share >= MIN_CONNECTIONS
-        && state.connections() < share
-        && state.wanted_pause_ms(context.now_ms()) == 0
-        && !state.is_leaving()
-}
