--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -30,7 +30,7 @@
 use clock::AgedClock;
 pub use scripted::{
     Health, ScriptedEndpoint, Step, answer, answer_health, chunk, error_response, events, listen,
-    read_head, refusal, stream_end, stream_head, unframed_events, unframed_head,
+    read_head, refusal, stream_end, stream_head, unframed_events, unframed_head, unframed_stream,
 };
 
 /// Parses the numbers of prompt parts, separated by commas.
@@ -307,6 +307,25 @@
     }
 }
 
+/// Sends streams at once, and returns what the callers receive.
+pub fn send_together(harness: &Harness, count: usize) -> Vec<Received> {
+    let executor = async_executor::LocalExecutor::new();
+    let mut streams = Vec::new();
+    for number in 0..count {
+        streams.push(executor.spawn(async move {
+            let target = format!("/x/{number}");
+            harness.send_to(&target, &[]).await
+        }));
+    }
+    async_io::block_on(executor.run(async {
+        let mut received = Vec::new();
+        for stream in streams {
+            received.push(stream.await);
+        }
+        received
+    }))
+}
+
 /// A request for a target with these headers.
 pub fn request(target: &str, fields: &[(&str, &str)]) -> Request {
     let mut headers = Headers::default();
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -177,6 +177,15 @@
     Step::Write(events_text(ids))
 }
 
+/// The head of a stream with neither length nor chunks, and events each of which is followed by a pause.
+pub fn unframed_stream(ids: std::ops::RangeInclusive<u64>, pause_ms: u64) -> Vec<Step> {
+    let mut script = vec![unframed_head()];
+    for id in ids {
+        script.extend([unframed_events(id..=id), Step::Sleep(pause_ms)]);
+    }
+    script
+}
+
 /// The end of a stream.
 pub fn stream_end() -> Step {
     Step::Write("0\r\n\r\n".to_owned())
--- a/crates/serve/tests/unframed.rs
+++ b/crates/serve/tests/unframed.rs
@@ -2,23 +2,28 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Health, Received, ScriptedEndpoint, Step, answer, events, ids, route, stream_end,
-    stream_head, unframed_events, unframed_head,
+    Harness, Health, Received, ScriptedEndpoint, Step, answer, events, ids, route, send_together,
+    stream_end, stream_head, unframed_events, unframed_head, unframed_stream,
 };
-use futures_lite::FutureExt;
 use futures_lite::future::{block_on, zip};
 use route::RetrySafety;
-use serve::{Endpoint, Pool, View};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
 const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
 
+/// Sends a request once an endpoint has received another.
+async fn send_second(harness: &Harness, endpoint: &ScriptedEndpoint) -> Received {
+    while endpoint.request_count() == 0 {
+        Timer::after(Duration::from_millis(1)).await;
+    }
+    harness.send_to("/x/2", &[]).await
+}
+
 /// Sends a request whose first endpoint answers by a script, and returns what the caller receives and how
 /// many requests the second endpoint received.
 fn send(safety: RetrySafety, first: Vec<Step>, second: Vec<Step>) -> (Received, usize) {
@@ -28,14 +33,6 @@
     (harness.send(&[]), second.request_count())
 }
 
-/// Sends a request once an endpoint has received another.
-async fn send_second(harness: &Harness, endpoint: &ScriptedEndpoint) -> Received {
-    while endpoint.request_count() == 0 {
-        Timer::after(Duration::from_millis(1)).await;
-    }
-    harness.send_to("/x/2", &[]).await
-}
-
 /// Issue 46: the kernel closes the connections of a process that ends as if it had closed them itself.
 #[test]
 fn a_stream_whose_endpoint_ended_between_events_does_not_end_as_complete() {
@@ -115,100 +112,6 @@
     }
 }
 
-/// Issue 65, ORDER: the run that a supervisor started again under the id of the one before vouched for the
-/// streams of that one.
-#[test]
-fn a_stream_whose_endpoint_started_again_under_its_id_does_not_end_as_complete() {
-    let cases = [
-        (RetrySafety::ResumableStream, true, 1..=6, 1),
-        (RetrySafety::NonIdempotentStream, false, 1..=3, 0),
-    ];
-    for (safety, is_complete, expected, sends) in cases {
-        for (length_ms, start_ms, says_start) in [
-            (150, 0, false),
-            (150, 20, false),
-            (150, 300, false),
-            (150, 20, true),
-            (0, 0, false),
-            (0, 20, false),
-            (0, 20, true),
-        ] {
-            let name = format!("{safety:?}, {length_ms} ms, {start_ms} ms, {says_start}");
-            let script = vec![
-                unframed_head(),
-                unframed_events(1..=2),
-                Step::Sleep(length_ms),
-                unframed_events(3..=3),
-                Step::StartAgain(start_ms),
-            ];
-            let first = ScriptedEndpoint::start(vec![script]);
-            if says_start {
-                first.set_started(1_000);
-            }
-            let rest = vec![stream_head(90), events(4..=6), stream_end()];
-            let second = ScriptedEndpoint::start(vec![rest]);
-            let harness = Harness::new(route(safety), &[first.addr, second.addr], 10.0);
-            harness.list_starts(&[1_000, 1_000]);
-            let received = harness.send(&[]);
-            assert_eq!(received.is_complete, is_complete, "{name}");
-            let expected: Vec<u64> = expected.clone().collect();
-            assert_eq!(ids(&received.body), expected, "{name}");
-            assert_eq!(second.request_count(), sends, "{name}");
-        }
-    }
-}
-
-/// Issue 65, ORDER: a path that was cut ended the streams of one instance, and their endpoint, which went on,
-/// vouched for them.
-#[test]
-fn a_stream_that_its_path_cut_short_does_not_end_as_complete() {
-    let cuts = [
-        (
-            "new connections go through",
-            vec![Step::CloseAllConnections],
-        ),
-        ("new connections are refused", vec![Step::Exit]),
-        (
-            "new connections are closed",
-            vec![Step::CloseFurtherConnections, Step::CloseAllConnections],
-        ),
-    ];
-    let cases = [
-        (RetrySafety::ResumableStream, true, 1..=6),
-        (RetrySafety::NonIdempotentStream, false, 1..=3),
-    ];
-    for (safety, is_complete, expected) in cases {
-        for (name, cut) in &cuts {
-            let name = format!("{safety:?}, {name}");
-            let mut script = vec![unframed_head()];
-            for id in 1..=3 {
-                script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-            }
-            script.extend(cut.clone());
-            let rest = vec![stream_head(90), events(4..=6), stream_end()];
-            let here = ScriptedEndpoint::start(vec![script, rest.clone()]);
-            let there = ScriptedEndpoint::start(vec![rest]);
-            here.set_started(1_000);
-            there.set_started(1_000);
-            let fleet = Fleet::new(&route(safety), &[vec![here.addr], vec![there.addr]]);
-            for instance in &fleet.instances {
-                instance.list_starts(&[1_000]);
-            }
-            let reports = async {
-                loop {
-                    fleet.exchange_reach();
-                    Timer::after(Duration::from_millis(100)).await;
-                }
-            };
-            let sending = fleet.instances[0].send_to("/x/1", &[]).or(reports);
-            let received = block_on(fleet.executor.run(sending));
-            assert_eq!(received.is_complete, is_complete, "{name}");
-            let expected: Vec<u64> = expected.clone().collect();
-            assert_eq!(ids(&received.body), expected, "{name}");
-        }
-    }
-}
-
 #[test]
 fn an_answer_whose_endpoint_ended_is_not_passed_on_as_whole() {
     let cases = [
@@ -281,46 +184,6 @@
     assert_eq!(ids(&received.body), [1, 2, 3]);
 }
 
-/// Lists a later run at the address of the first endpoint, of another service.
-fn list_successor(harness: &Harness) {
-    let mut view: View = (**harness.view.load()).clone();
-    let mut pool: Pool = (*view.pools["app"]).clone();
-    let first = pool.endpoints[0].clone();
-    let run = |id: &str, started_ms: u64| {
-        Arc::new(Endpoint {
-            id: id.into(),
-            started_ms: Some(started_ms),
-            ..(*first).clone()
-        })
-    };
-    pool.endpoints[0] = run("e0", 1_000);
-    let successor = Pool {
-        endpoints: vec![run("later", 2_000)],
-        rollout: None,
-    };
-    view.pools = [("app", pool), ("other", successor)]
-        .map(|(service, pool)| (Arc::from(service), Arc::new(pool)))
-        .into();
-    harness.view.store(Arc::new(view));
-}
-
-/// Issue 59, ORDER: streams of an endpoint that had crashed ended as complete in their midst, as another
-/// process listened at its address when their end arrived.
-#[test]
-fn the_life_of_a_later_run_at_the_address_does_not_make_a_stream_whole() {
-    let first = ScriptedEndpoint::start(vec![vec![unframed_head(), unframed_events(1..=3)]]);
-    let second = ScriptedEndpoint::start(vec![vec![stream_head(90), events(4..=6), stream_end()]]);
-    let harness = Harness::new(
-        route(RetrySafety::ResumableStream),
-        &[first.addr, second.addr],
-        10.0,
-    );
-    list_successor(&harness);
-    let received = harness.send(&[]);
-    assert!(received.is_complete);
-    assert_eq!(ids(&received.body), (1..=6).collect::<Vec<_>>());
-}
-
 /// Issue 65, LOST: each check of an endpoint that turns further connections away took the only idle connection to
 /// it, so that only the first of its whole streams was not reset.
 #[test]
@@ -329,10 +192,7 @@
     for turns_away in [Step::CloseFurtherConnections, Step::RefuseConnections] {
         let name = format!("{turns_away:?}");
         let script = |end_ms| {
-            let mut script = vec![unframed_head()];
-            for id in 1..=4 {
-                script.extend([unframed_events(id..=id), Step::Sleep(40)]);
-            }
+            let mut script = unframed_stream(1..=4, 40);
             script.extend([Step::AwaitRequests(STREAMS), turns_away.clone()]);
             script.extend([Step::Sleep(end_ms), unframed_events(5..=5)]);
             script
@@ -348,29 +208,6 @@
     }
 }
 
-/// Guards against resetting whole streams that a later run sent before the registry told of it.
-#[test]
-fn a_whole_stream_of_a_later_run_that_was_not_listed_yet_ends_as_complete() {
-    let mut script = vec![unframed_head()];
-    for id in 1..=4 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    let harness = Harness::new(
-        route(RetrySafety::NonIdempotentStream),
-        &[endpoint.addr],
-        10.0,
-    );
-    harness.list_starts(&[1_000]);
-    let listing = async {
-        Timer::after(Duration::from_millis(200)).await;
-        harness.list_starts(&[2_000]);
-    };
-    let (received, ()) = block_on(zip(harness.send_to("/x/1", &[]), listing));
-    assert!(received.is_complete);
-    assert_eq!(ids(&received.body), [1, 2, 3, 4]);
-}
-
 /// Issue 59, LOST: an instance that could open no connections to the endpoints reset whole streams, though
 /// its peers reach those, and repeats of all of them are more than the budget allows.
 #[test]
@@ -602,430 +439,6 @@
     assert_eq!(ids(&short.body), [1, 2, 3]);
 }
 
-/// Guards against a run that vouches for the one before it on a connection that waited in the backlog: it goes to
-/// the run that takes over the listener.
-#[test]
-fn a_young_idle_connection_does_not_tell_a_run_from_the_next() {
-    let script = vec![
-        Step::PauseAccepting(150),
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(20),
-        Step::StartAgain(20),
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    assert!(!harness.send(&[]).is_complete);
-}
-
-/// Guards against the same after a pause of this instance, which hides when the run ended.
-#[test]
-fn an_idle_connection_opened_before_a_pause_does_not_tell_a_run_from_the_next() {
-    let cases = [
-        (RetrySafety::NonIdempotentStream, 200),
-        (RetrySafety::NonIdempotent, 502),
-    ];
-    for (safety, status) in cases {
-        let script = vec![
-            Step::PauseAccepting(300),
-            unframed_head(),
-            unframed_events(1..=3),
-            Step::Sleep(200),
-            Step::StartAgain(20),
-        ];
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        let harness = Harness::new(route(safety), &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
-        let pause = async {
-            Timer::after(Duration::from_millis(100)).await;
-            std::thread::sleep(Duration::from_millis(800));
-        };
-        let (received, ()) = block_on(zip(harness.send_async(&[]), pause));
-        assert_eq!(received.status, status, "{safety:?}");
-        let is_cut_short = status != 200 || !received.is_complete;
-        assert!(is_cut_short, "{safety:?}");
-    }
-}
-
-/// Guards against taking an answer of the next run for a sign of life of the run before it.
-#[test]
-fn an_answer_that_began_after_the_end_of_another_does_not_vouch_for_it() {
-    let short = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(150),
-        Step::StartAgain(0),
-    ];
-    let mut long = vec![stream_head(90)];
-    for id in 1..=24 {
-        long.extend([events(id..=id), Step::Sleep(50)]);
-    }
-    long.push(stream_end());
-    let endpoint = ScriptedEndpoint::start(vec![short, long]);
-    endpoint.set_health(Health::After(300));
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let later = async {
-        Timer::after(Duration::from_millis(250)).await;
-        harness.send_to("/x/2", &[]).await
-    };
-    let (short, long) = block_on(zip(harness.send_to("/x/1", &[]), later));
-    assert!(!short.is_complete);
-    assert!(long.is_complete);
-}
-
-/// Guards against a peer that vouches for a run by a connection to the next one.
-#[test]
-fn a_peer_does_not_vouch_for_a_run_by_a_connection_to_the_next() {
-    let short = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(200),
-        Step::StartAgain(0),
-    ];
-    let mut long = vec![unframed_head()];
-    for id in 1..=20 {
-        long.extend([unframed_events(id..=id), Step::Sleep(50)]);
-    }
-    let endpoint = ScriptedEndpoint::start(vec![short, long]);
-    endpoint.set_health(Health::After(100));
-    let addrs = vec![endpoint.addr];
-    let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
-    fleet.exchange_reach();
-    let later = async {
-        Timer::after(Duration::from_millis(230)).await;
-        fleet.instances[1].send_to("/x/2", &[]).await
-    };
-    let streams = zip(fleet.instances[0].send_to("/x/1", &[]), later);
-    let (short, _) = block_on(fleet.executor.run(streams));
-    assert!(!short.is_complete);
-}
-
-/// Guards against an empty answer that ends a stream whose run is known to have been replaced.
-#[test]
-fn an_empty_rest_does_not_end_a_stream_whose_endpoint_says_that_it_started_again() {
-    let script = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(150),
-        Step::StartAgain(0),
-    ];
-    let first = ScriptedEndpoint::start(vec![script]);
-    first.set_started(1_000);
-    let second = ScriptedEndpoint::start(vec![vec![stream_head(90), stream_end()]]);
-    let route = route(RetrySafety::ResumableStream);
-    let harness = Harness::new(route, &[first.addr, second.addr], 10.0);
-    harness.list_starts(&[1_000, 1_000]);
-    assert!(!harness.send(&[]).is_complete);
-}
-
-/// Guards against taking an idle connection that closed long before an end for one that closed with it.
-#[test]
-fn an_idle_connection_that_closed_long_before_says_nothing_of_an_end() {
-    let script = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(100),
-        Step::CloseOtherConnections,
-        Step::Sleep(600),
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    assert!(harness.send(&[]).is_complete);
-}
-
-/// Guards against a check that started before a stream ended and vouches for it.
-#[test]
-fn a_check_before_the_end_of_a_stream_does_not_vouch_for_it() {
-    let stream = |length_ms: u64, end| {
-        vec![
-            unframed_head(),
-            unframed_events(1..=2),
-            Step::AwaitRequests(2),
-            Step::Sleep(90),
-            unframed_events(3..=3),
-            Step::Sleep(length_ms - 90),
-            end,
-        ]
-    };
-    let endpoint = ScriptedEndpoint::start(vec![
-        stream(200, Step::Sleep(0)),
-        stream(450, Step::StartAgain(0)),
-    ]);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
-    let (first, second) = block_on(streams);
-    let complete = [first, second].map(|stream| stream.is_complete);
-    assert_eq!(complete.iter().filter(|complete| **complete).count(), 1);
-}
-
-/// Guards against forwarding an answer as whole that its path cut short.
-#[test]
-fn an_answer_that_its_path_cut_short_is_not_passed_on_as_whole() {
-    let script = vec![
-        Step::Write(format!("{HEAD}half of")),
-        Step::Sleep(200),
-        Step::CloseAllConnections,
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotent);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    assert_eq!(harness.send(&[]).status, 502);
-}
-
-/// Guards against opening an idle connection to an endpoint only once.
-#[test]
-fn a_later_stream_of_an_endpoint_has_an_idle_connection_too() {
-    let whole = vec![
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(100),
-        Step::CloseOtherConnections,
-        Step::Sleep(600),
-    ];
-    let mut cut = vec![unframed_head()];
-    for id in 1..=3 {
-        cut.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    cut.push(Step::CloseAllConnections);
-    let endpoint = ScriptedEndpoint::start(vec![whole, cut]);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    assert!(harness.send(&[]).is_complete);
-    assert!(!harness.send(&[]).is_complete);
-}
-
-/// Guards against a cut path that began to refuse connections just before it ended a stream.
-#[test]
-fn a_refusal_just_before_the_end_of_a_stream_does_not_explain_it() {
-    let mut script = vec![unframed_head()];
-    for id in 1..=3 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    script.extend([
-        Step::RefuseConnections,
-        Step::AwaitRequests(1),
-        Step::Sleep(80),
-        unframed_events(4..=4),
-        Step::Sleep(40),
-        Step::CloseAllConnections,
-    ]);
-    let here = ScriptedEndpoint::start(vec![script]);
-    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
-    here.set_started(1_000);
-    there.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
-    fleet.exchange_reach();
-    let later = async {
-        Timer::after(Duration::from_millis(275)).await;
-        fleet.instances[0].send_to("/x/2", &[]).await
-    };
-    let streams = zip(fleet.instances[0].send_to("/x/1", &[]), later);
-    let (received, _) = block_on(fleet.executor.run(streams));
-    assert!(!received.is_complete);
-}
-
-/// Guards against a peer that answers for another run than the one that it is asked for.
-#[test]
-fn a_peer_answers_for_the_run_that_it_is_asked_for() {
-    for (listed_ms, is_complete) in [(500, true), (1_000, true), (2_000, false)] {
-        let script = vec![
-            unframed_head(),
-            unframed_events(1..=1),
-            Step::Sleep(150),
-            unframed_events(2..=2),
-            Step::Sleep(700),
-            unframed_events(3..=3),
-        ];
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
-        let addrs = vec![endpoint.addr];
-        let route = route(RetrySafety::NonIdempotentStream);
-        let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
-        fleet.instances[0].list_starts(&[1_000]);
-        fleet.instances[1].list_starts(&[listed_ms]);
-        fleet.exchange_reach();
-        let received = fleet.send(0, "/x/1");
-        assert_eq!(received.is_complete, is_complete, "listed {listed_ms}");
-    }
-}
-
-/// Guards against the same by a connection that an endpoint which wants no more requests only keeps.
-#[test]
-fn a_young_connection_that_is_kept_does_not_tell_a_run_from_the_next() {
-    let first = vec![
-        Step::AwaitRequests(2),
-        Step::PauseAccepting(150),
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(25),
-        Step::StartAgain(20),
-    ];
-    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nx-pause-ms: 2000\r\n\r\n";
-    let second = vec![
-        Step::AwaitRequests(2),
-        Step::Sleep(10),
-        Step::Write(head.to_owned()),
-        unframed_events(1..=3),
-        Step::Sleep(1_000),
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![first, second]);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
-    let (first, _) = block_on(streams);
-    assert!(!first.is_complete);
-}
-
-/// Sends streams at once, and returns what the callers receive.
-fn send_together(harness: &Harness, count: usize) -> Vec<Received> {
-    let executor = async_executor::LocalExecutor::new();
-    let mut streams = Vec::new();
-    for number in 0..count {
-        streams.push(executor.spawn(async move {
-            let target = format!("/x/{number}");
-            harness.send_to(&target, &[]).await
-        }));
-    }
-    block_on(executor.run(async {
-        let mut received = Vec::new();
-        for stream in streams {
-            received.push(stream.await);
-        }
-        received
-    }))
-}
-
-/// A path that is cut ends all streams of an endpoint. The idle connection tells that of each of them.
-#[test]
-fn no_stream_of_several_that_their_path_cut_short_ends_as_complete() {
-    const STREAMS: usize = 5;
-    let mut script = vec![unframed_head()];
-    for id in 1..=3 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    let mut cut = script.clone();
-    cut.extend([Step::AwaitRequests(STREAMS), Step::CloseAllConnections]);
-    script.extend([Step::Sleep(1_000)]);
-    let mut scripts = vec![cut];
-    scripts.extend(vec![script; STREAMS - 1]);
-    let endpoint = ScriptedEndpoint::start(scripts);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let received = send_together(&harness, STREAMS);
-    let complete = received.iter().filter(|stream| stream.is_complete).count();
-    assert_eq!(complete, 0, "streams that end as complete of {STREAMS}");
-}
-
-/// The idle connection may be closed before the last bytes of an answer are read.
-#[test]
-fn a_cut_that_reaches_the_idle_connection_first_leaves_a_stream_in_doubt() {
-    let mut script = vec![unframed_head()];
-    for id in 1..=3 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    script.extend([Step::CloseOtherConnections, unframed_events(4..=4)]);
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let received = harness.send(&[]);
-    assert!(!received.is_complete);
-}
-
-/// A relay that leaves refuses connections before it ends those that it has.
-#[test]
-fn a_path_that_refuses_connections_before_it_cuts_a_stream_does_not_make_it_whole() {
-    let mut script = vec![unframed_head()];
-    for id in 1..=3 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    script.push(Step::RefuseConnections);
-    for id in 4..=13 {
-        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
-    }
-    script.push(Step::CloseAllConnections);
-    let here = ScriptedEndpoint::start(vec![script]);
-    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
-    here.set_started(1_000);
-    there.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
-    fleet.exchange_reach();
-    // Another request finds that connections are refused.
-    let later = async {
-        Timer::after(Duration::from_millis(450)).await;
-        fleet.instances[0].send_to("/x/2", &[]).await
-    };
-    let streams = zip(fleet.instances[0].send_to("/x/1", &[]), later);
-    let (received, _) = block_on(fleet.executor.run(streams));
-    assert!(!received.is_complete);
-}
-
-/// A connection that waits in the backlog goes to the run that takes over the listener.
-#[test]
-fn an_idle_connection_that_the_next_run_accepted_does_not_vouch_for_the_run_before() {
-    let script = vec![
-        Step::PauseAccepting(230),
-        unframed_head(),
-        unframed_events(1..=3),
-        Step::Sleep(200),
-        Step::StartAgain(20),
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let received = harness.send(&[]);
-    assert!(!received.is_complete);
-}
-
-/// An endpoint that wants no more requests is not asked, and its next run keeps connections too.
-#[test]
-fn a_kept_connection_to_the_next_run_does_not_vouch_for_the_run_before() {
-    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nx-pause-ms: 2000\r\n\r\n";
-    let script = vec![
-        Step::Write(head.to_owned()),
-        unframed_events(1..=3),
-        Step::Sleep(150),
-        Step::StartAgain(0),
-    ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
-    let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    let received = harness.send(&[]);
-    assert!(!received.is_complete);
-}
-
 /// Guards against resetting a whole stream that ends soon after another, whose check opened the idle connection.
 #[test]
 fn a_whole_stream_that_ends_soon_after_another_ends_as_complete() {
@@ -1049,32 +462,10 @@
     }
 }
 
-/// Guards against taking a connection that an endpoint closes as idle for one that ended with an answer.
-#[test]
-fn an_endpoint_that_closes_idle_connections_early_vouches_for_its_streams() {
-    for last_ms in [40, 90, 140] {
-        let mut script = vec![unframed_head()];
-        for id in 1..=15 {
-            script.extend([unframed_events(id..=id), Step::Sleep(100)]);
-        }
-        script.push(Step::Sleep(last_ms));
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
-        endpoint.set_idle_timeout(Duration::from_millis(1_500));
-        let route = route(RetrySafety::NonIdempotentStream);
-        let harness = Harness::new(route, &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
-        assert!(harness.send(&[]).is_complete, "{last_ms} ms");
-    }
-}
-
 /// Guards against asking no report of a run when the idle connection to it is younger than the proof has to be.
 #[test]
 fn a_whole_answer_that_follows_a_silence_is_vouched_for_by_the_report_of_its_run() {
-    let mut slow = vec![unframed_head()];
-    for id in 1..=7 {
-        slow.extend([unframed_events(id..=id), Step::Sleep(100)]);
-    }
+    let slow = unframed_stream(1..=7, 100);
     let late = vec![
         unframed_head(),
         Step::Sleep(600),
