serve: Notice the loss of an idle connection that closes a moment after an answer

Their logs say that the run answered on a new connection 12 ms after the end and that no idle connection was lost. A path ends its connections one after another: the idle one was still open when the end was read, and too young to be asked, as these streams have gaps of 0.4 s. So its loss is looked up after the new connection has answered. One that has lived for 0.2 s is replaced at once when it closes, as half a second without one would hide the next cut.

--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -121,7 +121,6 @@
         let health_path = service
             .filter(|_| wants_checks)
             .map(|service| &*service.health_path);
-        let mut has_lost_witness = false;
         match self.state.witness.take(self.alive_at) {
             Testimony::Open(socket, established_at) => {
                 // The only connection that can be had is not spent on a question that may end it.
@@ -136,9 +135,7 @@
                     };
                 }
                 self.state.witness.record_lost();
-                has_lost_witness = true;
             }
-            Testimony::Closed => has_lost_witness = true,
             Testimony::None => {}
         }
         Timer::after(GATHER_TIME).await;
@@ -147,6 +144,8 @@
             Some(path) => Box::pin(self.ask_on_new_connection(path)).await,
             None => Box::pin(self.connect()).await,
         };
+        // It may have closed a moment after the answer.
+        let has_lost_witness = self.state.witness.is_lost();
         LifeCheck {
             has_lost_witness,
             ..self.check(started_at, found)
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -20,6 +20,9 @@
 /// Age at which a witness is replaced, below the time after which endpoints close idle connections.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
+/// Age below which a witness that closes is not replaced at once.
+const EARLY_AGE: Duration = Duration::from_millis(200);
+
 /// How often it is checked whether a witness is open.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -60,8 +63,6 @@
 pub(crate) enum Testimony {
     /// A connection established at a time is open. Only the run that accepted it can answer on it.
     Open(Socket, Instant),
-    /// The connection closed when the answer ended: the run has ended, or the path to it was cut.
-    Closed,
     /// No witness is old enough.
     None,
 }
@@ -119,7 +120,6 @@
                 Some(witness) => Testimony::Open(witness.socket, witness.established_at),
                 None => Testimony::None,
             },
-            _ if self.is_lost() => Testimony::Closed,
             _ => Testimony::None,
         }
     }
@@ -216,7 +216,7 @@
             }
             if witness.asked_at.is_none() {
                 is_lost = true;
-                let is_early = now < witness.established_at + MAX_AGE;
+                let is_early = now < witness.established_at + EARLY_AGE;
                 self.refused_at.set(is_early.then_some(now));
             }
             false
@@ -236,7 +236,10 @@
         }
     }
 
-    fn is_lost(&self) -> bool {
+    /// Returns whether the last witness has closed a moment ago, so that it may have ended with an answer: the run
+    /// has ended, or the path to it was cut.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.drop_closed();
         let losses = self.losses.borrow();
         losses
             .back()
