serve: Do not take an idle connection that a full endpoint resets for a lost path

A reset within 0.2 s of the opening is such a refusal and no loss. A run that ends, and a path that ends answers as if they were whole, close idle connections regularly, as they do the answers; where a path resets them, the answers break with an error.

The tests of unframed answers pass (40). No test in process plays the reset of a connection that was just opened.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -45,8 +45,10 @@
 }
 
 impl Witness {
-    fn is_open(&self) -> bool {
-        self.socket.check_silent().is_ok()
+    /// Returns whether the endpoint has turned it away that ended with an error: an endpoint resets what exceeds
+    /// its connections. Those of a run that ends are closed regularly.
+    fn is_turned_away(&self, err: &io::Error, now: Instant) -> bool {
+        err.kind() != io::ErrorKind::ConnectionAborted && now < self.established_at + EARLY_AGE
     }
 
     /// Notes that it is open.
@@ -207,15 +209,16 @@
         let now = Instant::now();
         let mut is_lost = false;
         witnesses.retain_mut(|witness| {
-            if witness.is_open() {
+            // An error is reported once.
+            let Err(err) = witness.socket.check_silent() else {
                 let was_asked = witness.asked_at.is_some();
                 witness.settle(now);
                 let keeps_alive = was_asked && witness.asked_at.is_none();
                 self.keeps_alive.set(self.keeps_alive.get() || keeps_alive);
                 return true;
-            }
+            };
             if witness.asked_at.is_none() {
-                is_lost = true;
+                is_lost |= !witness.is_turned_away(&err, now);
                 let is_early = now < witness.established_at + EARLY_AGE;
                 self.refused_at.set(is_early.then_some(now));
             }
