serve: Open an idle connection again before the loss of the last is forgotten

Cause: the path was cut twice, 0.52 s apart. The idle connection that the first cut ended had lived for less than 0.2 s, so that the next was opened after a pause of 0.5 s and the tick of the watch, up to 0.6 s later. Its loss is remembered for 0.5 s. A cut in between met neither an idle connection nor a remembered loss, and the endpoint vouched for the stream.

Ruled out: that the loss was not noticed; the trace shows it.

Change: the pause is 0.3 s. With the tick of 0.1 s and the 0.05 s until a connection counts as accepted, the next one is there before the loss is forgotten. An endpoint that turns such connections away is asked for one at most three times a second instead of twice.

Before: the new test fails at its first pause (10 ms), the second stream ends as complete. After: cut_paths passed 3 of 3 times, all tests of serve passed.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -14,8 +14,9 @@
 /// How long a witness is kept that no answer needs.
 const KEPT_TIME: Duration = Duration::from_secs(10);
 
-/// Pause after a witness was refused, or closed soon after it was opened.
-const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a witness was refused, or closed soon after it was opened. The next one has to be accepted before
+/// the loss is forgotten after [`SAME_TIME`].
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
 /// Age at which a witness is replaced, below the time after which endpoints close idle connections.
 const MAX_AGE: Duration = Duration::from_secs(1);
--- a/crates/serve/tests/cut_paths.rs
+++ b/crates/serve/tests/cut_paths.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::thread::sleep;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -152,6 +153,29 @@
     assert_eq!(complete, 0, "streams that end as complete of {STREAMS}");
 }
 
+/// Guards against a path that is cut again before the idle connection that it ended is opened again.
+#[test]
+fn a_path_that_is_cut_twice_within_a_second_leaves_both_streams_in_doubt() {
+    for pause_ms in [10, 30, 50] {
+        let mut first = unframed_stream(1..=3, 30);
+        first.push(Step::CloseAllConnections);
+        let second = vec![
+            unframed_head(),
+            unframed_events(1..=3),
+            Step::Sleep(470),
+            Step::CloseAllConnections,
+        ];
+        let endpoint = ScriptedEndpoint::start(vec![first, second]);
+        endpoint.set_started(1_000);
+        let route = route(RetrySafety::NonIdempotentStream);
+        let harness = Harness::new(route, &[endpoint.addr], 10.0);
+        harness.list_starts(&[1_000]);
+        assert!(!harness.send(&[]).is_complete, "{pause_ms} ms, first");
+        sleep(Duration::from_millis(pause_ms));
+        assert!(!harness.send(&[]).is_complete, "{pause_ms} ms, second");
+    }
+}
+
 /// The idle connection may be closed before the last bytes of an answer are read.
 #[test]
 fn a_cut_that_reaches_the_idle_connection_first_leaves_a_stream_in_doubt() {
