serve: Move the calls in flight out of the state of an endpoint

Change: calls_in_flight.rs holds the calls and their progress, with one value for the time of the head on both clocks; call_guard.rs holds the guard that counts a call.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -6,8 +6,9 @@
 use relay::Exchange;
 
 use crate::active_request::ActiveRequest;
+use crate::call_guard::CallGuard;
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::{CallGuard, EndpointState};
+use crate::endpoint_state::EndpointState;
 use crate::life::check_life;
 use crate::life_check::Life;
 use crate::life_question::{Finding, ask_peers};
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -9,11 +9,12 @@
 use relay::{Exchange, RequestHead};
 
 use crate::active_request::ActiveRequest;
+use crate::call_guard::CallGuard;
 use crate::carry_message::{CarryOrder, CarryReport};
 use crate::dispatch::{SendResult, StartedResponse};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{ExecutionStatus, Reply};
-use crate::endpoint_state::{CallGuard, EndpointState};
+use crate::endpoint_state::EndpointState;
 use crate::outcome::Counters;
 use crate::peer_choice::{Peer, list_peers};
 use crate::peer_states::CarriedCall;
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -13,10 +13,11 @@
 
 use crate::active_request::{ActiveRequest, FailureResponse};
 use crate::answer_end::{Doubt, judge_end};
+use crate::call_guard::CallGuard;
 use crate::call_record::{record_connected, record_unreachable, record_wishes};
 use crate::endpoint::Endpoint;
 use crate::endpoint_protocol::{Attempt, ExecutionStatus, Reply};
-use crate::endpoint_state::{CallGuard, EndpointState};
+use crate::endpoint_state::EndpointState;
 use crate::outcome::Counters;
 use crate::peer_choice::Peer;
 use crate::peer_states::CarriedCall;
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -5,14 +5,13 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use async_lock::Mutex;
 use limits::{
-    Crash, EndpointRate, EndpointUse, Health, OutlierDetector, Path, RateDivision,
-    RefusalAllowance, RequestLoad,
+    Crash, EndpointRate, EndpointUse, Health, OutlierDetector, Path, RateDivision, RefusalAllowance,
 };
 
+use crate::calls_in_flight::CallsInFlight;
 use crate::endpoint::Endpoint;
 use crate::latency_ratio::LatencyRatio;
 use crate::life_check::LifeCheck;
@@ -68,8 +67,7 @@
     /// The latest check of whether the endpoint is still there.
     pub(crate) life_check: Mutex<Option<LifeCheck>>,
     pub(crate) witness: WitnessSlot,
-    /// The calls in flight.
-    calls: RefCell<Vec<Rc<CallProgress>>>,
+    pub(crate) calls: CallsInFlight,
     /// Generation of the view for which the rank was taken, and the rank.
     rank: Cell<Option<(u64, usize)>>,
     recent_starts: RefCell<RecentStarts>,
@@ -89,23 +87,7 @@
     }
 
     pub(crate) fn connections(&self) -> u32 {
-        self.calls.borrow().len() as u32
-    }
-
-    /// Returns the number of calls whose answers had begun by a time, so that the run sends them that was
-    /// there then.
-    pub(crate) fn calls_begun_before(&self, time: Instant) -> u32 {
-        let calls = self.calls.borrow();
-        calls.iter().filter(|call| call.began_before(time)).count() as u32
-    }
-
-    /// Returns when the first of such calls began of which bytes arrived at a later time, in milliseconds, or
-    /// after it.
-    pub(crate) fn received_by_calls_since(&self, time: Instant, later_ms: u64) -> Option<Instant> {
-        let calls = self.calls.borrow();
-        let begun = calls.iter().filter(|call| call.began_before(time));
-        let received = begun.filter(|call| call.received_ms.get() >= later_ms);
-        received.filter_map(|call| call.began_at.get()).min()
+        self.calls.count()
     }
 
     /// Returns the ratio of latencies to the baseline.
@@ -340,6 +322,11 @@
         self.record_sign(asked_ms, None, now_ms);
     }
 
+    /// Records that bytes arrived of an answer that began at a time, in milliseconds, if that is known.
+    pub(crate) fn record_received(&self, began_ms: Option<u64>, now_ms: u64) {
+        self.record_sign(None, began_ms, now_ms);
+    }
+
     /// Records that bytes arrived on a connection opened at a time, in milliseconds, if that is known: of an
     /// answer that began at a time, or proof that the run itself lives.
     fn record_sign(&self, opened_ms: Option<u64>, began_ms: Option<u64>, now_ms: u64) {
@@ -438,7 +425,7 @@
         self.last_received_ms.get()
     }
 
-    fn add(&self, load: f64) {
+    pub(crate) fn add(&self, load: f64) {
         self.load.set((self.load.get() + load).max(0.0));
         self.shared_load.set_own(self.load.get());
     }
@@ -460,80 +447,6 @@
     }
 }
 
-/// How far the answer to a call has come.
-#[derive(Debug, Default)]
-struct CallProgress {
-    /// When its head arrived, and that in milliseconds.
-    began_at: Cell<Option<Instant>>,
-    began_ms: Cell<Option<u64>>,
-    /// When its last bytes arrived, in milliseconds.
-    received_ms: Cell<u64>,
-}
-
-impl CallProgress {
-    fn began_before(&self, time: Instant) -> bool {
-        self.began_at.get().is_some_and(|began_at| began_at < time)
-    }
-}
-
-/// Guard that counts a call as in flight at an endpoint until it is dropped.
-#[derive(Debug)]
-pub(crate) struct CallGuard {
-    pub(crate) endpoint_state: Rc<EndpointState>,
-    progress: Rc<CallProgress>,
-    sent_at: Instant,
-    load: f64,
-    load_after_head: f64,
-}
-
-impl CallGuard {
-    pub(crate) fn new(endpoint_state: Rc<EndpointState>, request_load: RequestLoad) -> CallGuard {
-        let load = request_load.prefill + request_load.response;
-        let progress = Rc::new(CallProgress::default());
-        endpoint_state.calls.borrow_mut().push(progress.clone());
-        endpoint_state.add(load);
-        CallGuard {
-            endpoint_state,
-            progress,
-            sent_at: Instant::now(),
-            load,
-            load_after_head: request_load.response,
-        }
-    }
-
-    /// Releases the load of reading the prompt, which ends when the response starts.
-    pub(crate) fn response_started(&mut self, now_ms: u64) {
-        self.progress.began_at.set(Some(Instant::now()));
-        self.progress.began_ms.set(Some(now_ms));
-        self.progress.received_ms.set(now_ms);
-        let done = self.load - self.load_after_head;
-        self.load = self.load_after_head;
-        self.endpoint_state.add(-done);
-    }
-
-    /// Returns when the call was sent.
-    pub(crate) fn sent_at(&self) -> Instant {
-        self.sent_at
-    }
-
-    /// Records that bytes of the response arrived.
-    pub(crate) fn record_received(&self, now_ms: u64) {
-        self.progress.received_ms.set(now_ms);
-        let began_ms = self.progress.began_ms.get();
-        self.endpoint_state.record_sign(None, began_ms, now_ms);
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        let endpoint_state = &self.endpoint_state;
-        let mut calls = endpoint_state.calls.borrow_mut();
-        calls.retain(|call| !Rc::ptr_eq(call, &self.progress));
-        drop(calls);
-        endpoint_state.add(-self.load);
-    }
-}
-
 /// States of all endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointStates {
--- a/crates/serve/src/other_answers.rs
+++ b/crates/serve/src/other_answers.rs
@@ -46,14 +46,14 @@
         }
         checked_ms = now_ms;
         let late_ms = since_ms + LATE_BYTES_MS;
-        let since = state.received_by_calls_since(end.alive_at, late_ms);
+        let since = state.calls.received_since(end.alive_at, late_ms);
         if since.is_some() {
             return Some(Sign {
                 since,
                 ..Sign::new(Life::Answers)
             });
         }
-        let has_others = state.calls_begun_before(end.alive_at) > end.ended_calls;
+        let has_others = state.calls.begun_before(end.alive_at) > end.ended_calls;
         if !has_others || Instant::now() >= until {
             return None;
         }
