serve: Return the idle connection of a question as an option

Cause: `Testimony` had come down to two cases, a connection with its time and none, since losses are asked for apart.

Change: `WitnessSlot::take` returns an option. No change of behaviour: all tests of serve pass.

--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -18,7 +18,7 @@
 use crate::reach;
 use crate::request_context::RequestContext;
 use crate::run::{Identity, Run};
-use crate::witness::{ACCEPT_TIME, Testimony};
+use crate::witness::ACCEPT_TIME;
 
 /// How long an endpoint that is not asked has to keep a connection open. The backlog of a process that ends,
 /// or a proxy before it, may accept a connection and close it a moment later.
@@ -121,22 +121,19 @@
         let health_path = service
             .filter(|_| wants_checks)
             .map(|service| &*service.health_path);
-        match self.state.witness.take(self.alive_at) {
-            Testimony::Open(socket, established_at) => {
-                // The only connection that can be had is not spent on a question that may end it.
-                let may_ask = wants_checks && self.has_another_witness().await;
-                let started_at = Instant::now();
-                let health_path = health_path.filter(|_| may_ask);
-                let asking = Box::pin(self.ask_witness(socket, established_at, health_path));
-                if let Some((found, by_connection)) = asking.await {
-                    return LifeCheck {
-                        established_at: by_connection.then_some(established_at),
-                        ..self.check(started_at, found)
-                    };
-                }
-                self.state.witness.record_lost();
+        if let Some((socket, established_at)) = self.state.witness.take(self.alive_at) {
+            // The only connection that can be had is not spent on a question that may end it.
+            let may_ask = wants_checks && self.has_another_witness().await;
+            let started_at = Instant::now();
+            let health_path = health_path.filter(|_| may_ask);
+            let asking = Box::pin(self.ask_witness(socket, established_at, health_path));
+            if let Some((found, by_connection)) = asking.await {
+                return LifeCheck {
+                    established_at: by_connection.then_some(established_at),
+                    ..self.check(started_at, found)
+                };
             }
-            Testimony::None => {}
+            self.state.witness.record_lost();
         }
         Timer::after(GATHER_TIME).await;
         let started_at = Instant::now();
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -61,15 +61,6 @@
     }
 }
 
-/// What the witness of an endpoint shows when an answer ends.
-#[derive(Debug)]
-pub(crate) enum Testimony {
-    /// A connection established at a time is open. Only the run that accepted it can answer on it.
-    Open(Socket, Instant),
-    /// No witness is old enough.
-    None,
-}
-
 /// The loss of the last witness of an endpoint.
 #[derive(Debug, Clone, Copy)]
 struct Loss {
@@ -113,18 +104,14 @@
         !self.witnesses.borrow().is_empty()
     }
 
-    /// Takes the witness for a question about a run that was there at a time.
-    pub(crate) fn take(&self, alive_at: Instant) -> Testimony {
+    /// Takes the witness for a question about a run that was there at a time, and returns it with when it was
+    /// established. Only the run that accepted it can answer on it.
+    pub(crate) fn take(&self, alive_at: Instant) -> Option<(Socket, Instant)> {
         self.drop_closed();
         let mut witnesses = self.witnesses.borrow_mut();
-        let is_old = |witness: &Witness| witness.established_at + ACCEPT_TIME <= alive_at;
-        match witnesses.front() {
-            Some(witness) if is_old(witness) => match witnesses.pop_front() {
-                Some(witness) => Testimony::Open(witness.socket, witness.established_at),
-                None => Testimony::None,
-            },
-            _ => Testimony::None,
-        }
+        let is_old = |witness: &mut Witness| witness.established_at + ACCEPT_TIME <= alive_at;
+        let witness = witnesses.pop_front_if(is_old)?;
+        Some((witness.socket, witness.established_at))
     }
 
     /// Sets a witness back after a question, or after a wait without one.
