serve: Compare the loss of an idle connection with the end of the answer

What callers saw: a stream that its path cut ended as complete if the check of its endpoint took over half a second, or if another answer of the endpoint went on before the check was over.

Cause: whether the idle connection was lost was a part of the result of the check: evaluated after the question, against half a second before then, and false in the sign that other answers give. But what shows the life of the run does not show that the run ended the answer.

Ruled out: that the loss was not recorded; it was, and had been forgotten or was not asked for.

Change: the check tells only whether the idle connection was open after the answer. The loss is compared with the end of the answer where the end is judged. When a witness was last seen open is kept apart from when one was last wanted, so that a later end of the run counts for later answers only.

Found by a review.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -173,9 +173,12 @@
     let sign = check_life(context, endpoint, state, end, until).await;
     let own = sign.life;
     let wants_none = wants_none(context, endpoint, state);
+    // The witness may close a moment after the answer, and whatever shows the life of the run does not show that
+    // the run ended the answer.
+    let has_lost_witness = !sign.keeps_witness && state.witness.was_lost_about(ended_at);
     // An idle connection that was kept until the end shows that the path was not cut before.
-    let has_lost_path = sign.has_lost_witness && !wants_none;
-    let explains_refusal = wants_none || (was_out_of_reach && !sign.has_lost_witness);
+    let has_lost_path = has_lost_witness && !wants_none;
+    let explains_refusal = wants_none || (was_out_of_reach && !has_lost_witness);
     tracing::info!(
         id = &*request.info.id,
         endpoint = &*endpoint.id,
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -130,6 +130,7 @@
             if let Some((found, by_connection)) = asking.await {
                 return LifeCheck {
                     established_at: by_connection.then_some(established_at),
+                    keeps_witness: true,
                     ..self.check(started_at, found)
                 };
             }
@@ -141,12 +142,7 @@
             Some(path) => Box::pin(self.ask_on_new_connection(path)).await,
             None => Box::pin(self.connect()).await,
         };
-        // It may have closed a moment after the answer.
-        let has_lost_witness = self.state.witness.is_lost();
-        LifeCheck {
-            has_lost_witness,
-            ..self.check(started_at, found)
-        }
+        self.check(started_at, found)
     }
 
     fn check(&self, started_at: Instant, found: Life) -> LifeCheck {
@@ -155,7 +151,7 @@
             until: self.until,
             found,
             established_at: None,
-            has_lost_witness: false,
+            keeps_witness: false,
         }
     }
 
--- a/crates/serve/src/life_check.rs
+++ b/crates/serve/src/life_check.rs
@@ -48,8 +48,8 @@
     pub(crate) found: Life,
     /// When the connection was established on which it was found, if only that tells the run from a later one.
     pub(crate) established_at: Option<Instant>,
-    /// Whether the idle connection to the endpoint ended with the answer.
-    pub(crate) has_lost_witness: bool,
+    /// Whether the idle connection to the endpoint was open after the answer.
+    pub(crate) keeps_witness: bool,
 }
 
 /// What is known of the run that sent an answer.
@@ -58,8 +58,8 @@
     pub(crate) life: Life,
     /// Since when the run that shows it is known to be there, if only that tells it from a later one.
     pub(crate) since: Option<Instant>,
-    /// Whether the idle connection to the endpoint ended with the answer.
-    pub(crate) has_lost_witness: bool,
+    /// Whether the idle connection to the endpoint was open after the answer.
+    pub(crate) keeps_witness: bool,
 }
 
 impl Sign {
@@ -68,7 +68,7 @@
         Sign {
             life,
             since: None,
-            has_lost_witness: false,
+            keeps_witness: false,
         }
     }
 }
@@ -92,7 +92,7 @@
         Some(Sign {
             life: self.found,
             since,
-            has_lost_witness: self.has_lost_witness,
+            keeps_witness: self.keeps_witness,
         })
     }
 }
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -69,6 +69,12 @@
     found_at: Instant,
 }
 
+impl Loss {
+    fn is_about(&self, ended_at: Instant) -> bool {
+        self.found_at + SAME_TIME > ended_at && self.open_at < ended_at + CHECK_INTERVAL
+    }
+}
+
 /// The place of the witness of one endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct WitnessSlot {
@@ -76,6 +82,8 @@
     witnesses: RefCell<VecDeque<Witness>>,
     is_opening: Cell<bool>,
     checked_at: Cell<Option<Instant>>,
+    /// When a witness was last seen to be open.
+    open_at: Cell<Option<Instant>>,
     wanted_at: Cell<Option<Instant>>,
     refused_at: Cell<Option<Instant>>,
     losses: RefCell<VecDeque<Loss>>,
@@ -126,7 +134,7 @@
     /// Records that the connection of a question closed as the answer ended.
     pub(crate) fn record_lost(&self) {
         let found_at = Instant::now();
-        let open_at = self.checked_at.get().unwrap_or(found_at);
+        let open_at = self.open_at.get().unwrap_or(found_at);
         let mut losses = self.losses.borrow_mut();
         if losses.len() == MAX_LOSSES {
             losses.pop_front();
@@ -212,8 +220,11 @@
             }
             false
         });
+        let is_open = !witnesses.is_empty();
         drop(witnesses);
-        if is_lost && self.witnesses.borrow().is_empty() {
+        if is_open {
+            self.open_at.set(Some(now));
+        } else if is_lost {
             self.record_lost();
         }
     }
@@ -227,14 +238,12 @@
         }
     }
 
-    /// Returns whether the last witness has closed a moment ago, so that it may have ended with an answer: the run
-    /// has ended, or the path to it was cut.
-    pub(crate) fn is_lost(&self) -> bool {
+    /// Returns whether the last witness closed about when an answer ended, so that it may have ended with it: the
+    /// run has ended, or the path to it was cut.
+    pub(crate) fn was_lost_about(&self, ended_at: Instant) -> bool {
         self.drop_closed();
         let losses = self.losses.borrow();
-        losses
-            .back()
-            .is_some_and(|loss| loss.found_at.elapsed() < SAME_TIME)
+        losses.iter().any(|loss| loss.is_about(ended_at))
     }
 }
 
