serve: Record the life of a run that peers reach, also if its path was cut

What callers saw: a prompt was refused for a minute after paths had cut three answers to it soon after their start, while a peer reached all the runs that had sent them.

Cause: an end that follows the loss of an idle connection was returned as in doubt before the finding of the peers was recorded, so that the end of the answer stayed counted as a crash of the endpoint.

Change: the life that peers show is recorded first; what it says of the end of the answer is judged after that.

Found by a review.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -214,19 +214,20 @@
             let message = "another run of an endpoint listens at the address";
             return AnswerEnd::CutShort(truncated(message));
         }
-        // The run may live, so that the path may have ended the answer.
-        _ if has_lost_path => return in_doubt(own),
-        // Only the path of this instance is cut.
-        Finding::Reached if own.is_unreached() && !explains_refusal => {
-            state.record_life(Some(context.now_ms()), context.now_ms());
-        }
-        Finding::Reached | Finding::Lives => {
+        Finding::Lives | Finding::Reached => {
             state.record_life(Some(context.now_ms()), context.now_ms());
-            return AnswerEnd::Whole;
         }
-        Finding::Unknown if seems_alive => return AnswerEnd::Whole,
         Finding::Unknown => {}
     }
+    match peers {
+        // The run may live, so that the path may have ended the answer.
+        _ if has_lost_path => return in_doubt(own),
+        // Only the path of this instance is cut.
+        Finding::Reached if own.is_unreached() && !explains_refusal => {}
+        Finding::Reached | Finding::Lives => return AnswerEnd::Whole,
+        _ if seems_alive => return AnswerEnd::Whole,
+        _ => {}
+    }
     let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
     if !can_repeat_now && goes_on(context, state, end, until).await.is_some() {
         state.record_life(Some(context.now_ms()), context.now_ms());
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -2,14 +2,18 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
+use common::fleet::Fleet;
 use common::{
-    Harness, Health, ScriptedEndpoint, Step, events, route, stream_end, stream_head,
-    unframed_stream,
+    Harness, Health, ScriptedEndpoint, Step, answer, events, route, stream_end, stream_head,
+    unframed_events, unframed_head, unframed_stream,
 };
+use futures_lite::FutureExt;
 use futures_lite::future::{block_on, zip};
+use kernel::Clock;
 use route::RetrySafety;
 
 fn harness(endpoint: &ScriptedEndpoint) -> Harness {
@@ -19,6 +23,71 @@
     harness
 }
 
+fn limit_connections(harness: &Harness, max_connections: u32) {
+    let mut view = (**harness.view.load()).clone();
+    let route = route(RetrySafety::NonIdempotentStream);
+    let service = route::Service {
+        name: "app".into(),
+        health_path: "/".into(),
+        max_connections,
+        engine: None,
+    };
+    let route = route.with_target(route::Target::new("app", 1));
+    let table = route::Table::new(1).with_route(route).with_service(service);
+    view.table = Some(Arc::new(table));
+    view.generation += 1;
+    harness.view.store(view.into());
+}
+
+/// Cuts the path to one endpoint after another soon after an answer to the same prompt began, and returns the
+/// statuses of the requests.
+fn send_while_paths_are_cut(max_connections: u32) -> Vec<u16> {
+    const ENDPOINTS: usize = 7;
+    let cut = vec![
+        unframed_head(),
+        unframed_events(1..=1),
+        Step::Sleep(100),
+        Step::Exit,
+    ];
+    let start = |script: Vec<Step>| {
+        let endpoint = ScriptedEndpoint::start(vec![script]);
+        endpoint.set_started(1_000);
+        endpoint
+    };
+    let here: Vec<_> = (0..ENDPOINTS).map(|_| start(cut.clone())).collect();
+    let there: Vec<_> = (0..ENDPOINTS).map(|_| start(answer("unasked"))).collect();
+    let addrs = |endpoints: &[ScriptedEndpoint]| endpoints.iter().map(|one| one.addr).collect();
+    let route = route(RetrySafety::NonIdempotentStream);
+    let fleet = Fleet::new(&route, &[addrs(&here), addrs(&there)]);
+    for instance in &fleet.instances {
+        instance.list_starts(&[1_000; ENDPOINTS]);
+        limit_connections(instance, max_connections);
+    }
+    let reports = async {
+        loop {
+            fleet.exchange_reach();
+            Timer::after(Duration::from_millis(100)).await;
+        }
+    };
+    let sending = async {
+        let mut statuses = Vec::new();
+        for number in 0..6 {
+            let instance = &fleet.instances[0];
+            let crashes = instance.pipeline.shared_loads().crashes().clone();
+            crashes.set_peers(&[], instance.clock.mono_ms());
+            let parts = format!("66,{}", 5_000 + number);
+            let fields = [("x-parts", &*parts)];
+            statuses.push(instance.send_to("/x/1", &fields).await.status);
+            Timer::after(Duration::from_millis(200)).await;
+        }
+        let fields = [("x-parts", "67,6000")];
+        let other = fleet.instances[0].send_to("/x/1", &fields).await;
+        assert_eq!(other.status, 200, "another prompt");
+        statuses
+    };
+    block_on(fleet.executor.run(sending.or(reports)))
+}
+
 /// The loss of an idle connection is not forgotten while the endpoint is asked.
 #[test]
 fn a_cut_leaves_a_stream_in_doubt_whose_endpoint_answers_slowly() {
@@ -33,6 +102,17 @@
     }
 }
 
+/// A path that ends answers soon after their start does not show that their prompt crashes endpoints, if peers
+/// reach the runs that sent them.
+#[test]
+fn paths_that_are_cut_block_no_prompt() {
+    // With a share of less than eight connections there are no idle ones.
+    for max_connections in [14, 100] {
+        let statuses = send_while_paths_are_cut(max_connections);
+        assert_eq!(statuses, [200; 6], "{max_connections} connections");
+    }
+}
+
 /// Another answer that goes on shows the life of the run, but not that the run ended the stream.
 #[test]
 fn another_answer_does_not_make_a_stream_whole_whose_idle_connection_was_cut() {
