serve: Count the loss of an idle connection on which an endpoint was asked

What callers saw: a stream that its path cut within 0.2 s after another answer of the endpoint had ended well ended as complete.

Cause: an idle connection that closes soon after a question was not counted as lost, as endpoints may close connections after an answer. That is not so for an endpoint which is known to keep them.

Change: such a loss counts if the endpoint has kept a connection after an answer before.

Found by a review. Scripted endpoints can keep connections after health checks for it.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -213,7 +213,8 @@
                 self.keeps_alive.set(self.keeps_alive.get() || keeps_alive);
                 return true;
             };
-            if witness.asked_at.is_none() {
+            // After an answer, an endpoint that keeps connections does not close them.
+            if witness.asked_at.is_none() || self.keeps_alive.get() {
                 is_lost |= !witness.is_turned_away(&err, now);
                 let is_early = now < witness.established_at + EARLY_AGE;
                 self.refused_at.set(is_early.then_some(now));
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -70,6 +70,8 @@
     started_ms: Option<u64>,
     /// After how long it closes connections on which nothing was asked.
     idle_timeout: Option<Duration>,
+    /// Whether it keeps connections after health checks.
+    keeps_alive: bool,
 }
 
 impl Run {
@@ -79,6 +81,7 @@
             listens_at: Instant::now() + start_time,
             started_ms,
             idle_timeout: None,
+            keeps_alive: false,
         }
     }
 
@@ -249,15 +252,20 @@
                     run: run.clone(),
                 };
                 std::thread::spawn(move || {
-                    let Some(head) = read_head(&mut stream) else {
-                        return;
-                    };
-                    let health = *health.lock().unwrap();
-                    let started_ms = current_run.lock().unwrap().started_ms;
-                    if answer_health(&mut stream, &head, health, started_ms) {
+                    let head = loop {
+                        let Some(head) = read_head(&mut stream) else {
+                            return;
+                        };
+                        let health = *health.lock().unwrap();
+                        let started_ms = current_run.lock().unwrap().started_ms;
+                        if !answer_health(&mut stream, &head, health, started_ms) {
+                            break head;
+                        }
                         checks.fetch_add(1, Ordering::SeqCst);
-                        return;
-                    }
+                        if !current_run.lock().unwrap().keeps_alive {
+                            return;
+                        }
+                    };
                     let number = {
                         let mut seen = seen.lock().unwrap();
                         seen.push(head);
@@ -291,6 +299,11 @@
         self.run.lock().unwrap().idle_timeout = Some(timeout);
     }
 
+    /// Makes it keep connections after health checks.
+    pub fn set_keeps_alive(&self) {
+        self.run.lock().unwrap().keeps_alive = true;
+    }
+
     /// Sets how it answers health checks.
     pub fn set_health(&self, health: Health) {
         *self.health.lock().unwrap() = health;
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -102,6 +102,28 @@
     }
 }
 
+/// An idle connection that was asked on a moment ago is lost with the path like any other.
+#[test]
+fn a_cut_soon_after_a_question_on_the_idle_connection_leaves_a_stream_in_doubt() {
+    let mut cut = unframed_stream(1..=4, 85);
+    cut.push(Step::CloseAllConnections);
+    let whole = unframed_stream(1..=3, 80);
+    let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=3, 55), whole, cut]);
+    endpoint.set_started(1_000);
+    endpoint.set_keeps_alive();
+    let harness = harness(&endpoint);
+    assert!(harness.send(&[]).is_complete);
+    // It becomes known that the endpoint keeps connections.
+    std::thread::sleep(Duration::from_millis(300));
+    let later = async {
+        Timer::after(Duration::from_millis(20)).await;
+        harness.send_to("/x/2", &[]).await
+    };
+    let (whole, cut) = block_on(zip(harness.send_to("/x/1", &[]), later));
+    assert!(whole.is_complete);
+    assert!(!cut.is_complete);
+}
+
 /// A path that ends answers soon after their start does not show that their prompt crashes endpoints, if peers
 /// reach the runs that sent them.
 #[test]
