serve: Do not let a pause that an endpoint asks for explain a cut

What callers saw: a stream that its path cut together with the idle connection ended as complete if the endpoint had asked for a pause a moment before.

Cause: an endpoint that wants no requests was taken for one that closes idle connections. One that leaves may; one that is full refuses or resets new ones, and keeps those that it has.

Change: only an endpoint that leaves, by the registry, itself or a peer, explains that an idle connection closes. A pause explains refused connections as before.

Found by a review.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -172,12 +172,13 @@
     let was_out_of_reach = was_out_of_reach(state, doubt);
     let sign = check_life(context, endpoint, state, end, until).await;
     let own = sign.life;
-    let wants_none = wants_none(context, endpoint, state);
+    let leaves = leaves(context, endpoint, state);
     // The witness may close a moment after the answer, and whatever shows the life of the run does not show that
     // the run ended the answer.
     let has_lost_witness = !sign.keeps_witness && state.witness.was_lost_about(ended_at);
     // An idle connection that was kept until the end shows that the path was not cut before.
-    let has_lost_path = has_lost_witness && !wants_none;
+    let has_lost_path = has_lost_witness && !leaves;
+    let wants_none = leaves || state.wanted_pause_ms(context.now_ms()) > 0;
     let explains_refusal = wants_none || (was_out_of_reach && !has_lost_witness);
     tracing::info!(
         id = &*request.info.id,
@@ -242,13 +243,13 @@
     )))
 }
 
-/// Returns whether an endpoint leaves or wants no requests, so that it may refuse connections and close idle ones.
-fn wants_none(context: &RequestContext, endpoint: &Endpoint, state: &EndpointState) -> bool {
+/// Returns whether an endpoint leaves, so that it may refuse connections and close idle ones.
+fn leaves(context: &RequestContext, endpoint: &Endpoint, state: &EndpointState) -> bool {
     let view = context.view();
     let run = Run::of(endpoint);
     let mut listed = view.endpoints().filter(|listed| Run::of(listed) == run);
     let is_draining = listed.next().is_none_or(|listed| listed.draining);
-    is_draining || state.is_leaving() || state.wanted_pause_ms(context.now_ms()) > 0
+    is_draining || state.is_leaving()
 }
 
 /// Returns whether an endpoint had been out of reach for this instance while its answer went on.
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -162,3 +162,25 @@
         assert!(!cut.is_complete, "{health_ms} ms");
     }
 }
+
+/// A pause that an endpoint asks for does not explain that a path ends all connections.
+#[test]
+fn a_cut_leaves_the_stream_of_an_endpoint_in_doubt_that_asked_for_a_pause() {
+    let mut cut = unframed_stream(1..=3, 80);
+    cut.extend([
+        Step::AwaitRequests(2),
+        Step::Sleep(100),
+        Step::CloseAllConnections,
+    ]);
+    let head =
+        "HTTP/1.1 503 Full\r\nx-not-started: 1\r\nx-pause-ms: 2000\r\nContent-Length: 0\r\n\r\n";
+    let endpoint = ScriptedEndpoint::start(vec![cut, vec![Step::Write(head.to_owned())]]);
+    endpoint.set_started(1_000);
+    let harness = harness(&endpoint);
+    let later = async {
+        Timer::after(Duration::from_millis(150)).await;
+        harness.send_to("/x/2", &[]).await
+    };
+    let (cut, _) = block_on(zip(harness.send_to("/x/1", &[]), later));
+    assert!(!cut.is_complete);
+}
