serve: Do not let an unread answer keep others from an idle connection

What callers saw: while the caller of one stream did not read, the streams of other callers from the same endpoint had no idle connection, and ended as complete when their path was cut.

Cause: an attempt to open an idle connection is driven while its answer is read, and keeps others from another attempt until it is over. If the caller stops reading meanwhile, it is never over.

Change: an attempt keeps others from one for 0.25 s at most.

Found by a review.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -24,6 +24,10 @@
 /// Age below which a witness that closes is not replaced at once.
 const EARLY_AGE: Duration = Duration::from_millis(200);
 
+/// How long an attempt to open a witness keeps others from one. The answer that it is opened for may not be read
+/// meanwhile.
+const OPENING_TIME: Duration = Duration::from_millis(250);
+
 /// How often it is checked whether a witness is open.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -80,7 +84,7 @@
 pub(crate) struct WitnessSlot {
     /// The witness, behind the one that it is to replace until the run has had time to accept it.
     witnesses: RefCell<VecDeque<Witness>>,
-    is_opening: Cell<bool>,
+    opening_at: Cell<Option<Instant>>,
     checked_at: Cell<Option<Instant>>,
     /// When a witness was last seen to be open.
     open_at: Cell<Option<Instant>>,
@@ -190,12 +194,14 @@
         let has_fresh = witnesses.back().is_some_and(is_fresh);
         let refused_at = self.refused_at.get();
         let is_refused = refused_at.is_some_and(|refused_at| now < refused_at + REFUSED_PAUSE);
-        !has_fresh && !is_refused && !self.is_opening.get()
+        let opening_at = self.opening_at.get();
+        let is_opening = opening_at.is_some_and(|opening_at| now < opening_at + OPENING_TIME);
+        !has_fresh && !is_refused && !is_opening
     }
 
-    /// Keeps others from opening a witness until the guard is dropped.
+    /// Keeps others from opening a witness for a while, or until the guard is dropped.
     pub(crate) fn begin_opening(&self) -> Opening<'_> {
-        self.is_opening.set(true);
+        self.opening_at.set(Some(Instant::now()));
         Opening(self)
     }
 
@@ -253,6 +259,6 @@
 
 impl Drop for Opening<'_> {
     fn drop(&mut self) {
-        self.0.is_opening.set(false);
+        self.0.opening_at.set(None);
     }
 }
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -8,12 +8,13 @@
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Health, ScriptedEndpoint, Step, answer, events, route, stream_end, stream_head,
-    unframed_events, unframed_head, unframed_stream,
+    Harness, Health, ScriptedEndpoint, Step, answer, events, request, route, stream_end,
+    stream_head, unframed_events, unframed_head, unframed_stream,
 };
 use futures_lite::FutureExt;
-use futures_lite::future::{block_on, zip};
+use futures_lite::future::{block_on, poll_once, zip};
 use kernel::Clock;
+use relay::{Body, Handler};
 use route::RetrySafety;
 
 fn harness(endpoint: &ScriptedEndpoint) -> Harness {
@@ -184,3 +185,32 @@
     let (cut, _) = block_on(zip(harness.send_to("/x/1", &[]), later));
     assert!(!cut.is_complete);
 }
+
+/// A caller who stops reading while an idle connection is opened for its stream does not keep others from having one.
+#[test]
+fn a_stream_has_an_idle_connection_whose_neighbour_is_not_read() {
+    let unread = vec![
+        unframed_head(),
+        Step::Sleep(100),
+        unframed_events(1..=1),
+        Step::Sleep(2_000),
+    ];
+    let mut cut = unframed_stream(1..=4, 80);
+    cut.push(Step::CloseAllConnections);
+    let endpoint = ScriptedEndpoint::start(vec![unread, cut]);
+    endpoint.set_started(1_000);
+    let harness = harness(&endpoint);
+    let cut = block_on(async {
+        let response = harness.pipeline.handle(request("/x/1", &[])).await;
+        let Body::Stream(mut pieces) = response.body else {
+            panic!("no stream");
+        };
+        let mut next = pieces.next();
+        assert!(poll_once(&mut next).await.is_none());
+        // The event and the connection are there at once.
+        std::thread::sleep(Duration::from_millis(200));
+        assert!(next.await.unwrap().is_some());
+        harness.send_to("/x/2", &[]).await
+    });
+    assert!(!cut.is_complete);
+}
