serve: Close an idle connection that is too old and cannot be replaced

What callers saw: whole streams were reset while all connections to an endpoint were in use for over a second and the endpoint closed idle connections after that (0 of 8 streams complete, idle timeout 1.4 s).

Cause: idle connections are replaced after a second, before endpoints close them. Without room for another the old one stayed, and its end was taken for a loss that came with the ends of the streams.

Weighed: to keep it and not to count its loss if bytes of the answer arrive after it, which leaves an idle connection where there is no room.

Change: it is closed, which also makes room for a request. Until there is room again, the ends of streams are judged as without one.

Found by a review.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -205,6 +205,11 @@
         Opening(self)
     }
 
+    /// Drops a witness that is too old and cannot be replaced: its endpoint may close it as idle.
+    pub(crate) fn drop_aged(&self) {
+        self.witnesses.borrow_mut().clear();
+    }
+
     /// Drops witnesses that have closed. The last of them may have ended with an answer that ends soon.
     fn drop_closed(&self) {
         let mut witnesses = self.witnesses.borrow_mut();
--- a/crates/serve/src/witnessing.rs
+++ b/crates/serve/src/witnessing.rs
@@ -46,7 +46,10 @@
 /// Opens witnesses of an endpoint, and notices when they close.
 async fn watch(context: Rc<RequestContext>, endpoint: Arc<Endpoint>, state: Rc<EndpointState>) {
     loop {
-        if state.witness.is_wanted() && has_room(&context, &endpoint, &state) {
+        let is_wanted = state.witness.is_wanted();
+        if is_wanted && !has_room(&context, &endpoint, &state) {
+            state.witness.drop_aged();
+        } else if is_wanted {
             let _opening = state.witness.begin_opening();
             let opened = reach::connect(&context, &endpoint, &state).await;
             state.witness.set(opened);
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -136,6 +136,38 @@
     }
 }
 
+/// An idle connection that is not replaced, as all others are in use, is closed by its endpoint.
+#[test]
+fn an_idle_connection_that_could_not_be_replaced_says_nothing_of_an_end() {
+    const SHARE: u32 = 8;
+    const MAX_CONNECTIONS: u32 = 9;
+    let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=16, 100)]);
+    endpoint.set_started(1_000);
+    endpoint.set_idle_timeout(Duration::from_millis(1_400));
+    let harness = harness(&endpoint);
+    limit_connections(&harness, MAX_CONNECTIONS);
+    let executor = async_executor::LocalExecutor::new();
+    let harness = &harness;
+    let complete = block_on(executor.run(async {
+        let mut streams = Vec::new();
+        for number in 0..SHARE {
+            if number + 1 == SHARE {
+                Timer::after(Duration::from_millis(150)).await;
+            }
+            streams.push(executor.spawn(async move {
+                let target = format!("/x/{number}");
+                harness.send_to(&target, &[]).await
+            }));
+        }
+        let mut complete = 0;
+        for stream in streams {
+            complete += u32::from(stream.await.is_complete);
+        }
+        complete
+    }));
+    assert_eq!(complete, SHARE);
+}
+
 /// Another answer that goes on shows the life of the run, but not that the run ended the stream.
 #[test]
 fn another_answer_does_not_make_a_stream_whole_whose_idle_connection_was_cut() {
