serve: Compare a loss with until when the connection of an answer was open

What callers saw: a stream ended as complete that its path had cut while its caller did not read, if another stream of the endpoint had noticed the cut over half a second before the end was read. And a whole stream was reset whose idle connection had closed a second before its end, from an endpoint that names no start.

Cause: a loss was compared with when its answer was sent, and with when its end was read. Neither tells when the end arrived: a caller may read late, and an answer may outlive a loss by far.

Change: `ReadTimes` records until when there was nothing to read, so that the connection was open then. An end that is read without a wait may have come at any time since. A loss counts from half a second before that time on, as before from the end; and the run is known to outlive a loss from before that.

Weighed: to note the wait in a wrapper of the read, which made futures so large in debug builds that cut_paths overflowed its stack.

Found by a review.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,8 +1,10 @@
 //! Client side: one request to an endpoint and its response.
 
 use std::fmt;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -121,9 +123,24 @@
     ///
     /// Fails if the body is truncated or malformed.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        let bytes = self.body.next(&mut self.socket).await?;
+        let Exchange {
+            socket,
+            body,
+            read_times,
+        } = self;
+        let mut read = pin!(body.next(socket));
+        let mut has_waited = false;
+        let bytes = poll_fn(|context| {
+            let polled = read.as_mut().poll(context);
+            if polled.is_pending() || has_waited {
+                read_times.record_wait(Instant::now());
+            }
+            has_waited = true;
+            polled
+        })
+        .await?;
         if bytes.is_some() {
-            self.read_times.record(Instant::now());
+            read_times.record(Instant::now());
         }
         Ok(bytes)
     }
--- a/crates/relay/src/read_times.rs
+++ b/crates/relay/src/read_times.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Clone)]
 pub struct ReadTimes {
     read_at: Instant,
+    /// When the connection was last known to be open, as there was nothing to read.
+    open_at: Instant,
     /// Begin and end of the recent gaps.
     gaps: VecDeque<(Instant, Instant)>,
 }
@@ -23,6 +25,7 @@
     pub fn new(began_at: Instant) -> ReadTimes {
         ReadTimes {
             read_at: began_at,
+            open_at: began_at,
             gaps: VecDeque::new(),
         }
     }
@@ -42,6 +45,17 @@
         self.read_at = now;
     }
 
+    /// Records that until a time there was nothing to read, neither bytes nor an end.
+    pub fn record_wait(&mut self, now: Instant) {
+        self.open_at = now;
+    }
+
+    /// Returns until when the connection is known to have been open. What is read without a wait may have arrived
+    /// at any time since then.
+    pub fn open_until(&self) -> Instant {
+        self.open_at
+    }
+
     /// Returns when bytes were last read, or when the body began to be.
     pub fn last(&self) -> Instant {
         self.read_at
--- a/crates/relay/tests/read_times.rs
+++ b/crates/relay/tests/read_times.rs
@@ -43,3 +43,16 @@
         );
     }
 }
+
+/// Guards against taking bytes that are read late for a sign that the connection is open.
+#[test]
+fn only_a_wait_shows_that_a_connection_is_open() {
+    let began_at = Instant::now();
+    let at = |ms: u64| began_at + Duration::from_millis(ms);
+    let mut times = ReadTimes::new(began_at);
+    times.record(at(10));
+    assert_eq!(times.open_until(), at(0));
+    times.record_wait(at(20));
+    times.record(at(700));
+    assert_eq!(times.open_until(), at(20));
+}
--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -45,6 +45,8 @@
     pub(crate) read_ms: u64,
     /// Until when its run is known to have been there.
     pub(crate) alive_at: Instant,
+    /// Until when its connection is known to have been open.
+    pub(crate) open_until: Instant,
     /// Whether nothing of the answer arrived for a while shortly before its end. A cut, or a pause of this
     /// instance, may have hidden the end of the endpoint and the start of another.
     pub(crate) follows_silence: bool,
@@ -62,11 +64,14 @@
         let read_times = exchange.read_times();
         let steady_until = read_times.steady_until(ended_at);
         // A caller may read so slowly that the end is met long after the run has ended.
-        let lost_at = call.endpoint_state.witness.lost_since(call.sent_at());
+        let open_until = read_times.open_until();
+        let witness = &call.endpoint_state.witness;
+        let lost_at = witness.lost_since(call.sent_at(), open_until);
         Doubt {
             may_repeat,
             read_ms: context.ms_at(read_times.last()),
             alive_at: lost_at.map_or(steady_until, |lost_at| lost_at.min(steady_until)),
+            open_until,
             follows_silence: read_times.longest_gap(ended_at) >= MIN_SILENCE,
         }
     }
@@ -175,7 +180,8 @@
     let leaves = leaves(context, endpoint, state);
     // The witness may close a moment after the answer, and whatever shows the life of the run does not show that
     // the run ended the answer.
-    let has_lost_witness = !sign.keeps_witness && state.witness.was_lost_about(ended_at);
+    let was_lost = state.witness.was_lost_with(doubt.open_until, ended_at);
+    let has_lost_witness = was_lost && !sign.keeps_witness;
     // An idle connection that was kept until the end shows that the path was not cut before.
     let has_lost_path = has_lost_witness && !leaves;
     let wants_none = leaves || state.wanted_pause_ms(context.now_ms()) > 0;
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -74,8 +74,8 @@
 }
 
 impl Loss {
-    fn is_about(&self, ended_at: Instant) -> bool {
-        self.found_at + SAME_TIME > ended_at && self.open_at < ended_at + CHECK_INTERVAL
+    fn may_be_within(&self, from: Instant, to: Instant) -> bool {
+        self.found_at + SAME_TIME > from && self.open_at < to + CHECK_INTERVAL
     }
 }
 
@@ -96,12 +96,15 @@
 }
 
 impl WitnessSlot {
-    /// Returns until when the run that answers a request sent at a time is known to have been there, if a witness
-    /// was lost since. What was opened later may be of a later run.
-    pub(crate) fn lost_since(&self, sent_at: Instant) -> Option<Instant> {
+    /// Returns until when the run is known to have been there that answers a request sent at a time, on a connection
+    /// that was open until another, if a witness was lost about then or later. What was opened after the loss may be
+    /// of a later run.
+    pub(crate) fn lost_since(&self, sent_at: Instant, open_until: Instant) -> Option<Instant> {
         self.drop_closed();
         let losses = self.losses.borrow();
-        let mut since = losses.iter().filter(|loss| loss.found_at > sent_at);
+        let mut since = losses
+            .iter()
+            .filter(|loss| loss.found_at > sent_at && loss.found_at + SAME_TIME > open_until);
         since.next().map(|loss| loss.open_at)
     }
 
@@ -250,12 +253,14 @@
         }
     }
 
-    /// Returns whether the last witness closed about when an answer ended, so that it may have ended with it: the
-    /// run has ended, or the path to it was cut.
-    pub(crate) fn was_lost_about(&self, ended_at: Instant) -> bool {
+    /// Returns whether the last witness closed when an answer may have ended, whose connection was open until a time
+    /// and found ended at another: the run has ended, or the path to it was cut.
+    pub(crate) fn was_lost_with(&self, open_until: Instant, ended_at: Instant) -> bool {
         self.drop_closed();
         let losses = self.losses.borrow();
-        losses.iter().any(|loss| loss.is_about(ended_at))
+        losses
+            .iter()
+            .any(|loss| loss.may_be_within(open_until, ended_at))
     }
 }
 
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Health, ScriptedEndpoint, Step, answer, events, request, route, stream_end,
+    Harness, Health, ScriptedEndpoint, Step, answer, events, ids, request, route, stream_end,
     stream_head, unframed_events, unframed_head, unframed_stream,
 };
 use futures_lite::FutureExt;
@@ -218,6 +218,35 @@
     assert!(!cut.is_complete);
 }
 
+/// A caller may read the end of a stream long after its path was cut, and other streams notice the cut at once.
+#[test]
+fn a_cut_that_another_stream_noticed_long_ago_leaves_a_slowly_read_stream_in_doubt() {
+    let mut cut = unframed_stream(1..=3, 80);
+    cut.push(Step::CloseAllConnections);
+    let endpoint = ScriptedEndpoint::start(vec![cut, unframed_stream(1..=10, 80)]);
+    endpoint.set_started(1_000);
+    let harness = harness(&endpoint);
+    let (first_ids, is_complete) = block_on(async {
+        let response = harness.pipeline.handle(request("/x/1", &[])).await;
+        let Body::Stream(mut pieces) = response.body else {
+            panic!("no stream");
+        };
+        let mut text = String::new();
+        for _ in 0..3 {
+            let bytes = pieces.next().await.unwrap().unwrap();
+            text.push_str(&String::from_utf8_lossy(&bytes));
+        }
+        Timer::after(Duration::from_millis(150)).await;
+        // The caller does not read meanwhile.
+        let other = harness.send_to("/x/2", &[]).await;
+        assert!(other.is_complete);
+        let is_complete = matches!(pieces.next().await, Ok(None));
+        (ids(&text), is_complete)
+    });
+    assert_eq!(first_ids, [1, 2, 3]);
+    assert!(!is_complete);
+}
+
 /// A caller who stops reading while an idle connection is opened for its stream does not keep others from having one.
 #[test]
 fn a_stream_has_an_idle_connection_whose_neighbour_is_not_read() {
@@ -246,3 +275,16 @@
     });
     assert!(!cut.is_complete);
 }
+
+/// Bytes of a stream after the loss show that its run outlived the loss, and it has an idle connection again.
+#[test]
+fn a_stream_that_outlives_an_idle_connection_ends_as_complete() {
+    let mut script = unframed_stream(1..=3, 80);
+    script.push(Step::CloseOtherConnections);
+    for id in 4..=15 {
+        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
+    }
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    let harness = harness(&endpoint);
+    assert!(harness.send(&[]).is_complete);
+}
