serve: Replace idle connections before their endpoint closes them

What callers saw: whole streams of endpoints that close idle connections after less than a second were reset (400 and 600 ms; 800 and 1000 held).

Cause: idle connections were replaced after a second. Each that the endpoint closed before counted as a loss for half a second.

Tried: to learn the timeout from two that close at the same age, which comes too late for a timeout of 0.4 s and a stream of 1.4 s.

Change: once one has closed regularly, the next are replaced at half its age, at 0.2 s the earliest, for the rest of the run. A question goes to the latest connection that is old enough, as an earlier one may close at any time. A path that is cut regularly has the same effect, up to five new connections a second to an endpoint whose streams are read.

Found by a review.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -18,7 +18,7 @@
 /// the loss is forgotten after [`SAME_TIME`].
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
-/// Age at which a witness is replaced, below the time after which endpoints close idle connections.
+/// Age at which a witness is replaced, below the time after which most endpoints close idle connections.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
 /// Age below which a witness that closes is not replaced at once.
@@ -91,6 +91,8 @@
     wanted_at: Cell<Option<Instant>>,
     refused_at: Cell<Option<Instant>>,
     losses: RefCell<VecDeque<Loss>>,
+    /// The least age at which a witness closed regularly, as the endpoint may close idle connections then.
+    idle_timeout: Cell<Option<Duration>>,
     /// Whether the endpoint keeps connections after answers.
     keeps_alive: Cell<bool>,
 }
@@ -119,13 +121,14 @@
         !self.witnesses.borrow().is_empty()
     }
 
-    /// Takes the witness for a question about a run that was there at a time, and returns it with when it was
+    /// Takes the latest witness for a question about a run that was there at a time, and returns it with when it was
     /// established. Only the run that accepted it can answer on it.
     pub(crate) fn take(&self, alive_at: Instant) -> Option<(Socket, Instant)> {
         self.drop_closed();
         let mut witnesses = self.witnesses.borrow_mut();
-        let is_old = |witness: &mut Witness| witness.established_at + ACCEPT_TIME <= alive_at;
-        let witness = witnesses.pop_front_if(is_old)?;
+        let is_old = |witness: &Witness| witness.established_at + ACCEPT_TIME <= alive_at;
+        let latest = witnesses.iter().rposition(is_old)?;
+        let witness = witnesses.remove(latest)?;
         Some((witness.socket, witness.established_at))
     }
 
@@ -193,7 +196,8 @@
         self.drop_replaced();
         self.checked_at.set(Some(now));
         let witnesses = self.witnesses.borrow();
-        let is_fresh = |witness: &Witness| now < witness.established_at + MAX_AGE;
+        let max_age = self.max_age();
+        let is_fresh = |witness: &Witness| now < witness.established_at + max_age;
         let has_fresh = witnesses.back().is_some_and(is_fresh);
         let refused_at = self.refused_at.get();
         let is_refused = refused_at.is_some_and(|refused_at| now < refused_at + REFUSED_PAUSE);
@@ -230,6 +234,9 @@
             // After an answer, an endpoint that keeps connections does not close them.
             if witness.asked_at.is_none() || self.keeps_alive.get() {
                 is_lost |= !witness.is_turned_away(&err, now);
+                if err.kind() == io::ErrorKind::ConnectionAborted {
+                    self.record_closed(now - witness.established_at);
+                }
                 let is_early = now < witness.established_at + EARLY_AGE;
                 self.refused_at.set(is_early.then_some(now));
             }
@@ -244,6 +251,21 @@
         }
     }
 
+    /// Records that a witness closed regularly.
+    fn record_closed(&self, age: Duration) {
+        let timeout = self
+            .idle_timeout
+            .get()
+            .map_or(age, |timeout| timeout.min(age));
+        self.idle_timeout.set(Some(timeout));
+    }
+
+    /// Returns the age at which a witness is replaced.
+    fn max_age(&self) -> Duration {
+        let half = self.idle_timeout.get().map(|timeout| timeout / 2);
+        half.map_or(MAX_AGE, |half| half.clamp(EARLY_AGE, MAX_AGE))
+    }
+
     /// Drops the witness that another has replaced.
     fn drop_replaced(&self) {
         let mut witnesses = self.witnesses.borrow_mut();
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -136,6 +136,18 @@
     }
 }
 
+/// Endpoints may close idle connections after less than a second.
+#[test]
+fn an_endpoint_that_closes_idle_connections_within_a_second_vouches_for_its_streams() {
+    for timeout_ms in [400, 600] {
+        let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=14, 100)]);
+        endpoint.set_started(1_000);
+        endpoint.set_idle_timeout(Duration::from_millis(timeout_ms));
+        let harness = harness(&endpoint);
+        assert!(harness.send(&[]).is_complete, "{timeout_ms} ms");
+    }
+}
+
 /// An idle connection that is not replaced, as all others are in use, is closed by its endpoint.
 #[test]
 fn an_idle_connection_that_could_not_be_replaced_says_nothing_of_an_end() {
