serve: Keep an idle connection while the body of a failure is read

What callers saw: the body of a failure that its path cut short was passed on as whole.

Cause: the body of a failure is read like that of an answer, but without an idle connection meanwhile, so that the loss of the path could not be told from the end of the body.

Change: one function reads whole bodies, answers and failures, with an idle connection if only the end of the connection ends them. Failures that a peer passes on are read as before, since a peer frames them.

Found by a review.

--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -121,7 +121,7 @@
         }
         if !(200..=299).contains(&head.status) {
             self.record_runs(Verdict::Ran, report.runs + 1);
-            self.keep_failure_response(context, &mut exchange, head)
+            self.keep_failure_response(head, context.buffered_bytes.read_to_end(&mut exchange))
                 .await;
             return SendResult::Retry;
         }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use kernel::{Failure, Reason, Verdict};
 use limits::{Admittance, PlacementError, RequestLoad, Subject};
@@ -26,6 +27,7 @@
 use crate::run::Run;
 use crate::version_counters::{CallOutcome, VersionCounters};
 use crate::view::View;
+use crate::witnessing;
 
 /// Retry-after while no endpoint can take a request, in milliseconds: the duration of a restart.
 const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 500;
@@ -361,8 +363,9 @@
         self.record_unusable_response(context, &endpoint, &endpoint_state, &reply, sent_at);
         if reply.matches_request && reply.execution_status == ExecutionStatus::Failed {
             endpoint_state.record_survival(&self.key, now_ms);
-            self.keep_failure_response(context, &mut exchange, head)
-                .await;
+            let state = &endpoint_state;
+            let reading = witnessing::read_to_end(context, &endpoint, state, &mut exchange);
+            self.keep_failure_response(head, Box::pin(reading)).await;
             let doubt = Doubt::new(context, &exchange, &call_guard, self.may_retry());
             let end = judge_end(context, self, &exchange, &endpoint, &endpoint_state, doubt).await;
             if let Err(err) = end.check_whole() {
@@ -427,14 +430,11 @@
     /// Keeps an endpoint's error response for the caller, in case no retry succeeds.
     pub(crate) async fn keep_failure_response(
         &mut self,
-        context: &RequestContext,
-        exchange: &mut Exchange,
         head: ResponseHead,
+        reading: impl Future<Output = io::Result<Bytes>>,
     ) {
         let until = self.deadline.min(Instant::now() + FAILURE_BODY_TIMEOUT);
-        if let Ok(body) =
-            relay::timeout_at(until, context.buffered_bytes.read_to_end(exchange)).await
-        {
+        if let Ok(body) = relay::timeout_at(until, reading).await {
             self.failure_response = Some(FailureResponse { head, body });
         }
     }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -35,7 +35,7 @@
 use crate::stream::Stream;
 use crate::version_counters::{CallOutcome, Measured, VersionCounters};
 use crate::view::View;
-use crate::witnessing::Witnessing;
+use crate::witnessing;
 
 /// Statuses by which callers conclude that a request did not run. They are not forwarded from an
 /// endpoint that ran it.
@@ -372,7 +372,6 @@
     }
 }
 
-/// Reads a whole body, and has a witness of its endpoint meanwhile if only the end of the connection ends it.
 async fn read_whole(
     context: &Rc<RequestContext>,
     started: &mut StartedResponse,
@@ -383,15 +382,8 @@
         call_guard,
         ..
     } = started;
-    let ends_with_connection = exchange.ends_with_connection();
-    let reading = context.buffered_bytes.read_to_end(exchange);
-    if !ends_with_connection {
-        return reading.await;
-    }
     let state = &call_guard.endpoint_state;
-    Witnessing::default()
-        .while_reading(context, endpoint, state, reading)
-        .await
+    witnessing::read_to_end(context, endpoint, state, exchange).await
 }
 
 fn record_answered(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
--- a/crates/serve/src/witnessing.rs
+++ b/crates/serve/src/witnessing.rs
@@ -1,11 +1,13 @@
 //! Keeping idle connections to the endpoints whose answers are read.
 
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use async_io::Timer;
+use bytes::Bytes;
 use futures_lite::FutureExt;
-use relay::LocalFuture;
+use relay::{Exchange, LocalFuture};
 
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
@@ -43,6 +45,27 @@
     }
 }
 
+/// Reads a whole body, and has a witness of its endpoint meanwhile if only the end of the connection ends it.
+///
+/// # Errors
+///
+/// Fails if the body is truncated, malformed or too large.
+pub(crate) async fn read_to_end(
+    context: &Rc<RequestContext>,
+    endpoint: &Arc<Endpoint>,
+    state: &Rc<EndpointState>,
+    exchange: &mut Exchange,
+) -> io::Result<Bytes> {
+    let ends_with_connection = exchange.ends_with_connection();
+    let reading = context.buffered_bytes.read_to_end(exchange);
+    if !ends_with_connection {
+        return reading.await;
+    }
+    Witnessing::default()
+        .while_reading(context, endpoint, state, reading)
+        .await
+}
+
 /// Opens witnesses of an endpoint, and notices when they close.
 async fn watch(context: Rc<RequestContext>, endpoint: Arc<Endpoint>, state: Rc<EndpointState>) {
     loop {
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -125,6 +125,26 @@
     assert!(!cut.is_complete);
 }
 
+/// A failure of an endpoint has neither length nor chunks, and its path cuts it short.
+#[test]
+fn a_failure_that_its_path_cut_short_is_not_passed_on_as_whole() {
+    for (cut, is_passed_on) in [
+        (Step::Sleep(0), true),
+        (Step::StartAgain(20), false),
+        (Step::CloseAllConnections, false),
+    ] {
+        let head = "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
+        let name = format!("{cut:?}");
+        let script = vec![Step::Write(format!("{head}half of")), Step::Sleep(200), cut];
+        let endpoint = ScriptedEndpoint::start(vec![script]);
+        endpoint.set_started(1_000);
+        let harness = Harness::new(route(RetrySafety::NonIdempotent), &[endpoint.addr], 10.0);
+        harness.list_starts(&[1_000]);
+        let received = harness.send(&[]);
+        assert_eq!(received.body == "half of", is_passed_on, "{name}");
+    }
+}
+
 /// A path that ends answers soon after their start does not show that their prompt crashes endpoints, if peers
 /// reach the runs that sent them.
 #[test]
