serve: Test that an idle connection which a full endpoint resets is no lost path

The new test lets the endpoint hold the next connection, which is the idle one, reset it soon after, and end its stream as a whole. Two steps are added to the scripts: HoldNextConnection and ResetHeldConnection.

--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -36,6 +36,10 @@
     CloseAllConnections,
     /// Closes all connections but this one.
     CloseOtherConnections,
+    /// Holds the next connection until it is reset.
+    HoldNextConnection,
+    /// Waits for the connection to hold and resets it soon after, as an endpoint that is full.
+    ResetHeldConnection,
     /// Accepts no connection for these milliseconds, as an endpoint that stands still. They wait in the backlog.
     PauseAccepting(u64),
     /// Ends an endpoint whose listener is closed after these milliseconds, and keeps the connections that
@@ -72,6 +76,8 @@
     idle_timeout: Option<Duration>,
     /// Whether it keeps connections after health checks.
     keeps_alive: bool,
+    holds_next: bool,
+    held: Option<TcpStream>,
 }
 
 impl Run {
@@ -82,9 +88,20 @@
             started_ms,
             idle_timeout: None,
             keeps_alive: false,
+            holds_next: false,
+            held: None,
         }
     }
 
+    /// Takes a connection if it is to be held, and else returns it.
+    fn hold(&mut self, stream: TcpStream) -> Option<TcpStream> {
+        if !std::mem::take(&mut self.holds_next) {
+            return Some(stream);
+        }
+        self.held = Some(stream);
+        None
+    }
+
     /// Closes its connections, as the kernel does when a process ends.
     fn end(&self) {
         for connection in self.connections.values() {
@@ -128,6 +145,9 @@
 /// How long an endpoint that has ended keeps the connections that it is to keep.
 const KEPT_TIME: Duration = Duration::from_secs(2);
 
+/// Time for an instance to notice that a connection is established.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
+
 /// A complete sealed response.
 pub fn answer(body: &str) -> Vec<Step> {
     let length = body.len();
@@ -225,7 +245,7 @@
         std::thread::spawn(move || {
             let mut kept = Vec::new();
             for stream in listener.incoming() {
-                let Ok(mut stream) = stream else {
+                let Ok(stream) = stream else {
                     break;
                 };
                 if keeps_connections.load(Ordering::SeqCst) {
@@ -237,6 +257,9 @@
                 }
                 let listens_at = run.lock().unwrap().listens_at;
                 std::thread::sleep(listens_at.saturating_duration_since(Instant::now()));
+                let Some(mut stream) = run.lock().unwrap().hold(stream) else {
+                    continue;
+                };
                 let connection = Connection::of(&stream, &run);
                 let idle_timeout = run.lock().unwrap().idle_timeout;
                 stream.set_read_timeout(idle_timeout).unwrap();
@@ -401,6 +424,22 @@
     }
 }
 
+/// Closes a connection with a reset.
+fn reset(stream: TcpStream) {
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Waits until there is a value.
+fn await_some<T>(mut find: impl FnMut() -> Option<T>) -> T {
+    loop {
+        if let Some(found) = find() {
+            return found;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 fn run_script(
     mut stream: TcpStream,
     connection: Connection,
@@ -433,8 +472,7 @@
                 }
             }
             Step::Reset => {
-                let socket = socket2::SockRef::from(&stream);
-                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                reset(stream);
                 return;
             }
             Step::Exit => {
@@ -452,6 +490,12 @@
                     }
                 }
             }
+            Step::HoldNextConnection => exit.run.lock().unwrap().holds_next = true,
+            Step::ResetHeldConnection => {
+                let held = await_some(|| exit.run.lock().unwrap().held.take());
+                std::thread::sleep(NOTICE_TIME);
+                reset(held);
+            }
             Step::PauseAccepting(ms) => {
                 exit.run.lock().unwrap().listens_at = Instant::now() + Duration::from_millis(ms);
             }
--- a/crates/serve/tests/cut_paths.rs
+++ b/crates/serve/tests/cut_paths.rs
@@ -252,3 +252,20 @@
         assert!(harness.send(&[]).is_complete, "{last_ms} ms");
     }
 }
+
+/// Guards against resetting whole streams of an endpoint that is full and resets an idle connection.
+#[test]
+fn an_idle_connection_that_a_full_endpoint_resets_is_no_loss_of_the_path() {
+    let script = vec![
+        Step::HoldNextConnection,
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::ResetHeldConnection,
+    ];
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    endpoint.set_started(1_000);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let harness = Harness::new(route, &[endpoint.addr], 10.0);
+    harness.list_starts(&[1_000]);
+    assert!(harness.send(&[]).is_complete);
+}
