serve: Test that the next run does not vouch to a slow caller for the one before

In the new test a caller takes 8 KiB every 20 ms of a stream whose run has ended. Another stream has an idle connection to the next run, under the same id, long enough for the loss to be forgotten before the slow caller meets the end. The caller has to get all events and no end.

--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -339,6 +339,16 @@
         self.health_checks.load(Ordering::SeqCst)
     }
 
+    /// Returns when its current run started, in milliseconds, if its reports say so.
+    pub fn started_ms(&self) -> Option<u64> {
+        self.run.lock().unwrap().started_ms
+    }
+
+    /// Returns the number of connections that its current run has.
+    pub fn connection_count(&self) -> usize {
+        self.run.lock().unwrap().connections.len()
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.heads.lock().unwrap().len()
--- a/crates/serve/tests/next_runs.rs
+++ b/crates/serve/tests/next_runs.rs
@@ -3,16 +3,19 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Health, ScriptedEndpoint, Step, events, ids, route, stream_end, stream_head,
+    Harness, Health, ScriptedEndpoint, Step, events, ids, request, route, stream_end, stream_head,
     unframed_events, unframed_head, unframed_stream,
 };
+use futures_lite::FutureExt;
 use futures_lite::future::{block_on, zip};
+use relay::{Body, Handler};
 use route::RetrySafety;
 use serve::{Endpoint, Pool, View};
 
@@ -317,6 +320,60 @@
     assert_eq!(ids(&received.body), [1, 2, 3, 4]);
 }
 
+/// Guards against a run that vouches for the one before it if a slow caller meets the end of a stream long after.
+#[test]
+fn a_run_does_not_vouch_for_a_stream_that_a_slow_caller_reads_after_it_has_started() {
+    const EVENTS: u64 = 120;
+    const EVENT_BYTES: usize = 8 << 10;
+    const SLOW_READ_TIME: Duration = Duration::from_millis(20);
+    const FORGOTTEN_TIME: Duration = Duration::from_millis(700);
+    let event = |id| Step::Write(format!("id: {id}\ndata: {}\n\n", "x".repeat(EVENT_BYTES)));
+    let mut cut = vec![unframed_head(), unframed_events(1..=3)];
+    cut.extend([Step::AwaitConnections(2), Step::Sleep(150)]);
+    cut.extend((4..=EVENTS).map(event));
+    cut.push(Step::StartAgain(0));
+    let endpoint = ScriptedEndpoint::start(vec![cut, unframed_stream(1..=60, 50)]);
+    endpoint.set_started(1_000);
+    let route = route(RetrySafety::NonIdempotentStream).timeout_ms(8_000);
+    let harness = Harness::new(route, &[endpoint.addr], 10.0);
+    harness.list_starts(&[1_000]);
+    let is_slow = Cell::new(true);
+    let slow = async {
+        let response = harness.pipeline.handle(request("/x/1", &[])).await;
+        let Body::Stream(mut pieces) = response.body else {
+            panic!("the response is no stream");
+        };
+        let mut body = String::new();
+        loop {
+            match pieces.next().await {
+                Ok(Some(bytes)) => body.push_str(&String::from_utf8_lossy(&bytes)),
+                end => return (ids(&body), end.is_ok()),
+            }
+            if is_slow.get() {
+                Timer::after(SLOW_READ_TIME).await;
+            }
+        }
+    };
+    let await_true = async |is_true: &dyn Fn() -> bool| {
+        while !is_true() {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    let next_run = async {
+        await_true(&|| endpoint.started_ms() != Some(1_000)).await;
+        let watched = async {
+            await_true(&|| endpoint.connection_count() >= 2).await;
+            Timer::after(FORGOTTEN_TIME).await;
+            is_slow.set(false);
+        };
+        zip(harness.send_to("/x/2", &[]), watched).await;
+        std::future::pending().await
+    };
+    let (received, is_complete) = block_on(slow.or(next_run));
+    assert_eq!(received, (1..=EVENTS).collect::<Vec<_>>());
+    assert!(!is_complete);
+}
+
 /// Lists a later run at the address of the first endpoint, of another service.
 fn list_successor(harness: &Harness) {
     let mut view: View = (**harness.view.load()).clone();
