serve: Test that an idle connection may close only after the end of a stream

In the new test the endpoint closes the connection of a stream, and its idle connection only while the health check on a new connection waits for its answer. The steps CloseThisConnection and CloseIdleConnections are new.

--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -1,6 +1,6 @@
 //! Endpoints that answer by scripts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -36,8 +36,12 @@
     CloseFurtherConnections,
     /// Closes all connections, as a path that is cut, while the run of the endpoint goes on.
     CloseAllConnections,
+    /// Closes this connection, and goes on with the script.
+    CloseThisConnection,
     /// Closes all connections but this one.
     CloseOtherConnections,
+    /// Closes the connections on which nothing was asked.
+    CloseIdleConnections,
     /// Holds the next connection until it is reset.
     HoldNextConnection,
     /// Waits for the connection to hold and resets it soon after, as an endpoint that is full.
@@ -70,6 +74,8 @@
 struct Run {
     /// Its connections, by number.
     connections: HashMap<usize, TcpStream>,
+    /// The numbers of those on which something was asked.
+    asked: HashSet<usize>,
     /// When it listens.
     listens_at: Instant,
     /// When it started, in milliseconds, if its reports say so.
@@ -86,6 +92,7 @@
     fn new(start_time: Duration, started_ms: Option<u64>) -> Run {
         Run {
             connections: HashMap::new(),
+            asked: HashSet::new(),
             listens_at: Instant::now() + start_time,
             started_ms,
             idle_timeout: None,
@@ -281,6 +288,7 @@
                         let Some(head) = read_head(&mut stream) else {
                             return;
                         };
+                        connection.set_asked();
                         let health = *health.lock().unwrap();
                         let started_ms = current_run.lock().unwrap().started_ms;
                         if !answer_health(&mut stream, &head, health, started_ms) {
@@ -404,6 +412,11 @@
             run: run.clone(),
         }
     }
+
+    /// Notes that something was asked on it.
+    fn set_asked(&self) {
+        self.run.lock().unwrap().asked.insert(self.number);
+    }
 }
 
 impl Drop for Connection {
@@ -498,6 +511,19 @@
             }
             Step::RefuseConnections => exit.close_listener(),
             Step::CloseFurtherConnections => exit.has_exited.store(true, Ordering::SeqCst),
+            Step::CloseThisConnection => {
+                // It may have ended before.
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            Step::CloseIdleConnections => {
+                let run = exit.run.lock().unwrap();
+                for (number, other) in &run.connections {
+                    if !run.asked.contains(number) {
+                        // It may have ended before.
+                        let _ = other.shutdown(Shutdown::Both);
+                    }
+                }
+            }
             Step::CloseOtherConnections => {
                 for (number, other) in &exit.run.lock().unwrap().connections {
                     if *number != connection.number {
--- a/crates/serve/tests/cut_paths.rs
+++ b/crates/serve/tests/cut_paths.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, ScriptedEndpoint, Step, answer, events, ids, route, send_together, stream_end,
+    Harness, Health, ScriptedEndpoint, Step, answer, events, ids, route, send_together, stream_end,
     stream_head, unframed_events, unframed_head, unframed_stream,
 };
 use futures_lite::FutureExt;
@@ -293,3 +293,24 @@
     let complete = received.iter().filter(|stream| stream.is_complete).count();
     assert_eq!(complete, 1, "streams that end as complete");
 }
+
+/// Guards against a path that closes the idle connection only after the end of a stream was read.
+#[test]
+fn a_cut_that_reaches_the_idle_connection_last_leaves_a_stream_in_doubt() {
+    const WITH_IDLE: usize = 2;
+    const WITH_HEALTH_CHECK: usize = 3;
+    let mut script = vec![unframed_head(), unframed_events(1..=3)];
+    script.extend([Step::AwaitConnections(WITH_IDLE), Step::Sleep(150)]);
+    script.extend([
+        Step::CloseThisConnection,
+        Step::AwaitConnections(WITH_HEALTH_CHECK),
+        Step::CloseIdleConnections,
+    ]);
+    let endpoint = ScriptedEndpoint::start(vec![script]);
+    endpoint.set_started(1_000);
+    endpoint.set_health(Health::After(200));
+    let route = route(RetrySafety::NonIdempotentStream);
+    let harness = Harness::new(route, &[endpoint.addr], 10.0);
+    harness.list_starts(&[1_000]);
+    assert!(!harness.send(&[]).is_complete);
+}
