serve: Set up tests of listed runs in one place each

cut_paths.rs and next_runs.rs repeated in 25 tests how an endpoint says its start and how an instance or a fleet lists it, four lines at a time.

ScriptedEndpoint::start_run, Harness::with_runs and Fleet::with_runs do it now, with STARTED_MS as the one start. No assertion, expectation, step or time is changed; a_peer_answers_for_the_run_that_it_is_asked_for keeps its own listing, as its instances list different starts.

--- a/crates/serve/tests/common/fleet.rs
+++ b/crates/serve/tests/common/fleet.rs
@@ -13,7 +13,7 @@
 use route::Route;
 use serve::{CarryHandler, PeerReach};
 
-use super::{Harness, Received};
+use super::{Harness, Received, STARTED_MS};
 
 /// Several instances, each with its own addresses of the endpoints.
 pub struct Fleet {
@@ -28,6 +28,16 @@
         Fleet::with_floor(route, addresses, 1_000.0)
     }
 
+    /// Creates an instance for each list of endpoint addresses, which lists a run of each, started at
+    /// [`STARTED_MS`].
+    pub fn with_runs(route: &Route, addresses: &[Vec<SocketAddr>]) -> Fleet {
+        let fleet = Fleet::new(route, addresses);
+        for (instance, addrs) in fleet.instances.iter().zip(addresses) {
+            instance.list_starts(&vec![STARTED_MS; addrs.len()]);
+        }
+        fleet
+    }
+
     /// Creates instances whose retry budget has this floor for all together.
     pub fn with_floor(route: &Route, addresses: &[Vec<SocketAddr>], floor: f64) -> Fleet {
         let instance = |addrs: &Vec<SocketAddr>| Harness::new(route.clone(), addrs, floor);
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -29,8 +29,9 @@
 
 use clock::AgedClock;
 pub use scripted::{
-    Health, ScriptedEndpoint, Step, answer, answer_health, chunk, error_response, events, listen,
-    read_head, refusal, stream_end, stream_head, unframed_events, unframed_head, unframed_stream,
+    Health, STARTED_MS, ScriptedEndpoint, Step, answer, answer_health, chunk, error_response,
+    events, listen, read_head, refusal, stream_end, stream_head, unframed_events, unframed_head,
+    unframed_stream,
 };
 
 /// Parses the numbers of prompt parts, separated by commas.
@@ -179,6 +180,13 @@
         Harness::with_versions(route, &versions, None, floor)
     }
 
+    /// Creates a harness that lists a run of each endpoint, started at [`STARTED_MS`].
+    pub fn with_runs(route: Route, endpoints: &[SocketAddr]) -> Harness {
+        let harness = Harness::new(route, endpoints, 10.0);
+        harness.list_starts(&vec![STARTED_MS; endpoints.len()]);
+        harness
+    }
+
     /// Creates a harness whose endpoints run these versions.
     pub fn with_versions(
         route: Route,
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -10,6 +10,9 @@
 /// Size of the send buffer of an endpoint that writes without end.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// The start of the runs that endpoints and their listings tell of, in milliseconds.
+pub const STARTED_MS: u64 = 1_000;
+
 /// What a scripted endpoint does on one connection.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -322,6 +325,13 @@
         }
     }
 
+    /// Starts one whose reports say that its run started at [`STARTED_MS`].
+    pub fn start_run(scripts: Vec<Vec<Step>>) -> ScriptedEndpoint {
+        let endpoint = ScriptedEndpoint::start(scripts);
+        endpoint.set_started(STARTED_MS);
+        endpoint
+    }
+
     /// Makes its reports say when its run started, in milliseconds.
     pub fn set_started(&self, started_ms: u64) {
         self.run.lock().unwrap().started_ms = Some(started_ms);
--- a/crates/serve/tests/cut_paths.rs
+++ b/crates/serve/tests/cut_paths.rs
@@ -42,14 +42,9 @@
             let mut script = unframed_stream(1..=3, 80);
             script.extend(cut.clone());
             let rest = vec![stream_head(90), events(4..=6), stream_end()];
-            let here = ScriptedEndpoint::start(vec![script, rest.clone()]);
-            let there = ScriptedEndpoint::start(vec![rest]);
-            here.set_started(1_000);
-            there.set_started(1_000);
-            let fleet = Fleet::new(&route(safety), &[vec![here.addr], vec![there.addr]]);
-            for instance in &fleet.instances {
-                instance.list_starts(&[1_000]);
-            }
+            let here = ScriptedEndpoint::start_run(vec![script, rest.clone()]);
+            let there = ScriptedEndpoint::start_run(vec![rest]);
+            let fleet = Fleet::with_runs(&route(safety), &[vec![here.addr], vec![there.addr]]);
             let reports = async {
                 loop {
                     fleet.exchange_reach();
@@ -73,11 +68,9 @@
         Step::Sleep(200),
         Step::CloseAllConnections,
     ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     let route = route(RetrySafety::NonIdempotent);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert_eq!(harness.send(&[]).status, 502);
 }
 
@@ -93,11 +86,9 @@
     ];
     let mut cut = unframed_stream(1..=3, 80);
     cut.push(Step::CloseAllConnections);
-    let endpoint = ScriptedEndpoint::start(vec![whole, cut]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![whole, cut]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert!(harness.send(&[]).is_complete);
     assert!(!harness.send(&[]).is_complete);
 }
@@ -114,15 +105,10 @@
         Step::Sleep(40),
         Step::CloseAllConnections,
     ]);
-    let here = ScriptedEndpoint::start(vec![script]);
-    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
-    here.set_started(1_000);
-    there.set_started(1_000);
+    let here = ScriptedEndpoint::start_run(vec![script]);
+    let there = ScriptedEndpoint::start_run(vec![answer("unasked")]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
+    let fleet = Fleet::with_runs(&route, &[vec![here.addr], vec![there.addr]]);
     fleet.exchange_reach();
     let later = async {
         Timer::after(Duration::from_millis(275)).await;
@@ -143,11 +129,9 @@
     script.extend([Step::Sleep(1_000)]);
     let mut scripts = vec![cut];
     scripts.extend(vec![script; STREAMS - 1]);
-    let endpoint = ScriptedEndpoint::start(scripts);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(scripts);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let received = send_together(&harness, STREAMS);
     let complete = received.iter().filter(|stream| stream.is_complete).count();
     assert_eq!(complete, 0, "streams that end as complete of {STREAMS}");
@@ -165,11 +149,9 @@
             Step::Sleep(470),
             Step::CloseAllConnections,
         ];
-        let endpoint = ScriptedEndpoint::start(vec![first, second]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![first, second]);
         let route = route(RetrySafety::NonIdempotentStream);
-        let harness = Harness::new(route, &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
+        let harness = Harness::with_runs(route, &[endpoint.addr]);
         assert!(!harness.send(&[]).is_complete, "{pause_ms} ms, first");
         sleep(Duration::from_millis(pause_ms));
         assert!(!harness.send(&[]).is_complete, "{pause_ms} ms, second");
@@ -181,11 +163,9 @@
 fn a_cut_that_reaches_the_idle_connection_first_leaves_a_stream_in_doubt() {
     let mut script = unframed_stream(1..=3, 80);
     script.extend([Step::CloseOtherConnections, unframed_events(4..=4)]);
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let received = harness.send(&[]);
     assert!(!received.is_complete);
 }
@@ -199,15 +179,10 @@
         script.extend([unframed_events(id..=id), Step::Sleep(80)]);
     }
     script.push(Step::CloseAllConnections);
-    let here = ScriptedEndpoint::start(vec![script]);
-    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
-    here.set_started(1_000);
-    there.set_started(1_000);
+    let here = ScriptedEndpoint::start_run(vec![script]);
+    let there = ScriptedEndpoint::start_run(vec![answer("unasked")]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
+    let fleet = Fleet::with_runs(&route, &[vec![here.addr], vec![there.addr]]);
     fleet.exchange_reach();
     // Another request finds that connections are refused.
     let later = async {
@@ -229,11 +204,9 @@
         Step::CloseOtherConnections,
         Step::Sleep(600),
     ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert!(harness.send(&[]).is_complete);
 }
 
@@ -243,12 +216,10 @@
     for last_ms in [40, 90, 140] {
         let mut script = unframed_stream(1..=15, 100);
         script.push(Step::Sleep(last_ms));
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![script]);
         endpoint.set_idle_timeout(Duration::from_millis(1_500));
         let route = route(RetrySafety::NonIdempotentStream);
-        let harness = Harness::new(route, &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
+        let harness = Harness::with_runs(route, &[endpoint.addr]);
         assert!(harness.send(&[]).is_complete, "{last_ms} ms");
     }
 }
@@ -262,11 +233,9 @@
         unframed_events(1..=3),
         Step::ResetHeldConnection,
     ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert!(harness.send(&[]).is_complete);
 }
 
@@ -284,11 +253,9 @@
         long.extend([events(id..=id), Step::Sleep(50)]);
     }
     long.push(stream_end());
-    let endpoint = ScriptedEndpoint::start(vec![cut, long]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![cut, long]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let received = send_together(&harness, 2);
     let complete = received.iter().filter(|stream| stream.is_complete).count();
     assert_eq!(complete, 1, "streams that end as complete");
@@ -306,11 +273,9 @@
         Step::AwaitConnections(WITH_HEALTH_CHECK),
         Step::CloseIdleConnections,
     ]);
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     endpoint.set_health(Health::After(200));
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert!(!harness.send(&[]).is_complete);
 }
--- a/crates/serve/tests/next_runs.rs
+++ b/crates/serve/tests/next_runs.rs
@@ -10,8 +10,8 @@
 use async_io::Timer;
 use common::fleet::Fleet;
 use common::{
-    Harness, Health, ScriptedEndpoint, Step, events, ids, request, route, stream_end, stream_head,
-    unframed_events, unframed_head, unframed_stream,
+    Harness, Health, STARTED_MS, ScriptedEndpoint, Step, events, ids, request, route, stream_end,
+    stream_head, unframed_events, unframed_head, unframed_stream,
 };
 use futures_lite::FutureExt;
 use futures_lite::future::{block_on, zip};
@@ -47,12 +47,11 @@
             ];
             let first = ScriptedEndpoint::start(vec![script]);
             if says_start {
-                first.set_started(1_000);
+                first.set_started(STARTED_MS);
             }
             let rest = vec![stream_head(90), events(4..=6), stream_end()];
             let second = ScriptedEndpoint::start(vec![rest]);
-            let harness = Harness::new(route(safety), &[first.addr, second.addr], 10.0);
-            harness.list_starts(&[1_000, 1_000]);
+            let harness = Harness::with_runs(route(safety), &[first.addr, second.addr]);
             let received = harness.send(&[]);
             assert_eq!(received.is_complete, is_complete, "{name}");
             let expected: Vec<u64> = expected.clone().collect();
@@ -75,8 +74,7 @@
     ];
     let endpoint = ScriptedEndpoint::start(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     assert!(!harness.send(&[]).is_complete);
 }
 
@@ -96,8 +94,7 @@
             Step::StartAgain(20),
         ];
         let endpoint = ScriptedEndpoint::start(vec![script]);
-        let harness = Harness::new(route(safety), &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
+        let harness = Harness::with_runs(route(safety), &[endpoint.addr]);
         let pause = async {
             Timer::after(Duration::from_millis(100)).await;
             std::thread::sleep(Duration::from_millis(800));
@@ -126,8 +123,7 @@
     let endpoint = ScriptedEndpoint::start(vec![short, long]);
     endpoint.set_health(Health::After(300));
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let later = async {
         Timer::after(Duration::from_millis(250)).await;
         harness.send_to("/x/2", &[]).await
@@ -151,10 +147,7 @@
     endpoint.set_health(Health::After(100));
     let addrs = vec![endpoint.addr];
     let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
+    let fleet = Fleet::with_runs(&route, &[addrs.clone(), addrs]);
     fleet.exchange_reach();
     let later = async {
         Timer::after(Duration::from_millis(230)).await;
@@ -174,12 +167,10 @@
         Step::Sleep(150),
         Step::StartAgain(0),
     ];
-    let first = ScriptedEndpoint::start(vec![script]);
-    first.set_started(1_000);
+    let first = ScriptedEndpoint::start_run(vec![script]);
     let second = ScriptedEndpoint::start(vec![vec![stream_head(90), stream_end()]]);
     let route = route(RetrySafety::ResumableStream);
-    let harness = Harness::new(route, &[first.addr, second.addr], 10.0);
-    harness.list_starts(&[1_000, 1_000]);
+    let harness = Harness::with_runs(route, &[first.addr, second.addr]);
     assert!(!harness.send(&[]).is_complete);
 }
 
@@ -202,8 +193,7 @@
         stream(800, Step::StartAgain(0)),
     ]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
     let (first, second) = block_on(streams);
     let complete = [first, second].map(|stream| stream.is_complete);
@@ -222,8 +212,7 @@
             Step::Sleep(700),
             unframed_events(3..=3),
         ];
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![script]);
         let addrs = vec![endpoint.addr];
         let route = route(RetrySafety::NonIdempotentStream);
         let fleet = Fleet::new(&route, &[addrs.clone(), addrs]);
@@ -256,8 +245,7 @@
     ];
     let endpoint = ScriptedEndpoint::start(vec![first, second]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let streams = zip(harness.send_to("/x/1", &[]), harness.send_to("/x/2", &[]));
     let (first, _) = block_on(streams);
     assert!(!first.is_complete);
@@ -275,8 +263,7 @@
     ];
     let endpoint = ScriptedEndpoint::start(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let received = harness.send(&[]);
     assert!(!received.is_complete);
 }
@@ -291,11 +278,9 @@
         Step::Sleep(150),
         Step::StartAgain(0),
     ];
-    let endpoint = ScriptedEndpoint::start(vec![script]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![script]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let received = harness.send(&[]);
     assert!(!received.is_complete);
 }
@@ -305,12 +290,7 @@
 fn a_whole_stream_of_a_later_run_that_was_not_listed_yet_ends_as_complete() {
     let script = unframed_stream(1..=4, 80);
     let endpoint = ScriptedEndpoint::start(vec![script]);
-    let harness = Harness::new(
-        route(RetrySafety::NonIdempotentStream),
-        &[endpoint.addr],
-        10.0,
-    );
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route(RetrySafety::NonIdempotentStream), &[endpoint.addr]);
     let listing = async {
         Timer::after(Duration::from_millis(200)).await;
         harness.list_starts(&[2_000]);
@@ -332,11 +312,9 @@
     cut.extend([Step::AwaitConnections(2), Step::Sleep(150)]);
     cut.extend((4..=EVENTS).map(event));
     cut.push(Step::StartAgain(0));
-    let endpoint = ScriptedEndpoint::start(vec![cut, unframed_stream(1..=60, 50)]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![cut, unframed_stream(1..=60, 50)]);
     let route = route(RetrySafety::NonIdempotentStream).timeout_ms(8_000);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
     let is_slow = Cell::new(true);
     let slow = async {
         let response = harness.pipeline.handle(request("/x/1", &[])).await;
@@ -360,7 +338,7 @@
         }
     };
     let next_run = async {
-        await_true(&|| endpoint.started_ms() != Some(1_000)).await;
+        await_true(&|| endpoint.started_ms() != Some(STARTED_MS)).await;
         let watched = async {
             await_true(&|| endpoint.connection_count() >= 2).await;
             Timer::after(FORGOTTEN_TIME).await;
