serve: Connect again to an endpoint whose connection timed out at an end

What callers saw: a whole stream of 12 events was reset.

Cause: the stream may run once only and had no idle connection. The one connection that was to show the life of its endpoint was not established within 0.2 s ("own":"NoConnection" after 0.28 s), and the peer did not answer within 0.4 s. The rest of the 1.2 s in which the endpoint may prove its life was waited for other answers alone. The log of the instance shows that it connected to the endpoint 0.3 s after that check.

Ruled out: a fault of the soak near the endpoint (faults.log has none); a lost idle connection (has_lost_path is false).

Change: while the proof is waited for, connections that time out are tried again, if no further run can tell whether the stream was whole.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -235,6 +235,15 @@
         _ if seems_alive => return AnswerEnd::Whole,
         _ => {}
     }
+    // A connection that timed out says little, and no further run can tell.
+    let mut latest = own;
+    while latest == Life::NoConnection && !doubt.may_repeat {
+        let sign = check_life(context, endpoint, state, end, until).await;
+        latest = sign.life;
+    }
+    if latest.seems_alive() {
+        return AnswerEnd::Whole;
+    }
     let can_repeat_now = own == Life::RefusesConnection && doubt.may_repeat;
     if !can_repeat_now && goes_on(context, state, end, until).await.is_some() {
         state.record_life(Some(context.now_ms()), context.now_ms());
