limits: Have cut-off instances and probers share one probe budget

Cause: three kinds of probes did not know of each other. Five probers of an endpoint took the whole handful. An instance that is cut off probed one endpoint each second besides, chosen at random, and all of them probed the first few that a peer reached again within 0.4 s. Instances that learn how far a cut goes took an endpoint that had ended long ago and failed again for a sign of a cut, so that the end of many endpoints led to hundreds of probes in a second.

--- a/crates/limits/tests/reach_probes.rs
+++ b/crates/limits/tests/reach_probes.rs
@@ -18,6 +18,9 @@
 
 const OUTAGE_BEGINS_MS: u64 = 5_000;
 
+/// When endpoints begin to end before some instances are cut off.
+const ENDS_BEGIN_MS: u64 = 2_000;
+
 const OUTAGE_ENDS_MS: u64 = 20_000;
 
 const DAY_MS: u64 = 36_000;
@@ -38,6 +41,17 @@
 /// The pause after a failed request, and the time of some reports.
 const MAX_RECOVERY_MS: u64 = 1_200;
 
+/// Large fleets with few endpoints: instances, endpoints, and requests of the whole fleet in a second.
+const FEW_ENDPOINTS: [(usize, usize, usize); 4] = [
+    (48, 3, 1_400),
+    (300, 1, 1_400),
+    (300, 3, 1_400),
+    (300, 9, 1_400),
+];
+
+/// The longest interval of an endpoint's probers, the time of reports, and a probe by each instance.
+const MAX_RECOVERY_OF_FEW_ENDPOINTS_MS: u64 = 3_000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outage {
     /// Half of the endpoints refuse connections.
@@ -48,26 +62,38 @@
     CutOff,
     /// A fifth of the instances do not reach a fifth of the endpoints.
     PartlyCutOff,
+    /// A fifth of the instances reach no endpoint, after a quarter of the endpoints has ended.
+    CutOffAmidEnds,
     /// All instances reach no endpoint.
     AllCutOff,
 }
 
 impl Outage {
-    const ALL: [Outage; 5] = [
+    const ALL: [Outage; 6] = [
         Outage::Ends,
         Outage::Silent,
         Outage::CutOff,
         Outage::PartlyCutOff,
+        Outage::CutOffAmidEnds,
         Outage::AllCutOff,
     ];
 
+    fn has_ended(self, endpoint: usize, now_ms: u64) -> bool {
+        self == Outage::CutOffAmidEnds
+            && endpoint.is_multiple_of(4)
+            && (ENDS_BEGIN_MS..OUTAGE_ENDS_MS).contains(&now_ms)
+    }
+
     fn is_reached(self, instance: usize, endpoint: usize, now_ms: u64) -> bool {
+        if self.has_ended(endpoint, now_ms) {
+            return false;
+        }
         if !(OUTAGE_BEGINS_MS..OUTAGE_ENDS_MS).contains(&now_ms) {
             return true;
         }
         match self {
             Outage::Ends | Outage::Silent => endpoint.is_multiple_of(2),
-            Outage::CutOff => !instance.is_multiple_of(5),
+            Outage::CutOff | Outage::CutOffAmidEnds => !instance.is_multiple_of(5),
             Outage::PartlyCutOff => !(instance.is_multiple_of(5) && endpoint.is_multiple_of(5)),
             Outage::AllCutOff => false,
         }
@@ -75,7 +101,7 @@
 
     fn is_cut_off(self, instance: usize) -> bool {
         match self {
-            Outage::CutOff => instance.is_multiple_of(5),
+            Outage::CutOff | Outage::CutOffAmidEnds => instance.is_multiple_of(5),
             Outage::AllCutOff => true,
             _ => false,
         }
@@ -314,3 +340,19 @@
         }
     }
 }
+
+/// Guards against instances that wait for their turn at endpoints too few for all of them.
+#[test]
+fn a_large_fleet_reaches_few_endpoints_soon_after_the_end_of_an_outage() {
+    for outage in [Outage::CutOff, Outage::AllCutOff] {
+        for (count, endpoints, requests_per_s) in FEW_ENDPOINTS {
+            let day = Fleet::new(outage, count, endpoints).play(requests_per_s, count as u64);
+            let case = format!("{outage:?}, {count} instances, {endpoints} endpoints");
+            let recovered_ms = day.recovered_ms.expect(&case) - OUTAGE_ENDS_MS;
+            assert!(
+                recovered_ms <= MAX_RECOVERY_OF_FEW_ENDPOINTS_MS,
+                "{case}: {recovered_ms} ms"
+            );
+        }
+    }
+}
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -194,7 +194,7 @@
     }
 
     /// Returns what is known of the path to an endpoint.
-    pub(crate) fn path(&self, endpoint: &Endpoint, view: &View) -> Path {
+    pub(crate) fn path(&self, endpoint: &Endpoint, view: &View, is_cut_off: bool) -> Path {
         Path {
             connected_ms: self.connected_ms.get(),
             failed_ms: self.failed_ms.get(),
@@ -202,14 +202,14 @@
             received_ms: self.last_received_ms(),
             probed_ms: self.probed_ms.get(),
             peer_reached_ms: self.shared_load.peer_reached_ms(),
-            rank: self.rank(endpoint, view),
+            rank: self.rank(endpoint, view, is_cut_off),
         }
     }
 
     /// Returns how many instances come before this one in the rank for the endpoint. It matters only
-    /// while the endpoint is out of reach.
-    fn rank(&self, endpoint: &Endpoint, view: &View) -> usize {
-        if !self.is_out_of_reach() {
+    /// while the endpoint is out of reach or the instance is cut off.
+    fn rank(&self, endpoint: &Endpoint, view: &View, is_cut_off: bool) -> usize {
+        if !self.is_out_of_reach() && !is_cut_off {
             return usize::MAX;
         }
         if let Some((generation, rank)) = self.rank.get()
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -43,8 +43,8 @@
     }
 }
 
-fn paths(pool: &Pool, view: &View, states: &EndpointStates) -> Vec<Path> {
-    let path = |endpoint: &Arc<Endpoint>| states.of(endpoint).path(endpoint, view);
+fn paths(pool: &Pool, view: &View, states: &EndpointStates, is_cut_off: bool) -> Vec<Path> {
+    let path = |endpoint: &Arc<Endpoint>| states.of(endpoint).path(endpoint, view, is_cut_off);
     pool.endpoints.iter().map(path).collect()
 }
 
@@ -85,8 +85,8 @@
     for (service, pool) in &view.pools {
         let mut probes = context.reach_probes.borrow_mut();
         let probes = probes.entry(service.clone()).or_default();
-        let paths = paths(pool, &view, states);
         let was_cut_off = probes.is_cut_off();
+        let paths = paths(pool, &view, states, was_cut_off);
         let plan = probes.plan(
             &paths,
             view.instance_count,
