serve: Show a cut stream behind a path that closed idle connections before

The loss is too old then. An endpoint that leaves without saying so does the same, and its last streams would be reset if the loss counted for longer.

--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -228,6 +228,29 @@
     }
 }
 
+/// A relay that leaves refuses connections and closes idle ones before it ends those in use.
+#[test]
+fn a_path_that_closes_idle_connections_well_before_it_cuts_a_stream_does_not_make_it_whole() {
+    let mut script = unframed_stream(1..=3, 80);
+    script.extend([Step::RefuseConnections, Step::CloseOtherConnections]);
+    for id in 4..=13 {
+        script.extend([unframed_events(id..=id), Step::Sleep(80)]);
+    }
+    script.push(Step::CloseAllConnections);
+    let here = ScriptedEndpoint::start(vec![script]);
+    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
+    here.set_started(1_000);
+    there.set_started(1_000);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
+    for instance in &fleet.instances {
+        instance.list_starts(&[1_000]);
+    }
+    fleet.exchange_reach();
+    let received = block_on(fleet.executor.run(fleet.instances[0].send_to("/x/1", &[])));
+    assert!(!received.is_complete);
+}
+
 /// A pause that an endpoint asks for does not explain that a path ends all connections.
 #[test]
 fn a_cut_leaves_the_stream_of_an_endpoint_in_doubt_that_asked_for_a_pause() {
