serve: Keep idle connections in the order in which they were opened

Cause: a connection that was asked on went back in front of the others, which was right while the first was asked. Since the latest one that is old enough is asked, the order was lost, so that a fresh connection could be taken for an old one, and replaced once more.

Change: it goes back to its place by age. Found on reading the diff; no test shows an effect for callers. idle_losses but its known failure, cut_paths and unframed pass.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -134,11 +134,14 @@
 
     /// Sets a witness back after a question, or after a wait without one.
     pub(crate) fn put_back(&self, socket: Socket, established_at: Instant, is_asked: bool) {
-        self.witnesses.borrow_mut().push_front(Witness {
+        let mut witnesses = self.witnesses.borrow_mut();
+        let place = witnesses.partition_point(|witness| witness.established_at < established_at);
+        let witness = Witness {
             socket,
             established_at,
             asked_at: is_asked.then(Instant::now),
-        });
+        };
+        witnesses.insert(place, witness);
     }
 
     /// Records that the connection of a question closed as the answer ended.
