serve: Learn that an endpoint keeps connections while its answers are read

What callers saw: nothing; each end of an answer opened a connection to an endpoint that keeps connections, 7 or 8 for six ends.

Cause: whether an endpoint keeps a connection after an answer is known 0.2 s after a question on it. While answers are read, another connection replaced the asked one after 0.1 s, and it was closed before that.

Change: an asked connection is kept until that is known.

Found by a review.

--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -273,7 +273,10 @@
     fn drop_replaced(&self) {
         let mut witnesses = self.witnesses.borrow_mut();
         let is_accepted = |witness: &Witness| witness.established_at.elapsed() >= ACCEPT_TIME * 2;
-        if witnesses.len() > 1 && witnesses.back().is_some_and(is_accepted) {
+        // Until an asked one has settled, it is not known whether the endpoint keeps connections.
+        let is_settled = |witness: &Witness| witness.asked_at.is_none();
+        let is_replaced = witnesses.len() > 1 && witnesses.back().is_some_and(is_accepted);
+        if is_replaced && witnesses.front().is_some_and(is_settled) {
             witnesses.pop_front();
         }
     }
--- a/crates/serve/tests/common/scripted.rs
+++ b/crates/serve/tests/common/scripted.rs
@@ -234,6 +234,7 @@
     pub endless_bytes: Arc<AtomicU64>,
     health: Arc<Mutex<Health>>,
     health_checks: Arc<AtomicUsize>,
+    accepted: Arc<AtomicUsize>,
     run: Arc<Mutex<Run>>,
 }
 
@@ -254,12 +255,15 @@
         let keeps_connections: Arc<AtomicBool> = Arc::default();
         let run = Arc::new(Mutex::new(Run::new(Duration::ZERO, None)));
         let first_run = run.clone();
+        let accepted: Arc<AtomicUsize> = Arc::default();
+        let accepted_here = accepted.clone();
         std::thread::spawn(move || {
             let mut kept = Vec::new();
             for stream in listener.incoming() {
                 let Ok(stream) = stream else {
                     break;
                 };
+                accepted_here.fetch_add(1, Ordering::SeqCst);
                 if keeps_connections.load(Ordering::SeqCst) {
                     kept.push(stream);
                     continue;
@@ -321,6 +325,7 @@
             endless_bytes,
             health,
             health_checks,
+            accepted,
             run: first_run,
         }
     }
@@ -367,6 +372,11 @@
         self.run.lock().unwrap().connections.len()
     }
 
+    /// Returns the number of connections accepted.
+    pub fn accepted_count(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.heads.lock().unwrap().len()
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -343,3 +343,27 @@
     let harness = harness(&endpoint);
     assert!(harness.send(&[]).is_complete);
 }
+
+/// An endpoint that keeps connections is asked on the idle connection again, and not on a new one each time.
+#[test]
+fn ends_at_an_endpoint_that_keeps_connections_open_none_each() {
+    const SHORT_STREAMS: usize = 6;
+    // One is opened for the first question, and two as others are a second old.
+    const MAX_IDLE: usize = 4;
+    let mut scripts = vec![unframed_stream(1..=50, 50)];
+    scripts.extend(vec![unframed_stream(1..=3, 50); SHORT_STREAMS]);
+    let endpoint = ScriptedEndpoint::start(scripts);
+    endpoint.set_started(1_000);
+    endpoint.set_keeps_alive();
+    let harness = harness(&endpoint);
+    let short = async {
+        for number in 0..SHORT_STREAMS {
+            Timer::after(Duration::from_millis(150)).await;
+            let target = format!("/x/{}", number + 2);
+            assert!(harness.send_to(&target, &[]).await.is_complete);
+        }
+        endpoint.accepted_count() - endpoint.request_count()
+    };
+    let (_, idle) = block_on(zip(harness.send_to("/x/1", &[]), short));
+    assert!(idle <= MAX_IDLE, "{idle} idle connections");
+}
