--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -19,9 +19,7 @@
 
 fn harness(endpoint: &ScriptedEndpoint) -> Harness {
     let route = route(RetrySafety::NonIdempotentStream);
-    let harness = Harness::new(route, &[endpoint.addr], 10.0);
-    harness.list_starts(&[1_000]);
-    harness
+    Harness::with_runs(route, &[endpoint.addr])
 }
 
 fn limit_connections(harness: &Harness, max_connections: u32) {
@@ -50,18 +48,13 @@
         Step::Sleep(100),
         Step::Exit,
     ];
-    let start = |script: Vec<Step>| {
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
-        endpoint
-    };
+    let start = |script: Vec<Step>| ScriptedEndpoint::start_run(vec![script]);
     let here: Vec<_> = (0..ENDPOINTS).map(|_| start(cut.clone())).collect();
     let there: Vec<_> = (0..ENDPOINTS).map(|_| start(answer("unasked"))).collect();
     let addrs = |endpoints: &[ScriptedEndpoint]| endpoints.iter().map(|one| one.addr).collect();
     let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[addrs(&here), addrs(&there)]);
+    let fleet = Fleet::with_runs(&route, &[addrs(&here), addrs(&there)]);
     for instance in &fleet.instances {
-        instance.list_starts(&[1_000; ENDPOINTS]);
         limit_connections(instance, max_connections);
     }
     let reports = async {
@@ -95,8 +88,7 @@
     for health_ms in [0, 300] {
         let mut cut = unframed_stream(1..=3, 80);
         cut.push(Step::CloseAllConnections);
-        let endpoint = ScriptedEndpoint::start(vec![cut]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![cut]);
         endpoint.set_health(Health::After(health_ms));
         let harness = harness(&endpoint);
         assert!(!harness.send(&[]).is_complete, "{health_ms} ms");
@@ -109,8 +101,7 @@
     let mut cut = unframed_stream(1..=4, 85);
     cut.push(Step::CloseAllConnections);
     let whole = unframed_stream(1..=3, 80);
-    let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=3, 55), whole, cut]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![unframed_stream(1..=3, 55), whole, cut]);
     endpoint.set_keeps_alive();
     let harness = harness(&endpoint);
     assert!(harness.send(&[]).is_complete);
@@ -136,10 +127,8 @@
         let head = "HTTP/1.1 500 Failed\r\nx-id: 1\r\nx-seal: s\r\n\r\n";
         let name = format!("{cut:?}");
         let script = vec![Step::Write(format!("{head}half of")), Step::Sleep(200), cut];
-        let endpoint = ScriptedEndpoint::start(vec![script]);
-        endpoint.set_started(1_000);
-        let harness = Harness::new(route(RetrySafety::NonIdempotent), &[endpoint.addr], 10.0);
-        harness.list_starts(&[1_000]);
+        let endpoint = ScriptedEndpoint::start_run(vec![script]);
+        let harness = Harness::with_runs(route(RetrySafety::NonIdempotent), &[endpoint.addr]);
         let received = harness.send(&[]);
         assert_eq!(received.body == "half of", is_passed_on, "{name}");
     }
@@ -160,8 +149,7 @@
 #[test]
 fn an_endpoint_that_closes_idle_connections_within_a_second_vouches_for_its_streams() {
     for timeout_ms in [400, 600] {
-        let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=14, 100)]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![unframed_stream(1..=14, 100)]);
         endpoint.set_idle_timeout(Duration::from_millis(timeout_ms));
         let harness = harness(&endpoint);
         assert!(harness.send(&[]).is_complete, "{timeout_ms} ms");
@@ -173,8 +161,7 @@
 fn an_idle_connection_that_could_not_be_replaced_says_nothing_of_an_end() {
     const SHARE: u32 = 8;
     const MAX_CONNECTIONS: u32 = 9;
-    let endpoint = ScriptedEndpoint::start(vec![unframed_stream(1..=16, 100)]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![unframed_stream(1..=16, 100)]);
     endpoint.set_idle_timeout(Duration::from_millis(1_400));
     let harness = harness(&endpoint);
     limit_connections(&harness, MAX_CONNECTIONS);
@@ -214,8 +201,7 @@
             other.extend([events(id..=id), Step::Sleep(50)]);
         }
         other.push(stream_end());
-        let endpoint = ScriptedEndpoint::start(vec![cut, other]);
-        endpoint.set_started(1_000);
+        let endpoint = ScriptedEndpoint::start_run(vec![cut, other]);
         endpoint.set_health(Health::After(health_ms));
         let harness = harness(&endpoint);
         let later = async {
@@ -237,15 +223,10 @@
         script.extend([unframed_events(id..=id), Step::Sleep(80)]);
     }
     script.push(Step::CloseAllConnections);
-    let here = ScriptedEndpoint::start(vec![script]);
-    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
-    here.set_started(1_000);
-    there.set_started(1_000);
+    let here = ScriptedEndpoint::start_run(vec![script]);
+    let there = ScriptedEndpoint::start_run(vec![answer("unasked")]);
     let route = route(RetrySafety::NonIdempotentStream);
-    let fleet = Fleet::new(&route, &[vec![here.addr], vec![there.addr]]);
-    for instance in &fleet.instances {
-        instance.list_starts(&[1_000]);
-    }
+    let fleet = Fleet::with_runs(&route, &[vec![here.addr], vec![there.addr]]);
     fleet.exchange_reach();
     let received = block_on(fleet.executor.run(fleet.instances[0].send_to("/x/1", &[])));
     assert!(!received.is_complete);
@@ -262,8 +243,7 @@
     ]);
     let head =
         "HTTP/1.1 503 Full\r\nx-not-started: 1\r\nx-pause-ms: 2000\r\nContent-Length: 0\r\n\r\n";
-    let endpoint = ScriptedEndpoint::start(vec![cut, vec![Step::Write(head.to_owned())]]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![cut, vec![Step::Write(head.to_owned())]]);
     let harness = harness(&endpoint);
     let later = async {
         Timer::after(Duration::from_millis(150)).await;
@@ -278,8 +258,7 @@
 fn a_cut_that_another_stream_noticed_long_ago_leaves_a_slowly_read_stream_in_doubt() {
     let mut cut = unframed_stream(1..=3, 80);
     cut.push(Step::CloseAllConnections);
-    let endpoint = ScriptedEndpoint::start(vec![cut, unframed_stream(1..=10, 80)]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![cut, unframed_stream(1..=10, 80)]);
     let harness = harness(&endpoint);
     let (first_ids, is_complete) = block_on(async {
         let response = harness.pipeline.handle(request("/x/1", &[])).await;
@@ -313,8 +292,7 @@
     ];
     let mut cut = unframed_stream(1..=4, 80);
     cut.push(Step::CloseAllConnections);
-    let endpoint = ScriptedEndpoint::start(vec![unread, cut]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![unread, cut]);
     let harness = harness(&endpoint);
     let cut = block_on(async {
         let response = harness.pipeline.handle(request("/x/1", &[])).await;
@@ -352,8 +330,7 @@
     const MAX_IDLE: usize = 4;
     let mut scripts = vec![unframed_stream(1..=50, 50)];
     scripts.extend(vec![unframed_stream(1..=3, 50); SHORT_STREAMS]);
-    let endpoint = ScriptedEndpoint::start(scripts);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(scripts);
     endpoint.set_keeps_alive();
     let harness = harness(&endpoint);
     let short = async {
@@ -376,8 +353,7 @@
     let mut cut = unframed_stream(1..=3, 80);
     cut.push(Step::CloseAllConnections);
     let long = unframed_stream(1..=15, 100);
-    let endpoint = ScriptedEndpoint::start(vec![cut, long]);
-    endpoint.set_started(1_000);
+    let endpoint = ScriptedEndpoint::start_run(vec![cut, long]);
     let harness = harness(&endpoint);
     assert!(!harness.send(&[]).is_complete);
     let requests = endpoint.request_count();
