serve: Take a reset of answers for that of a path, not of a full endpoint

Cause: the path was reset, and cut by FIN 0.36 s later. The idle connection that was reset had been opened less than 0.2 s before, as a full endpoint resets what exceeds its connections. So its reset was no loss, and the next was opened after a pause of 0.3 s and more. The log shows two answers of the endpoint reset at the same moment (12.298), which an endpoint that is full does not do, and the cut at 12.658.

Change: if an answer is reset, after its head, within 0.2 s of an idle connection that seemed to be turned away, the latter counts as lost, and another is opened without a pause. An endpoint that resets idle connections alone is full as before.

Before: the new test fails, the second stream ends as complete. After: cut_paths (14, with the one of an endpoint that is full), unframed, next_runs and idle_losses but its known failure pass.

--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -359,6 +359,9 @@
                 endpoint_state.record_outcome(true, now_ms);
                 let carried = started.carried.as_ref();
                 request.record_runs(Verdict::Ran, carried.map_or(1, |call| call.granted_runs));
+                if err.kind() == io::ErrorKind::ConnectionReset {
+                    endpoint_state.witness.record_reset();
+                }
                 request.record_broken(context, &started.endpoint, &endpoint_state, &err);
                 let sent_at = started.sent_at;
                 request.log_send(
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -247,6 +247,9 @@
             .endpoint_state
             .record_outcome(true, self.context.now_ms());
         let endpoint_state = self.response.call_guard.endpoint_state.clone();
+        if err.kind() == io::ErrorKind::ConnectionReset {
+            endpoint_state.witness.record_reset();
+        }
         self.request
             .record_broken(&self.context, &endpoint, &endpoint_state, err);
         let sent_at = self.response.sent_at;
--- a/crates/serve/src/witness.rs
+++ b/crates/serve/src/witness.rs
@@ -90,6 +90,8 @@
     open_at: Cell<Option<Instant>>,
     wanted_at: Cell<Option<Instant>>,
     refused_at: Cell<Option<Instant>>,
+    /// When a witness was last turned away.
+    turned_away_at: Cell<Option<Instant>>,
     losses: RefCell<VecDeque<Loss>>,
     /// When a witness was last found closed regularly, and its age.
     closed: Cell<Option<(Instant, Duration)>>,
@@ -157,6 +159,16 @@
         losses.push_back(Loss { open_at, found_at });
     }
 
+    /// Records that the connection of an answer was reset. A witness that seemed to be turned away ended with it.
+    pub(crate) fn record_reset(&self) {
+        self.drop_closed();
+        let turned_away_at = self.turned_away_at.take();
+        if turned_away_at.is_some_and(|at| at.elapsed() < CHECK_INTERVAL * 2) {
+            self.refused_at.set(None);
+            self.record_lost();
+        }
+    }
+
     /// Drops a witness that no answer has needed for a while.
     pub(crate) fn drop_unused(&self) {
         if self
@@ -238,7 +250,11 @@
             };
             // After an answer, an endpoint that keeps connections does not close them.
             if witness.asked_at.is_none() || self.keeps_alive.get() {
-                is_lost |= !witness.is_turned_away(&err, now);
+                if witness.is_turned_away(&err, now) {
+                    self.turned_away_at.set(Some(now));
+                } else {
+                    is_lost = true;
+                }
                 if err.kind() == io::ErrorKind::ConnectionAborted {
                     self.closed.set(Some((now, now - witness.established_at)));
                 }
--- a/crates/serve/tests/cut_paths.rs
+++ b/crates/serve/tests/cut_paths.rs
@@ -158,6 +158,29 @@
     }
 }
 
+/// Guards against taking a path that was reset for an endpoint that is full.
+#[test]
+fn a_path_that_is_reset_and_then_cut_leaves_a_stream_in_doubt() {
+    let reset = vec![
+        Step::HoldNextConnection,
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::ResetHeldConnection,
+        Step::Reset,
+    ];
+    let cut = vec![
+        unframed_head(),
+        unframed_events(1..=3),
+        Step::Sleep(250),
+        Step::CloseAllConnections,
+    ];
+    let endpoint = ScriptedEndpoint::start_run(vec![reset, cut]);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let harness = Harness::with_runs(route, &[endpoint.addr]);
+    assert!(!harness.send(&[]).is_complete);
+    assert!(!harness.send(&[]).is_complete);
+}
+
 /// The idle connection may be closed before the last bytes of an answer are read.
 #[test]
 fn a_cut_that_reaches_the_idle_connection_first_leaves_a_stream_in_doubt() {
