--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod next_answers;
 pub mod outcomes;
+mod script;
 mod scripted;
 
 use std::net::SocketAddr;
@@ -28,11 +29,11 @@
 };
 
 use clock::AgedClock;
-pub use scripted::{
-    Health, STARTED_MS, ScriptedEndpoint, Step, answer, answer_health, chunk, error_response,
-    events, listen, read_head, refusal, stream_end, stream_head, unframed_events, unframed_head,
-    unframed_stream,
+pub use script::{
+    Step, answer, chunk, error_response, events, refusal, stream_end, stream_head, unframed_events,
+    unframed_head, unframed_stream,
 };
+pub use scripted::{Health, STARTED_MS, ScriptedEndpoint, answer_health, listen, read_head};
 
 /// Parses the numbers of prompt parts, separated by commas.
 fn parse_parts(text: &str) -> Vec<PromptPart> {
