serve: Do not ask again for an end that peers show to be that of a path

Cause: "Connect again to an endpoint whose connection timed out at an end" also asked again if a peer had reached the run. That a peer reaches it and this instance does not says that the path is cut, so that an answer of the endpoint later says nothing of the end. Before such an end was in doubt.

Change: it is asked again only if no peer knows more, which is the case that was made for.

Before: the new test fails, the stream ends as complete.

--- a/crates/serve/src/answer_end.rs
+++ b/crates/serve/src/answer_end.rs
@@ -235,9 +235,10 @@
         _ if seems_alive => return AnswerEnd::Whole,
         _ => {}
     }
-    // A connection that timed out says little, and no further run can tell.
+    // A connection that timed out says little, unless peers reach the run, and no further run can tell.
+    let is_alone = peers == Finding::Unknown && !doubt.may_repeat;
     let mut latest = own;
-    while latest == Life::NoConnection && !doubt.may_repeat {
+    while latest == Life::NoConnection && is_alone {
         let sign = check_life(context, endpoint, state, end, until).await;
         latest = sign.life;
     }
--- a/crates/serve/tests/slow_connections.rs
+++ b/crates/serve/tests/slow_connections.rs
@@ -6,7 +6,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use common::{Harness, Health, answer_health, read_head, route};
+use common::fleet::Fleet;
+use common::{Harness, Health, ScriptedEndpoint, answer, answer_health, read_head, route};
+use futures_lite::future::block_on;
 use route::RetrySafety;
 use socket2::{Domain, Socket, Type};
 
@@ -51,3 +53,17 @@
     let harness = Harness::new(route(RetrySafety::NonIdempotentStream), &[addr], 10.0);
     assert!(harness.send(&[]).is_complete);
 }
+
+/// Guards against a path that comes back in time and makes a stream whole that it had cut short.
+#[test]
+fn a_path_that_peers_show_to_be_cut_makes_no_stream_whole_when_it_comes_back() {
+    let (listener, addr) = listen();
+    std::thread::spawn(move || serve(&listener, addr));
+    let there = ScriptedEndpoint::start(vec![answer("unasked")]);
+    let route = route(RetrySafety::NonIdempotentStream);
+    let fleet = Fleet::new(&route, &[vec![addr], vec![there.addr]]);
+    fleet.exchange_reach();
+    let sending = fleet.instances[0].send_to("/x/1", &[]);
+    let received = block_on(fleet.executor.run(sending));
+    assert!(!received.is_complete);
+}
