limits: Bound the rate of cold endpoints over all instances

Instances that do not know that an endpoint is cold, or that each count themselves among the first for it, send more together than it takes, and it ends. ColdLimit divides its rate among the few instances that rank first, as whole requests at fixed intervals; ColdRate lets one that takes over wait for a second; HeardFleet keeps instances that started lately or hear less than half of their fleet from ranking themselves; ColdPeriod joins what entries, reach and peers tell of cold periods. EndpointCapacity holds these next to the rate limit, the pause and the refusals of an endpoint.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -16,11 +16,15 @@
 
 mod admission;
 mod balance;
+mod cold_limit;
+mod cold_period;
 mod crash_guard;
 mod crash_history;
+mod endpoint_capacity;
 mod endpoint_rate;
 mod fleet_size;
 mod handover;
+mod heard_fleet;
 mod outlier;
 mod placement;
 mod quota_share;
@@ -36,11 +40,15 @@
 
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
+pub use cold_limit::{ColdDivision, ColdLimit, ColdRate};
+pub use cold_period::{ColdPeriod, ColdSight, MAX_COLD_MS};
 pub use crash_guard::{Admittance, CrashGuard};
 pub use crash_history::{Crash, CrashBlock, CrashHistory, CrashReport, Subject};
+pub use endpoint_capacity::{EndpointCapacity, Withheld};
 pub use endpoint_rate::{EndpointRate, RateDivision};
 pub use fleet_size::{Fleet, FleetSize};
 pub use handover::{Carrier, Hops, NextHop, Reach, next_hop};
+pub use heard_fleet::HeardFleet;
 pub use outlier::{Health, OutlierDetector};
 pub use placement::{Candidate, PlacementError, PromptLoad, Selected, place};
 pub use quota_share::QuotaShare;
