serve, platform: Send to cold endpoints only what the fleet may

EndpointCold keeps by identifier until when an endpoint is cold: from its entry, from connections that were refused or broke, and from being out of reach. EndpointState reads rate, pause, refusals and cold rate through EndpointCapacity, so that retries, resumed streams and health checks pass the same gate; EndpointStates moves to its own module. Warm endpoints take the rest, and what only cold ones without a share could take is refused at once with a retry-after. Services without a rate for cold endpoints are treated as before.

Struct literals in existing tests name the new fields; nothing else in them changes. Not played on a deployment.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -388,6 +388,7 @@
             version: text(&value, "version")?.into(),
             slots: 1,
             draining: value.get("leaving").is_some(),
+            cold_left: None,
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use limit::CallerLimits;
 pub use route::{RetrySafety, Route, Target};
-pub use service::{Engine, ModelSize, Service};
+pub use service::{ColdStart, Engine, ModelSize, Service};
 pub use table::{KeyError, Table};
 pub use workspace::Workspace;
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -22,6 +22,15 @@
     pub model_sizes: Vec<ModelSize>,
 }
 
+/// How endpoints of a service are cold after they start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// How long an endpoint is cold after its start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests per second that a cold endpoint takes from all instances together, above 0.
+    pub per_s: f64,
+}
+
 /// A service, which runs at one or more endpoints.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -33,4 +42,6 @@
     pub max_connections: u32,
     /// Model engines, or `None` for a plain service.
     pub engine: Option<Engine>,
+    /// How its endpoints are cold, or `None` if they never are.
+    pub cold: Option<ColdStart>,
 }
--- a/crates/serve/src/call_record.rs
+++ b/crates/serve/src/call_record.rs
@@ -13,7 +13,7 @@
 const MS_PER_S: f64 = 1_000.0;
 
 /// Returns whether an error shows that the other side ended or closed the connection.
-fn is_broken_connection(err: &io::Error) -> bool {
+pub(crate) fn is_broken_connection(err: &io::Error) -> bool {
     matches!(
         err.kind(),
         io::ErrorKind::UnexpectedEof
--- a/crates/serve/src/calls_in_flight.rs
+++ b/crates/serve/src/calls_in_flight.rs
@@ -54,6 +54,15 @@
         self.calls.borrow().len() as u32
     }
 
+    /// Returns the number of calls whose answers have not begun.
+    pub(crate) fn unanswered(&self) -> u32 {
+        let calls = self.calls.borrow();
+        calls
+            .iter()
+            .filter(|call| call.began.get().is_none())
+            .count() as u32
+    }
+
     /// Adds a call, and returns its progress.
     pub(crate) fn add(&self) -> Rc<CallProgress> {
         let progress = Rc::new(CallProgress::default());
--- a/crates/serve/src/carry.rs
+++ b/crates/serve/src/carry.rs
@@ -239,5 +239,6 @@
         version: "".into(),
         slots: 0,
         draining: false,
+        cold_left: None,
     }
 }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -233,7 +233,7 @@
         let delay_ms = context.reserve_retry_after(&self.service, rate_per_s);
         self.failure(
             Reason::Overloaded,
-            "the endpoints of the service that have room are at their rate limits",
+            "the endpoints of the service that have room are at their rate limits or cold",
         )
         .retry_after_ms(delay_ms)
     }
--- a/crates/serve/src/endpoint.rs
+++ b/crates/serve/src/endpoint.rs
@@ -3,6 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The time for which an entry says that its endpoint stays cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdLeft {
+    /// The time from the moment of writing, in milliseconds.
+    pub ms: u64,
+    /// Revision of the entry. An endpoint that becomes cold again writes another one.
+    pub revision: u64,
+}
+
 /// One run of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
@@ -23,4 +32,6 @@
     pub slots: u32,
     /// Whether it takes no new requests because it is stopping.
     pub draining: bool,
+    /// For how long it stays cold, if its entry says so.
+    pub cold_left: Option<ColdLeft>,
 }
--- a/crates/serve/src/endpoint_protocol.rs
+++ b/crates/serve/src/endpoint_protocol.rs
@@ -53,6 +53,8 @@
     pub is_full: bool,
     /// Whether it says that it is not the endpoint that was asked.
     pub is_misdirected: bool,
+    /// For how long it stays cold, in milliseconds, if it says so.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// Decoded head of an endpoint's response.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -1,23 +1,21 @@
-//! Load, rate limit, health and latency of each endpoint. All but the first two come from this
-//! instance's own calls.
+//! Load, capacity, health and latency of an endpoint. All but the first two come from this instance's own
+//! calls.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
 use std::sync::Arc;
 
 use async_lock::Mutex;
 use limits::{
-    Crash, EndpointRate, EndpointUse, Health, OutlierDetector, Path, RateDivision, RefusalAllowance,
+    Crash, EndpointCapacity, EndpointUse, Health, OutlierDetector, Path, RateDivision, Withheld,
 };
 
 use crate::calls_in_flight::CallsInFlight;
 use crate::endpoint::Endpoint;
+use crate::endpoint_cold::EndpointCold;
 use crate::latency_ratio::LatencyRatio;
 use crate::life_check::LifeCheck;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
-use crate::run::Run;
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_load::{EndpointLoad, SharedLoads};
 use crate::view::View;
@@ -48,15 +46,9 @@
     outlier: RefCell<OutlierDetector>,
     latency: LatencyRatio,
     paused_until_ms: Cell<u64>,
-    /// Until when the endpoint itself wants no requests from this instance.
-    wanted_pause_until_ms: Cell<u64>,
-    /// When it last said so.
-    wanted_pause_at_ms: Cell<u64>,
+    capacity: RefCell<EndpointCapacity>,
+    pub(crate) cold: EndpointCold,
     misdirected: Cell<bool>,
-    /// This instance's part of the endpoint's rate limit, if it has one.
-    rate: RefCell<Option<EndpointRate>>,
-    /// The refusals that this instance may cause, if the endpoint ends by too many.
-    refusals: RefCell<Option<RefusalAllowance>>,
     last_received_ms: Cell<u64>,
     /// Since when no connection to the endpoint was established, if the last one was not.
     out_of_reach_since_ms: Cell<Option<u64>>,
@@ -81,6 +73,17 @@
 }
 
 impl EndpointState {
+    /// Creates the state of a run with this hash.
+    pub(crate) fn new(shared_hash: u64, id: &str, shared_loads: &SharedLoads) -> EndpointState {
+        EndpointState {
+            shared_load: shared_loads.entry(shared_hash),
+            cold: EndpointCold::new(shared_loads.cold().of(id)),
+            crashes: shared_loads.crashes().clone(),
+            shared_hash,
+            ..EndpointState::default()
+        }
+    }
+
     /// Returns the load of all instances' calls in flight, in requests of average size.
     pub(crate) fn load(&self) -> f64 {
         self.load.get() + self.shared_load.of_peers()
@@ -123,7 +126,7 @@
 
     /// Returns how much longer the endpoint wants no requests, in milliseconds, or zero.
     pub(crate) fn wanted_pause_ms(&self, now_ms: u64) -> u64 {
-        self.wanted_pause_until_ms.get().saturating_sub(now_ms)
+        self.capacity.borrow().pause_left_ms(now_ms)
     }
 
     /// Records that the endpoint wants no requests for a while. It gets them back spread over a part
@@ -131,27 +134,21 @@
     pub(crate) fn record_wanted_pause(&self, pause_ms: u64, now_ms: u64) {
         let spread_ms = fastrand::u64(..=pause_ms / PAUSE_SPREAD_PART);
         let until_ms = now_ms + pause_ms + spread_ms;
-        let latest_ms = until_ms.max(self.wanted_pause_until_ms.get());
-        self.wanted_pause_until_ms.set(latest_ms);
-        self.wanted_pause_at_ms.set(now_ms);
+        self.capacity.borrow_mut().record_pause(until_ms, now_ms);
     }
 
     /// Takes over the pause that this run wanted before it was listed, when what it said was recorded for an
     /// earlier one. One that was wanted before a connection to that one broke is its own.
-    fn take_over_pause(&self, earlier: &EndpointState) {
+    pub(crate) fn take_over_pause(&self, earlier: &EndpointState) {
         let broke_ms = earlier.recent_starts.borrow().broke_ms();
-        let wanted_at_ms = earlier.wanted_pause_at_ms.get();
-        if broke_ms.is_some_and(|broke_ms| wanted_at_ms >= broke_ms) {
-            let until_ms = earlier.wanted_pause_until_ms.get();
-            self.wanted_pause_until_ms.set(until_ms);
-            self.wanted_pause_at_ms.set(wanted_at_ms);
+        if let Some(broke_ms) = broke_ms {
+            let mut capacity = self.capacity.borrow_mut();
+            capacity.take_over_pause(&earlier.capacity.borrow(), broke_ms);
         }
     }
 
     pub(crate) fn record_full(&self, now_ms: u64) {
-        if let Some(refusals) = self.refusals.borrow_mut().as_mut() {
-            refusals.record_refusal(now_ms);
-        }
+        self.capacity.borrow_mut().record_refusal(now_ms);
         self.pause_until(now_ms + FULL_PAUSE_MS);
     }
 
@@ -178,14 +175,15 @@
         let since_ms = self.out_of_reach_since_ms.get();
         let is_news = since_ms.is_some_and(|since_ms| opened_ms > since_ms);
         if is_news {
-            self.restore();
+            self.restore(opened_ms);
             self.shared_load.record_reached_again(opened_ms);
         }
         is_news
     }
 
     /// Lets the endpoint get requests again that was out of reach.
-    pub(crate) fn restore(&self) {
+    pub(crate) fn restore(&self, now_ms: u64) {
+        self.cold.record_reached_again(now_ms);
         self.out_of_reach_since_ms.set(None);
         self.shared_load.set_out_of_reach(false);
         // Failures for want of a path say nothing of the endpoint.
@@ -249,72 +247,77 @@
     /// Sets how many requests the endpoint can refuse in a second without ending, and returns whether
     /// this is news.
     pub(crate) fn set_refusal_limit(&self, limit_per_s: Option<u32>) -> bool {
-        let mut refusals = self.refusals.borrow_mut();
-        let before = refusals.as_ref().map(RefusalAllowance::limit_per_s);
-        match (limit_per_s, refusals.as_mut()) {
-            (Some(limit_per_s), Some(refusals)) => refusals.set_limit(limit_per_s),
-            (Some(limit_per_s), None) => *refusals = Some(RefusalAllowance::new(limit_per_s)),
-            (None, _) => *refusals = None,
-        }
-        before != limit_per_s
+        self.capacity.borrow_mut().set_refusal_limit(limit_per_s)
     }
 
-    /// Returns whether a request may be sent without the endpoint ending by its refusals.
-    pub(crate) fn is_within_refusals(&self, endpoint: &Endpoint, view: &View, now_ms: u64) -> bool {
-        let mut refusals = self.refusals.borrow_mut();
-        let Some(refusals) = refusals.as_mut() else {
-            return true;
-        };
-        let place = EndpointUse {
+    /// Returns why the endpoint gets no request now, if it gets none.
+    pub(crate) fn withheld(
+        &self,
+        endpoint: &Endpoint,
+        view: &View,
+        now_ms: u64,
+    ) -> Option<Withheld> {
+        self.update_cold(endpoint, now_ms);
+        let place = || EndpointUse {
             rank: view.rank_for(&endpoint.id),
             instances: view.instance_count,
             own_requests: self.connections(),
             load: self.load(),
             slots: endpoint.slots,
         };
-        refusals.is_open(&place, now_ms)
+        let mut capacity = self.capacity.borrow_mut();
+        capacity.withheld(place, self.calls.unanswered(), now_ms)
     }
 
     /// Takes a health check from what the endpoint wants of requests, and returns whether it wants any.
     pub(crate) fn try_acquire_check(&self, endpoint: &Endpoint, view: &View, now_ms: u64) -> bool {
-        let is_open = self.wanted_pause_ms(now_ms) == 0
-            && self.is_within_refusals(endpoint, view, now_ms)
-            && self.is_within_rate(now_ms);
+        let is_open = self.withheld(endpoint, view, now_ms).is_none();
         if is_open {
-            self.acquire_rate(now_ms);
+            self.acquire(now_ms);
         }
         is_open
     }
 
-    /// Returns whether the endpoint's rate limit permits a request now.
-    pub(crate) fn is_within_rate(&self, now_ms: u64) -> bool {
-        let mut rate = self.rate.borrow_mut();
-        rate.as_mut().is_none_or(|rate| rate.is_open(now_ms))
+    /// Takes a request from what the endpoint wants.
+    pub(crate) fn acquire(&self, now_ms: u64) {
+        self.capacity.borrow_mut().acquire(now_ms);
     }
 
-    /// Takes a request from the endpoint's rate limit, if it has one.
-    pub(crate) fn acquire_rate(&self, now_ms: u64) {
-        if let Some(rate) = self.rate.borrow_mut().as_mut() {
-            rate.try_acquire(now_ms);
+    /// Returns whether the endpoint counts as cold since its capacity was last looked at.
+    pub(crate) fn is_cold(&self) -> bool {
+        self.capacity.borrow().is_cold()
+    }
+
+    /// Takes over whether the endpoint is cold, and logs a change.
+    pub(crate) fn update_cold(&self, endpoint: &Endpoint, now_ms: u64) {
+        let is_cold = self.cold.is_cold(self.is_out_of_reach(), now_ms);
+        let mut capacity = self.capacity.borrow_mut();
+        let rules = self.cold.rules().filter(|rules| rules.is_sender);
+        let interval_ms = rules.map(|rules| rules.division.interval_ms);
+        if interval_ms != capacity.cold_interval_ms() {
+            capacity.set_cold_interval(interval_ms, now_ms);
+        }
+        if !capacity.set_cold(is_cold, now_ms) {
+            return;
+        }
+        let (id, service) = (&*endpoint.id, &*endpoint.service);
+        if is_cold {
+            let left_ms = self.cold.left_ms(now_ms);
+            tracing::info!(id, service, left_ms, interval_ms, "endpoint: cold");
+        } else {
+            tracing::info!(id, service, "endpoint: cold no longer");
         }
     }
 
     /// Returns how the endpoint's rate limit is divided, if it has one.
     pub(crate) fn rate_division(&self) -> Option<RateDivision> {
-        self.rate.borrow().as_ref().map(EndpointRate::division)
+        self.capacity.borrow().rate_division()
     }
 
     /// Sets how the endpoint's rate limit is divided, and returns whether the limit changed.
-    fn set_rate_division(&self, division: Option<RateDivision>, now_ms: u64) -> bool {
-        let limit = |division: RateDivision| division.limit_per_s;
-        let before = self.rate_division().map(limit);
-        let mut rate = self.rate.borrow_mut();
-        match (division, rate.as_mut()) {
-            (Some(division), Some(rate)) => rate.set_division(division, now_ms),
-            (Some(division), None) => *rate = Some(EndpointRate::new(division, now_ms)),
-            (None, _) => *rate = None,
-        }
-        before != division.map(limit)
+    pub(crate) fn set_rate_division(&self, division: Option<RateDivision>, now_ms: u64) -> bool {
+        let mut capacity = self.capacity.borrow_mut();
+        capacity.set_rate_division(division, now_ms)
     }
 
     /// Records that the run lives, as proof shows that was asked for at a time, in milliseconds.
@@ -351,7 +354,7 @@
     }
 
     /// Records that a later run is listed, so that this one has ended.
-    fn record_ended(&self, now_ms: u64) {
+    pub(crate) fn record_ended(&self, now_ms: u64) {
         for suspect in self.recent_starts.borrow_mut().ended(now_ms) {
             let crash = self.crash(suspect.broke_ms);
             self.crashes.restore_crash(suspect.key.subjects(), crash);
@@ -377,6 +380,7 @@
 
     /// Records that a connection broke, and returns the answers that began shortly before it.
     pub(crate) fn record_broken(&self, now_ms: u64) -> Vec<Start> {
+        self.cold.record_broken(now_ms);
         let suspects = self.recent_starts.borrow_mut().broke(now_ms);
         for start in &suspects {
             self.crashes
@@ -431,7 +435,7 @@
     }
 
     /// Records whether the run is listed, and returns whether its state must be kept.
-    fn is_kept(&self, is_listed: bool, now_ms: u64) -> bool {
+    pub(crate) fn is_kept(&self, is_listed: bool, now_ms: u64) -> bool {
         if is_listed {
             self.unlisted_since_ms.set(None);
             return true;
@@ -446,110 +450,3 @@
             .set(self.paused_until_ms.get().max(until_ms));
     }
 }
-
-/// States of all endpoints.
-#[derive(Debug, Default)]
-pub(crate) struct EndpointStates {
-    by_key: RefCell<HashMap<Run, Rc<EndpointState>>>,
-    /// Generation of the view and number of limit changes that the states reflect.
-    synced: Cell<Option<(u64, u64)>>,
-    shared_loads: Arc<SharedLoads>,
-}
-
-impl EndpointStates {
-    /// Returns the state of an endpoint, which is created if there is none yet.
-    pub(crate) fn of(&self, endpoint: &Endpoint) -> Rc<EndpointState> {
-        let mut states = self.by_key.borrow_mut();
-        let key = Run::of(endpoint);
-        if let Some(state) = states.get(&key) {
-            return state.clone();
-        }
-        let state = Rc::new(EndpointState {
-            shared_load: self.shared_loads.entry(key.shared_hash()),
-            crashes: self.shared_loads.crashes().clone(),
-            shared_hash: key.shared_hash(),
-            ..EndpointState::default()
-        });
-        let earlier = states.iter().filter(|(run, _)| key.follows(run));
-        if let Some((_, earlier)) = earlier.max_by_key(|(run, _)| run.started_ms) {
-            state.take_over_pause(earlier);
-        }
-        states.insert(key, state.clone());
-        // Others may have reported a rate limit of this endpoint.
-        self.synced.set(None);
-        state
-    }
-
-    /// Closes the idle connections that no answer has needed for a while.
-    pub(crate) fn drop_unused_witnesses(&self) {
-        for state in self.by_key.borrow().values() {
-            state.witness.drop_unused();
-        }
-    }
-
-    /// Returns what crashes endpoints.
-    pub(crate) fn crashes(&self) -> &SharedCrashes {
-        self.shared_loads.crashes()
-    }
-
-    pub(crate) fn shared_loads(&self) -> Arc<SharedLoads> {
-        self.shared_loads.clone()
-    }
-
-    /// Records the rate limit that an endpoint names in a response, or that it names none.
-    pub(crate) fn record_rate_limit(
-        &self,
-        endpoint: &Endpoint,
-        limit_per_s: Option<f64>,
-        now_ms: u64,
-    ) {
-        let endpoint = Run::of(endpoint).shared_hash();
-        let limits = self.shared_loads.limits();
-        limits.observe(endpoint, limit_per_s, now_ms);
-    }
-
-    /// Drops the states of endpoints that were removed a while ago and have no call in flight, and divides
-    /// the rate limits of the others.
-    pub(crate) fn sync(&self, view: &View, now_ms: u64) {
-        let current = (view.generation, self.shared_loads.limits().changes());
-        if self.synced.replace(Some(current)) == Some(current) {
-            return;
-        }
-        self.drop_unlisted(view, now_ms);
-        for (key, state) in self.by_key.borrow().iter() {
-            let limit_per_s = self.shared_loads.limits().limit_per_s(key.shared_hash());
-            let division = limit_per_s.map(|limit_per_s| RateDivision {
-                limit_per_s,
-                rank: view.rank_for(&key.id),
-                instances: view.instance_count,
-            });
-            if state.set_rate_division(division, now_ms) {
-                tracing::info!(
-                    id = &*key.id,
-                    limit_per_s,
-                    share_per_s = division.map(|division| division.share_per_s()),
-                    instances = view.instance_count,
-                    "endpoint: rate limit"
-                );
-            }
-        }
-    }
-
-    /// What an endpoint says of itself holds for its run, also while its entry lapses and comes back.
-    fn drop_unlisted(&self, view: &View, now_ms: u64) {
-        let endpoints = view.endpoints();
-        let listed: HashSet<Run> = endpoints.map(|endpoint| Run::of(endpoint)).collect();
-        let mut states = self.by_key.borrow_mut();
-        states.retain(|key, state| {
-            let is_listed = listed.contains(key);
-            if !is_listed && listed.iter().any(|run| run.follows(key)) {
-                state.record_ended(now_ms);
-            }
-            let is_kept = state.is_kept(is_listed, now_ms);
-            if !is_kept {
-                self.shared_loads.remove(key.shared_hash());
-            }
-            is_kept
-        });
-    }
-}
--- a/crates/serve/src/endpoint_values.rs
+++ b/crates/serve/src/endpoint_values.rs
@@ -21,6 +21,16 @@
     value.trim().parse().ok()
 }
 
+/// Parses a time in milliseconds, which may have a fraction, or returns `None` after a warning if it is not one.
+pub fn parse_duration_ms(value: &str) -> Option<u64> {
+    let parsed: Option<f64> = value.trim().parse().ok();
+    let duration_ms = parsed.filter(|ms| ms.is_finite() && *ms >= 0.0);
+    if duration_ms.is_none() {
+        tracing::warn!(value, "endpoint: duration unreadable, ignored");
+    }
+    duration_ms.map(|ms| ms as u64)
+}
+
 /// Returns how long an endpoint that answers 503 wants no requests, in milliseconds, if it says so
 /// with a `Retry-After` in seconds, which may have a fraction.
 ///
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -26,10 +26,13 @@
 mod carry;
 mod carry_handler;
 mod carry_message;
+mod cold_senders;
 mod dispatch;
 mod endpoint;
+mod endpoint_cold;
 mod endpoint_protocol;
 mod endpoint_state;
+mod endpoint_states;
 mod endpoint_values;
 mod escalation;
 mod events;
@@ -52,6 +55,7 @@
 mod request_log;
 mod run;
 mod settings;
+mod shared_cold;
 mod shared_crashes;
 mod shared_limit;
 mod shared_load;
@@ -65,14 +69,17 @@
 
 pub use caller_protocol::CallerProtocol;
 pub use carry_handler::CarryHandler;
-pub use endpoint::Endpoint;
+pub use endpoint::{ColdLeft, Endpoint};
 pub use endpoint_protocol::{Attempt, EndpointProtocol, ExecutionStatus, Reply, Responder};
-pub use endpoint_values::{parse_rate_per_s, parse_request_count, requested_pause_ms};
+pub use endpoint_values::{
+    parse_duration_ms, parse_rate_per_s, parse_request_count, requested_pause_ms,
+};
 pub use events::{Event, EventSplitter};
 pub use outcome::{Counters, Observer, Outcome};
 pub use pipeline::Pipeline;
 pub use request::{PromptPart, RequestInfo, TokenUsage};
 pub use settings::Settings;
+pub use shared_cold::{ColdEntry, SharedCold};
 pub use shared_crashes::SharedCrashes;
 pub use shared_limit::{LimitEntry, SharedLimits};
 pub use shared_load::{
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -188,8 +188,9 @@
         };
         let protocol = &self.context.endpoint_protocol;
         let request = protocol.encode_health_check(self.endpoint, path);
+        let asked_ms = self.context.now_ms();
         let answer = Exchange::start_on(socket, self.until, "GET", &request, &Bytes::new()).await;
-        let answer = match self.read_answer(answer).await {
+        let answer = match self.read_answer(answer, asked_ms).await {
             Ok(answer) => answer,
             Err(err) if err.source.kind() == io::ErrorKind::TimedOut => {
                 return Some((Life::NoAnswer, false));
@@ -247,7 +248,7 @@
             }
             _ => record_connected(self.endpoint, self.state, opened_ms),
         }
-        let answer = self.read_answer(answer).await;
+        let answer = self.read_answer(answer, opened_ms).await;
         let responder = answer.map_err(|err| unanswered(&err))?.responder;
         Ok((Run::of(self.endpoint).identify(&responder), responder))
     }
@@ -256,6 +257,7 @@
     async fn read_answer(
         &self,
         answer: Result<(Exchange, ResponseHead), ExchangeError>,
+        asked_ms: u64,
     ) -> Result<Answer, ExchangeError> {
         let (mut exchange, head) = answer?;
         let body = timeout_at(self.until, exchange.read_to_end(MAX_REPORT_BYTES)).await;
@@ -263,6 +265,12 @@
         let body = body.unwrap_or_default();
         let protocol = &self.context.endpoint_protocol;
         let responder = protocol.decode_responder(self.endpoint, &head, &body);
+        if let Some(left_ms) = responder.cold_left_ms
+            && Run::of(self.endpoint).has_id_of(&responder)
+        {
+            let now_ms = self.context.now_ms();
+            self.state.cold.record_answer(left_ms, asked_ms, now_ms);
+        }
         if responder.is_full {
             self.state.record_full(self.context.now_ms());
         }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -22,7 +22,7 @@
 use crate::carry_message::CarryOrder;
 use crate::dispatch::StartedResponse;
 use crate::endpoint_protocol::EndpointProtocol;
-use crate::endpoint_state::EndpointStates;
+use crate::endpoint_states::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
 use crate::reach;
 use crate::request::RequestInfo;
@@ -68,10 +68,10 @@
             context: Rc::new(RequestContext {
                 started_ms: clock.mono_ms(),
                 fleet_size: RefCell::new(FleetSize::new(settings.configured_instances)),
+                endpoint_states: EndpointStates::new(&settings, &clock),
                 settings,
                 caller_protocol,
                 endpoint_protocol,
-                endpoint_states: EndpointStates::default(),
                 version_counters: Arc::default(),
                 counters: Arc::default(),
                 observer,
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use limits::{Candidate, PlacementError, PromptLoad, place, shortlist};
+use limits::{Candidate, PlacementError, PromptLoad, Withheld, place, shortlist};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::{EndpointState, EndpointStates};
+use crate::endpoint_state::EndpointState;
+use crate::endpoint_states::EndpointStates;
 use crate::run::Run;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
@@ -44,6 +45,7 @@
     let max_connections = max_connections(request.max_connections, view.instance_count);
     let mut available = Vec::new();
     let mut candidates = Vec::new();
+    let mut passes_over_cold = false;
     for endpoint in eligible {
         let state = endpoint_states.of(endpoint);
         if state.is_misdirected()
@@ -52,6 +54,8 @@
         {
             continue;
         }
+        let withheld = state.withheld(endpoint, view, now_ms);
+        passes_over_cold |= withheld == Some(Withheld::Cold);
         candidates.push(Candidate {
             load: state.load(),
             slots: endpoint.slots,
@@ -59,13 +63,14 @@
             same_zone: &*endpoint.zone == zone,
             health: state.health(now_ms),
             affinity: affinity(request, endpoint),
-            has_capacity: state.connections() < max_connections
-                && state.wanted_pause_ms(now_ms) == 0
-                && state.is_within_rate(now_ms)
-                && state.is_within_refusals(endpoint, view, now_ms),
+            has_capacity: state.connections() < max_connections && withheld.is_none(),
         });
         available.push((endpoint, state));
     }
+    let shared_loads = endpoint_states.shared_loads();
+    if passes_over_cold {
+        shared_loads.cold().count_withheld();
+    }
     let mut random = fastrand::Rng::new();
     // The loads that the instances of a large fleet know are too old to choose among all endpoints.
     if view.instance_count > MAX_DIRECT_INSTANCES {
@@ -78,7 +83,10 @@
     }
     let selected = place(&candidates, prompt, &mut random)?;
     let (endpoint, endpoint_state) = available.swap_remove(selected.index);
-    endpoint_state.acquire_rate(now_ms);
+    endpoint_state.acquire(now_ms);
+    if endpoint_state.is_cold() {
+        shared_loads.cold().count_sent();
+    }
     Ok(Placement {
         endpoint: endpoint.clone(),
         endpoint_state,
@@ -104,8 +112,8 @@
     pauses.min().filter(|pause_ms| *pause_ms > 0)
 }
 
-/// Returns the rate at which rate limits permit requests like this one from this instance, in
-/// requests per second, or `None` if no endpoint that could take it has a limit.
+/// Returns the rate at which rate limits and cold endpoints permit requests like this one from this instance, in
+/// requests per second, or `None` if no endpoint that could take it has a limit or is cold.
 pub(crate) fn limited_rate(
     request: &ActiveRequest,
     view: &View,
@@ -116,7 +124,17 @@
     let mut share_per_s = 0.0;
     let mut mean_per_s = 0.0;
     for endpoint in pool.eligible(request.session_unit()) {
-        let Some(division) = endpoint_states.of(endpoint).rate_division() else {
+        let state = endpoint_states.of(endpoint);
+        if let Some(rules) = state.cold.rules().filter(|_| state.is_cold()) {
+            let division = rules.division;
+            is_limited = true;
+            if rules.is_sender {
+                share_per_s += division.total_per_s() / division.senders as f64;
+            }
+            mean_per_s += division.total_per_s() / view.instance_count.max(1) as f64;
+            continue;
+        }
+        let Some(division) = state.rate_division() else {
             continue;
         };
         is_limited = true;
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -12,9 +12,10 @@
 use relay::Socket;
 
 use crate::active_request::ActiveRequest;
-use crate::call_record::{record_connected, record_unreachable};
+use crate::call_record::{is_broken_connection, record_connected, record_unreachable};
 use crate::endpoint::Endpoint;
-use crate::endpoint_state::{EndpointState, EndpointStates};
+use crate::endpoint_state::EndpointState;
+use crate::endpoint_states::EndpointStates;
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
 use crate::shared_load::service_hash;
@@ -80,6 +81,7 @@
     let view = context.view();
     let states = &context.endpoint_states;
     states.drop_unused_witnesses();
+    states.refresh_cold(&view, now_ms);
     let mut targets = Vec::new();
     let mut cut_off = HashSet::new();
     for (service, pool) in &view.pools {
@@ -101,7 +103,7 @@
         }
         for index in plan.restore {
             let endpoint = &pool.endpoints[index];
-            states.of(endpoint).restore();
+            states.of(endpoint).restore(now_ms);
             tracing::info!(
                 id = &*endpoint.id,
                 service = &**service,
@@ -162,6 +164,9 @@
         }
         Err(err) => {
             record_unreachable(endpoint, state, opened_ms, context.now_ms());
+            if is_broken_connection(&err) {
+                state.cold.record_broken(context.now_ms());
+            }
             Err(err)
         }
     }
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -15,7 +15,7 @@
 use crate::caller_protocol::CallerProtocol;
 use crate::carried::CarriedCount;
 use crate::endpoint_protocol::EndpointProtocol;
-use crate::endpoint_state::EndpointStates;
+use crate::endpoint_states::EndpointStates;
 use crate::late_repeats::LateRepeats;
 use crate::outcome::{Counters, Observer};
 use crate::peer_states::PeerStates;
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -19,6 +19,10 @@
     pub connect_timeout_ms: u64,
     /// Cost of one run of a model's largest size on idle engines, in good answers.
     pub largest_run_cost: f64,
+    /// Factor on the rate of a cold endpoint up to which it may get requests.
+    pub cold_overage: f64,
+    /// Requests in a second that a cold endpoint may get beyond that.
+    pub cold_slack: f64,
 }
 
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
@@ -37,6 +41,8 @@
             configured_instances: 1,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
         }
     }
 
@@ -58,6 +64,14 @@
         self
     }
 
+    /// Sets the factor on the rate of a cold endpoint up to which it may get requests, and the requests in a second
+    /// beyond that.
+    pub fn cold_bound(mut self, overage: f64, slack: f64) -> Settings {
+        self.cold_overage = overage;
+        self.cold_slack = slack;
+        self
+    }
+
     /// Sets the timeout for connecting to an endpoint, in milliseconds.
     pub fn connect_timeout_ms(mut self, timeout_ms: u64) -> Settings {
         self.connect_timeout_ms = timeout_ms;
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -7,6 +7,7 @@
 use kernel::Incarnation;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::shared_cold::SharedCold;
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_limit::SharedLimits;
 
@@ -115,6 +116,7 @@
 pub struct SharedLoads {
     by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
     limits: SharedLimits,
+    cold: SharedCold,
     crashes: Arc<SharedCrashes>,
     peer_reach: Mutex<HashMap<Incarnation, PeerReach>>,
     /// Hashes of the services of which this instance reaches no endpoint.
@@ -242,6 +244,11 @@
         &self.limits
     }
 
+    /// Returns which endpoints are cold.
+    pub fn cold(&self) -> &SharedCold {
+        &self.cold
+    }
+
     /// Returns the requests and prompt parts that crash endpoints.
     pub fn crashes(&self) -> &Arc<SharedCrashes> {
         &self.crashes
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use kernel::Failure;
 use limits::WindowedRetrySettings;
 use relay::{Body, Handler, Headers, Request, RequestHead, Response, ResponseHead};
-use route::{Route, Service, Table, Target};
+use route::{ColdStart, Route, Service, Table, Target};
 use serve::{
     Attempt, CallerProtocol, Endpoint, EndpointProtocol, ExecutionStatus, Observer, Outcome,
     Pipeline, Pool, PromptPart, Reply, RequestInfo, Responder, RolloutView, Settings, TokenUsage,
@@ -200,6 +200,7 @@
             health_path: "/".into(),
             max_connections: 1_000,
             engine: None,
+            cold: None,
         };
         let route = route.with_target(Target::new("app", 1));
         let table = Table::new(1).with_route(route).with_service(service);
@@ -218,6 +219,7 @@
                 version: (*version).into(),
                 slots: 64,
                 draining: false,
+                cold_left: None,
             }));
         }
         let view = Arc::new(ArcSwap::from_pointee(View {
@@ -286,6 +288,22 @@
         self.view.store(listed.into());
     }
 
+    /// Returns the time on the clock of the instance, in milliseconds.
+    pub fn clock_ms(&self) -> u64 {
+        kernel::Clock::mono_ms(&*self.clock)
+    }
+
+    /// Declares that endpoints are cold for this long after their start, and take this rate then.
+    pub fn declare_cold(&self, start_ms: u64, per_s: f64) {
+        let mut view = (**self.view.load()).clone();
+        let table = view.table.as_ref().unwrap();
+        let mut service = Service::clone(table.service("app").unwrap());
+        service.cold = Some(ColdStart { start_ms, per_s });
+        view.table = Some(Arc::new(Table::clone(table).with_service(service)));
+        view.generation += 1;
+        self.view.store(view.into());
+    }
+
     fn list(&self, mut change: impl FnMut(&mut Endpoint)) {
         let mut view = (**self.view.load()).clone();
         let mut pool = (*view.pools["app"]).clone();
--- a/crates/serve/tests/cut_off.rs
+++ b/crates/serve/tests/cut_off.rs
@@ -253,6 +253,7 @@
             health_path: "/".into(),
             max_connections: 1_000,
             engine: None,
+            cold: None,
         });
         route = route.with_target(target.clone());
     }
--- a/crates/serve/tests/idle_losses.rs
+++ b/crates/serve/tests/idle_losses.rs
@@ -30,6 +30,7 @@
         health_path: "/".into(),
         max_connections,
         engine: None,
+        cold: None,
     };
     let route = route.with_target(route::Target::new("app", 1));
     let table = route::Table::new(1).with_route(route).with_service(service);
