relay: Bound the memory and descriptors of callers' connections

Neither was bounded over all connections: each body could grow to its limit by doubling, each connection could read 64 KiB ahead and held several read buffers in its task, and responses were copied whole before they were sent. One account now covers all connections of a process. A body is charged for its allocation as it grows and refunded when its connection or request ends; read-ahead is one head at most; idle connections hold no buffer; large bodies are sent without a copy; the kernel's buffers of a connection get smaller as there are more of them. When memory is short, requests without progress are dropped with 408 and unread responses are reset, longest first, and new requests get 503. When descriptors are short, idle connections are closed first. An eighth of both is left to the requests of peers. Metrics show memory by purpose and closed connections by reason.

Processor time for a request was not measured yet.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -14,7 +14,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
-use relay::{Handler, LocalFuture, Request, Response};
+use relay::{Capacity, CloseReason, Handler, LocalFuture, Purpose, Request, Response};
 use serve::{Counters, Observer, Outcome, SharedLoads};
 
 /// The upper bound of the first bucket of request times, in seconds.
@@ -44,6 +44,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -61,6 +66,10 @@
     endpoint_connections: Family<ConnectionLabel, Gauge<u64, AtomicU64>>,
     blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
+    caller_memory: Family<ConnectionLabel, Gauge<u64, AtomicU64>>,
+    caller_memory_budget: Gauge<u64, AtomicU64>,
+    caller_connections: Gauge<u64, AtomicU64>,
+    closed_connections: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -85,6 +94,10 @@
         let endpoint_connections = Family::<ConnectionLabel, Gauge<u64, AtomicU64>>::default();
         let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
+        let caller_memory = Family::<ConnectionLabel, Gauge<u64, AtomicU64>>::default();
+        let caller_memory_budget = Gauge::default();
+        let caller_connections = Gauge::default();
+        let closed_connections = Family::<ReasonLabel, Gauge<u64, AtomicU64>>::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -151,6 +164,26 @@
             "Prompt parts whose requests are refused because they crash endpoints",
             blocked_prompt_parts.clone(),
         );
+        registry.register(
+            "caller_memory_bytes",
+            "Memory that connections to this instance hold, by purpose",
+            caller_memory.clone(),
+        );
+        registry.register(
+            "caller_memory_budget_bytes",
+            "Memory that connections to this instance may hold",
+            caller_memory_budget.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections to this instance",
+            caller_connections.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Connections closed or refused for lack of memory or descriptors, by reason",
+            closed_connections.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -167,6 +200,10 @@
             endpoint_connections,
             blocked_requests,
             blocked_prompt_parts,
+            caller_memory,
+            caller_memory_budget,
+            caller_connections,
+            closed_connections,
         }
     }
 }
@@ -219,6 +256,29 @@
             .set(crashes.blocked_parts() as u64);
     }
 
+    /// Copies what connections to this instance use into the gauges.
+    pub fn sync_capacity(&self, capacity: &Capacity) {
+        let memory = capacity.memory();
+        for purpose in Purpose::ALL {
+            let label = ConnectionLabel {
+                purpose: purpose.as_str(),
+            };
+            self.caller_memory
+                .get_or_create(&label)
+                .set(memory.purpose_bytes(purpose));
+        }
+        self.caller_memory_budget.set(memory.budget_bytes());
+        self.caller_connections.set(capacity.connections() as u64);
+        for reason in CloseReason::ALL {
+            let label = ReasonLabel {
+                reason: reason.as_str(),
+            };
+            self.closed_connections
+                .get_or_create(&label)
+                .set(capacity.closed(reason));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -260,6 +320,8 @@
     pub fetch_counters: Arc<FetchCounters>,
     /// What is known of endpoints, counted likewise.
     pub shared_loads: Arc<SharedLoads>,
+    /// The capacity for connections, copied likewise.
+    pub capacity: Rc<Capacity>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -270,6 +332,7 @@
             .sync_counters(&self.counters, (self.dropped_log_lines)());
         self.metrics.sync_fetches(&self.fetch_counters);
         self.metrics.sync_endpoints(&self.shared_loads);
+        self.metrics.sync_capacity(&self.capacity);
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -92,10 +92,17 @@
     /// Fails if the connection fails or closes before the end of the body, or the chunked coding is
     /// malformed.
     pub async fn next(&mut self, socket: &mut Socket) -> io::Result<Option<Bytes>> {
+        let count = self.next_count(socket).await?;
+        Ok(count.map(|count| socket.take(count).freeze()))
+    }
+
+    /// Returns how many of the buffered bytes are the next ones of the body, which the caller has to take, or `None`
+    /// at the end of the body.
+    pub(crate) async fn next_count(&mut self, socket: &mut Socket) -> io::Result<Option<usize>> {
         loop {
-            if let Some(bytes) = self.decode_buffered(socket)? {
+            if let Some(count) = self.decode_buffered(socket)? {
                 self.is_empty = false;
-                return Ok(Some(bytes));
+                return Ok(Some(count));
             }
             if self.phase == Phase::Done {
                 return Ok(None);
@@ -138,14 +145,15 @@
         }
     }
 
-    /// Decodes buffered input. Returns `None` at the end of the body or if more input is needed.
-    fn decode_buffered(&mut self, socket: &mut Socket) -> io::Result<Option<Bytes>> {
+    /// Decodes buffered input up to the next bytes of the body and returns how many there are, or `None` at the
+    /// end of the body or if more input is needed.
+    fn decode_buffered(&mut self, socket: &mut Socket) -> io::Result<Option<usize>> {
         loop {
             match self.phase {
                 Phase::Done => return Ok(None),
                 Phase::UntilClose => {
                     let count = socket.buffered().len();
-                    return Ok(take_bytes(socket, count));
+                    return Ok((count > 0).then_some(count));
                 }
                 Phase::Length(remaining) | Phase::Chunk(remaining) => {
                     let count = usize::try_from(remaining)
@@ -155,7 +163,7 @@
                         return Ok(None);
                     }
                     self.advance(remaining - count as u64);
-                    return Ok(take_bytes(socket, count));
+                    return Ok(Some(count));
                 }
                 Phase::ChunkSize => {
                     if !self.read_chunk_size(socket)? {
@@ -209,10 +217,6 @@
     }
 }
 
-fn take_bytes(socket: &mut Socket, count: usize) -> Option<Bytes> {
-    (count > 0).then(|| socket.take(count).freeze())
-}
-
 /// Consumes a line and returns its length without CRLF, or `None` if it is incomplete.
 fn skip_line(socket: &mut Socket) -> io::Result<Option<usize>> {
     let buffered = socket.buffered();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -18,6 +18,9 @@
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// The most bytes of a body that are copied to be sent together with the head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
+
 /// Maximum number of responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -90,8 +93,9 @@
             source,
         })?;
         let exchange = async {
-            let message = [head, body].concat();
-            send_request(&mut socket, &message).await?;
+            let (joined, rest) = body.split_at(body.len().min(MAX_JOINED_BYTES));
+            send_request(&mut socket, &[head, joined].concat()).await?;
+            send_request(&mut socket, rest).await?;
             for _ in 0..=MAX_INTERIM_RESPONSES {
                 let response = read_head(&mut socket, MAX_HEAD_BYTES).await?;
                 if !matches!(response.status, 100..=199) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,7 +16,9 @@
 //! assert_eq!(Framing::of_request(&headers), Ok(Framing::Length(12)));
 //! ```
 
+mod account;
 mod body;
+mod capacity;
 mod connection;
 mod exchange;
 mod framing;
@@ -24,17 +26,23 @@
 mod headers;
 mod limits;
 mod message;
+mod occupant;
 mod read_times;
+mod receive;
+mod send;
 mod server;
 mod socket;
 
+pub use account::{Holding, MemoryAccount, Origin, Purpose};
 pub use body::{BodyReader, BodyStatus};
+pub use capacity::Capacity;
 pub use exchange::{Exchange, ExchangeError, read_head};
 pub use framing::{Framing, FramingError};
 pub use head::{HeadError, RequestHead, ResponseHead};
 pub use headers::{Header, Headers};
 pub use limits::{DrainState, Limits};
 pub use message::{Body, BodyError, BodyStream, Handler, LocalFuture, Request, Response};
+pub use occupant::CloseReason;
 pub use read_times::ReadTimes;
 pub use server::Server;
 pub use socket::{Socket, timeout_at};
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -8,6 +8,8 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 
+use crate::account::Origin;
+use crate::capacity::Capacity;
 use crate::connection;
 use crate::limits::DrainState;
 use crate::message::Handler;
@@ -21,6 +23,8 @@
     listener: Async<TcpListener>,
     handler: Rc<dyn Handler>,
     drain: Rc<DrainState>,
+    capacity: Rc<Capacity>,
+    origin: Origin,
 }
 
 impl Server {
@@ -39,9 +43,19 @@
             listener,
             handler,
             drain,
+            capacity: Rc::default(),
+            origin: Origin::Callers,
         })
     }
 
+    /// Sets the capacity that it shares with other servers, and whose connections it accepts. Without it, it has
+    /// one of its own without bounds.
+    pub fn capacity(mut self, capacity: Rc<Capacity>, origin: Origin) -> Server {
+        self.capacity = capacity;
+        self.origin = origin;
+        self
+    }
+
     /// Returns the bound address, with the port that the system assigned.
     ///
     /// # Errors
@@ -65,10 +79,17 @@
             let Ok(socket) = Socket::new(stream) else {
                 continue;
             };
+            let Some(seat) = self.capacity.admit(peer_addr.ip(), self.origin).await else {
+                connection::refuse(&socket);
+                continue;
+            };
+            if let Some(bytes) = self.capacity.kernel_buffer_bytes() {
+                socket.bound_kernel_buffers(bytes);
+            }
             let handler = self.handler.clone();
             let drain = self.drain.clone();
             executor
-                .spawn(connection::serve(socket, peer_addr, handler, drain))
+                .spawn(connection::serve(socket, seat, peer_addr, handler, drain))
                 .detach();
         }
     }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,17 +1,22 @@
 //! A TCP connection with a read buffer.
 
-use std::io;
+use std::cell::RefCell;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::{Buf, BytesMut};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{FutureExt, future::yield_now};
 use socket2::{SockRef, TcpKeepalive};
 
 /// Size of one read, in bytes. A streamed event usually takes less than a tenth of it.
 const READ_CHUNK_BYTES: usize = 8 << 10;
 
+/// Reads without a wait after which other tasks get a turn: a peer that sends fast enough would keep them
+/// from it.
+const READS_PER_TURN: u32 = 16;
+
 /// Idle time before the first keep-alive probe. Users tolerate a silent peer for about two seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
@@ -48,6 +53,22 @@
     stream: Async<TcpStream>,
     buffer: BytesMut,
     eof: bool,
+    reads: u32,
+}
+
+thread_local! {
+    /// Receives each read. An array in the futures that read would be held by each idle connection.
+    static CHUNK: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_CHUNK_BYTES]);
+}
+
+/// Reads at most this many bytes and appends them to a buffer.
+fn read_into(mut stream: &TcpStream, buffer: &mut BytesMut, max_bytes: usize) -> io::Result<usize> {
+    CHUNK.with_borrow_mut(|chunk| {
+        let length = chunk.len().min(max_bytes);
+        let count = stream.read(&mut chunk[..length])?;
+        buffer.extend_from_slice(&chunk[..count]);
+        Ok(count)
+    })
 }
 
 impl Socket {
@@ -79,6 +100,7 @@
             stream,
             buffer: BytesMut::new(),
             eof: false,
+            reads: 0,
         })
     }
 
@@ -127,20 +149,61 @@
     ///
     /// Fails if the connection fails.
     pub async fn fill(&mut self) -> io::Result<bool> {
-        let mut chunk = [0; READ_CHUNK_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
-        self.buffer.extend_from_slice(&chunk[..count]);
+        self.fill_by(READ_CHUNK_BYTES).await
+    }
+
+    /// Reads at most this many bytes into the buffer. Returns false at end of file.
+    pub(crate) async fn fill_by(&mut self, max_bytes: usize) -> io::Result<bool> {
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            yield_now().await;
+        }
+        let Socket { stream, buffer, .. } = self;
+        let count = stream
+            .read_with(|stream| read_into(stream, buffer, max_bytes))
+            .await?;
         self.eof |= count == 0;
         Ok(count > 0)
     }
 
+    /// Returns the memory of the buffer, in bytes.
+    pub(crate) fn buffer_capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Releases the memory of the buffer if it is empty.
+    pub(crate) fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    /// Sets the size of the kernel's buffers of both directions, in bytes.
+    pub(crate) fn bound_kernel_buffers(&self, bytes: usize) {
+        let options = SockRef::from(self.stream.get_ref());
+        let set = options
+            .set_recv_buffer_size(bytes)
+            .and_then(|()| options.set_send_buffer_size(bytes));
+        if let Err(err) = set {
+            tracing::debug!(error = %err, "connection: buffer sizes were not set");
+        }
+    }
+
+    /// Writes as much as is possible without waiting, and ignores failures.
+    pub(crate) fn write_now(&self, bytes: &[u8]) {
+        // The connection is closed next, whether or not the peer gets this.
+        drop(self.stream.get_ref().write(bytes));
+    }
+
     /// Writes some of the bytes and returns how many.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.write(bytes).await
+        self.stream
+            .write_with(|mut stream| stream.write(bytes))
+            .await
     }
 
     /// Writes all bytes; `timeout` applies to each write.
@@ -150,7 +213,7 @@
     /// Fails if the connection fails or a write times out because the peer does not read.
     pub async fn write_all(&mut self, mut bytes: &[u8], timeout: Duration) -> io::Result<()> {
         while !bytes.is_empty() {
-            let count = timeout_at(Instant::now() + timeout, self.stream.write(bytes)).await?;
+            let count = timeout_at(Instant::now() + timeout, self.write(bytes)).await?;
             if count == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -165,16 +228,17 @@
     ///
     /// Fails if the connection fails.
     pub(crate) async fn write_or_fill(&mut self, bytes: &[u8]) -> io::Result<Progress> {
-        let mut chunk = [0; READ_CHUNK_BYTES];
-        let mut reader = &self.stream;
-        let mut writer = &self.stream;
-        let write = async { writer.write(bytes).await.map(Progress::Written) };
-        let read = async { reader.read(&mut chunk).await.map(Progress::Read) };
+        let Socket { stream, buffer, .. } = self;
+        let write = async {
+            let written = stream.write_with(|mut stream| stream.write(bytes)).await;
+            written.map(Progress::Written)
+        };
+        let read = async {
+            let read = stream.read_with(|stream| read_into(stream, buffer, READ_CHUNK_BYTES));
+            read.await.map(Progress::Read)
+        };
         let progress = write.or(read).await?;
-        if let Progress::Read(count) = progress {
-            self.buffer.extend_from_slice(&chunk[..count]);
-            self.eof |= count == 0;
-        }
+        self.eof |= progress == Progress::Read(0);
         Ok(progress)
     }
 
