control, wire: Tell other instances which endpoints are cold

An instance that did not see an endpoint end sends to it as usual once it is back, until its entry changes some hundred milliseconds later. LoadReport gets the field `cold` (tag 12) with the hash of an endpoint's identifier, the time left and how often it was passed on. An interval too long for a clock no longer overflows.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -13,8 +13,8 @@
 use futures_lite::FutureExt;
 use kernel::Incarnation;
 use limits::CrashReport;
-use serve::LimitEntry;
-use wire::{Body, CutOff, EndpointLimit, Envelope, LoadReport};
+use serve::{ColdEntry, LimitEntry};
+use wire::{Body, ColdEndpoint, CutOff, EndpointLimit, Envelope, LoadReport};
 
 use crate::convert::crash_to_wire;
 use crate::load_plan::{LoadPlan, Scope};
@@ -47,15 +47,17 @@
     }
 }
 
-/// Waits for the interval between reports, or less if a rate limit changes, which must hold at the
-/// other instances soon.
+/// Waits for the interval between reports, or less if a rate limit changes or an endpoint becomes cold, which
+/// must hold at the other instances soon.
 async fn wait(control: &Control, interval: Duration) {
     let shortest = interval.min(MIN_LIMIT_INTERVAL);
     Timer::after(shortest).await;
     let timer = async {
         Timer::after(interval - shortest).await;
     };
-    timer.or(control.shared_loads.limits().changed()).await;
+    let loads = &control.shared_loads;
+    let news = loads.limits().changed().or(loads.cold().changed());
+    timer.or(news).await;
 }
 
 fn plan(control: &Control) -> LoadPlan {
@@ -85,6 +87,7 @@
         out_of_reach: control.shared_loads.out_of_reach(),
         crashes: crashes(control, peer_loads.crashes(counts)),
         cut_off: cut_off(control, peer_loads.cut_off(counts)),
+        cold: cold(control),
         ..LoadReport::default()
     };
     for (endpoint, units) in sums {
@@ -110,6 +113,27 @@
     limits
 }
 
+fn cold(control: &Control) -> Vec<ColdEndpoint> {
+    let entries = control.shared_loads.cold().to_report(control.now_ms());
+    let to_wire = |entry: ColdEntry| ColdEndpoint {
+        endpoint: entry.endpoint,
+        left_ms: entry.left_ms,
+        hops: entry.hops,
+    };
+    entries.into_iter().map(to_wire).collect()
+}
+
+fn record_cold(control: &Control, cold: &[ColdEndpoint], now_ms: u64) {
+    for endpoint in cold {
+        let entry = ColdEntry {
+            endpoint: endpoint.endpoint,
+            left_ms: endpoint.left_ms,
+            hops: endpoint.hops,
+        };
+        control.shared_loads.cold().merge(entry, now_ms);
+    }
+}
+
 /// Joins what this instance knows of crashes with what peers report.
 fn crashes(control: &Control, of_peers: Vec<CrashReport>) -> Vec<wire::CrashReport> {
     let now_ms = control.now_ms();
@@ -177,6 +201,7 @@
                 let now_ms = control.now_ms();
                 let from = Incarnation::from_u64(from);
                 record_limits(&control, &loads.limits, now_ms);
+                record_cold(&control, &loads.cold, now_ms);
                 control.shared_loads.record_leaving(&loads.leaving);
                 control.peer_loads.borrow_mut().record(from, loads, now_ms);
             }
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -509,3 +509,27 @@
         shut_down(fleet);
     }
 }
+
+/// Guards against instances that did not see an endpoint end and send to it as usual once it is back.
+#[test]
+fn an_endpoint_that_one_instance_found_cold_is_known_to_be_at_all_in_time() {
+    const ENDPOINT: u64 = 7;
+    let timeout = std::time::Duration::from_millis(500);
+    for instances in [3, 18] {
+        let store = MemoryStore::default();
+        let fleet = start_joined_fleet(&store, instances, in_two_zones);
+        let observed = std::time::Instant::now();
+        let cold = fleet[0].shared_loads.cold();
+        cold.observe(ENDPOINT, 3_000, fleet[0].now_ms());
+        let is_cold = |instance: &Instance| {
+            let cold = instance.shared_loads.cold();
+            cold.is_cold(ENDPOINT, instance.now_ms())
+        };
+        eventually("all know it", || fleet.iter().all(is_cold));
+        let elapsed = observed.elapsed();
+        assert!(elapsed < timeout, "{instances} instances: {elapsed:?}");
+        // Each report seems later than the observation, but the period ends.
+        eventually("it ends at all", || !fleet.iter().any(is_cold));
+        shut_down(fleet);
+    }
+}
--- a/crates/limits/src/cold_limit.rs
+++ b/crates/limits/src/cold_limit.rs
@@ -119,7 +119,7 @@
     /// Sets the shortest time between two requests, or that this instance sends none.
     pub fn set_interval(&mut self, interval_ms: Option<u64>, now_ms: u64) {
         let wait_until_ms = match (self.interval_ms, interval_ms) {
-            (None, Some(after_ms)) => now_ms + after_ms.max(TAKEOVER_MS),
+            (None, Some(after_ms)) => now_ms.saturating_add(after_ms.max(TAKEOVER_MS)),
             (Some(before_ms), Some(after_ms)) if before_ms != after_ms => {
                 self.sent_ms.saturating_add(after_ms)
             }
--- a/crates/serve/src/shared_cold.rs
+++ b/crates/serve/src/shared_cold.rs
@@ -80,6 +80,18 @@
 }
 
 impl SharedCold {
+    /// Records that this instance found an endpoint, by the hash of its identifier, to be cold for a time.
+    pub fn observe(&self, endpoint: u64, left_ms: u64, now_ms: u64) {
+        let period = self.period(endpoint);
+        period.update(now_ms, |period| period.observe(left_ms, true, now_ms));
+    }
+
+    /// Returns whether an endpoint, by the hash of its identifier, is known to be cold.
+    pub fn is_cold(&self, endpoint: u64, now_ms: u64) -> bool {
+        let period = self.periods().get(&endpoint).cloned();
+        period.is_some_and(|period| period.get().is_cold(now_ms))
+    }
+
     /// Records what another instance reports, if it is news.
     pub fn merge(&self, entry: ColdEntry, now_ms: u64) {
         let period = self.period(entry.endpoint);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,7 +20,7 @@
 pub use compression::{compress, decompress};
 pub use link::{Link, LinkError, MAX_FRAME_BYTES};
 pub use message::{
-    AcceptReply, Ack, Body, ClassOutcomes, ConfigDigest, CrashReport, CutOff, Demand, EndpointInfo,
-    EndpointLimit, Envelope, EvidenceReport, Fetch, LoadReport, MemberInfo, ObjectEntry, Objects,
-    Ping, ReceiptBatch, ReceiptEntry, VersionReport,
+    AcceptReply, Ack, Body, ClassOutcomes, ColdEndpoint, ConfigDigest, CrashReport, CutOff, Demand,
+    EndpointInfo, EndpointLimit, Envelope, EvidenceReport, Fetch, LoadReport, MemberInfo,
+    ObjectEntry, Objects, Ping, ReceiptBatch, ReceiptEntry, VersionReport,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -332,6 +332,23 @@
     /// Instances that reach no endpoint of a service: the sender, and those whose reports it sums up.
     #[prost(message, repeated, tag = "8")]
     pub cut_off: Vec<CutOff>,
+    /// Endpoints that are cold.
+    #[prost(message, repeated, tag = "12")]
+    pub cold: Vec<ColdEndpoint>,
+}
+
+/// An endpoint that takes few requests for a while.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct ColdEndpoint {
+    /// Hash of the endpoint's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// For how long it stays cold, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+    /// Instances that passed this on.
+    #[prost(uint32, tag = "3")]
+    pub hops: u32,
 }
 
 /// Instances that reach no endpoint of a service.
