limits: Compute the share of requests that leaves an evacuated zone

Cause: an operator evacuates a zone by an object in the store, and the endpoints of the other zones may be cold, so that traffic must move to them in steps and return in steps.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -33,6 +33,7 @@
 mod success_retry;
 mod token_bucket;
 mod windowed_retry;
+mod zone_evacuation;
 
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
@@ -52,3 +53,4 @@
 pub use success_retry::SuccessRetryBudget;
 pub use token_bucket::TokenBucket;
 pub use windowed_retry::{WindowedRetryBudget, WindowedRetrySettings};
+pub use zone_evacuation::ZoneEvacuation;
