control: Follow evacuations of zones

Change: with the setting `evacuate_ms` the objects are one more feed. Their existence counts, whatever they hold. The view has the share that leaves each zone, and the endpoints of a request are chosen without it: for first sends, retries, resumed and carried requests; health checks send no request there once all traffic has left. An instance refuses requests until it was told of orders, at most a second after it is ready otherwise; peers tell that there is none by a digest of no object.

Tests: `Feed::ALL` has a sixth entry that is not followed by default, so `peers` compares with the feeds of its settings, which are five as before. The metric is `rosemary_evacuated_zones`.

--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -21,16 +21,19 @@
     Instances,
     /// The phase of each roll-out that the instances agreed on.
     Shifts,
+    /// The zones that no request may reach. Only followed if the settings name a time for it.
+    Evacuations,
 }
 
 impl Feed {
     /// All feeds, in the order in which their watches start.
-    pub const ALL: [Feed; 5] = [
+    pub const ALL: [Feed; 6] = [
         Feed::Config,
         Feed::Endpoints,
         Feed::Rollouts,
         Feed::Instances,
         Feed::Shifts,
+        Feed::Evacuations,
     ];
 }
 
--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -57,6 +57,7 @@
         &update.kinds
     };
     for digest in digests {
+        control.record_peer_digest(digest);
         if !control.should_fetch(digest) {
             continue;
         }
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -201,6 +201,8 @@
 fn build_update(control: &Control, wants_table: bool) -> Ping {
     let members = control.members.borrow_mut().take_updates(MEMBERS_PER_PROBE);
     let replica = control.replica.borrow();
+    let empty_kind = control.known_empty_kind();
+    let empty_kind = empty_kind.map(|kind| kind_to_wire(control, kind, Digest::default()));
     Ping {
         members: members.iter().map(member_to_wire).collect(),
         table_digest: control.members.borrow().digest(),
@@ -208,6 +210,7 @@
         kinds: replica
             .digests_by_kind()
             .map(|(kind, digest)| kind_to_wire(control, kind, digest))
+            .chain(empty_kind)
             .collect(),
         demands: Vec::new(),
         leaving: Vec::new(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,8 @@
 mod convert;
 mod coordinator;
 mod encoded;
+mod evacuation_feed;
+mod evacuations;
 mod expiry_grace;
 mod fetch;
 mod fetch_counters;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::codec::Feed;
+
 /// Settings of the control thread.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -36,6 +38,8 @@
     /// How long after an outage of the store endpoints with expired entries are kept, in
     /// milliseconds.
     pub expiry_grace_ms: u64,
+    /// How long the evacuation of a zone may take, in milliseconds; none are followed without it.
+    pub evacuate_ms: Option<u64>,
     /// The shares and times by which traffic moves to a new version.
     pub rollout: rollout::TimedRolloutSettings,
 }
@@ -83,6 +87,7 @@
             full_watch_max_instances: FULL_WATCH_MAX_INSTANCES,
             watchers: WATCHERS,
             expiry_grace_ms: EXPIRY_GRACE_MS,
+            evacuate_ms: None,
             rollout: rollout::TimedRolloutSettings::default(),
         }
     }
@@ -139,6 +144,19 @@
         self
     }
 
+    /// Sets how long the evacuation of a zone may take, in milliseconds, or that none are followed.
+    pub fn evacuate_ms(mut self, evacuate_ms: Option<u64>) -> Settings {
+        self.evacuate_ms = evacuate_ms;
+        self
+    }
+
+    /// Returns the feeds that the instance follows. Each call about one is paid for.
+    pub fn feeds(&self) -> impl Iterator<Item = Feed> {
+        let follows_evacuations = self.evacuate_ms.is_some();
+        let is_followed = move |feed: &Feed| *feed != Feed::Evacuations || follows_evacuations;
+        Feed::ALL.into_iter().filter(is_followed)
+    }
+
     /// Sets the availability zone of the instance.
     pub fn zone(mut self, zone: &str) -> Settings {
         self.zone = zone.into();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -17,6 +17,7 @@
 use crate::codec::{Feed, StoreCodec};
 use crate::convert::missing_since;
 use crate::encoded::EncodedObjects;
+use crate::evacuations::Evacuations;
 use crate::expiry_grace::ExpiryGrace;
 use crate::fetch_counters::FetchCounters;
 use crate::offer::Offer;
@@ -83,6 +84,7 @@
     table_position: Cell<Position>,
     feed_statuses: RefCell<BTreeMap<Feed, FeedStatus>>,
     expiry_grace: ExpiryGrace,
+    pub(crate) evacuations: Evacuations,
     pub(crate) liveness: StoreLiveness,
     pub(crate) interrupts: WatchInterrupts,
     /// When this instance said that the store does not answer it.
@@ -131,6 +133,7 @@
             table_position: Cell::default(),
             feed_statuses: RefCell::default(),
             expiry_grace: ExpiryGrace::new(components.settings.expiry_grace_ms),
+            evacuations: Evacuations::new(components.settings.evacuate_ms),
             liveness: StoreLiveness::default(),
             interrupts: WatchInterrupts::new(),
             lost_store_ms: Cell::new(None),
@@ -185,6 +188,7 @@
     pub(crate) fn apply_fetched(&self, digest: &ConfigDigest, era: u64, objects: Vec<Object>) {
         if era <= self.era_of(&digest.kind) {
             self.apply_objects(era, objects);
+            self.record_peer_digest(digest);
             return;
         }
         let listing = Listing {
@@ -193,6 +197,7 @@
             objects,
         };
         self.apply_listing_of(&digest.kind, listing);
+        self.record_peer_digest(digest);
     }
 
     /// Returns the latest position of the objects of a kind.
@@ -229,7 +234,9 @@
 
     /// Applies a complete listing of a feed, which also removes the objects that it lacks.
     pub(crate) fn apply_listing(&self, feed: Feed, listing: Listing) {
-        self.apply_listing_of(kind_of(self.codec.prefix(feed)), listing);
+        let kind = kind_of(self.codec.prefix(feed));
+        self.apply_listing_of(kind, listing);
+        self.record_known_kind(kind);
     }
 
     fn apply_listing_of(&self, kind: &str, listing: Listing) {
@@ -419,7 +426,7 @@
         if is_silent {
             self.expiry_grace.record_unanswered(began_ms);
         }
-        for feed in Feed::ALL {
+        for feed in self.settings.feeds() {
             if is_silent {
                 self.record_store_call(feed, false);
             }
@@ -513,7 +520,7 @@
 
     /// Signals that the watch of a kind of object may have been lost.
     fn interrupt_watch_of(&self, kind: &str) {
-        for feed in Feed::ALL {
+        for feed in self.settings.feeds() {
             if kind_of(self.codec.prefix(feed)) == kind {
                 self.interrupts.send(feed);
             }
@@ -632,10 +639,18 @@
         let listed =
             self.feed_statuses.borrow().get(&Feed::Endpoints) == Some(&FeedStatus::Available);
         let has_endpoints = listed || !self.registry.borrow().is_empty();
+        let mut zones: BTreeSet<&str> = BTreeSet::new();
+        zones.extend(members.iter().map(|member| &*member.zone));
+        for pool in pools.values() {
+            zones.extend(pool.endpoints.iter().map(|endpoint| &*endpoint.zone));
+        }
+        let evacuations = self.update_evacuations(&zones, has_endpoints);
+        let is_ready = table.is_some() && has_endpoints;
+        let awaits_evacuations = self.evacuations.is_awaited(is_ready, now_ms);
         self.generation.set(self.generation.get() + 1);
         self.view.store(Arc::new(View {
             generation: self.generation.get(),
-            accepting: table.is_some() && has_endpoints && !self.stopping.get(),
+            accepting: is_ready && !awaits_evacuations && !self.stopping.get(),
             table,
             table_revision: self.table_position.get().revision,
             pools: pools
@@ -646,6 +661,8 @@
             members: Arc::new(members),
             incarnation: Some(self.incarnation),
             store_unreachable: self.store_unavailable(),
+            evacuations,
+            awaits_evacuations,
         }));
     }
 }
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -16,8 +16,9 @@
 use serve::{SharedLoads, VersionCounters, View};
 use store::ObjectApi;
 
-use crate::codec::{Feed, StoreCodec};
+use crate::codec::StoreCodec;
 use crate::coordinator;
+use crate::evacuation_feed;
 use crate::expiry_grace::MIN_KEPT_MS;
 use crate::fetch;
 use crate::fetch_counters::FetchCounters;
@@ -165,9 +166,13 @@
     }));
     control.publish_members();
     let executor = Rc::new(LocalExecutor::new());
-    for feed in Feed::ALL {
+    for feed in control.settings.feeds() {
         executor.spawn(watch::run(control.clone(), feed)).detach();
     }
+    if control.settings.evacuate_ms.is_some() {
+        let waiting = evacuation_feed::wait_for_first(control.clone());
+        executor.spawn(waiting).detach();
+    }
     executor
         .spawn(peers::run(
             control.clone(),
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -9,6 +9,7 @@
 use store::{Listing, StoreError};
 
 use crate::codec::Feed;
+use crate::evacuation_feed::remove_values;
 use crate::state::Control;
 
 /// The shortest pause after an error, in milliseconds.
@@ -168,7 +169,8 @@
 ) -> Result<Position, StoreError> {
     let prefix = control.codec.prefix(feed);
     let began_ms = control.now_ms();
-    let listing = control.store.list(prefix).await?;
+    let mut listing = control.store.list(prefix).await?;
+    remove_values(feed, &mut listing.objects);
     control.record_response(feed, began_ms);
     let reached = listing.position();
     let went_back = |known: Position| known.era == reached.era && known > reached;
@@ -189,7 +191,8 @@
 ) -> Result<Listing, StoreError> {
     let began_ms = control.now_ms();
     let prefix = control.codec.prefix(feed);
-    let listing = control.store.watch(prefix, revision, wait_ms).await?;
+    let mut listing = control.store.watch(prefix, revision, wait_ms).await?;
+    remove_values(feed, &mut listing.objects);
     control.record_response(feed, began_ms);
     Ok(listing)
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -364,6 +364,7 @@
             Feed::Rollouts => "rollouts/",
             Feed::Instances => "instances/",
             Feed::Shifts => "shifts/",
+            Feed::Evacuations => "evacuations/",
         }
     }
 
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -321,7 +321,7 @@
         fleet.iter().all(|instance| sees(instance, INSTANCES))
     });
     std::thread::sleep(std::time::Duration::from_millis(1_500));
-    let listed = control::Feed::ALL.len() as u64;
+    let listed = Settings::new("i", "z").feeds().count() as u64;
     let counts: Vec<u64> = fleet.iter().map(calls).collect();
     let watching = counts.iter().filter(|count| **count > listed).count();
     assert!(
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -61,6 +61,7 @@
     endpoint_connections: Family<ConnectionLabel, Gauge<u64, AtomicU64>>,
     blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
+    evacuated_zones: Gauge<u64, AtomicU64>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -85,6 +86,7 @@
         let endpoint_connections = Family::<ConnectionLabel, Gauge<u64, AtomicU64>>::default();
         let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
+        let evacuated_zones = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -151,6 +153,11 @@
             "Prompt parts whose requests are refused because they crash endpoints",
             blocked_prompt_parts.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones with an order of evacuation",
+            evacuated_zones.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -167,6 +174,7 @@
             endpoint_connections,
             blocked_requests,
             blocked_prompt_parts,
+            evacuated_zones,
         }
     }
 }
@@ -219,6 +227,11 @@
             .set(crashes.blocked_parts() as u64);
     }
 
+    /// Sets the number of zones with an order of evacuation.
+    pub fn set_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.set(zones as u64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -260,6 +273,8 @@
     pub fetch_counters: Arc<FetchCounters>,
     /// What is known of endpoints, counted likewise.
     pub shared_loads: Arc<SharedLoads>,
+    /// Returns the number of zones with an order of evacuation.
+    pub evacuated_zones: Box<dyn Fn() -> usize>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -270,6 +285,7 @@
             .sync_counters(&self.counters, (self.dropped_log_lines)());
         self.metrics.sync_fetches(&self.fetch_counters);
         self.metrics.sync_endpoints(&self.shared_loads);
+        self.metrics.set_evacuated_zones((self.evacuated_zones)());
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -37,6 +37,10 @@
         let failure = Failure::not_run(Reason::NotReady, "no configuration is loaded yet");
         return Err(failure.retry_after_ms(NO_CONFIG_RETRY_AFTER_MS));
     };
+    if view.awaits_evacuations {
+        let failure = Failure::not_run(Reason::NotReady, "evacuations are not known yet");
+        return Err(failure.retry_after_ms(NO_CONFIG_RETRY_AFTER_MS));
+    }
     if let Some(order) = &order
         && table.version() < order.config
     {
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -224,7 +224,7 @@
                 .failure(Reason::Overloaded, detail)
                 .retry_after_ms(pause_ms);
         }
-        let rate = placement::limited_rate(self, view, states);
+        let rate = placement::limited_rate(self, view, states, context.now_ms());
         let Some(rate_per_s) = rate else {
             return self
                 .failure(Reason::Overloaded, "all endpoints of the service are full")
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -32,6 +32,7 @@
 mod endpoint_state;
 mod endpoint_values;
 mod escalation;
+mod evacuation;
 mod events;
 mod late_repeats;
 mod latency_ratio;
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -117,7 +117,9 @@
         let table = view.table.as_ref();
         let service = table.and_then(|table| table.service(&self.endpoint.service));
         let now_ms = self.context.now_ms();
-        let wants_checks = self.state.try_acquire_check(self.endpoint, &view, now_ms);
+        // Endpoints of an evacuated zone get no request, also none for their health.
+        let is_open = !view.is_evacuated(&self.endpoint.zone, now_ms);
+        let wants_checks = is_open && self.state.try_acquire_check(self.endpoint, &view, now_ms);
         let health_path = service
             .filter(|_| wants_checks)
             .map(|service| &*service.health_path);
@@ -140,7 +142,7 @@
         let started_at = Instant::now();
         let found = match health_path {
             Some(path) => Box::pin(self.ask_on_new_connection(path)).await,
-            None => Box::pin(self.connect()).await,
+            None => Box::pin(self.connect(is_open)).await,
         };
         self.check(started_at, found)
     }
@@ -286,9 +288,9 @@
     }
 
     /// Asks an endpoint that wants no more requests only for its report, or connects to it if a report would not
-    /// tell the run.
-    async fn connect(&self) -> Life {
-        if self.endpoint.started_ms.is_some() {
+    /// tell the run or its zone is evacuated.
+    async fn connect(&self, is_open: bool) -> Life {
+        if is_open && self.endpoint.started_ms.is_some() {
             return self.ask_report().await;
         }
         match connect(self.context, self.endpoint, self.state).await {
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -8,6 +8,7 @@
 use member::Member;
 
 use crate::active_request::ActiveRequest;
+use crate::evacuation::eligible;
 use crate::request_context::RequestContext;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
@@ -94,7 +95,7 @@
         return Vec::new();
     };
     let mut hashes = Vec::new();
-    for endpoint in pool.eligible(request.session_unit()) {
+    for endpoint in eligible(request, view, pool, context.now_ms()) {
         hashes.push(context.endpoint_states.of(endpoint).shared_hash());
     }
     hashes
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::active_request::ActiveRequest;
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointState, EndpointStates};
+use crate::evacuation::eligible;
 use crate::run::Run;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
@@ -40,7 +41,7 @@
     let Some(pool) = view.pools.get(&request.service) else {
         return Err(PlacementError::NoCandidate);
     };
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, now_ms);
     let max_connections = max_connections(request.max_connections, view.instance_count);
     let mut available = Vec::new();
     let mut candidates = Vec::new();
@@ -95,7 +96,7 @@
     now_ms: u64,
 ) -> Option<u64> {
     let pool = view.pools.get(&request.service)?;
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, now_ms);
     let pauses = eligible
         .into_iter()
         .map(|endpoint| endpoint_states.of(endpoint))
@@ -110,12 +111,13 @@
     request: &ActiveRequest,
     view: &View,
     endpoint_states: &EndpointStates,
+    now_ms: u64,
 ) -> Option<f64> {
     let pool = view.pools.get(&request.service)?;
     let mut is_limited = false;
     let mut share_per_s = 0.0;
     let mut mean_per_s = 0.0;
-    for endpoint in pool.eligible(request.session_unit()) {
+    for endpoint in eligible(request, view, pool, now_ms) {
         let Some(division) = endpoint_states.of(endpoint).rate_division() else {
             continue;
         };
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -15,6 +15,7 @@
 use crate::call_record::{record_connected, record_unreachable};
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::{EndpointState, EndpointStates};
+use crate::evacuation::eligible;
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
 use crate::shared_load::service_hash;
@@ -28,7 +29,7 @@
     let Some(pool) = view.pools.get(&request.service) else {
         return Reach::Some;
     };
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, context.now_ms());
     let states = &context.endpoint_states;
     let mut unreached = eligible
         .iter()
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -1,10 +1,11 @@
 //! Immutable snapshot of configuration, endpoints and roll-outs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use kernel::Incarnation;
+use limits::ZoneEvacuation;
 use member::Member;
 use route::Table;
 
@@ -62,6 +63,10 @@
     pub accepting: bool,
     /// Whether the store was unreachable when the snapshot was taken.
     pub store_unreachable: bool,
+    /// Evacuations by zone, also those that ended until all traffic has returned.
+    pub evacuations: Arc<BTreeMap<Arc<str>, ZoneEvacuation>>,
+    /// Whether requests must wait until it is known which zones are evacuated.
+    pub awaits_evacuations: bool,
 }
 
 impl View {
@@ -94,8 +99,19 @@
     /// `unit` is a number in `[0, 1)` that is the same for all requests of a session. Shares only
     /// grow, so that a session moves to the new version once and never back.
     pub fn eligible(&self, unit: f64) -> Vec<&Arc<Endpoint>> {
+        self.eligible_among(unit, |_| true)
+    }
+
+    /// Like [`Pool::eligible`], but as if there were only the endpoints that are open.
+    pub(crate) fn eligible_among(
+        &self,
+        unit: f64,
+        is_open: impl Fn(&Endpoint) -> bool,
+    ) -> Vec<&Arc<Endpoint>> {
+        let mut open: Vec<&Arc<Endpoint>> = self.endpoints.iter().collect();
+        open.retain(|endpoint| is_open(endpoint));
         let Some(rollout) = &self.rollout else {
-            return self.endpoints.iter().collect();
+            return open;
         };
         let share = match rollout.stage {
             RolloutStage::Trial(share) | RolloutStage::Ramping(share) => share,
@@ -103,7 +119,7 @@
             RolloutStage::Withdrawn => 0.0,
         };
         let on_target = unit < share;
-        let mut chosen = self.by_version(&rollout.target, on_target);
+        let mut chosen = of_version(&open, &rollout.target, on_target);
         if on_target {
             // The share of the traffic goes to the same share of the new endpoints, so that each
             // gets its final load: some versions fail only under load.
@@ -114,11 +130,15 @@
             return chosen;
         }
         // No endpoint runs the new version yet, or any more.
-        self.by_version(&rollout.target, false)
+        of_version(&open, &rollout.target, false)
     }
+}
 
-    fn by_version(&self, version: &Arc<str>, equal: bool) -> Vec<&Arc<Endpoint>> {
-        let matches = |endpoint: &&Arc<Endpoint>| (endpoint.version == *version) == equal;
-        self.endpoints.iter().filter(matches).collect()
-    }
+fn of_version<'a>(
+    endpoints: &[&'a Arc<Endpoint>],
+    version: &Arc<str>,
+    equal: bool,
+) -> Vec<&'a Arc<Endpoint>> {
+    let matches = |endpoint: &&&Arc<Endpoint>| (endpoint.version == *version) == equal;
+    endpoints.iter().filter(matches).copied().collect()
 }
