--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -70,6 +70,7 @@
     caller_memory_budget: Gauge<u64, AtomicU64>,
     caller_connections: Gauge<u64, AtomicU64>,
     closed_connections: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
+    evacuated_zones: Gauge<u64, AtomicU64>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -98,6 +99,7 @@
         let caller_memory_budget = Gauge::default();
         let caller_connections = Gauge::default();
         let closed_connections = Family::<ReasonLabel, Gauge<u64, AtomicU64>>::default();
+        let evacuated_zones = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -184,6 +186,11 @@
             "Connections closed or refused for lack of memory or descriptors, by reason",
             closed_connections.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones with an order of evacuation",
+            evacuated_zones.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -204,6 +211,7 @@
             caller_memory_budget,
             caller_connections,
             closed_connections,
+            evacuated_zones,
         }
     }
 }
@@ -279,6 +287,11 @@
         }
     }
 
+    /// Sets the number of zones with an order of evacuation.
+    pub fn set_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.set(zones as u64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -322,6 +335,8 @@
     pub shared_loads: Arc<SharedLoads>,
     /// The capacity for connections, copied likewise.
     pub capacity: Rc<Capacity>,
+    /// Returns the number of zones with an order of evacuation.
+    pub evacuated_zones: Box<dyn Fn() -> usize>,
     /// Returns the number of log lines dropped since the start.
     pub dropped_log_lines: Box<dyn Fn() -> u64>,
 }
@@ -333,6 +348,7 @@
         self.metrics.sync_fetches(&self.fetch_counters);
         self.metrics.sync_endpoints(&self.shared_loads);
         self.metrics.sync_capacity(&self.capacity);
+        self.metrics.set_evacuated_zones((self.evacuated_zones)());
         let response = Response::new(200)
             .header("Content-Type", "text/plain; version=0.0.4")
             .body(self.metrics.text());
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -35,6 +35,7 @@
 mod endpoint_states;
 mod endpoint_values;
 mod escalation;
+mod evacuation;
 mod events;
 mod late_repeats;
 mod latency_ratio;
--- a/crates/serve/src/placement.rs
+++ b/crates/serve/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_states::EndpointStates;
+use crate::evacuation::eligible;
 use crate::run::Run;
 use crate::shared_load::MAX_DIRECT_INSTANCES;
 use crate::view::View;
@@ -41,7 +42,7 @@
     let Some(pool) = view.pools.get(&request.service) else {
         return Err(PlacementError::NoCandidate);
     };
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, now_ms);
     let max_connections = max_connections(request.max_connections, view.instance_count);
     let mut available = Vec::new();
     let mut candidates = Vec::new();
@@ -103,7 +104,7 @@
     now_ms: u64,
 ) -> Option<u64> {
     let pool = view.pools.get(&request.service)?;
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, now_ms);
     let pauses = eligible
         .into_iter()
         .map(|endpoint| endpoint_states.of(endpoint))
@@ -118,12 +119,13 @@
     request: &ActiveRequest,
     view: &View,
     endpoint_states: &EndpointStates,
+    now_ms: u64,
 ) -> Option<f64> {
     let pool = view.pools.get(&request.service)?;
     let mut is_limited = false;
     let mut share_per_s = 0.0;
     let mut mean_per_s = 0.0;
-    for endpoint in pool.eligible(request.session_unit()) {
+    for endpoint in eligible(request, view, pool, now_ms) {
         let state = endpoint_states.of(endpoint);
         if let Some(rules) = state.cold.rules().filter(|_| state.is_cold()) {
             let division = rules.division;
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_states::EndpointStates;
+use crate::evacuation::eligible;
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
 use crate::shared_load::service_hash;
@@ -29,7 +30,7 @@
     let Some(pool) = view.pools.get(&request.service) else {
         return Reach::Some;
     };
-    let eligible = pool.eligible(request.session_unit());
+    let eligible = eligible(request, view, pool, context.now_ms());
     let states = &context.endpoint_states;
     let mut unreached = eligible
         .iter()
