--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -39,6 +39,11 @@
     purpose: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ColdLabel {
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FetchLabel {
     outcome: &'static str,
@@ -61,6 +66,7 @@
     endpoint_connections: Family<ConnectionLabel, Gauge<u64, AtomicU64>>,
     blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
+    cold_requests: Family<ColdLabel, Gauge<u64, AtomicU64>>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -85,6 +91,7 @@
         let endpoint_connections = Family::<ConnectionLabel, Gauge<u64, AtomicU64>>::default();
         let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
+        let cold_requests = Family::<ColdLabel, Gauge<u64, AtomicU64>>::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -151,6 +158,11 @@
             "Prompt parts whose requests are refused because they crash endpoints",
             blocked_prompt_parts.clone(),
         );
+        registry.register(
+            "cold_endpoint_requests",
+            "Requests sent to cold endpoints, and choices that passed over some",
+            cold_requests.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -167,6 +179,7 @@
             endpoint_connections,
             blocked_requests,
             blocked_prompt_parts,
+            cold_requests,
         }
     }
 }
@@ -217,6 +230,12 @@
         self.blocked_requests.set(crashes.blocked_requests() as u64);
         self.blocked_prompt_parts
             .set(crashes.blocked_parts() as u64);
+        let cold = loads.cold();
+        for (result, count) in [("sent", &cold.sent), ("withheld", &cold.withheld)] {
+            self.cold_requests
+                .get_or_create(&ColdLabel { result })
+                .set(count.load(Ordering::Relaxed));
+        }
     }
 
     /// Returns all metrics in the Prometheus text format.
