--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -39,6 +39,11 @@
     purpose: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ColdLabel {
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FetchLabel {
     outcome: &'static str,
@@ -71,6 +76,7 @@
     caller_connections: Gauge<u64, AtomicU64>,
     closed_connections: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
     evacuated_zones: Gauge<u64, AtomicU64>,
+    cold_requests: Family<ColdLabel, Gauge<u64, AtomicU64>>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -100,6 +106,7 @@
         let caller_connections = Gauge::default();
         let closed_connections = Family::<ReasonLabel, Gauge<u64, AtomicU64>>::default();
         let evacuated_zones = Gauge::default();
+        let cold_requests = Family::<ColdLabel, Gauge<u64, AtomicU64>>::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "request_seconds",
@@ -191,6 +198,11 @@
             "Zones with an order of evacuation",
             evacuated_zones.clone(),
         );
+        registry.register(
+            "cold_endpoint_requests",
+            "Requests sent to cold endpoints, and choices that passed over some",
+            cold_requests.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -212,6 +224,7 @@
             caller_connections,
             closed_connections,
             evacuated_zones,
+            cold_requests,
         }
     }
 }
@@ -262,6 +275,12 @@
         self.blocked_requests.set(crashes.blocked_requests() as u64);
         self.blocked_prompt_parts
             .set(crashes.blocked_parts() as u64);
+        let cold = loads.cold();
+        for (result, count) in [("sent", &cold.sent), ("withheld", &cold.withheld)] {
+            self.cold_requests
+                .get_or_create(&ColdLabel { result })
+                .set(count.load(Ordering::Relaxed));
+        }
     }
 
     /// Copies what connections to this instance use into the gauges.
