limits: Order requests by what their delay costs

Cause: while engines are short, requests are served by class and order of arrival.

Change: ServiceOrder gives each send an engine priority by its class, the time left to its objective beside the measured wait of its class, its work beside the usual, and the share of its workspace; one in four requests that give way keeps its rank. A request is refused only while the pool is full and it cannot end before its deadline. Off by default, [service_order] switches it on.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -44,11 +44,19 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    priority: u8,
+    workspace: String,
+    decision: &'static str,
+}
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     durations: Family<RouteLabel, Histogram>,
+    ordered: Family<OrderLabels, Counter>,
     retries: Gauge<u64, AtomicU64>,
     refused_retries: Gauge<u64, AtomicU64>,
     handed_over: Gauge<u64, AtomicU64>,
@@ -73,6 +81,7 @@
         let requests = Family::<RequestLabels, Counter>::default();
         let durations: Family<RouteLabel, Histogram> =
             Family::new_with_constructor(duration_histogram);
+        let ordered = Family::<OrderLabels, Counter>::default();
         let retries = Gauge::default();
         let refused_retries = Gauge::default();
         let handed_over = Gauge::default();
@@ -91,6 +100,11 @@
             "Duration of requests, to the end of the response",
             durations.clone(),
         );
+        registry.register(
+            "ordered_requests",
+            "Sends ordered or refused while capacity was short, by priority, workspace and decision",
+            ordered.clone(),
+        );
         registry.register(
             "repeats",
             "Retries: sends of a request beyond the first",
@@ -155,6 +169,7 @@
             registry,
             requests,
             durations,
+            ordered,
             retries,
             refused_retries,
             handed_over,
@@ -248,6 +263,15 @@
         let durations = self.durations.get_or_create(&RouteLabel { route });
         durations.observe(elapsed.as_secs_f64());
     }
+
+    fn request_ordered(&self, priority: u8, workspace: Option<&str>, decision: &'static str) {
+        let labels = OrderLabels {
+            priority,
+            workspace: workspace.unwrap_or_default().to_owned(),
+            decision,
+        };
+        self.ordered.get_or_create(&labels).inc();
+    }
 }
 
 /// HTTP handler that serves the metrics as text.
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -91,6 +91,8 @@
     pub(crate) end_is_recorded: bool,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
+    /// Engine priority of the next send while capacity is short.
+    pub(crate) rank: Option<u8>,
     /// Index of the smaller size whose answer was discarded before this run.
     pub(crate) unsure_size: Option<usize>,
     /// Confidence of the model in its answer, from 0 to 100.
@@ -218,16 +220,25 @@
         (base_ms + jitter_ms).min(bound_ms).max(MIN_RETRY_AFTER_MS)
     }
 
+    /// Returns the priority of the request, where 0 is the most urgent.
+    pub(crate) fn priority(&self) -> u8 {
+        let workspace = self.workspace.as_ref();
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns whether the request has waited for an earlier answer or attempt.
+    pub(crate) fn has_waited(&self) -> bool {
+        self.unsure_size.is_some() || self.info.resume_after.is_some()
+    }
+
     /// Returns the priority among the requests of an endpoint, where 0 is the most urgent.
     pub(crate) fn endpoint_priority(&self) -> u8 {
-        let priority = self
-            .workspace
-            .as_ref()
-            .and_then(|workspace| workspace.priority);
-        let priority = priority.unwrap_or(self.route.priority);
-        let priority = BASE_PRIORITY.saturating_add(priority.saturating_mul(PRIORITY_STEP));
-        let waited = u8::from(self.unsure_size.is_some() || self.info.resume_after.is_some());
-        (priority - waited).min(LEAST_URGENT_PRIORITY)
+        if let Some(rank) = self.rank {
+            return rank.min(LEAST_URGENT_PRIORITY);
+        }
+        let priority = BASE_PRIORITY.saturating_add(self.priority().saturating_mul(PRIORITY_STEP));
+        (priority - u8::from(self.has_waited())).min(LEAST_URGENT_PRIORITY)
     }
 
     /// Returns the timeout for one endpoint as long as it answers other requests. One that sends no
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -183,6 +183,7 @@
     }
 
     fn place(&mut self, context: &Rc<RequestContext>, view: &View) -> Result<Placement, Failure> {
+        self.take_rank(context, view)?;
         let prompt = self.prompt_load(context);
         let choose = |request: &ActiveRequest| {
             placement::choose_endpoint(
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -103,7 +103,7 @@
             && context.retry_budget_used(&self.service) < MAX_ESCALATION_BUDGET_SHARE
     }
 
-    fn objective_left_ms(&self) -> f64 {
+    pub(crate) fn objective_left_ms(&self) -> f64 {
         let elapsed_ms = self.inbound.received_at.elapsed().as_millis() as f64;
         self.route.objective_ms as f64 - elapsed_ms
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -50,6 +50,7 @@
 mod request_context;
 mod request_key;
 mod request_log;
+mod request_order;
 mod run;
 mod settings;
 mod shared_crashes;
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -56,6 +56,9 @@
 pub trait Observer {
     /// Called once when a request ends, with its duration; `route` is `None` if it is not known.
     fn request_ended(&self, route: Option<&Arc<str>>, outcome: &Outcome, elapsed: Duration);
+
+    /// Called for each send that is ordered, or refused, because capacity is short.
+    fn request_ordered(&self, _priority: u8, _workspace: Option<&str>, _decision: &'static str) {}
 }
 
 /// What the log says of a stream when it ends.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -28,6 +28,7 @@
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
+use crate::request_order::ServiceOrders;
 use crate::settings::Settings;
 use crate::shared_load::SharedLoads;
 use crate::size_book::SizeBook;
@@ -82,6 +83,7 @@
                 late_repeats: Rc::default(),
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
+                service_orders: ServiceOrders::default(),
                 reach_probes: RefCell::default(),
                 buffered_bytes: BufferedBytes::default(),
                 peer_states: Rc::default(),
@@ -447,6 +449,12 @@
 fn record_wait(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
     let undisturbed_ms = started.reading_ms + context.baselines.fixed_ms(&request.service);
     let wait_ms = started.time_to_head.as_millis() as f64 - undisturbed_ms;
+    context.service_orders.record_wait(
+        &request.service,
+        request.priority(),
+        wait_ms,
+        context.now_ms(),
+    );
     context.baselines.record_wait(
         &request.service,
         wait_ms,
--- /dev/null
+++ b/crates/serve/src/request_order.rs
@@ -0,0 +1,144 @@
+//! The rank of a request among those of its service while capacity is short.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use kernel::{Failure, Reason};
+use limits::{Order, PendingRequest, Pressure, ServiceOrder};
+
+use crate::active_request::ActiveRequest;
+use crate::request_context::RequestContext;
+use crate::view::View;
+
+/// Retry-after of a request that cannot end before its deadline, in milliseconds: a part of a burst.
+const REFUSED_RETRY_AFTER_MS: u64 = 400;
+
+/// The order of one service, and whether its capacity was short at the last request.
+#[derive(Debug, Default)]
+struct OrderState {
+    order: ServiceOrder,
+    is_short: bool,
+}
+
+/// The orders of all services.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceOrders {
+    by_service: RefCell<HashMap<Arc<str>, OrderState>>,
+}
+
+impl ServiceOrders {
+    /// Records how long a request waited for its first event beyond undisturbed prefill.
+    pub(crate) fn record_wait(&self, service: &Arc<str>, priority: u8, wait_ms: f64, now_ms: u64) {
+        let mut orders = self.by_service.borrow_mut();
+        let state = orders.entry(service.clone()).or_default();
+        state.order.record_wait(priority, wait_ms, now_ms);
+    }
+
+    fn order(
+        &self,
+        service: &Arc<str>,
+        request: &PendingRequest<'_>,
+        pressure: Pressure,
+        now_ms: u64,
+    ) -> Option<Order> {
+        let mut orders = self.by_service.borrow_mut();
+        let state = orders.entry(service.clone()).or_default();
+        let is_short = pressure.is_short();
+        if is_short != state.is_short {
+            state.is_short = is_short;
+            tracing::info!(
+                service = &**service,
+                is_short,
+                wait_share = pressure.wait_share,
+                load_share = pressure.load_share,
+                "order: capacity"
+            );
+        }
+        state.order.order(request, pressure, now_ms)
+    }
+}
+
+impl ActiveRequest {
+    /// Determines the engine priority of the next send while capacity is short.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the pool is full and the request cannot end before its deadline.
+    pub(crate) fn take_rank(
+        &mut self,
+        context: &RequestContext,
+        view: &View,
+    ) -> Result<(), Failure> {
+        if !context.settings.service_order || !self.route.retry_safety.is_stream() {
+            return Ok(());
+        }
+        let workspace = self.workspace.clone();
+        let workspace = workspace.as_ref().map(|workspace| &*workspace.name);
+        let prefill_ms = self.reading_ms(context);
+        let work_ms = prefill_ms + self.decode_ms(context);
+        let fixed_ms = context.baselines.fixed_ms(&self.service);
+        let request = PendingRequest {
+            priority: self.priority(),
+            workspace,
+            work_ms,
+            first_event_ms: fixed_ms + prefill_ms,
+            objective_left_ms: self.objective_left_ms(),
+            end_ms: fixed_ms + work_ms,
+            deadline_left_ms: self.remaining().as_millis() as f64,
+            has_waited: self.has_waited(),
+        };
+        let pressure = self.pressure(context, view);
+        let service = &self.service;
+        let order = context
+            .service_orders
+            .order(service, &request, pressure, context.now_ms());
+        self.rank = None;
+        match order {
+            None => return Ok(()),
+            Some(Order::Send(rank, reason)) => {
+                self.rank = Some(rank);
+                let observer = &context.observer;
+                observer.request_ordered(request.priority, workspace, reason.as_str());
+                tracing::debug!(
+                    id = &*self.info.id,
+                    rank,
+                    reason = reason.as_str(),
+                    "order: request"
+                );
+            }
+            Some(Order::Refuse) => {
+                context
+                    .observer
+                    .request_ordered(request.priority, workspace, "refused");
+                let detail = "the service is full and the request cannot end before its deadline";
+                let failure = self.failure(Reason::Overloaded, detail);
+                return Err(failure.retry_after_ms(self.retry_after_ms(REFUSED_RETRY_AFTER_MS)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Estimates the time to write the answer, in milliseconds.
+    fn decode_ms(&self, context: &RequestContext) -> f64 {
+        // The largest length that the caller allows bounds the usual length by a multiple, so that
+        // it orders requests of a class, and is no estimate of their end.
+        let _ = context;
+        0.0
+    }
+
+    fn pressure(&self, context: &RequestContext, view: &View) -> Pressure {
+        let mut load = 0.0;
+        let mut slots = 0.0;
+        if let Some(pool) = view.pools.get(&self.service) {
+            for endpoint in pool.eligible(self.session_unit()) {
+                load += context.endpoint_states.of(endpoint).load();
+                slots += f64::from(endpoint.slots);
+            }
+        }
+        Pressure {
+            wait_share: context.baselines.wait_share(&self.service),
+            load_share: if slots > 0.0 { load / slots } else { 0.0 },
+        }
+    }
+}
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -19,6 +19,9 @@
     pub connect_timeout_ms: u64,
     /// Cost of one run of a model's largest size on idle engines, in good answers.
     pub largest_run_cost: f64,
+    /// Whether requests for model engines are ordered by what their delay costs while capacity is
+    /// short.
+    pub service_order: bool,
 }
 
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
@@ -37,6 +40,7 @@
             configured_instances: 1,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
+            service_order: false,
         }
     }
 
@@ -58,6 +62,12 @@
         self
     }
 
+    /// Sets whether requests are ordered by what their delay costs while capacity is short.
+    pub fn service_order(mut self, is_on: bool) -> Settings {
+        self.service_order = is_on;
+        self
+    }
+
     /// Sets the timeout for connecting to an endpoint, in milliseconds.
     pub fn connect_timeout_ms(mut self, timeout_ms: u64) -> Settings {
         self.connect_timeout_ms = timeout_ms;
