--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -23,6 +23,9 @@
     pub cold_overage: f64,
     /// Requests in a second that a cold endpoint may get beyond that.
     pub cold_slack: f64,
+    /// Whether requests for model engines are ordered by what their delay costs while capacity is
+    /// short.
+    pub service_order: bool,
 }
 
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
@@ -43,6 +46,7 @@
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
             cold_overage: 1.0,
             cold_slack: 0.0,
+            service_order: false,
         }
     }
 
@@ -72,6 +76,12 @@
         self
     }
 
+    /// Sets whether requests are ordered by what their delay costs while capacity is short.
+    pub fn service_order(mut self, is_on: bool) -> Settings {
+        self.service_order = is_on;
+        self
+    }
+
     /// Sets the timeout for connecting to an endpoint, in milliseconds.
     pub fn connect_timeout_ms(mut self, timeout_ms: u64) -> Settings {
         self.connect_timeout_ms = timeout_ms;
