serve: Add the interface of learned endpoint speeds

Cause: the check whether a run can end by its deadline, which is built side by side, needs the speed of an endpoint to project the end of an answer.

Change: EndpointState::time_ratio returns the time that an endpoint takes relative to the others, and the log line "request: confidence" names it.

Result: no change of behaviour.

--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -15,6 +15,7 @@
 use crate::endpoint::Endpoint;
 use crate::latency_ratio::LatencyRatio;
 use crate::life_check::LifeCheck;
+use crate::pace_state::PaceState;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
 use crate::run::Run;
@@ -47,6 +48,7 @@
     shared_load: Arc<EndpointLoad>,
     outlier: RefCell<OutlierDetector>,
     latency: LatencyRatio,
+    pub(crate) pace: PaceState,
     paused_until_ms: Cell<u64>,
     /// Until when the endpoint itself wants no requests from this instance.
     wanted_pause_until_ms: Cell<u64>,
@@ -95,6 +97,12 @@
         self.latency.ratio(now_ms)
     }
 
+    /// Returns the time that the endpoint takes for the same work relative to the others of its version,
+    /// above 1 if it is slower, or 1 while that is not known.
+    pub(crate) fn time_ratio(&self, now_ms: u64) -> f64 {
+        self.pace.time_ratio(now_ms)
+    }
+
     pub(crate) fn health(&self, now_ms: u64) -> Health {
         if now_ms < self.paused_until_ms.get() {
             return Health::Ejected;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -40,6 +40,7 @@
 mod life_question;
 mod other_answers;
 mod outcome;
+mod pace_state;
 mod peer_choice;
 mod peer_states;
 mod pipeline;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -465,6 +465,10 @@
         first_ms = started.time_to_head.as_millis() as u64,
         endpoint = &*started.endpoint.id,
         load = started.call_guard.endpoint_state.load(),
+        time_ratio = started
+            .call_guard
+            .endpoint_state
+            .time_ratio(context.now_ms()),
         reading_ms = started.reading_ms as u64,
         confidence = request.confidence,
         wait_share = context.baselines.wait_share(&request.service),
