serve, control: Learn the speed of endpoints from the samples of all

Cause: an instance of 0.09 of a core sees about five model requests a second over 90 endpoints, so that its own samples say next to nothing.

Change: a stream samples the time between its events about every second, at least four events, relative to the usual time of its model size. Time in which the caller does not read is left out. LoadReport carries the sums of the samples once a second (tags 16 to 19: endpoint, mean log ratio, weight, mean square), passed on by the collectors like the loads. Each instance compares the endpoints of one version twice a second. Differences are centred on the usual time over all requests, so that a ratio times the usual time is the expected one.

Result: in a fleet of 18 instances in two zones each knows the samples of all, none counted twice (new test). Tests of wire, large_fleet and partitions of control pass. Not run: most other tests of control.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod loads;
 mod offer;
 mod peer_loads;
+mod peer_paces;
 mod peers;
 mod registration;
 mod registry;
--- a/crates/control/src/load_plan.rs
+++ b/crates/control/src/load_plan.rs
@@ -41,6 +41,17 @@
     AllBut(Incarnation),
 }
 
+impl Scope {
+    /// Returns whether the report sums up what a peer reported.
+    pub(crate) fn includes(&self, peer: Incarnation) -> bool {
+        match self {
+            Scope::Own => false,
+            Scope::Zone(zone) => zone.contains(&peer),
+            Scope::AllBut(receiver) => peer != *receiver,
+        }
+    }
+}
+
 /// A report to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Recipient {
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -37,8 +37,12 @@
         let interval = plan(&control).interval;
         wait(&control, interval).await;
         apply_sums(&control);
+        let with_paces = control.peer_paces.borrow_mut().is_due(control.now_ms());
         for recipient in plan(&control).recipients {
-            let report = report(&control, &recipient.scope);
+            let mut report = report(&control, &recipient.scope);
+            if with_paces {
+                add_paces(&control, &recipient.scope, &mut report);
+            }
             let peer = &*recipient.peer_addr;
             if let Err(err) = send_report(&control, &socket, peer, report).await {
                 tracing::debug!(peer, error = %err, "member: load report not sent");
@@ -66,11 +70,7 @@
 /// Returns the sums of this instance's loads and of those that the peers in the scope reported.
 fn report(control: &Control, scope: &Scope) -> LoadReport {
     let peer_loads = control.peer_loads.borrow();
-    let counts = |peer: Incarnation| match scope {
-        Scope::Own => false,
-        Scope::Zone(zone) => zone.contains(&peer),
-        Scope::AllBut(receiver) => peer != *receiver,
-    };
+    let counts = |peer: Incarnation| scope.includes(peer);
     let mut sums = peer_loads.sums(counts);
     for entry in control.shared_loads.own() {
         let sum = sums.entry(entry.endpoint).or_default();
@@ -178,6 +178,7 @@
                 let from = Incarnation::from_u64(from);
                 record_limits(&control, &loads.limits, now_ms);
                 control.shared_loads.record_leaving(&loads.leaving);
+                control.peer_paces.borrow_mut().record(from, &loads, now_ms);
                 control.peer_loads.borrow_mut().record(from, loads, now_ms);
             }
             Ok(_) => tracing::debug!(%peer, "member: datagram is no load report"),
@@ -186,7 +187,23 @@
     }
 }
 
+fn add_paces(control: &Control, scope: &Scope, report: &mut LoadReport) {
+    let now_ms = control.now_ms();
+    let own = control.shared_loads.paces().own(now_ms);
+    let peer_paces = control.peer_paces.borrow();
+    peer_paces.add_to(report, scope, own, now_ms);
+}
+
+fn apply_paces(control: &Control) {
+    let now_ms = control.now_ms();
+    let mut peer_paces = control.peer_paces.borrow_mut();
+    peer_paces.expire(now_ms);
+    let sums = peer_paces.sums(|_| true, now_ms);
+    control.shared_loads.paces().set_peers(&sums, now_ms);
+}
+
 fn apply_sums(control: &Control) {
+    apply_paces(control);
     let mut peer_loads = control.peer_loads.borrow_mut();
     peer_loads.expire(control.now_ms());
     control.shared_loads.set_peers(&peer_loads.sums(|_| true));
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -21,6 +21,7 @@
 use crate::fetch_counters::FetchCounters;
 use crate::offer::Offer;
 use crate::peer_loads::PeerLoads;
+use crate::peer_paces::PeerPaces;
 use crate::registry::EndpointRegistry;
 use crate::settings::Settings;
 use crate::store_liveness::StoreLiveness;
@@ -72,6 +73,7 @@
     pub(crate) version_counters: Arc<VersionCounters>,
     pub(crate) shared_loads: Arc<SharedLoads>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    pub(crate) peer_paces: RefCell<PeerPaces>,
     pub(crate) fetch_counters: Arc<FetchCounters>,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) published_members: Arc<ArcSwap<Vec<Member>>>,
@@ -148,6 +150,7 @@
             version_counters: components.version_counters,
             shared_loads: components.shared_loads,
             peer_loads: RefCell::default(),
+            peer_paces: RefCell::default(),
             fetch_counters: components.fetch_counters,
             view: components.view,
             published_members: components.published_members,
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -376,6 +376,37 @@
     third.handle.shutdown();
 }
 
+/// Guards against speeds that only the instances learn that see an endpoint, and against samples that
+/// count more than once on their way over the collectors.
+#[test]
+fn instances_of_a_large_fleet_know_the_samples_of_speeds_of_all_others() {
+    const ENDPOINT: u64 = 7;
+    const INSTANCES: usize = 18;
+    const WEIGHT: f64 = 10.0;
+    let store = MemoryStore::default();
+    let fleet = start_joined_fleet(&store, INSTANCES, in_two_zones);
+    for instance in &fleet {
+        let paces = instance.shared_loads.paces();
+        paces.record(ENDPOINT, 2.0, WEIGHT, instance.now_ms());
+    }
+    let all = WEIGHT * INSTANCES as f64;
+    let known = |instance: &Instance| {
+        let paces = instance.shared_loads.paces();
+        paces.of_all(ENDPOINT, instance.now_ms())
+    };
+    eventually("each knows the samples of all", || {
+        // The samples lose weight until they arrive.
+        let knows_all = |instance| known(instance).weight > all * 0.5;
+        fleet.iter().all(knows_all)
+    });
+    for instance in &fleet {
+        let sums = known(instance);
+        assert!(sums.weight <= all, "{sums:?}");
+        assert!((sums.mean_log() - 2.0_f64.ln()).abs() < 0.01, "{sums:?}");
+    }
+    shut_down(fleet);
+}
+
 /// In a fleet over the size at which all report to all, a collector of each zone sums up the loads.
 #[test]
 fn instances_of_a_large_fleet_know_the_load_by_the_requests_of_all_others() {
--- a/crates/limits/src/endpoint_pace.rs
+++ b/crates/limits/src/endpoint_pace.rs
@@ -208,6 +208,10 @@
         sum / count
     };
     let mean_log = mean_over(&|pace| pace.sums.mean_log());
+    // Samples are relative to the usual time over all requests, and fast endpoints run more of them.
+    let weight = mean_over(&|pace| pace.sums(now_ms).weight);
+    let log_sum = mean_over(&|pace| pace.sums(now_ms).log_sum);
+    let usual_log = log_sum / weight.max(f64::MIN_POSITIVE);
     let variance = mean_over(&EndpointPace::variance);
     let square_error = mean_over(&|pace| pace.standard_error(variance, now_ms).powi(2));
     let spread = mean_over(&|pace| (pace.sums.mean_log() - mean_log).powi(2));
@@ -226,7 +230,8 @@
             part = part.max((difference.abs() / bound - 1.0).min(1.0));
         }
         if part > 0.0 {
-            ratios[index] = Some((difference * part).exp());
+            let ratio = (paces[index].sums.mean_log() - usual_log) * part;
+            ratios[index] = Some(ratio.exp());
         }
     }
     ratios
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -21,6 +21,7 @@
 use crate::run::Run;
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_load::{EndpointLoad, SharedLoads};
+use crate::shared_pace::SharedPaces;
 use crate::view::View;
 use crate::witness::WitnessSlot;
 
@@ -475,6 +476,7 @@
         let state = Rc::new(EndpointState {
             shared_load: self.shared_loads.entry(key.shared_hash()),
             crashes: self.shared_loads.crashes().clone(),
+            pace: PaceState::new(self.shared_loads.paces().clone(), key.shared_hash()),
             shared_hash: key.shared_hash(),
             ..EndpointState::default()
         });
@@ -500,6 +502,11 @@
         self.shared_loads.crashes()
     }
 
+    /// Returns the samples of the speeds of the endpoints.
+    pub(crate) fn paces(&self) -> &SharedPaces {
+        self.shared_loads.paces()
+    }
+
     pub(crate) fn shared_loads(&self) -> Arc<SharedLoads> {
         self.shared_loads.clone()
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -40,6 +40,8 @@
 mod life_question;
 mod other_answers;
 mod outcome;
+mod pace_comparison;
+mod pace_meter;
 mod pace_state;
 mod peer_choice;
 mod peer_states;
@@ -56,6 +58,7 @@
 mod shared_crashes;
 mod shared_limit;
 mod shared_load;
+mod shared_pace;
 mod size_book;
 mod stop_signal;
 mod stream;
@@ -79,5 +82,6 @@
 pub use shared_load::{
     EndpointLoad, LoadEntry, MAX_DIRECT_INSTANCES, PeerReach, SharedLoads, service_hash,
 };
+pub use shared_pace::SharedPaces;
 pub use version_counters::{CallOutcome, Measured, VersionCounters};
 pub use view::{Pool, RolloutStage, RolloutView, View};
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -24,6 +24,7 @@
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_state::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
+use crate::pace_comparison::PaceComparison;
 use crate::reach;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
@@ -72,6 +73,7 @@
                 caller_protocol,
                 endpoint_protocol,
                 endpoint_states: EndpointStates::default(),
+                pace_comparison: PaceComparison::default(),
                 version_counters: Arc::default(),
                 counters: Arc::default(),
                 observer,
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -18,6 +18,7 @@
 use crate::endpoint_state::EndpointStates;
 use crate::late_repeats::LateRepeats;
 use crate::outcome::{Counters, Observer};
+use crate::pace_comparison::PaceComparison;
 use crate::peer_states::PeerStates;
 use crate::settings::Settings;
 use crate::size_book::SizeBook;
@@ -31,6 +32,7 @@
     pub(crate) caller_protocol: Rc<dyn CallerProtocol>,
     pub(crate) endpoint_protocol: Rc<dyn EndpointProtocol>,
     pub(crate) endpoint_states: EndpointStates,
+    pub(crate) pace_comparison: PaceComparison,
     pub(crate) version_counters: Arc<VersionCounters>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) observer: Rc<dyn Observer>,
@@ -59,7 +61,10 @@
 impl RequestContext {
     pub(crate) fn view(&self) -> Arc<View> {
         let view = self.view.load_full();
-        self.endpoint_states.sync(&view, self.now_ms());
+        let now_ms = self.now_ms();
+        self.endpoint_states.sync(&view, now_ms);
+        self.pace_comparison
+            .update(&self.endpoint_states, &view, now_ms);
         view
     }
 
--- a/crates/serve/src/shared_load.rs
+++ b/crates/serve/src/shared_load.rs
@@ -9,6 +9,7 @@
 
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_limit::SharedLimits;
+use crate::shared_pace::SharedPaces;
 
 /// Largest number of instances that report their loads to all others. Those that the instances of a
 /// larger fleet know are older.
@@ -116,6 +117,7 @@
     by_endpoint: Mutex<HashMap<u64, Arc<EndpointLoad>>>,
     limits: SharedLimits,
     crashes: Arc<SharedCrashes>,
+    paces: Arc<SharedPaces>,
     peer_reach: Mutex<HashMap<Incarnation, PeerReach>>,
     /// Hashes of the services of which this instance reaches no endpoint.
     cut_off: Mutex<HashSet<u64>>,
@@ -247,9 +249,15 @@
         &self.crashes
     }
 
+    /// Returns the samples of the speeds of the endpoints.
+    pub fn paces(&self) -> &Arc<SharedPaces> {
+        &self.paces
+    }
+
     pub(crate) fn remove(&self, endpoint: u64) {
         self.loads().remove(&endpoint);
         self.limits.remove(endpoint);
+        self.paces.remove(endpoint);
     }
 
     fn loads(&self) -> MutexGuard<'_, HashMap<u64, Arc<EndpointLoad>>> {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
 use crate::outcome::{Outcome, StreamRecord};
+use crate::pace_meter::{PaceMeter, PaceSample};
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
@@ -52,6 +53,7 @@
     /// Events of the current run, and its start.
     events: u32,
     run_started: Instant,
+    pace_meter: PaceMeter,
     /// Earlier runs that brought events.
     earlier_runs: u32,
     /// Whether the outcome of the current run was recorded for its version.
@@ -85,6 +87,7 @@
             witnessing: Witnessing::default(),
             events: 0,
             run_started: Instant::now(),
+            pace_meter: PaceMeter::default(),
             earlier_runs: 0,
             is_recorded,
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
@@ -95,10 +98,12 @@
     }
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, BodyError> {
+        self.pace_meter.resume(Instant::now());
         loop {
             let err = match self.read_event().await {
                 Ok(Some(event)) => {
                     self.record_event(&event);
+                    self.pace_meter.suspend(Instant::now());
                     return Ok(Some(event.bytes));
                 }
                 Ok(None) if self.is_continuation && self.events == 0 && !self.may_be_whole => {
@@ -119,6 +124,8 @@
             return;
         }
         self.events += 1;
+        let sample = self.pace_meter.record_event(Instant::now());
+        self.record_pace(sample);
         self.may_be_whole = false;
         self.record_version_outcome(false);
         self.has_unnumbered |= event.id.is_none();
@@ -316,6 +323,7 @@
         self.events = 0;
         self.witnessing = Witnessing::default();
         self.run_started = Instant::now();
+        self.pace_meter = PaceMeter::default();
     }
 
     /// Records the outcome of the current run for its version, once its latency is conclusive.
@@ -363,8 +371,27 @@
             .record_latency_ratio(ratio, self.context.now_ms());
     }
 
+    /// Records the time between some events relative to what is usual for the size of the model.
+    fn record_pace(&self, sample: Option<PaceSample>) {
+        let baselines = &self.context.baselines;
+        let usual_ms = baselines.event_ms(&self.request.baseline_key());
+        let (Some(sample), Some(usual_ms)) = (sample, usual_ms) else {
+            return;
+        };
+        if self.response.carried.is_some() {
+            return;
+        }
+        let state = &self.response.call_guard.endpoint_state;
+        let ratio = sample.event_ms / usual_ms;
+        state
+            .pace
+            .record(ratio, sample.weight, self.context.now_ms());
+    }
+
     fn finish(&mut self) {
         self.ended = true;
+        let sample = self.pace_meter.take(Instant::now());
+        self.record_pace(sample);
         self.record_version_outcome(true);
         self.record_event_latency();
         let now_ms = self.context.now_ms();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -332,6 +332,19 @@
     /// Instances that reach no endpoint of a service: the sender, and those whose reports it sums up.
     #[prost(message, repeated, tag = "8")]
     pub cut_off: Vec<CutOff>,
+    /// Hashes of the endpoints of which there are samples of the speed. The four lists of samples have
+    /// the same length, and are absent from most reports.
+    #[prost(fixed64, repeated, tag = "16")]
+    pub pace_endpoints: Vec<u64>,
+    /// Means of the logarithms of the times relative to the usual ones, in thousandths.
+    #[prost(sint32, repeated, tag = "17")]
+    pub pace_mean_logs: Vec<i32>,
+    /// Weights of the samples, in tenths of one of a second or more.
+    #[prost(uint32, repeated, tag = "18")]
+    pub pace_weights: Vec<u32>,
+    /// Means of the squares of the logarithms, in thousandths.
+    #[prost(uint32, repeated, tag = "19")]
+    pub pace_mean_squares: Vec<u32>,
 }
 
 /// Instances that reach no endpoint of a service.
