--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -14,6 +14,7 @@
 use crate::endpoint_cold::EndpointCold;
 use crate::latency_ratio::LatencyRatio;
 use crate::life_check::LifeCheck;
+use crate::pace_state::PaceState;
 use crate::recent_starts::{RecentStarts, Start};
 use crate::request_key::RequestKey;
 use crate::shared_crashes::SharedCrashes;
@@ -45,6 +46,7 @@
     shared_load: Arc<EndpointLoad>,
     outlier: RefCell<OutlierDetector>,
     latency: LatencyRatio,
+    pub(crate) pace: PaceState,
     paused_until_ms: Cell<u64>,
     capacity: RefCell<EndpointCapacity>,
     pub(crate) cold: EndpointCold,
@@ -79,6 +81,7 @@
             shared_load: shared_loads.entry(shared_hash),
             cold: EndpointCold::new(shared_loads.cold().of(id)),
             crashes: shared_loads.crashes().clone(),
+            pace: PaceState::new(shared_loads.paces().clone(), shared_hash),
             shared_hash,
             ..EndpointState::default()
         }
@@ -98,6 +101,12 @@
         self.latency.ratio(now_ms)
     }
 
+    /// Returns the time that the endpoint takes for the same work relative to the others of its version,
+    /// above 1 if it is slower, or 1 while that is not known.
+    pub(crate) fn time_ratio(&self, now_ms: u64) -> f64 {
+        self.pace.time_ratio(now_ms)
+    }
+
     pub(crate) fn health(&self, now_ms: u64) -> Health {
         if now_ms < self.paused_until_ms.get() {
             return Health::Ejected;
--- a/crates/serve/src/endpoint_states.rs
+++ b/crates/serve/src/endpoint_states.rs
@@ -15,6 +15,7 @@
 use crate::settings::Settings;
 use crate::shared_crashes::SharedCrashes;
 use crate::shared_load::SharedLoads;
+use crate::shared_pace::SharedPaces;
 use crate::view::View;
 
 /// States of all endpoints.
@@ -76,6 +77,11 @@
         self.shared_loads.crashes()
     }
 
+    /// Returns the samples of the speeds of the endpoints.
+    pub(crate) fn paces(&self) -> &SharedPaces {
+        self.shared_loads.paces()
+    }
+
     pub(crate) fn shared_loads(&self) -> Arc<SharedLoads> {
         self.shared_loads.clone()
     }
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -24,6 +24,7 @@
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_states::EndpointStates;
 use crate::outcome::{Counters, Observer, Outcome};
+use crate::pace_comparison::PaceComparison;
 use crate::reach;
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
@@ -73,6 +74,7 @@
                 settings,
                 caller_protocol,
                 endpoint_protocol,
+                pace_comparison: PaceComparison::default(),
                 version_counters: Arc::default(),
                 counters: Arc::default(),
                 observer,
@@ -473,6 +475,10 @@
         first_ms = started.time_to_head.as_millis() as u64,
         endpoint = &*started.endpoint.id,
         load = started.call_guard.endpoint_state.load(),
+        time_ratio = started
+            .call_guard
+            .endpoint_state
+            .time_ratio(context.now_ms()),
         reading_ms = started.reading_ms as u64,
         confidence = request.confidence,
         wait_share = context.baselines.wait_share(&request.service),
