--- a/crates/policy/tests/cascade.rs
+++ b/crates/policy/tests/cascade.rs
@@ -175,6 +175,7 @@
         good_share,
         relative_time,
         first_event_ms,
+        run: None,
     };
     let sizes = [
         size(0.56, 0.1, 20.0),
@@ -187,6 +188,7 @@
             size: 0,
             confidence: decision.confidence,
             objective_left_ms: decision.objective_left_ms,
+            end_chance: 1.0,
         };
         let next = cascade.next_size(&sizes, &answer, decision.max_runs);
         assert_eq!(next, decision.expected, "{}", decision.name);
@@ -213,6 +215,7 @@
                 good_share,
                 relative_time,
                 first_event_ms: 100.0,
+                run: None,
             });
         }
         let first = Cascade::new(0.3, 0.0, 0.5).first_size(&sizes, 1_000.0, max_runs);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -163,6 +163,7 @@
                 good_share,
                 relative_time: size.work_ms / largest_ms,
                 first_event_ms: wait_ms + size.work_ms,
+                run: None,
             });
         }
         outlooks
@@ -258,6 +259,7 @@
             size: call.size,
             confidence: Some(confidence),
             objective_left_ms: OBJECTIVE_MS - took_ms,
+            end_chance: 1.0,
         };
         if let Some(next) = router.next_size(policy, &answer, call.runs, &mut random) {
             heap.push(Call {
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -39,6 +39,7 @@
             size,
             confidence: self.confidence,
             objective_left_ms: self.objective_left_ms(),
+            end_chance: 1.0,
         };
         let sizes = self.size_outlooks(context);
         let cascade = self.cascade(context, fastrand::f64());
@@ -93,6 +94,7 @@
                 good_share: good_shares[size],
                 relative_time: times[size],
                 first_event_ms: wait_ms + reading_ms,
+                run: None,
             });
         }
         sizes
