serve: Choose sizes by whether a run can end by the deadline

Cause: the size of a run was chosen without regard to the deadline, so that answers of small sizes were discarded for runs of the largest that are cut, and requests that no run can serve were held until their time was up.

Change: `RequestInfo::length_hint` is decoded from the caller's estimate, bounded by the largest answer that it allows; one that cannot be meant is logged once and treated as absent. `RunBook` learns lengths by route, size and workspace, and times per event by service and size from streams that are still being written, so that those cut at their deadlines count. First and next size, and the size with which a broken stream goes on, follow from the chance of an end. A request of which the fastest size has less than 5% is refused as not run, if its pace was seen in the last 5 s. `EndpointState::time_ratio` is a stub that returns 1.

Result: the two tests of `completion` and that of the field pass: a request with 60 ms left for a stream of 400 ms is refused at once after seven streams, and the answer of the small size is kept.

--- a/crates/policy/src/run_outlook.rs
+++ b/crates/policy/src/run_outlook.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Returns the run at an endpoint whose time per event is `ratio` times the usual.
+    pub fn at_ratio(self, ratio: f64) -> RunOutlook {
+        RunOutlook {
+            event_ms: self.event_ms * ratio,
+            ..self
+        }
+    }
+
     /// Returns the run with what its first events show of its pace: a mean of `event_ms` over
     /// `events` of them.
     ///
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -95,6 +95,11 @@
         self.latency.ratio(now_ms)
     }
 
+    /// Returns the time that the endpoint takes, relative to the others of its service; 1 where unknown.
+    pub(crate) fn time_ratio(&self, _now_ms: u64) -> f64 {
+        1.0
+    }
+
     pub(crate) fn health(&self, now_ms: u64) -> Health {
         if now_ms < self.paused_until_ms.get() {
             return Health::Ejected;
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -6,6 +6,7 @@
 
 use kernel::{Failure, Verdict};
 
+use crate::late_runs::LateRunCounters;
 use crate::request::RequestInfo;
 
 /// How a request ended.
@@ -50,6 +51,8 @@
     pub connections_for_probes: AtomicU64,
     /// Connections opened to endpoints for health checks, established or not.
     pub connections_for_health_checks: AtomicU64,
+    /// Runs that are not expected to end by their deadlines.
+    pub late_runs: LateRunCounters,
 }
 
 /// Receives the outcome of every request, for instance for histograms.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -28,6 +28,7 @@
 use crate::request::RequestInfo;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
+use crate::run_book::RunBook;
 use crate::settings::Settings;
 use crate::shared_load::SharedLoads;
 use crate::size_book::SizeBook;
@@ -82,6 +83,7 @@
                 late_repeats: Rc::default(),
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
+                run_book: RunBook::default(),
                 reach_probes: RefCell::default(),
                 buffered_bytes: BufferedBytes::default(),
                 peer_states: Rc::default(),
@@ -422,6 +424,9 @@
     let carried = request.carried.as_ref();
     let ordered_size = carried.and_then(|carried| carried.order.size);
     request.size = ordered_size.or_else(|| request.choose_first_size(context));
+    if request.carried.is_none() {
+        request.check_end_in_time(context)?;
+    }
     let resume_after = request.info.resume_after;
     loop {
         let started = request.dispatch(context, resume_after).await?;
@@ -432,13 +437,17 @@
         request.record_confidence(context);
         record_wait(context, request, &started);
         log_confidence(context, request, &started);
-        let Some(next_size) = request.choose_next_size(context) else {
+        let next_size = if let Some(smaller) = request.choose_smaller_size(context, &started) {
+            smaller
+        } else if let Some(larger) = request.choose_next_size(context, &started) {
+            Counters::add(&context.counters.escalated);
+            request.unsure_size = request.size;
+            larger
+        } else {
             return Ok(started);
         };
-        Counters::add(&context.counters.escalated);
         drop(started);
         request.record_run(Verdict::Ran);
-        request.unsure_size = request.size;
         request.size = Some(next_size);
         request.tried.clear();
     }
--- a/crates/serve/src/request.rs
+++ b/crates/serve/src/request.rs
@@ -37,6 +37,8 @@
     pub any_size: bool,
     /// Declared token counts.
     pub token_usage: TokenUsage,
+    /// Length of the answer that the caller expects, in tokens.
+    pub length_hint: Option<u32>,
     /// Parts of the prompt in order. The last is specific to this request.
     pub prompt_parts: Vec<PromptPart>,
     /// Last event that the caller received, after which the stream resumes.
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -19,6 +19,7 @@
 use crate::late_repeats::LateRepeats;
 use crate::outcome::{Counters, Observer};
 use crate::peer_states::PeerStates;
+use crate::run_book::RunBook;
 use crate::settings::Settings;
 use crate::size_book::SizeBook;
 use crate::stop_signal::StopSignal;
@@ -44,6 +45,7 @@
     pub(crate) late_repeats: Rc<LateRepeats>,
     pub(crate) baselines: LatencyBaselines,
     pub(crate) size_book: SizeBook,
+    pub(crate) run_book: RunBook,
     /// Times promised to callers whom rate limits turned away, by service.
     pub(crate) retry_schedules: RefCell<HashMap<Arc<str>, RetryAfterSchedule>>,
     /// Probes of endpoints by service.
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
 use crate::outcome::{Outcome, StreamRecord};
+use crate::projection::Projection;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
@@ -56,6 +57,7 @@
     earlier_runs: u32,
     /// Whether the outcome of the current run was recorded for its version.
     is_recorded: bool,
+    projection: Projection,
     stall_timeout: Duration,
     /// Whether the current endpoint is waited for until the deadline, as no other can resume.
     waits_for_deadline: bool,
@@ -87,6 +89,7 @@
             run_started: Instant::now(),
             earlier_runs: 0,
             is_recorded,
+            projection: Projection::default(),
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
             waits_for_deadline: false,
             log,
@@ -95,10 +98,13 @@
     }
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, BodyError> {
+        self.projection.begin_read();
+        self.check_pace();
         loop {
+            let began = Instant::now();
             let err = match self.read_event().await {
                 Ok(Some(event)) => {
-                    self.record_event(&event);
+                    self.record_event(&event, began.elapsed());
                     return Ok(Some(event.bytes));
                 }
                 Ok(None) if self.is_continuation && self.events == 0 && !self.may_be_whole => {
@@ -114,11 +120,25 @@
         }
     }
 
-    fn record_event(&mut self, event: &Event) {
+    /// Records the pace of the run, also of one that will be cut.
+    fn check_pace(&mut self) {
+        if self.response.carried.is_some() {
+            return;
+        }
+        let Some(event_ms) = self.projection.next_pace() else {
+            return;
+        };
+        let key = self.request.baseline_key();
+        let now_ms = self.context.now_ms();
+        self.context.run_book.record_pace(&key, event_ms, now_ms);
+    }
+
+    fn record_event(&mut self, event: &Event, waited: Duration) {
         if event.is_comment() {
             return;
         }
         self.events += 1;
+        self.projection.record_event(waited);
         self.may_be_whole = false;
         self.record_version_outcome(false);
         self.has_unnumbered |= event.id.is_none();
@@ -279,6 +299,10 @@
         if !self.request.may_retry() {
             return Err(why);
         }
+        if self.request.carried.is_none() {
+            let written = self.projection.written(&self.request);
+            self.request.size = self.request.choose_resumed_size(&self.context, written);
+        }
         loop {
             let dispatched = self.request.dispatch(&self.context, self.last_id).await;
             let response = dispatched.map_err(|failure| failure.to_string())?;
@@ -316,6 +340,7 @@
         self.events = 0;
         self.witnessing = Witnessing::default();
         self.run_started = Instant::now();
+        self.projection.start_run();
     }
 
     /// Records the outcome of the current run for its version, once its latency is conclusive.
@@ -375,9 +400,16 @@
         if ended_by_itself {
             endpoint_state.record_completed(&self.request.key, now_ms);
         }
+        self.record_length(true);
         self.write_log(&Outcome::Answered(self.response.head.status));
     }
 
+    fn record_length(&self, is_whole: bool) {
+        let (request, response) = (&self.request, &self.response);
+        self.projection
+            .record_end(&self.context, request, response, is_whole);
+    }
+
     fn write_log(&mut self, outcome: &Outcome) {
         self.log.stream = Some(StreamRecord {
             framing: self.response.exchange.framing().as_str(),
@@ -390,6 +422,7 @@
 
     fn abort(&mut self, why: &str) -> BodyError {
         self.ended = true;
+        self.record_length(false);
         self.write_log(&Outcome::StreamBroken(why.to_owned()));
         BodyError {
             message: why.to_owned(),
@@ -433,6 +466,7 @@
         } else {
             Outcome::CallerDisconnected
         };
+        self.record_length(false);
         self.write_log(&outcome);
     }
 }
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -52,6 +52,7 @@
             path: head.path().to_owned(),
             remaining_ms: number("x-budget-ms"),
             any_size: head.headers.get("x-any-size").is_some(),
+            length_hint: number("x-hint").map(|tokens| tokens as u32),
             resume_after: number("x-after"),
             session: head.headers.get("x-session").map(Into::into),
             token_usage: TokenUsage {
