serve: Move a stream that cannot end by its deadline once

Cause: the endpoint of a run is known to be too slow after a few events, but the run went on until it was cut at its deadline.

Change: `Projection` reads the pace of a stream after 4, 8, 16, ... events and projects its end. The present connection stays open meanwhile, and the run goes on there if no other endpoint begins in time. `is_moving` keeps a move from endpoints that were excluded. The pace that was seen weighs as much as four of five parts after four events, as endpoints differ more than the events of one.

Result: of 20 events of 150 ms with 1.5 s left, the last 16 come from the second endpoint; a stream with time enough does not move, and one whose second endpoint is silent ends whole at the first.

--- a/crates/policy/src/cascade.rs
+++ b/crates/policy/src/cascade.rs
@@ -265,7 +265,12 @@
             end.chance * value
         };
         let cost = RUN_COST + self.largest_run_cost * outlook.relative_time * repeated_part;
-        there.chance >= EXPECTED_CHANCE && value(there) - value(here) > cost
+        Cascade::is_expected(there.chance) && value(there) - value(here) > cost
+    }
+
+    /// Returns whether a run with this chance is expected to end by the deadline.
+    pub fn is_expected(end_chance: f64) -> bool {
+        end_chance >= EXPECTED_CHANCE
     }
 
     fn run_cost(&self, size: &SizeOutlook) -> f64 {
--- a/crates/policy/src/run_outlook.rs
+++ b/crates/policy/src/run_outlook.rs
@@ -75,9 +75,9 @@
     /// Returns the run with what its first events show of its pace: a mean of `event_ms` over
     /// `events` of them.
     ///
-    /// As many events as `PRIOR_EVENTS` weigh as much as the expectation.
+    /// The expectation weighs as much as one event, since endpoints differ more than the events of one.
     pub fn observed(self, event_ms: f64, events: f64) -> RunOutlook {
-        const PRIOR_EVENTS: f64 = 4.0;
+        const PRIOR_EVENTS: f64 = 1.0;
         if event_ms <= 0.0 || self.event_ms <= 0.0 {
             return self;
         }
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -85,6 +85,8 @@
     pub(crate) peer_failure: Option<Failure>,
     /// Whether the request is a stream that goes on after events of an earlier run.
     pub(crate) is_resumed: bool,
+    /// Whether a run that goes on meanwhile is to be moved to an endpoint that was not tried.
+    pub(crate) is_moving: bool,
     /// Endpoints that ended just after they had begun the request.
     pub(crate) crashes: u32,
     /// Whether the end of the endpoint under the current answer is recorded already.
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -100,6 +100,7 @@
         carried_by: None,
         peer_failure: None,
         is_resumed: false,
+        is_moving: false,
         verdict: Verdict::NotRun,
         crashes: 0,
         end_is_recorded: false,
--- a/crates/serve/src/completion.rs
+++ b/crates/serve/src/completion.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Returns the time of a run of the request's size, relative to the largest size.
+    pub(crate) fn relative_time(&self, context: &RequestContext) -> f64 {
+        let Some(size) = self.size else {
+            return 1.0;
+        };
+        let count = self.route.model_sizes.len();
+        let times = context.baselines.relative_times(&self.service, count);
+        times.get(size).copied().unwrap_or(1.0)
+    }
+
     /// Returns the events that the caller has from an earlier request.
     pub(crate) fn events_before(&self) -> f64 {
         self.info.resume_after.unwrap_or_default() as f64
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -199,6 +199,7 @@
             .as_ref()
             .is_err_and(|err| *err == PlacementError::NoCandidate)
             && self.verdict != Verdict::NotRun
+            && !self.is_moving
         {
             // All endpoints were tried; one that failed may succeed on a second attempt.
             self.tried.clear();
--- a/crates/serve/src/late_runs.rs
+++ b/crates/serve/src/late_runs.rs
@@ -9,8 +9,12 @@
     Kept,
     /// A smaller size runs in place of a larger one.
     Smaller,
+    /// The run is moved to another endpoint.
+    Moved,
     /// The request is refused without a run.
     Refused,
+    /// The run goes on, as nothing else would end in time.
+    GoesOn,
 }
 
 /// Counts of what was done about runs that are not expected to end by their deadlines.
@@ -20,6 +24,10 @@
     pub kept: AtomicU64,
     /// Smaller sizes run in place of larger ones.
     pub smaller: AtomicU64,
+    /// Runs moved to another endpoint.
+    pub moved: AtomicU64,
+    /// Runs that went on.
+    pub goes_on: AtomicU64,
     /// Requests refused without a run.
     pub refused: AtomicU64,
 }
@@ -30,6 +38,8 @@
         match decision {
             LateRunDecision::Kept => (&self.kept, "kept"),
             LateRunDecision::Smaller => (&self.smaller, "smaller"),
+            LateRunDecision::Moved => (&self.moved, "moved"),
+            LateRunDecision::GoesOn => (&self.goes_on, "goes on"),
             LateRunDecision::Refused => (&self.refused, "refused"),
         }
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -27,6 +27,7 @@
 mod carry_handler;
 mod carry_message;
 mod completion;
+mod continuation;
 mod dispatch;
 mod endpoint;
 mod endpoint_protocol;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -6,15 +6,17 @@
 
 use bytes::Bytes;
 use kernel::Verdict;
-use relay::{BodyError, BodyStream, LocalFuture, ResponseHead, timeout_at};
+use relay::{BodyError, BodyStream, LocalFuture, timeout_at};
 use rollout::{StreamProgress, is_slow_stream};
 
 use crate::active_request::ActiveRequest;
 use crate::answer_end::{AnswerEnd, Doubt, judge_end, judge_life};
+use crate::continuation::continuation_mismatch;
 use crate::dispatch::StartedResponse;
 use crate::events::{Event, EventSplitter};
+use crate::late_runs::LateRunDecision;
 use crate::outcome::{Outcome, StreamRecord};
-use crate::projection::Projection;
+use crate::projection::{MovePlan, Projection};
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::version_counters::{CallOutcome, Measured};
@@ -75,6 +77,7 @@
         let gap = Duration::from_millis(request.route.max_gap_ms.unwrap_or_default());
         let last_id = request.info.resume_after;
         let is_recorded = response.carried.is_some();
+        let projection = Projection::new(&request);
         Stream {
             context,
             request,
@@ -89,7 +92,7 @@
             run_started: Instant::now(),
             earlier_runs: 0,
             is_recorded,
-            projection: Projection::default(),
+            projection,
             stall_timeout: (gap * STALL_GAPS).max(MIN_STALL_TIMEOUT),
             waits_for_deadline: false,
             log,
@@ -99,7 +102,7 @@
 
     async fn next_event(&mut self) -> Result<Option<Bytes>, BodyError> {
         self.projection.begin_read();
-        self.check_pace();
+        self.check_pace().await;
         loop {
             let began = Instant::now();
             let err = match self.read_event().await {
@@ -120,8 +123,9 @@
         }
     }
 
-    /// Records the pace of the run, also of one that will be cut.
-    fn check_pace(&mut self) {
+    /// Records the pace of the run, also of one that will be cut, and moves the run if it is not expected
+    /// to end by the deadline and would at another endpoint.
+    async fn check_pace(&mut self) {
         if self.response.carried.is_some() {
             return;
         }
@@ -131,6 +135,46 @@
         let key = self.request.baseline_key();
         let now_ms = self.context.now_ms();
         self.context.run_book.record_pace(&key, event_ms, now_ms);
+        let can_move = !self.has_unnumbered
+            && self.last_id.is_some()
+            && self.request.carried.is_none()
+            && self.request.may_repeat_after_run();
+        let (context, request) = (&self.context, &self.request);
+        let plan = self
+            .projection
+            .plan_move(context, request, &self.response, event_ms, can_move);
+        if let Some(plan) = plan {
+            self.move_run(plan).await;
+        }
+    }
+
+    /// Moves the run. It goes on where it is if no other endpoint begins in time.
+    async fn move_run(&mut self, mut plan: MovePlan) {
+        self.projection.record_move();
+        let start = self.request.begin_move(std::mem::take(&mut plan.excluded));
+        let dispatch = self.request.dispatch(&self.context, self.last_id);
+        let started = async {
+            dispatch
+                .await
+                .map_err(|failure| io::Error::other(failure.to_string()))
+        };
+        let started = timeout_at(Instant::now() + plan.start_time, started).await;
+        let response = match started {
+            Ok(response) => response,
+            Err(_) => {
+                self.request.undo_move(start);
+                return plan.log(&self.context, &self.request, LateRunDecision::GoesOn);
+            }
+        };
+        if let Some(mismatch) = continuation_mismatch(&self.response.head, &response.head) {
+            self.reject_run(&response, &mismatch);
+            self.request.is_sent = false;
+            return self.request.undo_move(start);
+        }
+        self.request.end_move(start, &response.endpoint);
+        plan.log(&self.context, &self.request, LateRunDecision::Moved);
+        self.record_version_outcome(true);
+        self.switch_to(response);
     }
 
     fn record_event(&mut self, event: &Event, waited: Duration) {
@@ -138,7 +182,8 @@
             return;
         }
         self.events += 1;
-        self.projection.record_event(waited);
+        let max_gap_ms = self.request.route.max_gap_ms;
+        self.projection.record_event(waited, max_gap_ms);
         self.may_be_whole = false;
         self.record_version_outcome(false);
         self.has_unnumbered |= event.id.is_none();
@@ -400,17 +445,13 @@
         if ended_by_itself {
             endpoint_state.record_completed(&self.request.key, now_ms);
         }
-        self.record_length(true);
         self.write_log(&Outcome::Answered(self.response.head.status));
     }
 
-    fn record_length(&self, is_whole: bool) {
-        let (request, response) = (&self.request, &self.response);
-        self.projection
-            .record_end(&self.context, request, response, is_whole);
-    }
-
     fn write_log(&mut self, outcome: &Outcome) {
+        let is_whole = matches!(outcome, Outcome::Answered(_));
+        self.projection
+            .record_end(&self.context, &self.request, &self.response, is_whole);
         self.log.stream = Some(StreamRecord {
             framing: self.response.exchange.framing().as_str(),
             last_event: self.last_id,
@@ -422,7 +463,6 @@
 
     fn abort(&mut self, why: &str) -> BodyError {
         self.ended = true;
-        self.record_length(false);
         self.write_log(&Outcome::StreamBroken(why.to_owned()));
         BodyError {
             message: why.to_owned(),
@@ -434,22 +474,6 @@
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
-/// Returns why a response cannot go on with a stream that began with the head `first`, or `None` if it can.
-fn continuation_mismatch(first: &ResponseHead, next: &ResponseHead) -> Option<String> {
-    if next.status != first.status {
-        return Some(format!("status {} after {}", next.status, first.status));
-    }
-    let (expected, found) = media_type(first).zip(media_type(next))?;
-    let matches = found.eq_ignore_ascii_case(expected);
-    (!matches).then(|| format!("content type \"{found}\" after \"{expected}\""))
-}
-
-/// Returns the content type of a response without its parameters.
-fn media_type(head: &ResponseHead) -> Option<&str> {
-    let value = head.headers.get("content-type")?;
-    Some(value.split(';').next().unwrap_or_default().trim())
-}
-
 impl BodyStream for Stream {
     fn next(&mut self) -> LocalFuture<'_, Result<Option<Bytes>, BodyError>> {
         Box::pin(self.next_event())
@@ -466,7 +490,6 @@
         } else {
             Outcome::CallerDisconnected
         };
-        self.record_length(false);
         self.write_log(&outcome);
     }
 }
--- a/crates/serve/tests/completion.rs
+++ b/crates/serve/tests/completion.rs
@@ -58,3 +58,50 @@
     assert_eq!(ids(&received.body), [1, 2]);
     assert_eq!(endpoint.request_count(), 2 * LEARNED + 1);
 }
+
+/// Guards against a run that is known after a few events to miss its deadline, and is cut there.
+#[test]
+fn a_run_moves_once_to_an_endpoint_that_is_expected_to_complete_it() {
+    const EVENTS: u64 = 20;
+    let stream = |from: u64, event_ms: u64| {
+        let mut script = vec![stream_head(90)];
+        for id in from..=EVENTS {
+            script.extend([events(id..=id), Step::Sleep(event_ms)]);
+        }
+        script.push(stream_end());
+        script
+    };
+    let silent = vec![Step::Sleep(4_000)];
+    let cases = [
+        ("too slow here", "1500", stream(5, 20), 1, true),
+        ("slow, with time enough", "30000", stream(5, 20), 0, true),
+        ("no answer elsewhere in time", "4000", silent, 1, true),
+    ];
+    for (name, budget_ms, elsewhere, moved, is_complete) in cases {
+        let slow_ms = if moved == 1 && budget_ms == "4000" {
+            170
+        } else {
+            150
+        };
+        let mut scripts = vec![stream(1, 20); LEARNED];
+        scripts.push(stream(1, slow_ms));
+        let first = ScriptedEndpoint::start(scripts);
+        let second = ScriptedEndpoint::start(vec![elsewhere]);
+        let route = route(RetrySafety::ResumableStream).timeout_ms(60_000);
+        let harness = Harness::new(route, &[first.addr, second.addr], 10.0);
+        for _ in 0..LEARNED {
+            assert!(harness.send(&[]).is_complete, "{name}");
+        }
+        let received = harness.send(&[("x-budget-ms", budget_ms)]);
+        assert_eq!(second.request_count(), moved, "{name}");
+        assert_eq!(received.is_complete, is_complete, "{name}");
+        assert_eq!(
+            ids(&received.body),
+            (1..=EVENTS).collect::<Vec<_>>(),
+            "{name}"
+        );
+        if budget_ms == "1500" {
+            assert!(second.head(0).contains("x-after: 4\r\n"), "{name}");
+        }
+    }
+}
