--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -39,6 +39,11 @@
     purpose: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabel {
+    decision: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FetchLabel {
     outcome: &'static str,
@@ -54,6 +59,7 @@
     handed_over: Gauge<u64, AtomicU64>,
     carried: Gauge<u64, AtomicU64>,
     escalated: Gauge<u64, AtomicU64>,
+    late_runs: Family<DecisionLabel, Gauge<u64, AtomicU64>>,
     dropped_log_lines: Gauge<u64, AtomicU64>,
     fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
     fetched_bytes: Gauge<u64, AtomicU64>,
@@ -78,6 +84,7 @@
         let handed_over = Gauge::default();
         let carried = Gauge::default();
         let escalated = Gauge::default();
+        let late_runs = Family::<DecisionLabel, Gauge<u64, AtomicU64>>::default();
         let dropped_log_lines = Gauge::default();
         let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
         let fetched_bytes = Gauge::default();
@@ -116,6 +123,11 @@
             "Answers of small models that were discarded for a larger model",
             escalated.clone(),
         );
+        registry.register(
+            "late_runs",
+            "Runs not expected to end by their deadlines, by what was done",
+            late_runs.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Log lines dropped because the buffer was full",
@@ -160,6 +172,7 @@
             handed_over,
             carried,
             escalated,
+            late_runs,
             dropped_log_lines,
             fetches,
             fetched_bytes,
@@ -183,6 +196,18 @@
         self.escalated
             .set(counters.escalated.load(Ordering::Relaxed));
         self.dropped_log_lines.set(dropped_log_lines);
+        let late_runs = &counters.late_runs;
+        for (decision, count) in [
+            ("kept", &late_runs.kept),
+            ("smaller", &late_runs.smaller),
+            ("moved", &late_runs.moved),
+            ("refused", &late_runs.refused),
+            ("goes_on", &late_runs.goes_on),
+        ] {
+            self.late_runs
+                .get_or_create(&DecisionLabel { decision })
+                .set(count.load(Ordering::Relaxed));
+        }
         for (purpose, count) in [
             ("request", &counters.connections_for_requests),
             ("probe", &counters.connections_for_probes),
