--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -21,6 +21,7 @@
 use crate::pace_comparison::PaceComparison;
 use crate::peer_states::PeerStates;
 use crate::request_order::ServiceOrders;
+use crate::run_book::RunBook;
 use crate::settings::Settings;
 use crate::size_book::SizeBook;
 use crate::stop_signal::StopSignal;
@@ -48,6 +49,7 @@
     pub(crate) baselines: LatencyBaselines,
     pub(crate) size_book: SizeBook,
     pub(crate) service_orders: ServiceOrders,
+    pub(crate) run_book: RunBook,
     /// Times promised to callers whom rate limits turned away, by service.
     pub(crate) retry_schedules: RefCell<HashMap<Arc<str>, RetryAfterSchedule>>,
     /// Probes of endpoints by service.
