--- a/crates/limits/src/endpoint_pace.rs
+++ b/crates/limits/src/endpoint_pace.rs
@@ -193,7 +193,7 @@
 /// too little is known of it or if it does not differ from the others.
 ///
 /// What all samples have in common cancels. A difference counts as far as the endpoints together
-/// differ by more than their errors and [`EVEN_DIFFERENCE`] explain, or if it is certain for the
+/// differ by more than their errors and what equal endpoints show, or if it is certain for the
 /// endpoint alone. Equal endpoints thus get `None`.
 pub fn time_ratios(paces: &[EndpointPace], now_ms: u64) -> Vec<Option<f64>> {
     let mut ratios = vec![None; paces.len()];
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -58,6 +58,8 @@
     fetches: Family<FetchLabel, Gauge<u64, AtomicU64>>,
     fetched_bytes: Gauge<u64, AtomicU64>,
     endpoints_out_of_reach: Gauge<u64, AtomicU64>,
+    endpoints_of_learned_speed: Gauge<u64, AtomicU64>,
+    speed_samples: Gauge<u64, AtomicU64>,
     endpoint_connections: Family<ConnectionLabel, Gauge<u64, AtomicU64>>,
     blocked_requests: Gauge<u64, AtomicU64>,
     blocked_prompt_parts: Gauge<u64, AtomicU64>,
@@ -82,6 +84,8 @@
         let fetches = Family::<FetchLabel, Gauge<u64, AtomicU64>>::default();
         let fetched_bytes = Gauge::default();
         let endpoints_out_of_reach = Gauge::default();
+        let endpoints_of_learned_speed = Gauge::default();
+        let speed_samples = Gauge::default();
         let endpoint_connections = Family::<ConnectionLabel, Gauge<u64, AtomicU64>>::default();
         let blocked_requests = Gauge::default();
         let blocked_prompt_parts = Gauge::default();
@@ -136,6 +140,16 @@
             "Endpoints to which the last connection was not established",
             endpoints_out_of_reach.clone(),
         );
+        registry.register(
+            "endpoints_of_learned_speed",
+            "Endpoints that are known to differ in speed from others of their version",
+            endpoints_of_learned_speed.clone(),
+        );
+        registry.register(
+            "speed_samples",
+            "Samples of the speeds of endpoints by this instance's streams",
+            speed_samples.clone(),
+        );
         registry.register(
             "endpoint_connections",
             "Connections opened to endpoints, by purpose",
@@ -164,6 +178,8 @@
             fetches,
             fetched_bytes,
             endpoints_out_of_reach,
+            endpoints_of_learned_speed,
+            speed_samples,
             endpoint_connections,
             blocked_requests,
             blocked_prompt_parts,
@@ -213,6 +229,9 @@
     pub fn sync_endpoints(&self, loads: &SharedLoads) {
         self.endpoints_out_of_reach
             .set(loads.out_of_reach().len() as u64);
+        let paces = loads.paces();
+        self.endpoints_of_learned_speed.set(paces.learned());
+        self.speed_samples.set(paces.samples());
         let crashes = loads.crashes();
         self.blocked_requests.set(crashes.blocked_requests() as u64);
         self.blocked_prompt_parts
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -223,3 +223,22 @@
         assert_eq!(numbers.join(", "), expected, "{name}");
     }
 }
+
+/// Guards against a fleet that learns no speeds, as its streams bring no samples. The first stream sets
+/// the usual time, and samples of streams that the caller reads late do not count.
+#[test]
+fn streams_bring_samples_of_the_speed_of_their_endpoint() {
+    const STREAMS: usize = 10;
+    let mut script = vec![stream_head(90)];
+    for event in 1..=8 {
+        script.extend([events(event..=event), Step::Sleep(10)]);
+    }
+    script.push(stream_end());
+    let endpoint = ScriptedEndpoint::start(vec![script; STREAMS]);
+    let harness = Harness::new(route(RetrySafety::ResumableStream), &[endpoint.addr], 10.0);
+    let paces = harness.pipeline.shared_loads().paces().clone();
+    assert!(harness.send(&[]).is_complete);
+    assert_eq!(paces.samples(), 0);
+    let mut others = 1..STREAMS;
+    assert!(others.any(|_| harness.send(&[]).is_complete && paces.samples() > 0));
+}
