relay, serve: Count answers that are being read in the memory of callers

A trial of the crowds with 1,200 descriptors showed that answers which are read from endpoints were not in the account (slow readers 56,776 KB and pipelined requests 45,488 KB of 32,768). They count now, take half of the budget at most, and are allocated by their announced length instead of by doubling.

Reads let other tasks run after sixteen without a wait only on callers' connections: on those to endpoints a pending read counts as a sign that nothing has arrived.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -267,6 +267,10 @@
                 .get_or_create(&label)
                 .set(memory.purpose_bytes(purpose));
         }
+        let label = ConnectionLabel { purpose: "answers" };
+        self.caller_memory
+            .get_or_create(&label)
+            .set(memory.answer_bytes());
         self.caller_memory_budget.set(memory.budget_bytes());
         self.caller_connections.set(capacity.connections() as u64);
         for reason in CloseReason::ALL {
--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -77,6 +77,8 @@
 pub struct MemoryAccount {
     budget_bytes: u64,
     total_bytes: Cell<u64>,
+    /// Memory of answers that no connection holds yet.
+    answer_bytes: Rc<Cell<u64>>,
     by_purpose: [Cell<u64>; Purpose::ALL.len()],
     addresses: RefCell<HashMap<IpAddr, Weak<AddressUse>>>,
     /// The size of `addresses` at which unused ones are removed.
@@ -86,11 +88,12 @@
 }
 
 impl MemoryAccount {
-    /// Creates an account with a budget, in bytes.
-    pub fn new(budget_bytes: u64) -> MemoryAccount {
+    /// Creates an account with a budget, in bytes, in which these answers count that no connection holds yet.
+    pub fn new(budget_bytes: u64, answer_bytes: Rc<Cell<u64>>) -> MemoryAccount {
         MemoryAccount {
             budget_bytes,
             total_bytes: Cell::default(),
+            answer_bytes,
             by_purpose: Default::default(),
             addresses: RefCell::default(),
             prune_at: Cell::new(16),
@@ -108,6 +111,11 @@
         self.total_bytes.get()
     }
 
+    /// Returns the bytes of answers that no connection holds yet.
+    pub fn answer_bytes(&self) -> u64 {
+        self.answer_bytes.get()
+    }
+
     /// Returns the bytes held for a purpose.
     pub fn purpose_bytes(&self, purpose: Purpose) -> u64 {
         self.by_purpose[purpose as usize].get()
@@ -198,7 +206,8 @@
                 return more_bytes;
             }
         }
-        let needed = self.account.total_bytes.get().saturating_add(more_bytes);
+        let used = self.account.total_bytes.get() + self.account.answer_bytes.get();
+        let needed = used.saturating_add(more_bytes);
         needed.saturating_sub(limit)
     }
 
--- a/crates/relay/src/capacity.rs
+++ b/crates/relay/src/capacity.rs
@@ -75,8 +75,9 @@
     /// Creates a capacity of this much memory, in bytes, and this many descriptors. A connection takes one, and a
     /// request in progress one more.
     pub fn new(memory_bytes: u64, max_descriptors: u64) -> Capacity {
+        let memory = MemoryAccount::new(memory_bytes, Rc::default());
         Capacity {
-            memory: Rc::new(MemoryAccount::new(memory_bytes)),
+            memory: Rc::new(memory),
             max_descriptors,
             occupants: RefCell::default(),
             next_number: Cell::default(),
@@ -89,6 +90,12 @@
         }
     }
 
+    /// Sets where the memory is kept of answers that no connection holds yet, in bytes.
+    pub fn answer_bytes(mut self, answer_bytes: Rc<Cell<u64>>) -> Capacity {
+        self.memory = Rc::new(MemoryAccount::new(self.memory.budget_bytes(), answer_bytes));
+        self
+    }
+
     /// Returns the account of the memory.
     pub fn memory(&self) -> &MemoryAccount {
         &self.memory
@@ -256,6 +263,7 @@
             input_bytes = bytes(Purpose::Input),
             body_bytes = bytes(Purpose::Bodies),
             response_bytes = bytes(Purpose::Responses),
+            answer_bytes = self.memory.answer_bytes(),
             connections = self.connections(),
             running = self.running.get(),
             max_descriptors = self.max_descriptors,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -76,13 +76,14 @@
                     continue;
                 }
             };
-            let Ok(socket) = Socket::new(stream) else {
+            let Ok(mut socket) = Socket::new(stream) else {
                 continue;
             };
             let Some(seat) = self.capacity.admit(peer_addr.ip(), self.origin).await else {
                 connection::refuse(&socket);
                 continue;
             };
+            socket.take_turns();
             if let Some(bytes) = self.capacity.kernel_buffer_bytes() {
                 socket.bound_kernel_buffers(bytes);
             }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -53,7 +53,9 @@
     stream: Async<TcpStream>,
     buffer: BytesMut,
     eof: bool,
-    reads: u32,
+    /// Reads of a caller's connection so far, or none on connections to endpoints: there, a pending read says
+    /// that nothing has arrived.
+    reads: Option<u32>,
 }
 
 thread_local! {
@@ -100,7 +102,7 @@
             stream,
             buffer: BytesMut::new(),
             eof: false,
-            reads: 0,
+            reads: None,
         })
     }
 
@@ -154,9 +156,11 @@
 
     /// Reads at most this many bytes into the buffer. Returns false at end of file.
     pub(crate) async fn fill_by(&mut self, max_bytes: usize) -> io::Result<bool> {
-        self.reads += 1;
-        if self.reads.is_multiple_of(READS_PER_TURN) {
-            yield_now().await;
+        if let Some(reads) = &mut self.reads {
+            *reads = reads.wrapping_add(1);
+            if reads.is_multiple_of(READS_PER_TURN) {
+                yield_now().await;
+            }
         }
         let Socket { stream, buffer, .. } = self;
         let count = stream
@@ -166,6 +170,11 @@
         Ok(count > 0)
     }
 
+    /// Lets other tasks run between reads, however fast the peer sends.
+    pub(crate) fn take_turns(&mut self) {
+        self.reads = Some(0);
+    }
+
     /// Returns the memory of the buffer, in bytes.
     pub(crate) fn buffer_capacity(&self) -> usize {
         self.buffer.capacity()
--- a/crates/relay/tests/account.rs
+++ b/crates/relay/tests/account.rs
@@ -58,7 +58,7 @@
     /// Guards against memory that is not refunded, or refunded twice, on some order of events.
     #[test]
     fn the_account_is_the_sum_of_its_holdings(steps in prop::collection::vec(step(), 0..200)) {
-        let account = Rc::new(MemoryAccount::new(BUDGET_BYTES));
+        let account = Rc::new(MemoryAccount::new(BUDGET_BYTES, Rc::default()));
         let mut holdings: Vec<Holding> = Vec::new();
         let began = Instant::now();
         for (number, step) in steps.into_iter().enumerate() {
@@ -93,7 +93,7 @@
 /// Guards against callers that take the memory of the requests of peers, and one address that takes that of others.
 #[test]
 fn callers_leave_memory_to_peers_and_an_address_to_others() {
-    let account = Rc::new(MemoryAccount::new(BUDGET_BYTES));
+    let account = Rc::new(MemoryAccount::new(BUDGET_BYTES, Rc::default()));
     let now = Instant::now();
     let greedy = open(&account, 1, Origin::Callers);
     let other = open(&account, 2, Origin::Callers);
--- a/crates/serve/src/buffered_body.rs
+++ b/crates/serve/src/buffered_body.rs
@@ -9,22 +9,24 @@
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
-use relay::Exchange;
+use relay::{Exchange, Framing};
 
 /// Maximum size of one buffered body, in bytes.
 const MAX_BODY_BYTES: u64 = 16 << 20;
 
-/// Maximum size of all buffered bodies of one thread, in bytes, so that endpoints that send bytes
-/// without end do not use up the instance's memory.
-const MAX_TOTAL_BYTES: u64 = 32 << 20;
+/// The most memory that is allocated for a body of known length before its bytes arrive.
+const MAX_RESERVED_BYTES: u64 = 1 << 20;
 
 /// The bodies that are being buffered. When they are too large together, the largest one gives way, which
 /// is that of an endpoint that sends without end rather than a sound one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct BufferedBytes {
+    /// Maximum size of all of them, in bytes, so that endpoints that send bytes without end do not use up the
+    /// instance's memory.
+    max_total_bytes: u64,
     bodies: RefCell<Vec<Rc<BufferedBody>>>,
     /// The size of those that do not give way, in bytes.
-    total: Cell<u64>,
+    total: Rc<Cell<u64>>,
 }
 
 /// The size of one body that is being buffered.
@@ -93,6 +95,19 @@
 }
 
 impl BufferedBytes {
+    pub(crate) fn new(max_total_bytes: u64) -> BufferedBytes {
+        BufferedBytes {
+            max_total_bytes,
+            bodies: RefCell::default(),
+            total: Rc::default(),
+        }
+    }
+
+    /// Returns the size of those that do not give way, in bytes, which goes on to change.
+    pub(crate) fn total(&self) -> Rc<Cell<u64>> {
+        self.total.clone()
+    }
+
     fn reserve(&self) -> Reservation<'_> {
         let body: Rc<BufferedBody> = Rc::default();
         self.bodies.borrow_mut().push(body.clone());
@@ -104,7 +119,7 @@
 
     /// Makes the largest bodies give way until the others are small enough together.
     fn make_room(&self) {
-        while self.total.get() > MAX_TOTAL_BYTES {
+        while self.total.get() > self.max_total_bytes {
             let bodies = self.bodies.borrow();
             let kept = bodies.iter().filter(|body| !body.gives_way.get());
             let Some(largest) = kept.max_by_key(|body| body.bytes.get()) else {
@@ -141,6 +156,10 @@
         while let Some(bytes) = body.must_give_way().or(exchange.next()).await? {
             reservation.grow(bytes.len() as u64)?;
             if whole.is_empty() {
+                // Growth by doubling could leave half of the memory unused for as long as the body is kept.
+                if let Framing::Length(length) = exchange.framing() {
+                    whole.reserve(length.min(MAX_RESERVED_BYTES) as usize);
+                }
                 whole.extend_from_slice(&first);
             }
             whole.extend_from_slice(&bytes);
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -68,6 +68,7 @@
             context: Rc::new(RequestContext {
                 started_ms: clock.mono_ms(),
                 fleet_size: RefCell::new(FleetSize::new(settings.configured_instances)),
+                buffered_bytes: BufferedBytes::new(settings.max_buffered_bytes),
                 settings,
                 caller_protocol,
                 endpoint_protocol,
@@ -83,7 +84,6 @@
                 baselines: LatencyBaselines::default(),
                 size_book: SizeBook::default(),
                 reach_probes: RefCell::default(),
-                buffered_bytes: BufferedBytes::default(),
                 peer_states: Rc::default(),
                 carried_count: CarriedCount::default(),
                 stop: StopSignal::new(),
@@ -118,6 +118,11 @@
         self.context.counters.clone()
     }
 
+    /// Returns the memory of the response bodies that are being read, in bytes, which goes on to change.
+    pub fn buffered_bytes(&self) -> Rc<Cell<u64>> {
+        self.context.buffered_bytes.total()
+    }
+
     /// Probes endpoints that may be out of reach, as long as it is polled.
     pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
         reach::probe(self.context.clone())
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -19,8 +19,13 @@
     pub connect_timeout_ms: u64,
     /// Cost of one run of a model's largest size on idle engines, in good answers.
     pub largest_run_cost: f64,
+    /// Memory of all response bodies that are being read together, in bytes.
+    pub max_buffered_bytes: u64,
 }
 
+/// As much as two of the largest bodies.
+const MAX_BUFFERED_BYTES: u64 = 32 << 20;
+
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
 const CONNECT_TIMEOUT_MS: u64 = 150;
 
@@ -37,6 +42,7 @@
             configured_instances: 1,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
         }
     }
 
@@ -58,6 +64,12 @@
         self
     }
 
+    /// Sets the memory of all response bodies that are being read together, in bytes, if it is less than usual.
+    pub fn max_buffered_bytes(mut self, bytes: u64) -> Settings {
+        self.max_buffered_bytes = bytes.min(MAX_BUFFERED_BYTES);
+        self
+    }
+
     /// Sets the timeout for connecting to an endpoint, in milliseconds.
     pub fn connect_timeout_ms(mut self, timeout_ms: u64) -> Settings {
         self.connect_timeout_ms = timeout_ms;
