--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -72,6 +72,7 @@
                 started_ms: clock.mono_ms(),
                 fleet_size: RefCell::new(FleetSize::new(settings.configured_instances)),
                 endpoint_states: EndpointStates::new(&settings, &clock),
+                buffered_bytes: BufferedBytes::new(settings.max_buffered_bytes),
                 settings,
                 caller_protocol,
                 endpoint_protocol,
@@ -89,7 +90,6 @@
                 service_orders: ServiceOrders::default(),
                 run_book: RunBook::default(),
                 reach_probes: RefCell::default(),
-                buffered_bytes: BufferedBytes::default(),
                 peer_states: Rc::default(),
                 carried_count: CarriedCount::default(),
                 stop: StopSignal::new(),
@@ -124,6 +124,11 @@
         self.context.counters.clone()
     }
 
+    /// Returns the memory of the response bodies that are being read, in bytes, which goes on to change.
+    pub fn buffered_bytes(&self) -> Rc<Cell<u64>> {
+        self.context.buffered_bytes.total()
+    }
+
     /// Probes endpoints that may be out of reach, as long as it is polled.
     pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
         reach::probe(self.context.clone())
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -26,8 +26,13 @@
     /// Whether requests for model engines are ordered by what their delay costs while capacity is
     /// short.
     pub service_order: bool,
+    /// Memory of all response bodies that are being read together, in bytes.
+    pub max_buffered_bytes: u64,
 }
 
+/// As much as two of the largest bodies.
+const MAX_BUFFERED_BYTES: u64 = 32 << 20;
+
 /// Several round trips to another zone. A lost SYN is retransmitted only after a second.
 const CONNECT_TIMEOUT_MS: u64 = 150;
 
@@ -47,6 +52,7 @@
             cold_overage: 1.0,
             cold_slack: 0.0,
             service_order: false,
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
         }
     }
 
@@ -79,6 +85,9 @@
     /// Sets whether requests are ordered by what their delay costs while capacity is short.
     pub fn service_order(mut self, is_on: bool) -> Settings {
         self.service_order = is_on;
+    /// Sets the memory of all response bodies that are being read together, in bytes, if it is less than usual.
+    pub fn max_buffered_bytes(mut self, bytes: u64) -> Settings {
+        self.max_buffered_bytes = bytes.min(MAX_BUFFERED_BYTES);
         self
     }
 
