--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -119,12 +119,13 @@
         Ok(())
     }
 
-    /// Estimates the time to write the answer, in milliseconds.
+    /// Estimates the time to write the answer, in milliseconds; 0 while its length is not known.
     fn decode_ms(&self, context: &RequestContext) -> f64 {
-        // The largest length that the caller allows bounds the usual length by a multiple, so that
-        // it orders requests of a class, and is no estimate of their end.
-        let _ = context;
-        0.0
+        let run = self.run_outlook(context, self.size, self.events_before());
+        run.map_or(0.0, |run| {
+            let events_left = (run.length.median_events - run.written).max(0.0);
+            run.event_ms * events_left
+        })
     }
 
     fn pressure(&self, context: &RequestContext, view: &View) -> Pressure {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -85,6 +85,9 @@
     /// Sets whether requests are ordered by what their delay costs while capacity is short.
     pub fn service_order(mut self, is_on: bool) -> Settings {
         self.service_order = is_on;
+        self
+    }
+
     /// Sets the memory of all response bodies that are being read together, in bytes, if it is less than usual.
     pub fn max_buffered_bytes(mut self, bytes: u64) -> Settings {
         self.max_buffered_bytes = bytes.min(MAX_BUFFERED_BYTES);
