--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,8 +1,10 @@
 //! A TCP connection with a read buffer.
 
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::task::{Poll, ready};
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
@@ -47,6 +49,40 @@
     future.or(expire).await
 }
 
+/// Reads like [`read_into`], and waits until there is something to read.
+///
+/// `Async::read_with` missed one wake-up in some hundred calls, so that they hung.
+async fn read_when_ready(
+    stream: &Async<TcpStream>,
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> io::Result<usize> {
+    poll_fn(|cx| {
+        loop {
+            match read_into(stream.get_ref(), buffer, max_bytes) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+            ready!(stream.poll_readable(cx))?;
+        }
+    })
+    .await
+}
+
+/// Writes some of the bytes, and waits until that is possible.
+async fn write_when_ready(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
+    poll_fn(|cx| {
+        loop {
+            match stream.get_ref().write(bytes) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+            ready!(stream.poll_writable(cx))?;
+        }
+    })
+    .await
+}
+
 /// A TCP connection with a buffer of bytes that were read and not consumed yet.
 #[derive(Debug)]
 pub struct Socket {
@@ -163,9 +199,7 @@
             }
         }
         let Socket { stream, buffer, .. } = self;
-        let count = stream
-            .read_with(|stream| read_into(stream, buffer, max_bytes))
-            .await?;
+        let count = read_when_ready(stream, buffer, max_bytes).await?;
         self.eof |= count == 0;
         Ok(count > 0)
     }
@@ -210,9 +244,7 @@
     ///
     /// Fails if the connection fails.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream
-            .write_with(|mut stream| stream.write(bytes))
-            .await
+        write_when_ready(&self.stream, bytes).await
     }
 
     /// Writes all bytes; `timeout` applies to each write.
@@ -239,12 +271,12 @@
     pub(crate) async fn write_or_fill(&mut self, bytes: &[u8]) -> io::Result<Progress> {
         let Socket { stream, buffer, .. } = self;
         let write = async {
-            let written = stream.write_with(|mut stream| stream.write(bytes)).await;
+            let written = write_when_ready(stream, bytes).await;
             written.map(Progress::Written)
         };
         let read = async {
-            let read = stream.read_with(|stream| read_into(stream, buffer, READ_CHUNK_BYTES));
-            read.await.map(Progress::Read)
+            let read = read_when_ready(stream, buffer, READ_CHUNK_BYTES).await;
+            read.map(Progress::Read)
         };
         let progress = write.or(read).await?;
         self.eof |= progress == Progress::Read(0);
