--- a/crates/serve/src/completion.rs
+++ b/crates/serve/src/completion.rs
@@ -36,6 +36,9 @@
         size: Option<usize>,
         written: f64,
     ) -> Option<RunOutlook> {
+        if !context.settings.completion {
+            return None;
+        }
         let key = BaselineKey {
             service: self.service.clone(),
             size,
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -23,6 +23,8 @@
     pub cold_overage: f64,
     /// Requests in a second that a cold endpoint may get beyond that.
     pub cold_slack: f64,
+    /// Whether the chance that a run ends by its deadline is weighed.
+    pub completion: bool,
     /// Whether requests for model engines are ordered by what their delay costs while capacity is
     /// short.
     pub service_order: bool,
@@ -51,6 +53,7 @@
             largest_run_cost: DEFAULT_LARGEST_RUN_COST,
             cold_overage: 1.0,
             cold_slack: 0.0,
+            completion: true,
             service_order: false,
             max_buffered_bytes: MAX_BUFFERED_BYTES,
         }
@@ -82,6 +85,12 @@
         self
     }
 
+    /// Sets whether the chance that a run ends by its deadline is weighed.
+    pub fn completion(mut self, is_on: bool) -> Settings {
+        self.completion = is_on;
+        self
+    }
+
     /// Sets whether requests are ordered by what their delay costs while capacity is short.
     pub fn service_order(mut self, is_on: bool) -> Settings {
         self.service_order = is_on;
