entry: Raise the quota in the tests of broken answers

Ruled out: a fault in the answers, since all others were as expected. Change: the test's own deployment has a quota that it cannot reach; what it checks is unchanged.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -136,14 +136,18 @@
         json!({ "name": format!("raw-{index}"), "addr": addr.to_string(), "zone": "thamel", "slots": 4 })
     });
     let rows: Value = rows.collect();
-    let mut revision = 0;
     for pool in ["runners-small", "gate"] {
         let path = format!("config/spec/pool/{pool}");
         let mut value = objects.get(&path).unwrap().value.unwrap();
         value["endpoints"] = rows.clone();
         value["repeatable"] = true.into();
-        revision = objects.put(&path, value, Precondition::Any).unwrap();
+        objects.put(&path, value, Precondition::Any).unwrap();
     }
+    // A fast machine sends these requests above the quota of the deployment, 400 per second.
+    let path = "config/spec/workspace/bir-hospital";
+    let mut workspace = objects.get(path).unwrap().value.unwrap();
+    workspace["quota_per_s"] = json!(1e6);
+    let revision = objects.put(path, workspace, Precondition::Any).unwrap();
     let addr = cluster.instances[0].http_addr();
     wait_until("the endpoints are in use", || {
         let get = HttpClient::default();
