serve: Apply weigh_completion where completion times are evaluated

While the setting was off, the lookup of lengths and paces returned nothing, so that the order of requests knew the prefill alone as the work of a request. The switch now applies in check_end_in_time, in the size decisions and in moves. Lengths and paces are learned only if that setting or the service order is on.

--- a/crates/serve/src/completion.rs
+++ b/crates/serve/src/completion.rs
@@ -36,9 +36,6 @@
         size: Option<usize>,
         written: f64,
     ) -> Option<RunOutlook> {
-        if !context.settings.completion {
-            return None;
-        }
         let key = BaselineKey {
             service: self.service.clone(),
             size,
@@ -57,6 +54,19 @@
         })
     }
 
+    /// Like [`ActiveRequest::run_outlook`], but `None` also if the settings do not weigh completion.
+    pub(crate) fn weighed_outlook(
+        &self,
+        context: &RequestContext,
+        size: Option<usize>,
+        written: f64,
+    ) -> Option<RunOutlook> {
+        if !context.settings.completion {
+            return None;
+        }
+        self.run_outlook(context, size, written)
+    }
+
     pub(crate) fn length_key(&self, size: Option<usize>) -> LengthKey {
         let workspace = self.workspace.as_ref();
         LengthKey {
@@ -93,10 +103,10 @@
     ///
     /// Fails if no run can end in time; the request did not run then.
     pub(crate) fn check_end_in_time(&self, context: &RequestContext) -> Result<(), Failure> {
-        let mut sizes = vec![self.size];
-        if self.size.is_some() {
-            sizes = (0..self.route.model_sizes.len()).map(Some).collect();
+        if !context.settings.completion {
+            return Ok(());
         }
+        let sizes = self.permitted_sizes();
         let ratio = self.fastest_ratio(context);
         let left_ms = self.deadline_left_ms();
         let mut best_chance: f64 = 0.0;
@@ -123,6 +133,14 @@
         Err(failure.retry_after_ms(self.retry_after_ms(HOPELESS_RETRY_AFTER_MS)))
     }
 
+    /// Returns the sizes with which the request may begin.
+    pub(crate) fn permitted_sizes(&self) -> Vec<Option<usize>> {
+        if self.size.is_none() {
+            return vec![None];
+        }
+        (0..self.route.model_sizes.len()).map(Some).collect()
+    }
+
     /// Returns the ratio of the fastest endpoint that may run the request.
     fn fastest_ratio(&self, context: &RequestContext) -> f64 {
         let now_ms = context.now_ms();
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -111,7 +111,7 @@
         started: &StartedResponse,
     ) -> CurrentAnswer {
         let ratio = endpoint_ratio(&started.call_guard.endpoint_state, context.now_ms());
-        let run = self.run_outlook(context, Some(size), self.events_before());
+        let run = self.weighed_outlook(context, Some(size), self.events_before());
         let left_ms = self.deadline_left_ms();
         CurrentAnswer {
             size,
@@ -198,7 +198,7 @@
                 good_share: good_shares[size],
                 relative_time: times[size],
                 first_event_ms: wait_ms + reading_ms,
-                run: self.run_outlook(context, Some(size), written),
+                run: self.weighed_outlook(context, Some(size), written),
             });
         }
         sizes
--- a/crates/serve/src/projection.rs
+++ b/crates/serve/src/projection.rs
@@ -142,7 +142,7 @@
         can_move: bool,
     ) -> Option<MovePlan> {
         let now_ms = context.now_ms();
-        let run = request.run_outlook(context, request.size, self.written(request))?;
+        let run = request.weighed_outlook(context, request.size, self.written(request))?;
         let left_ms = request.deadline_left_ms();
         let ratio = endpoint_ratio(&response.call_guard.endpoint_state, now_ms);
         let here = run
@@ -235,6 +235,9 @@
         response: &StartedResponse,
         is_whole: bool,
     ) {
+        if !context.settings.learns_runs() {
+            return;
+        }
         // A peer records what it carries, and a caller that resumes has a part of the answer already.
         if response.carried.is_some() || request.info.resume_after.is_some() {
             return;
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -97,6 +97,11 @@
         self
     }
 
+    /// Returns whether lengths of answers and times per event are needed.
+    pub(crate) fn learns_runs(&self) -> bool {
+        self.completion || self.service_order
+    }
+
     /// Sets the memory of all response bodies that are being read together, in bytes, if it is less than usual.
     pub fn max_buffered_bytes(mut self, bytes: u64) -> Settings {
         self.max_buffered_bytes = bytes.min(MAX_BUFFERED_BYTES);
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -131,7 +131,7 @@
     /// Records the pace of the run, also of one that will be cut, and moves the run if it is not expected
     /// to end by the deadline and would at another endpoint.
     async fn check_pace(&mut self) {
-        if self.response.carried.is_some() {
+        if self.response.carried.is_some() || !self.context.settings.learns_runs() {
             return;
         }
         let Some(event_ms) = self.projection.next_pace() else {
