limits, serve: Use one engine priority for each class in time

Engines preempt running requests by the number, so that numbers for short work and for second attempts preempted streams of the same class. All requests of a class that can be in time now have the number that they have without an order (2, 4, 6, and 7 above priority 2), late ones 8; a workspace that gives way stands behind the next class (5 or 7). Waits are measured by number: those of requests that give way made others of their class count as late. The load of a pool leaves out evacuated zones and is summed at most every 20 ms. A request is refused only if even a run at the 5% quantile of its length and pace on the fastest endpoint would end late, and only if it has not run.

--- a/crates/policy/src/run_outlook.rs
+++ b/crates/policy/src/run_outlook.rs
@@ -15,6 +15,9 @@
 /// Chance below which a run cannot end in time for the decisions that cost its caller an answer.
 const HOPELESS_CHANCE: f64 = 0.05;
 
+/// The same chance as a quantile of a normal distribution, in standard deviations.
+const HOPELESS_DEVIATIONS: f64 = -1.6449;
+
 /// Returns whether a run with this chance of an end by the deadline counts as one that cannot.
 pub fn is_hopeless(end_chance: f64) -> bool {
     end_chance < HOPELESS_CHANCE
@@ -64,6 +67,16 @@
         }
     }
 
+    /// Returns the time from the first event on, in milliseconds, in which the run cannot end.
+    ///
+    /// Where its events left may be none, this is 0.
+    pub fn least_ms(&self) -> f64 {
+        let spread = self.length.spread.hypot(self.pace_spread);
+        let least_factor = (HOPELESS_DEVIATIONS * spread).exp();
+        let length = (self.length.median_events * least_factor).min(self.length.max_events);
+        self.event_ms * (length - self.written).max(0.0)
+    }
+
     /// Returns the run at an endpoint whose time per event is `ratio` times the usual.
     pub fn at_ratio(self, ratio: f64) -> RunOutlook {
         RunOutlook {
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -93,7 +93,7 @@
     pub(crate) end_is_recorded: bool,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
-    /// Engine priority of the next send while capacity is short.
+    /// Engine priority of the last or next send, if requests of the service are ordered.
     pub(crate) rank: Option<u8>,
     /// Index of the smaller size whose answer was discarded before this run.
     pub(crate) unsure_size: Option<usize>,
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -22,6 +22,25 @@
     }
 }
 
+/// Returns the endpoints of a pool to which requests may be sent, each with the share of all requests that
+/// may be sent to it.
+pub(crate) fn open_endpoints<'a>(
+    view: &View,
+    pool: &'a Pool,
+    now_ms: u64,
+) -> Vec<(&'a Arc<Endpoint>, f64)> {
+    let is_open = |endpoint: &Endpoint| !view.is_evacuated(&endpoint.zone, now_ms);
+    let mut open = Vec::with_capacity(pool.endpoints.len());
+    for (unit, rollout_share) in pool.session_groups() {
+        for endpoint in pool.eligible_among(unit, is_open) {
+            let evacuation = view.evacuations.get(&endpoint.zone);
+            let left_share = evacuation.map_or(0.0, |zone| zone.share(now_ms));
+            open.push((endpoint, rollout_share * (1.0 - left_share)));
+        }
+    }
+    open
+}
+
 /// Returns the endpoints of a pool that may run a request.
 pub(crate) fn eligible<'a>(
     request: &ActiveRequest,
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -1,17 +1,21 @@
 //! The rank of a request among those of its service while capacity is short.
 
-use kernel::{Failure, Reason};
-use limits::{Order, PendingRequest, Pressure};
+use kernel::{Failure, Reason, Verdict};
+use limits::{Order, PendingRequest, Pressure, ServiceOrder};
 
 use crate::active_request::ActiveRequest;
+use crate::baseline::BaselineKey;
+use crate::completion::endpoint_ratio;
+use crate::evacuation::open_endpoints;
 use crate::request_context::RequestContext;
+use crate::service_orders::PoolLoad;
 use crate::view::View;
 
 /// Retry-after of a request that cannot end before its deadline, in milliseconds: a part of a burst.
 const REFUSED_RETRY_AFTER_MS: u64 = 400;
 
 impl ActiveRequest {
-    /// Determines the engine priority of the next send while capacity is short.
+    /// Determines the engine priority of the next send.
     ///
     /// # Errors
     ///
@@ -29,24 +33,28 @@
         let prefill_ms = self.reading_ms(context);
         let work_ms = prefill_ms + self.decode_ms(context);
         let fixed_ms = context.baselines.fixed_ms(&self.service);
+        let pool = self.pool_load(context, view);
         let request = PendingRequest {
             priority: self.priority(),
             workspace,
             work_ms,
             first_event_ms: fixed_ms + prefill_ms,
             objective_left_ms: self.objective_left_ms(),
-            end_ms: fixed_ms + work_ms,
-            deadline_left_ms: self.remaining().as_millis() as f64,
-            has_waited: self.has_waited(),
+            least_end_ms: fixed_ms + self.least_run_ms(context) * pool.fastest_ratio,
+            deadline_left_ms: self.deadline_left_ms(),
+            // One that may have run before cannot be refused as not run.
+            may_be_refused: self.verdict == Verdict::NotRun,
+        };
+        let pressure = Pressure {
+            wait_share: context.baselines.wait_share(&self.service),
+            load_share: pool.load_share,
         };
-        let pressure = self.pressure(context, view);
         let service = &self.service;
         let order = context
             .service_orders
             .order(service, &request, pressure, context.now_ms());
-        self.rank = None;
         match order {
-            None => return Ok(()),
+            None => self.rank = Some(ServiceOrder::class_rank(request.priority)),
             Some(Order::Send(rank, reason)) => {
                 self.rank = Some(rank);
                 let observer = &context.observer;
@@ -79,18 +87,46 @@
         })
     }
 
-    fn pressure(&self, context: &RequestContext, view: &View) -> Pressure {
-        let mut load = 0.0;
-        let mut slots = 0.0;
-        if let Some(pool) = view.pools.get(&self.service) {
-            for endpoint in pool.eligible(self.session_unit()) {
-                load += context.endpoint_states.of(endpoint).load();
-                slots += f64::from(endpoint.slots);
-            }
-        }
-        Pressure {
-            wait_share: context.baselines.wait_share(&self.service),
-            load_share: if slots > 0.0 { load / slots } else { 0.0 },
+    /// Estimates the least time in which a run of any permitted size may read the prompt and write the
+    /// answer at an endpoint of ordinary speed, in milliseconds.
+    fn least_run_ms(&self, context: &RequestContext) -> f64 {
+        let mut least_ms = f64::INFINITY;
+        for size in self.permitted_sizes() {
+            let key = BaselineKey {
+                service: self.service.clone(),
+                size,
+            };
+            let reading_ms = context.baselines.reading_ms(&key, self.info.new_tokens());
+            let run = self.run_outlook(context, size, self.events_before());
+            let writing_ms = run.map_or(0.0, |run| run.least_ms());
+            least_ms = least_ms.min(reading_ms + writing_ms);
         }
+        least_ms
+    }
+
+    /// Returns the load of the endpoints to which requests of the service may be sent.
+    fn pool_load(&self, context: &RequestContext, view: &View) -> PoolLoad {
+        let now_ms = context.now_ms();
+        let sum = || {
+            let mut load = 0.0;
+            let mut slots = 0.0;
+            let mut fastest_ratio: f64 = 1.0;
+            let pool = view.pools.get(&self.service);
+            let open = pool.map_or(Vec::new(), |pool| open_endpoints(view, pool, now_ms));
+            for (endpoint, share) in open {
+                let state = context.endpoint_states.of(endpoint);
+                if state.is_misdirected() || state.is_leaving() {
+                    continue;
+                }
+                load += state.load() * share;
+                slots += f64::from(endpoint.slots) * share;
+                fastest_ratio = fastest_ratio.min(endpoint_ratio(&state, now_ms));
+            }
+            PoolLoad {
+                load_share: if slots > 0.0 { load / slots } else { 0.0 },
+                fastest_ratio,
+            }
+        };
+        context.service_orders.pool_load(&self.service, now_ms, sum)
     }
 }
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -24,6 +24,17 @@
     Withdrawn,
 }
 
+impl RolloutStage {
+    /// Returns the share of all sessions that go to the new version.
+    fn share(self) -> f64 {
+        match self {
+            RolloutStage::Trial(share) | RolloutStage::Ramping(share) => share,
+            RolloutStage::Done => 1.0,
+            RolloutStage::Withdrawn => 0.0,
+        }
+    }
+}
+
 /// State of a roll-out, as needed to choose endpoints.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutView {
@@ -102,6 +113,16 @@
         self.eligible_among(unit, |_| true)
     }
 
+    /// Returns a unit for each group of sessions that has the same eligible endpoints, and the share of all
+    /// sessions in the group.
+    pub(crate) fn session_groups(&self) -> impl Iterator<Item = (f64, f64)> + use<> {
+        let rollout = self.rollout.as_ref();
+        let share = rollout.map_or(0.0, |rollout| rollout.stage.share().clamp(0.0, 1.0));
+        // The target's group begins at unit 0, the other one at its share.
+        let groups = [(0.0, share), (share, 1.0 - share)];
+        groups.into_iter().filter(|(_, size)| *size > 0.0)
+    }
+
     /// Like [`Pool::eligible`], but as if there were only the endpoints that are open.
     pub(crate) fn eligible_among(
         &self,
@@ -113,11 +134,7 @@
         let Some(rollout) = &self.rollout else {
             return open;
         };
-        let share = match rollout.stage {
-            RolloutStage::Trial(share) | RolloutStage::Ramping(share) => share,
-            RolloutStage::Done => 1.0,
-            RolloutStage::Withdrawn => 0.0,
-        };
+        let share = rollout.stage.share();
         let on_target = unit < share;
         let mut chosen = of_version(&open, &rollout.target, on_target);
         if on_target {
