serve: Test the order of requests as deployed, and describe it

A test with weigh_completion off sends a request that is too short for its answer beside a stream: it is refused on a full pool, also if the only free slot is in an evacuated zone, and sent if a slot is free. Another one compares the endpoint priorities of a first and a second attempt.

--- a/crates/policy/src/run_outlook.rs
+++ b/crates/policy/src/run_outlook.rs
@@ -67,9 +67,19 @@
         }
     }
 
-    /// Returns the time from the first event on, in milliseconds, in which the run cannot end.
+    /// Returns the time from the first event on, in milliseconds, below which the run hardly ends; 0 if its
+    /// answer may be whole already.
     ///
-    /// Where its events left may be none, this is 0.
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::{AnswerLength, RunOutlook};
+    ///
+    /// let length = AnswerLength { median_events: 36.0, spread: 0.4, max_events: f64::INFINITY };
+    /// let run = RunOutlook { event_ms: 480.0, pace_spread: 0.2, length, written: 0.0 };
+    /// assert!(run.end_chance(run.least_ms()) < 0.1);
+    /// assert!(run.end_chance(2.0 * run.least_ms()) > 0.3);
+    /// ```
     pub fn least_ms(&self) -> f64 {
         let spread = self.length.spread.hypot(self.pace_spread);
         let least_factor = (HOPELESS_DEVIATIONS * spread).exp();
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use kernel::Failure;
-use limits::WindowedRetrySettings;
+use limits::{WindowedRetrySettings, ZoneEvacuation};
 use relay::{Body, Handler, Headers, Request, RequestHead, Response, ResponseHead};
 use route::{ColdStart, Route, Service, Table, Target};
 use serve::{
@@ -77,6 +77,7 @@
     fn encode(&self, attempt: &Attempt<'_>) -> Vec<u8> {
         let mut headers = Headers::default();
         headers.push("x-left-ms", attempt.remaining_ms.to_string());
+        headers.push("x-priority", attempt.priority.to_string());
         if let Some(parts) = attempt.head.headers.get("x-parts") {
             headers.push("x-parts", parts);
         }
@@ -189,12 +190,30 @@
         harness
     }
 
+    /// Creates a harness that orders requests, as deployed: without weighing ends of runs.
+    pub fn with_order(route: Route, endpoints: &[SocketAddr]) -> Harness {
+        let versions: Vec<(SocketAddr, &str)> =
+            endpoints.iter().map(|addr| (*addr, "v1")).collect();
+        let change = |settings: Settings| settings.service_order(true).completion(false);
+        Harness::with_settings(route, &versions, None, 10.0, change)
+    }
+
     /// Creates a harness whose endpoints run these versions.
     pub fn with_versions(
         route: Route,
         endpoints: &[(SocketAddr, &str)],
         rollout: Option<RolloutView>,
         floor: f64,
+    ) -> Harness {
+        Harness::with_settings(route, endpoints, rollout, floor, |settings| settings)
+    }
+
+    fn with_settings(
+        route: Route,
+        endpoints: &[(SocketAddr, &str)],
+        rollout: Option<RolloutView>,
+        floor: f64,
+        change: impl FnOnce(Settings) -> Settings,
     ) -> Harness {
         let service = Service {
             name: "app".into(),
@@ -236,7 +255,7 @@
             floor,
             window_ms: 10_000,
         };
-        let settings = Settings::new("here", repeats);
+        let settings = change(Settings::new("here", repeats));
         let clock: Arc<AgedClock> = Arc::default();
         let pipeline = Rc::new(Pipeline::new(
             settings,
@@ -305,6 +324,15 @@
         self.view.store(view.into());
     }
 
+    /// Evacuates zones altogether.
+    pub fn evacuate(&self, zones: &[&str]) {
+        let mut view: View = (**self.view.load()).clone();
+        let evacuated = |zone: &&str| (Arc::from(*zone), ZoneEvacuation::complete(5_000, 0));
+        view.evacuations = Arc::new(zones.iter().map(evacuated).collect());
+        view.generation += 1;
+        self.view.store(view.into());
+    }
+
     fn list(&self, mut change: impl FnMut(&mut Endpoint)) {
         let mut view = (**self.view.load()).clone();
         let mut pool = (*view.pools["app"]).clone();
--- a/crates/serve/tests/evacuation.rs
+++ b/crates/serve/tests/evacuation.rs
@@ -2,22 +2,10 @@
 
 mod common;
 
-use std::sync::Arc;
-
 use common::{Harness, Received, ScriptedEndpoint, answer, route};
-use limits::ZoneEvacuation;
 use route::RetrySafety;
 use serve::View;
 
-/// Evacuates zones altogether.
-fn evacuate(harness: &Harness, zones: &[&str]) {
-    let mut view: View = (**harness.view.load()).clone();
-    let evacuated = |zone: &&str| (Arc::from(*zone), ZoneEvacuation::complete(5_000, 0));
-    view.evacuations = Arc::new(zones.iter().map(evacuated).collect());
-    view.generation += 1;
-    harness.view.store(view.into());
-}
-
 fn is_refused_as_not_run(received: &Received) -> bool {
     received.status == 503 && received.verdict.as_deref() == Some("not-run")
 }
@@ -29,15 +17,15 @@
     let near = ScriptedEndpoint::start(vec![answer("near")]);
     let far = ScriptedEndpoint::start(vec![answer("far")]);
     let harness = Harness::new(route(RetrySafety::Idempotent), &[near.addr, far.addr], 10.0);
-    evacuate(&harness, &["here"]);
+    harness.evacuate(&["here"]);
     for _ in 0..20 {
         assert_eq!(harness.send(&[]).status, 200);
     }
     assert_eq!((near.request_count(), far.request_count()), (0, 20));
-    evacuate(&harness, &["here", "there"]);
+    harness.evacuate(&["here", "there"]);
     assert!(is_refused_as_not_run(&harness.send(&[])));
     assert_eq!((near.request_count(), far.request_count()), (0, 20));
-    evacuate(&harness, &[]);
+    harness.evacuate(&[]);
     assert_eq!(harness.send(&[]).status, 200);
 }
 
--- /dev/null
+++ b/crates/serve/tests/service_order.rs
@@ -0,0 +1,84 @@
+//! The order of requests while capacity is short, as deployed: without weighing ends of runs.
+
+mod common;
+
+use std::time::Duration;
+
+use async_io::Timer;
+use common::{Harness, Received, ScriptedEndpoint, Step, events, route, stream_end, stream_head};
+use futures_lite::future::{block_on, zip};
+use route::RetrySafety;
+
+/// Streams from which lengths and paces are learned, more than are needed for an estimate.
+const LEARNED: usize = 7;
+
+/// The script of a stream of ten events.
+fn stream(event_ms: u64) -> Vec<Step> {
+    let mut script = vec![stream_head(90)];
+    for id in 1..=10 {
+        script.extend([events(id..=id), Step::Sleep(event_ms)]);
+    }
+    script.push(stream_end());
+    script
+}
+
+/// Sends a request that is too short for its answer beside a stream, once lengths and paces are known, and
+/// returns what its caller receives and whether it was sent.
+fn send_beside_a_stream(endpoint_count: usize, evacuated: &[&str]) -> (Received, bool) {
+    let scripts = vec![stream(40); LEARNED + 3];
+    let mut endpoints = Vec::new();
+    for _ in 0..endpoint_count {
+        endpoints.push(ScriptedEndpoint::start(scripts.clone()));
+    }
+    let addrs: Vec<_> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
+    let harness = Harness::with_order(route(RetrySafety::ResumableStream), &addrs);
+    harness.list_slots(1);
+    harness.evacuate(evacuated);
+    for _ in 0..LEARNED {
+        assert!(harness.send(&[]).is_complete);
+    }
+    let sent = || -> usize { endpoints.iter().map(ScriptedEndpoint::request_count).sum() };
+    let short = async {
+        Timer::after(Duration::from_millis(100)).await;
+        let sent_before = sent();
+        let received = harness.send_async(&[("x-budget-ms", "100")]).await;
+        (received, sent() > sent_before)
+    };
+    let (stream, short) = block_on(zip(harness.send_async(&[]), short));
+    assert!(stream.is_complete);
+    short
+}
+
+/// Guards against a refusal that leaves out the time to write the answer, that counts the slots of
+/// evacuated zones as room, or that happens while slots are free.
+#[test]
+fn a_request_that_cannot_end_is_refused_only_if_no_slot_is_open_to_it() {
+    let cases: [(&str, usize, &[&str], bool); 3] = [
+        ("full", 1, &[], true),
+        ("the free slot is evacuated", 2, &["here"], true),
+        ("a slot is free", 2, &[], false),
+    ];
+    for (name, endpoint_count, evacuated, is_refused) in cases {
+        let (received, is_sent) = send_beside_a_stream(endpoint_count, evacuated);
+        let is_not_run = received.status == 503 && received.verdict.as_deref() == Some("not-run");
+        assert_eq!(is_not_run, is_refused, "{name}");
+        assert_eq!(is_sent, !is_refused, "{name}");
+    }
+}
+
+/// Guards against a second attempt that preempts running requests of its class.
+#[test]
+fn a_second_attempt_has_the_endpoint_priority_of_its_class() {
+    let rest = vec![stream_head(90), events(6..=6), stream_end()];
+    let endpoint = ScriptedEndpoint::start(vec![stream(0), rest]);
+    let harness = Harness::with_order(route(RetrySafety::ResumableStream), &[endpoint.addr]);
+    assert!(harness.send(&[]).is_complete);
+    assert!(harness.send(&[("x-after", "5")]).is_complete);
+    let priority = |index| {
+        let head = endpoint.head(index);
+        let line = head.lines().find(|line| line.starts_with("x-priority"));
+        line.map(str::to_owned)
+    };
+    assert!(priority(0).is_some());
+    assert_eq!(priority(0), priority(1));
+}
