--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -37,6 +37,10 @@
 /// second call fails by then.
 const HAND_OVER_MS: u64 = 250;
 
+/// Largest number of findings that are logged for one version, as a large configuration may repeat
+/// the same problem in every entry.
+const MAX_LOGGED_FINDINGS: usize = 50;
+
 /// How long an instance that no longer calls the store counts as one that it does not answer, in
 /// milliseconds.
 const LOST_STORE_MS: u64 = 10_000;
@@ -328,6 +332,9 @@
                     behind_ms,
                     "config: in force"
                 );
+                if current != Some(table.version()) {
+                    self.log_findings(object, table.version());
+                }
                 *self.table.borrow_mut() = Some(Arc::new(table));
             }
             Err(err) => {
@@ -340,6 +347,24 @@
         }
     }
 
+    /// Logs what the rules find in a configuration that comes into force. It has no other effect.
+    fn log_findings(&self, object: &Object, version: u64) {
+        let findings = self.codec.check_config(object);
+        for finding in findings.iter().take(MAX_LOGGED_FINDINGS) {
+            tracing::warn!(
+                version,
+                code = finding.code.name(),
+                place = finding.place,
+                problem = finding.message,
+                "config: finding"
+            );
+        }
+        let left_out = findings.len().saturating_sub(MAX_LOGGED_FINDINGS);
+        if left_out > 0 {
+            tracing::warn!(version, left_out, "config: findings left out");
+        }
+    }
+
     fn apply_endpoint(&self, object: &Object) {
         if object.path.ends_with(STATUS_SUFFIX) {
             return;
