serve, route, platform: Keep requests in the home regions of routes and workspaces

Routes and workspaces could not say in which regions their requests may run, so data could go to endpoints in any region.

The endpoints that may run a request leave out those outside the homes for every attempt, requests are handed over only to peers in them, and a service without an endpoint there refuses at once (503, not run, with a retry-after). The regions of zones come from the settings. The order of requests, the estimates of completion and moves take the same endpoints, now also without evacuated zones.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the control thread.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -40,6 +41,8 @@
     pub expiry_grace_ms: u64,
     /// How long the evacuation of a zone may take, in milliseconds; none are followed without it.
     pub evacuate_ms: Option<u64>,
+    /// Regions by zone.
+    pub regions: Arc<BTreeMap<Arc<str>, Arc<str>>>,
     /// The shares and times by which traffic moves to a new version.
     pub rollout: rollout::TimedRolloutSettings,
 }
@@ -88,6 +91,7 @@
             watchers: WATCHERS,
             expiry_grace_ms: EXPIRY_GRACE_MS,
             evacuate_ms: None,
+            regions: Arc::default(),
             rollout: rollout::TimedRolloutSettings::default(),
         }
     }
@@ -150,6 +154,12 @@
         self
     }
 
+    /// Sets the regions of zones.
+    pub fn regions(mut self, regions: BTreeMap<Arc<str>, Arc<str>>) -> Settings {
+        self.regions = Arc::new(regions);
+        self
+    }
+
     /// Returns the feeds that the instance follows. Each call about one is paid for.
     pub fn feeds(&self) -> impl Iterator<Item = Feed> {
         let follows_evacuations = self.evacuate_ms.is_some();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -328,6 +328,7 @@
                     behind_ms,
                     "config: in force"
                 );
+                self.log_unknown_homes(&table);
                 *self.table.borrow_mut() = Some(Arc::new(table));
             }
             Err(err) => {
@@ -340,6 +341,16 @@
         }
     }
 
+    /// Logs the home regions in which no zone is. They are in force, as a home says where data may go.
+    fn log_unknown_homes(&self, table: &route::Table) {
+        for region in table.home_regions() {
+            let mut known = self.settings.regions.values();
+            if !known.any(|known| known == region) {
+                tracing::warn!(region = &**region, "config: home region without a zone");
+            }
+        }
+    }
+
     fn apply_endpoint(&self, object: &Object) {
         if object.path.ends_with(STATUS_SUFFIX) {
             return;
@@ -666,6 +677,7 @@
             store_unreachable: self.store_unavailable(),
             evacuations,
             awaits_evacuations,
+            regions: self.settings.regions.clone(),
         }));
     }
 }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -74,6 +74,7 @@
     ordered: Family<OrderLabels, Counter>,
     retries: Gauge<u64, AtomicU64>,
     refused_retries: Gauge<u64, AtomicU64>,
+    without_home: Gauge<u64, AtomicU64>,
     handed_over: Gauge<u64, AtomicU64>,
     carried: Gauge<u64, AtomicU64>,
     escalated: Gauge<u64, AtomicU64>,
@@ -108,6 +109,7 @@
         let ordered = Family::<OrderLabels, Counter>::default();
         let retries = Gauge::default();
         let refused_retries = Gauge::default();
+        let without_home = Gauge::default();
         let handed_over = Gauge::default();
         let carried = Gauge::default();
         let escalated = Gauge::default();
@@ -148,6 +150,11 @@
             "Retries that the retry budget did not allow",
             refused_retries.clone(),
         );
+        registry.register(
+            "without_home",
+            "Requests for which no endpoint was in a home region",
+            without_home.clone(),
+        );
         registry.register(
             "handed_over",
             "Requests handed over to a peer, once for each peer",
@@ -250,6 +257,7 @@
             ordered,
             retries,
             refused_retries,
+            without_home,
             handed_over,
             carried,
             escalated,
@@ -279,6 +287,8 @@
         self.retries.set(counters.retries.load(Ordering::Relaxed));
         self.refused_retries
             .set(counters.refused_retries.load(Ordering::Relaxed));
+        self.without_home
+            .set(counters.without_home.load(Ordering::Relaxed));
         self.handed_over
             .set(counters.handed_over.load(Ordering::Relaxed));
         self.carried.set(counters.carried.load(Ordering::Relaxed));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,12 +15,14 @@
 //! assert_eq!(&*found.name, "gates");
 //! ```
 
+mod homes;
 mod limit;
 mod route;
 mod service;
 mod table;
 mod workspace;
 
+pub use homes::common_homes;
 pub use limit::CallerLimits;
 pub use route::{RetrySafety, Route, Target};
 pub use service::{ColdStart, Engine, ModelSize, Service};
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -78,6 +78,8 @@
     pub public: bool,
     /// Whether requests that share a prompt prefix should go to the same endpoint, for its cache.
     pub prefix_affinity: bool,
+    /// Regions in which requests may run, or `None` for all.
+    pub homes: Option<Arc<[Arc<str>]>>,
 }
 
 const DEFAULT_MAX_ATTEMPTS: u32 = 2;
@@ -101,6 +103,7 @@
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             public: false,
             prefix_affinity: false,
+            homes: None,
         }
     }
 
@@ -140,6 +143,12 @@
         self
     }
 
+    /// Sets the regions in which requests may run.
+    pub fn homes(mut self, homes: &[&str]) -> Route {
+        self.homes = Some(homes.iter().map(|home| Arc::from(*home)).collect());
+        self
+    }
+
     /// Sets whether requests without an API key are accepted.
     pub fn public(mut self, public: bool) -> Route {
         self.public = public;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,6 +1,6 @@
 //! Routing table built from one version of the configuration.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::limit::CallerLimits;
@@ -85,6 +85,19 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the routes of a host, the longest prefix first.
+    pub fn routes(&self, host: &str) -> &[Arc<Route>] {
+        self.hosts.get(host).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the home regions of all routes and workspaces.
+    pub fn home_regions(&self) -> BTreeSet<&Arc<str>> {
+        let of_routes = self.hosts.values().flatten().flat_map(|route| &route.homes);
+        let of_workspaces = self.keys.values().flat_map(|workspace| &workspace.homes);
+        let lists = of_routes.chain(of_workspaces);
+        lists.flat_map(|homes| homes.iter()).collect()
+    }
+
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/route/src/workspace.rs
+++ b/crates/route/src/workspace.rs
@@ -9,4 +9,6 @@
     pub name: Arc<str>,
     /// Priority that overrides the route's, where 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run, or `None` for all.
+    pub homes: Option<Arc<[Arc<str>]>>,
 }
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use route::{KeyError, Route, Table, Target, Workspace};
+use route::{KeyError, Route, Table, Target, Workspace, common_homes};
 
 fn table() -> Table {
     let workspace = Workspace {
         name: "hospital".into(),
         priority: Some(1),
+        homes: None,
     };
     Table::new(3)
         .with_route(
@@ -82,3 +83,29 @@
         }
     }
 }
+
+/// Guards against a request that runs where only one of its route and its workspace permits it.
+#[test]
+fn the_homes_of_route_and_workspace_both_apply() {
+    let list = |homes: &[&str]| -> Option<Arc<[Arc<str>]>> {
+        Some(homes.iter().map(|home| Arc::from(*home)).collect())
+    };
+    let cases = [
+        (None, None, None),
+        (list(&["a", "b"]), None, list(&["a", "b"])),
+        (None, list(&["c"]), list(&["c"])),
+        (list(&["a", "b"]), list(&["c", "b"]), list(&["b"])),
+        (list(&["a"]), list(&["c"]), list(&[])),
+    ];
+    for (of_route, of_workspace, expected) in cases {
+        let mut route = Route::new("r", "h", "/");
+        route.homes = of_route;
+        let workspace = Workspace {
+            name: "w".into(),
+            priority: None,
+            homes: of_workspace,
+        };
+        assert_eq!(common_homes(&route, Some(&workspace)), expected);
+        assert_eq!(common_homes(&route, None), route.homes);
+    }
+}
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -60,6 +60,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) max_connections: u32,
     pub(crate) workspace: Option<Arc<Workspace>>,
+    /// Regions in which the request may run, or `None` for all.
+    pub(crate) homes: Option<Arc<[Arc<str>]>>,
     pub(crate) deadline: Instant,
     /// Endpoint runs that refused or failed the request.
     pub(crate) tried: Vec<Run>,
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -5,7 +5,7 @@
 
 use kernel::{Failure, Reason, Verdict};
 use relay::Request;
-use route::{KeyError, Table};
+use route::{KeyError, Table, common_homes};
 
 use crate::active_request::ActiveRequest;
 use crate::carry_message::CarryOrder;
@@ -89,6 +89,7 @@
         route: route.clone(),
         service: target.service.clone(),
         max_connections: max_connections(table, &target.service),
+        homes: common_homes(route, workspace.map(|workspace| &**workspace)),
         workspace: workspace.cloned(),
         deadline,
         tried: Vec::new(),
--- a/crates/serve/src/completion.rs
+++ b/crates/serve/src/completion.rs
@@ -9,6 +9,7 @@
 use crate::active_request::ActiveRequest;
 use crate::baseline::BaselineKey;
 use crate::endpoint_state::EndpointState;
+use crate::evacuation::eligible;
 use crate::late_runs::LateRunDecision;
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
@@ -131,7 +132,7 @@
             return 1.0;
         };
         let mut fastest: f64 = 1.0;
-        for endpoint in pool.eligible(self.session_unit()) {
+        for endpoint in eligible(self, &view, pool, now_ms) {
             let state = context.endpoint_states.of(endpoint);
             fastest = fastest.min(endpoint_ratio(&state, now_ms));
         }
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -122,6 +122,7 @@
             }
             self.check_crashes(context)?;
             let view = context.view();
+            self.check_homes(context, &view)?;
             let way = match self.choose_carrier(context, &view)? {
                 Some(peer) => Way::Peer(peer),
                 None => Way::Endpoint(self.place(context, &view)?),
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -1,4 +1,4 @@
-//! Endpoints that a request may be sent to while zones are evacuated.
+//! Endpoints that a request may be sent to, by its home regions and the evacuated zones.
 
 use std::sync::Arc;
 
@@ -30,16 +30,22 @@
     now_ms: u64,
 ) -> Vec<&'a Arc<Endpoint>> {
     let unit = request.session_unit();
-    if view.evacuations.is_empty() {
+    if view.evacuations.is_empty() && request.homes.is_none() {
         return pool.eligible(unit);
     }
+    let is_home = |endpoint: &Endpoint| request.may_enter(view, &endpoint.zone);
+    if view.evacuations.is_empty() {
+        return pool.eligible_among(unit, is_home);
+    }
     let has_left = |endpoint: &Endpoint| has_left(request, view, &endpoint.zone, now_ms);
-    let staying = pool.eligible_among(unit, |endpoint| !has_left(endpoint));
+    let staying = pool.eligible_among(unit, |endpoint| is_home(endpoint) && !has_left(endpoint));
     if !staying.is_empty() {
         return staying;
     }
     // Zones that still get requests take these as well if there is no other.
-    pool.eligible_among(unit, |endpoint| !view.is_evacuated(&endpoint.zone, now_ms))
+    pool.eligible_among(unit, |endpoint| {
+        is_home(endpoint) && !view.is_evacuated(&endpoint.zone, now_ms)
+    })
 }
 
 /// Returns whether the share of the requests that is not sent to a zone includes this one. All requests of a
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -39,6 +39,7 @@
 mod escalation;
 mod evacuation;
 mod events;
+mod homes;
 mod late_repeats;
 mod late_runs;
 mod latency_ratio;
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -41,6 +41,8 @@
     pub refused_retries: AtomicU64,
     /// Answers of smaller models that were discarded for the largest one.
     pub escalated: AtomicU64,
+    /// Requests for which no endpoint was in a home region.
+    pub without_home: AtomicU64,
     /// Requests handed over to a peer, once for each peer.
     pub handed_over: AtomicU64,
     /// Requests that peers handed over to this instance.
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -42,7 +42,9 @@
         let Ok(addr) = member.carry_addr.parse() else {
             continue;
         };
+        // The region of the caller is not known here, so that a peer must be in a home.
         if request.peers_asked.contains(&member.incarnation)
+            || !request.may_enter(view, &member.zone)
             || !may_reach(member, view, context, &endpoints)
         {
             continue;
--- a/crates/serve/src/projection.rs
+++ b/crates/serve/src/projection.rs
@@ -14,6 +14,7 @@
 use crate::completion::endpoint_ratio;
 use crate::dispatch::StartedResponse;
 use crate::endpoint::Endpoint;
+use crate::evacuation::eligible;
 use crate::late_runs::LateRunDecision;
 use crate::request_context::RequestContext;
 use crate::run::Run;
@@ -202,7 +203,7 @@
             chance,
             other: 0.0,
         };
-        for endpoint in pool.eligible(request.session_unit()) {
+        for endpoint in eligible(request, &view, pool, now_ms) {
             let state = context.endpoint_states.of(endpoint);
             let ratio = endpoint_ratio(&state, now_ms);
             let there = run.at_ratio(ratio);
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -4,6 +4,7 @@
 use limits::{Order, PendingRequest, Pressure};
 
 use crate::active_request::ActiveRequest;
+use crate::evacuation::eligible;
 use crate::request_context::RequestContext;
 use crate::view::View;
 
@@ -83,7 +84,7 @@
         let mut load = 0.0;
         let mut slots = 0.0;
         if let Some(pool) = view.pools.get(&self.service) {
-            for endpoint in pool.eligible(self.session_unit()) {
+            for endpoint in eligible(self, view, pool, context.now_ms()) {
                 load += context.endpoint_states.of(endpoint).load();
                 slots += f64::from(endpoint.slots);
             }
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -67,6 +67,8 @@
     pub evacuations: Arc<BTreeMap<Arc<str>, ZoneEvacuation>>,
     /// Whether requests must wait until it is known which zones are evacuated.
     pub awaits_evacuations: bool,
+    /// Regions by zone.
+    pub regions: Arc<BTreeMap<Arc<str>, Arc<str>>>,
 }
 
 impl View {
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -65,9 +65,11 @@
     }
 
     fn encode_failure(&self, _ask: Option<&RequestInfo>, failure: &Failure) -> Response {
+        let retry_after_ms = failure.retry_after_ms.unwrap_or_default();
         Response::new(failure.reason.status())
             .header("x-verdict", failure.verdict.as_str())
             .header("x-reason", failure.reason.as_str())
+            .header("x-retry-after-ms", &retry_after_ms.to_string())
     }
 }
 
