--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -335,6 +335,7 @@
                 if current != Some(table.version()) {
                     self.log_findings(object, table.version());
                 }
+                self.log_unknown_homes(&table);
                 *self.table.borrow_mut() = Some(Arc::new(table));
             }
             Err(err) => {
@@ -365,6 +366,16 @@
         }
     }
 
+    /// Logs the home regions in which no zone is. They are in force, as a home says where data may go.
+    fn log_unknown_homes(&self, table: &route::Table) {
+        for region in table.home_regions() {
+            let mut known = self.settings.regions.values();
+            if !known.any(|known| known == region) {
+                tracing::warn!(region = &**region, "config: home region without a zone");
+            }
+        }
+    }
+
     fn apply_endpoint(&self, object: &Object) {
         if object.path.ends_with(STATUS_SUFFIX) {
             return;
@@ -691,6 +702,7 @@
             store_unreachable: self.store_unavailable(),
             evacuations,
             awaits_evacuations,
+            regions: self.settings.regions.clone(),
         }));
     }
 }
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -115,7 +115,8 @@
             let open = pool.map_or(Vec::new(), |pool| open_endpoints(view, pool, now_ms));
             for (endpoint, share) in open {
                 let state = context.endpoint_states.of(endpoint);
-                if state.is_misdirected() || state.is_leaving() {
+                let may_enter = self.may_enter(view, &endpoint.zone);
+                if !may_enter || state.is_misdirected() || state.is_leaving() {
                     continue;
                 }
                 load += state.load() * share;
@@ -127,6 +128,9 @@
                 fastest_ratio,
             }
         };
+        if self.homes.is_some() {
+            return sum();
+        }
         context.service_orders.pool_load(&self.service, now_ms, sum)
     }
 }
