relay, serve: Return the memory of large bodies to the system

glibc takes blocks of 256 KB from its heap once one was freed, and small blocks in the gaps kept freed responses resident beside the account. Bodies of 64 KiB and more are mappings of their own now, and a response does not hold the copy of its first 16 KiB while the rest is sent.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod account;
 mod body;
+mod body_buffer;
 mod capacity;
 mod connection;
 mod exchange;
@@ -35,6 +36,7 @@
 
 pub use account::{Holding, MemoryAccount, Origin, Purpose};
 pub use body::{BodyReader, BodyStatus};
+pub use body_buffer::BodyBuffer;
 pub use capacity::Capacity;
 pub use exchange::{Exchange, ExchangeError, read_head};
 pub use framing::{Framing, FramingError};
--- a/crates/relay/src/receive.rs
+++ b/crates/relay/src/receive.rs
@@ -8,6 +8,7 @@
 
 use crate::account::Purpose;
 use crate::body::BodyReader;
+use crate::body_buffer::BodyBuffer;
 use crate::capacity::{NoCapacity, RunningGuard, Seat};
 use crate::framing::Framing;
 use crate::head::{HeadError, RequestHead};
@@ -97,7 +98,7 @@
         _ => (MIN_BODY_BYTES, max_bytes),
     };
     let mut reader = BodyReader::new(framing);
-    let mut body = Vec::new();
+    let mut body = BodyBuffer::default();
     while let Some(count) = reader.next_count(socket).await? {
         let length = (body.len() + count) as u64;
         if length > max_bytes {
@@ -107,13 +108,13 @@
             let doubled = (2 * body.capacity() as u64).max(first_bytes);
             let capacity = doubled.min(most_bytes).max(length);
             seat.grow_body(capacity).await?;
-            body.reserve_exact(capacity as usize - body.len());
+            body.reserve_total(capacity as usize);
         }
         body.extend_from_slice(&socket.buffered()[..count]);
         socket.consume(count);
         seat.record_moved(count);
     }
-    Ok(body.into())
+    Ok(body.freeze())
 }
 
 async fn receive_head(
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -41,6 +41,8 @@
             message.extend_from_slice(joined);
             seat.enter(Phase::Sending);
             write_all(socket, seat, &message, limits).await?;
+            // The copy would be held for as long as the caller does not read the rest.
+            drop(message);
             write_all(socket, seat, rest, limits).await
         }
         Body::Stream(_) => {
--- a/crates/serve/src/buffered_body.rs
+++ b/crates/serve/src/buffered_body.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
-use relay::{Exchange, Framing};
+use relay::{BodyBuffer, Exchange, Framing};
 
 /// Maximum size of one buffered body, in bytes.
 const MAX_BODY_BYTES: u64 = 16 << 20;
@@ -148,19 +148,20 @@
     pub(crate) async fn read_to_end(&self, exchange: &mut Exchange) -> io::Result<Bytes> {
         let reservation = self.reserve();
         let body = &reservation.body;
-        let Some(first) = exchange.next().await? else {
+        let Some(mut first) = exchange.next().await? else {
             return Ok(Bytes::new());
         };
         reservation.grow(first.len() as u64)?;
-        let mut whole = BytesMut::new();
+        let mut whole = BodyBuffer::default();
         while let Some(bytes) = body.must_give_way().or(exchange.next()).await? {
             reservation.grow(bytes.len() as u64)?;
             if whole.is_empty() {
                 // Growth by doubling could leave half of the memory unused for as long as the body is kept.
                 if let Framing::Length(length) = exchange.framing() {
-                    whole.reserve(length.min(MAX_RESERVED_BYTES) as usize);
+                    whole.reserve_total(length.min(MAX_RESERVED_BYTES) as usize);
                 }
-                whole.extend_from_slice(&first);
+                // Kept on, it would hold the buffer of the connection.
+                whole.extend_from_slice(&std::mem::take(&mut first));
             }
             whole.extend_from_slice(&bytes);
             // Bytes that come without end leave the thread no pause by themselves.
