--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -41,6 +41,10 @@
 }
 
 impl EntryProcess {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32).unwrap();
         kill_process(pid, signal).unwrap();
@@ -84,16 +88,29 @@
     pub backends: FakeBackends,
     pub entries: Vec<EntryProcess>,
     started: usize,
+    /// Lines added to the settings of each process.
+    settings: &'static str,
 }
 
 impl Fleet {
     pub fn start(deployment: Deployment, entries: usize, token_ms: u64) -> Fleet {
+        Fleet::start_with(deployment, entries, token_ms, "")
+    }
+
+    /// Starts a fleet with further settings.
+    pub fn start_with(
+        deployment: Deployment,
+        entries: usize,
+        token_ms: u64,
+        settings: &'static str,
+    ) -> Fleet {
         let backends = TestCluster::start_backends(deployment, token_ms).unwrap();
         let mut fleet = Fleet {
             deployment,
             backends,
             entries: Vec::new(),
             started: 0,
+            settings,
         };
         for _ in 0..entries {
             fleet.add();
@@ -116,9 +133,10 @@
             "name = \"{name}\"\nzone = \"{zone}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
              platform = \"{}\"\npeers = [{}]\ngossip_interval_ms = 150\ngossip_timeout_ms = 300\nsuspect_ms = 1000\n\
              receipt_flush_ms = 150\nsettle_interval_ms = 200\naddress_lifetime_ms = 700\nplatform_timeout_ms = 1000\n\
-             list_interval_ms = 300\ncut_off_ms = 2500\nplatform_reads_per_s = 200.0\nplatform_writes_per_s = 200.0\n",
+             list_interval_ms = 300\ncut_off_ms = 2500\nplatform_reads_per_s = 200.0\nplatform_writes_per_s = 200.0\n{}",
             self.backends.platform_addr,
             peers.join(", "),
+            self.settings,
         );
         let dir = std::env::temp_dir().join(format!(
             "rosemary-{}-{:x}",
