web, entry: Bound the memory and connections of rosemary-entry's callers

Bodies of all connections together had no bound, and connections beyond max_connections were closed without a response, also if others were idle. max_held_bytes (256 MB by default) bounds connections, bodies and unread responses together. Idle connections give way to new ones; what does not fit gets 503 as not run and is closed.

--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -292,5 +292,10 @@
         metrics.gauge("platform.reads", usage.reads);
         metrics.gauge("platform.writes", usage.writes);
         metrics.gauge("platform.refused", usage.refused);
+        if let Some(capacity) = self.shared.capacity.get() {
+            metrics.gauge("connection.held", capacity.held_bytes());
+            metrics.gauge("connection.closed", capacity.closed_idle());
+            metrics.gauge("connection.refused", capacity.refused());
+        }
     }
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -1,8 +1,8 @@
 //! Starts and stops the threads of an instance.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -98,6 +98,7 @@
             call_reports,
             complete_revision: AtomicU64::new(0),
             peer_bytes: Arc::default(),
+            capacity: OnceLock::new(),
             stopping: AtomicBool::new(false),
             executor: executor.clone(),
             clock,
@@ -109,6 +110,8 @@
         });
         let server = Server::bind(settings.listen, router, server_limits(settings));
         let server = server.with_context(|| format!("cannot listen on {}", settings.listen))?;
+        // Set once.
+        let _ = shared.capacity.set(server.capacity());
         let peer_listener = Async::<TcpListener>::bind(settings.peer_listen);
         let peer_listener =
             peer_listener.with_context(|| format!("cannot listen on {}", settings.peer_listen))?;
@@ -238,6 +241,7 @@
     Limits::default()
         .max_body_bytes(settings.max_body_bytes)
         .max_connections(settings.max_connections)
+        .max_held_bytes(settings.max_held_bytes)
         .idle_timeout_ms(settings.idle_timeout_ms)
         .body_timeout_ms(settings.body_timeout_ms)
         .write_timeout_ms(settings.write_timeout_ms)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -84,6 +84,21 @@
         unit: "calls",
         description: "Platform calls not made because the rate limit was reached.",
     },
+    Metric {
+        name: "connection.held",
+        unit: "bytes",
+        description: "Memory that callers' connections hold.",
+    },
+    Metric {
+        name: "connection.closed",
+        unit: "connections",
+        description: "Idle connections closed for lack of capacity since the instance started.",
+    },
+    Metric {
+        name: "connection.refused",
+        unit: "connections and requests",
+        description: "Connections and requests refused for lack of capacity since the instance started.",
+    },
 ];
 
 /// The prefix of all metric names.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -95,7 +95,8 @@
     platform_reads_per_s: f64 = 20.0, "calls per second", "The rate limit of platform reads, pending watches included.";
     platform_writes_per_s: f64 = 20.0, "calls per second", "The rate limit of platform writes.";
     traffic_threads: usize = 2, "threads", "Threads that serve callers.";
-    max_connections: usize = 4_096, "connections", "The most connections from callers.";
+    max_connections: usize = 4_096, "connections", "The most connections from callers. Idle ones give way to further ones, which get 503 as not run else.";
+    max_held_bytes: u64 = 256 << 20, "bytes", "The most memory that callers' connections hold together. Requests beyond it get 503 as not run.";
     max_body_bytes: u64 = 4 << 20, "bytes", "The largest request body.";
     max_answer_bytes: u64 = 16 << 20, "bytes", "The largest endpoint answer that is buffered whole.";
     idle_timeout_ms: u64 = 60_000, "milliseconds", "How long a caller's connection may wait for a request.";
@@ -206,6 +207,15 @@
         is_met: |settings| (1..=64).contains(&settings.traffic_threads),
         expected: "1 to 64",
     },
+    Constraint {
+        key: "max_held_bytes",
+        // All connections and one body of the largest size fit.
+        is_met: |settings| {
+            let connections = settings.max_connections as u64 * web::CONNECTION_BYTES;
+            settings.max_held_bytes / 2 >= connections.max(settings.max_body_bytes)
+        },
+        expected: "at least twice max_body_bytes, and 32 KiB for each of max_connections",
+    },
     Constraint {
         key: "max_attempts",
         is_met: |settings| (1..=10).contains(&settings.max_attempts),
--- a/crates/entry/src/state/shared.rs
+++ b/crates/entry/src/state/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by all threads of an instance.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -46,6 +46,8 @@
     pub(crate) complete_revision: AtomicU64,
     /// Bytes sent to and received from peers.
     pub(crate) peer_bytes: Arc<AtomicU64>,
+    /// Of the listener for callers, once it is bound.
+    pub(crate) capacity: OnceLock<Arc<web::Capacity>>,
     pub(crate) stopping: AtomicBool,
     pub(crate) executor: Arc<Executor<'static>>,
 }
--- a/crates/web/src/conn.rs
+++ b/crates/web/src/conn.rs
@@ -1,6 +1,6 @@
 //! Accepted connections, with control over what the HTTP library may read.
 
-use std::io;
+use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -51,6 +51,7 @@
     pipelined: bool,
     heads: u64,
     head_read: Instant,
+    head_awaited: Instant,
     body_skipped: bool,
     write_timer: Option<Timer>,
 }
@@ -80,6 +81,7 @@
             pipelined: false,
             heads: 0,
             head_read: Instant::now(),
+            head_awaited: Instant::now(),
             body_skipped: false,
             write_timer: None,
         };
@@ -104,6 +106,7 @@
         let mut state = self.state();
         state.phase = Phase::Head;
         state.heads += 1;
+        state.head_awaited = Instant::now();
         state.matched = 0;
         state.responded = false;
         state.pipelined = false;
@@ -138,6 +141,25 @@
         state.phase == Phase::Head && state.matched == 0 && state.read_ahead.is_empty()
     }
 
+    /// Returns since when the connection is idle, if it is.
+    pub(crate) fn idle_since(&self) -> Option<Instant> {
+        self.is_idle().then(|| self.state().head_awaited)
+    }
+
+    /// Closes an idle connection, which its task sees as the end of its input.
+    pub(crate) fn give_way(&self) {
+        // Fails only if the connection is already closed.
+        drop(self.shared.stream.get_ref().shutdown(Shutdown::Both));
+    }
+
+    /// Writes a response without waiting, and closes.
+    pub(crate) fn refuse(&self, response: &[u8]) {
+        let mut stream = self.shared.stream.get_ref();
+        // The connection is closed next, whether or not the caller gets this.
+        drop(stream.write(response));
+        drop(stream.shutdown(Shutdown::Write));
+    }
+
     /// Returns the number of request heads awaited so far.
     pub(crate) fn heads(&self) -> u64 {
         self.state().heads
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert_eq!(limits.max_body_bytes, 1 << 20);
 //! ```
 
+mod capacity;
 mod client;
 mod conn;
 mod drain;
@@ -22,6 +23,7 @@
 mod response;
 mod server;
 
+pub use capacity::{CONNECTION_BYTES, Capacity};
 pub use client::{Client, ConnectionReuse, SendError};
 pub use drain::DrainState;
 pub use json::{error_response, json};
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -5,8 +5,10 @@
 pub struct Limits {
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. Idle ones give way to further ones, which are refused else.
     pub max_connections: usize,
+    /// Maximum memory of all connections together, in bytes. Requests beyond it are refused.
+    pub max_held_bytes: u64,
     /// Time that a connection may wait for a complete request head, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Time to receive a request body, in milliseconds.
@@ -20,6 +22,8 @@
         Limits {
             max_body_bytes: 4 << 20,
             max_connections: 4096,
+            // 4,096 connections and 48 of the largest bodies.
+            max_held_bytes: 256 << 20,
             idle_timeout_ms: 60_000,
             body_timeout_ms: 10_000,
             write_timeout_ms: 20_000,
@@ -40,6 +44,12 @@
         self
     }
 
+    /// Sets the maximum memory of all connections together, in bytes.
+    pub fn max_held_bytes(mut self, value: u64) -> Limits {
+        self.max_held_bytes = value;
+        self
+    }
+
     /// Sets the time that a connection may wait for a request head, in milliseconds.
     pub fn idle_timeout_ms(mut self, value: u64) -> Limits {
         self.idle_timeout_ms = value;
--- a/crates/web/src/request.rs
+++ b/crates/web/src/request.rs
@@ -1,15 +1,22 @@
 //! Received requests.
 
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Request, Url};
+use http_types::{Body, Request, Url};
 use kernel::{Failure, Reason};
 
+use crate::capacity::{NoCapacity, Seat};
 use crate::conn::Conn;
 use crate::limits::Limits;
+use crate::server::no_capacity;
+
+/// The first memory of a body, in bytes. It doubles while the body arrives.
+const FIRST_BODY_BYTES: usize = 8 << 10;
 
 /// A received request, whose body is read on demand.
 pub struct IncomingRequest {
@@ -18,6 +25,7 @@
     /// Address of the caller.
     pub peer: SocketAddr,
     conn: Conn,
+    seat: Arc<Seat>,
     max_body_bytes: u64,
     body_timeout_ms: u64,
 }
@@ -27,6 +35,7 @@
         request: Request,
         peer: SocketAddr,
         conn: Conn,
+        seat: Arc<Seat>,
         limits: &Limits,
     ) -> IncomingRequest {
         let max_body_bytes = limits.max_body_bytes;
@@ -35,6 +44,7 @@
             request,
             peer,
             conn,
+            seat,
             max_body_bytes,
             body_timeout_ms,
         }
@@ -74,17 +84,25 @@
         }
         self.conn.begin_body(if chunked { None } else { declared });
         let body = self.request.take_body();
-        let mut bytes = Vec::with_capacity(declared.unwrap_or(0) as usize);
-        let mut reader = body.take(self.max_body_bytes + 1);
+        let most_bytes = declared.unwrap_or(self.max_body_bytes + 1);
+        let mut bytes = Vec::new();
         let timeout_ms = self.body_timeout_ms;
-        let read = async { reader.read_to_end(&mut bytes).await.map(|_| true) };
+        let read = async {
+            let read = self.read_into(body, &mut bytes, most_bytes as usize).await;
+            read.map(Some)
+        };
         let expire = async {
             Timer::after(Duration::from_millis(timeout_ms)).await;
-            Ok(false)
+            Ok(None)
         };
         match read.or(expire).await {
-            Ok(true) => {}
-            Ok(false) => {
+            Ok(Some(Ok(()))) => {}
+            Ok(Some(Err(NoCapacity))) => {
+                drop(bytes);
+                self.conn.skip_body();
+                return Err(no_capacity());
+            }
+            Ok(None) => {
                 return Err(Failure::not_run(
                     Reason::BadRequest,
                     format!("the request body did not arrive within {timeout_ms} ms"),
@@ -109,6 +127,33 @@
         Ok(bytes)
     }
 
+    /// Reads a body, at most this many bytes, as far as there is memory for it.
+    async fn read_into(
+        &self,
+        mut body: Body,
+        bytes: &mut Vec<u8>,
+        most_bytes: usize,
+    ) -> io::Result<Result<(), NoCapacity>> {
+        let mut length = 0;
+        while length < most_bytes {
+            if length == bytes.len() {
+                let capacity = (2 * length).max(FIRST_BODY_BYTES).min(most_bytes);
+                if self.seat.hold(capacity as u64).is_err() {
+                    return Ok(Err(NoCapacity));
+                }
+                bytes.reserve_exact(capacity - length);
+                bytes.resize(capacity, 0);
+            }
+            let count = body.read(&mut bytes[length..]).await?;
+            if count == 0 {
+                break;
+            }
+            length += count;
+        }
+        bytes.truncate(length);
+        Ok(Ok(()))
+    }
+
     fn too_large(&self) -> Failure {
         let detail = format!(
             "the request body is larger than {} bytes",
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,7 +5,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_h1::server::{Encoder, decode};
@@ -16,6 +15,7 @@
 use kernel::{Failure, Reason};
 use smol::Executor;
 
+use crate::capacity::{Capacity, Seat};
 use crate::conn::Conn;
 use crate::drain::DrainState;
 use crate::json::error_response;
@@ -37,6 +37,21 @@
 /// Pause after a failed accept, for example because too many files are open.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The response to a connection for which there is no capacity.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nx-rosemary-verdict: not-run\r\nretry-after: 1\r\n\
+                         connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// When a caller without capacity may retry: stalled bodies are dropped within a few seconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Returns the failure of a request for which there is no memory.
+pub(crate) fn no_capacity() -> Failure {
+    let mut failure = Failure::not_run(Reason::Overloaded, "there is no memory for the request");
+    failure.retry_after_ms = Some(RETRY_AFTER_MS);
+    failure
+}
+
 /// Handles the requests of a server.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request.
@@ -49,6 +64,7 @@
     handler: Arc<dyn Handler>,
     limits: Arc<Limits>,
     drain: Arc<DrainState>,
+    capacity: Arc<Capacity>,
 }
 
 impl Server {
@@ -59,11 +75,13 @@
     /// Fails when the address cannot be bound.
     pub fn bind(addr: SocketAddr, handler: Arc<dyn Handler>, limits: Limits) -> io::Result<Server> {
         let listener = Async::<TcpListener>::bind(addr)?;
+        let capacity = Capacity::new(limits.max_connections, limits.max_held_bytes);
         Ok(Server {
             listener,
             handler,
             limits: Arc::new(limits),
             drain: Arc::new(DrainState::default()),
+            capacity: Arc::new(capacity),
         })
     }
 
@@ -81,9 +99,13 @@
         self.drain.clone()
     }
 
+    /// Returns the capacity for connections.
+    pub fn capacity(&self) -> Arc<Capacity> {
+        self.capacity.clone()
+    }
+
     /// Accepts connections until [`DrainState::stop`], and serves each on `executor`.
     pub async fn run(self, executor: Arc<Executor<'static>>) {
-        let open_connections = Arc::new(AtomicUsize::new(0));
         while !self.drain.is_stopped() {
             let accepted = async { Some(self.listener.accept().await) };
             let tick = async {
@@ -98,24 +120,21 @@
                     continue;
                 }
             };
-            if open_connections.load(Ordering::Relaxed) >= self.limits.max_connections {
-                continue;
-            }
             drop(stream.get_ref().set_nodelay(true));
+            let conn = Conn::new(stream, self.limits.write_timeout_ms);
+            let Some(seat) = self.capacity.admit(&conn).await else {
+                conn.refuse(REFUSAL);
+                continue;
+            };
             let connection = Connection {
-                conn: Conn::new(stream, self.limits.write_timeout_ms),
+                conn,
+                seat: Arc::new(seat),
                 peer,
                 handler: self.handler.clone(),
                 limits: self.limits.clone(),
                 drain: self.drain.clone(),
             };
-            open_connections.fetch_add(1, Ordering::Relaxed);
-            let open_connections = open_connections.clone();
-            let task = executor.spawn(async move {
-                connection.run().await;
-                open_connections.fetch_sub(1, Ordering::Relaxed);
-            });
-            task.detach();
+            executor.spawn(connection.run()).detach();
         }
     }
 }
@@ -123,6 +142,7 @@
 /// An accepted connection with what is needed to serve it.
 struct Connection {
     conn: Conn,
+    seat: Arc<Seat>,
     peer: SocketAddr,
     handler: Arc<dyn Handler>,
     limits: Arc<Limits>,
@@ -195,10 +215,21 @@
         let _guard = OpenRequestGuard::new(&self.drain);
         let method = request.method();
         let caller_closes = asks_close(request.header(CONNECTION));
-        let incoming = IncomingRequest::new(request, self.peer, self.conn.clone(), &self.limits);
+        let incoming = IncomingRequest::new(
+            request,
+            self.peer,
+            self.conn.clone(),
+            self.seat.clone(),
+            &self.limits,
+        );
         let response = self.handle(incoming).await;
         let close = caller_closes || asks_close(response.header(CONNECTION));
+        // The handler has dropped the request. Its response is sent also if there is no memory, as it is there.
+        if let Some(length) = response.len() {
+            self.seat.set(length as u64);
+        }
         self.write(response, method).await?;
+        self.seat.set(0);
         Ok(if close { Next::Close } else { Next::Request })
     }
 
