--- a/crates/web/src/capacity.rs
+++ b/crates/web/src/capacity.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use kernel::{Failure, Reason};
 
 use crate::conn::Conn;
 
@@ -21,6 +22,9 @@
 const CLOSE_INTERVAL: Duration = Duration::from_millis(1);
 const CLOSE_CHECKS: usize = 20;
 
+/// When a caller without capacity may retry: stalled bodies are dropped within a few seconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
 /// Minimum time between two log lines on lack of capacity.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -151,6 +155,15 @@
 #[derive(Debug)]
 pub(crate) struct NoCapacity;
 
+impl From<NoCapacity> for Failure {
+    fn from(NoCapacity: NoCapacity) -> Failure {
+        let mut failure =
+            Failure::not_run(Reason::Overloaded, "there is no memory for the request");
+        failure.retry_after_ms = Some(RETRY_AFTER_MS);
+        failure
+    }
+}
+
 /// The place of one connection. Dropping it refunds its memory.
 pub(crate) struct Seat {
     capacity: Arc<Capacity>,
--- a/crates/web/src/request.rs
+++ b/crates/web/src/request.rs
@@ -13,7 +13,6 @@
 use crate::capacity::{NoCapacity, Seat};
 use crate::conn::Conn;
 use crate::limits::Limits;
-use crate::server::no_capacity;
 
 /// The first memory of a body, in bytes. It doubles while the body arrives.
 const FIRST_BODY_BYTES: usize = 8 << 10;
@@ -100,7 +99,7 @@
             Ok(Some(Err(NoCapacity))) => {
                 drop(bytes);
                 self.conn.skip_body();
-                return Err(no_capacity());
+                return Err(NoCapacity.into());
             }
             Ok(None) => {
                 return Err(Failure::not_run(
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -42,16 +42,6 @@
     b"HTTP/1.1 503 Service Unavailable\r\nx-rosemary-verdict: not-run\r\nretry-after: 1\r\n\
                          connection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// When a caller without capacity may retry: stalled bodies are dropped within a few seconds.
-const RETRY_AFTER_MS: u64 = 1_000;
-
-/// Returns the failure of a request for which there is no memory.
-pub(crate) fn no_capacity() -> Failure {
-    let mut failure = Failure::not_run(Reason::Overloaded, "there is no memory for the request");
-    failure.retry_after_ms = Some(RETRY_AFTER_MS);
-    failure
-}
-
 /// Handles the requests of a server.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request.
