--- a/crates/web/src/capacity.rs
+++ b/crates/web/src/capacity.rs
@@ -175,13 +175,15 @@
     /// Sets the memory of the messages of the connection, if it fits. Idle connections give way if necessary.
     pub(crate) fn hold(&self, bytes: u64) -> Result<(), NoCapacity> {
         self.set(bytes);
-        let is_over = || self.capacity.held_bytes() > self.capacity.max_held_bytes;
-        if !is_over() {
+        let held_bytes = self.capacity.held_bytes();
+        // Other threads change what is held meanwhile, so that it is read once.
+        let missing_bytes = held_bytes.saturating_sub(self.capacity.max_held_bytes);
+        if missing_bytes == 0 {
             return Ok(());
         }
-        let waiting_bytes = self.capacity.held_bytes() - self.capacity.max_held_bytes;
         // Idle connections free their own memory only, a little later.
-        if waiting_bytes <= CONNECTION_BYTES * IDLE_BATCH as u64 && self.capacity.close_idle() {
+        let idle_bytes = CONNECTION_BYTES * IDLE_BATCH as u64;
+        if missing_bytes <= idle_bytes && self.capacity.close_idle() {
             return Ok(());
         }
         self.set(0);
