--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -63,6 +63,7 @@
 mod request_key;
 mod request_log;
 mod request_order;
+mod retry_wait;
 mod run;
 mod run_book;
 mod service_orders;
