serve: Refuse requests for their writing time only by a fresh pace

Cause: the least time of a run took the pace of a size however long ago a stream had shown it. A request was refused as too late by a pace that may have changed since.

Change: the writing time counts as 0 unless the pace is fresh, as in the check before the first send.

Test: a_request_that_cannot_end_is_refused_only_if_no_slot_is_open_to_it has a case 10 s after the last stream, which fails before, and two cases of requests with homes: the load of the pool is that of the homes. These two pass before as well.

--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -97,7 +97,10 @@
                 size,
             };
             let reading_ms = context.baselines.reading_ms(&key, self.info.new_tokens());
+            let pace = context.run_book.pace(&key, context.now_ms());
             let run = self.run_outlook(context, size, self.events_before());
+            // A pace that no stream showed lately may have changed since.
+            let run = run.filter(|_| pace.is_some_and(|pace| pace.is_fresh));
             let writing_ms = run.map_or(0.0, |run| run.least_ms());
             least_ms = least_ms.min(reading_ms + writing_ms);
         }
--- a/crates/serve/tests/service_order.rs
+++ b/crates/serve/tests/service_order.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use common::{Harness, Received, ScriptedEndpoint, Step, events, route, stream_end, stream_head};
 use futures_lite::future::{block_on, zip};
 use route::RetrySafety;
+use serve::View;
 
 /// Streams from which lengths and paces are learned, more than are needed for an estimate.
 const LEARNED: usize = 7;
@@ -22,18 +24,37 @@
     script
 }
 
-/// Sends a request that is too short for its answer beside a stream, once lengths and paces are known, and
-/// returns what its caller receives and whether it was sent.
-fn send_beside_a_stream(endpoint_count: usize, evacuated: &[&str]) -> (Received, bool) {
+/// Where and when a request is sent that is too short for its answer.
+#[derive(Default)]
+struct Scene {
+    endpoint_count: usize,
+    evacuated: &'static [&'static str],
+    homes: Option<&'static [&'static str]>,
+    /// Time since lengths and paces were learned.
+    learned_before_ms: u64,
+}
+
+/// Sends a request that is too short for its answer beside a stream, and returns what its caller receives and
+/// whether it was sent.
+fn send_beside_a_stream(scene: &Scene) -> (Received, bool) {
     let scripts = vec![stream(40); LEARNED + 3];
     let mut endpoints = Vec::new();
-    for _ in 0..endpoint_count {
+    for _ in 0..scene.endpoint_count {
         endpoints.push(ScriptedEndpoint::start(scripts.clone()));
     }
     let addrs: Vec<_> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
-    let harness = Harness::with_order(route(RetrySafety::ResumableStream), &addrs);
+    let mut route = route(RetrySafety::ResumableStream);
+    if let Some(homes) = scene.homes {
+        route = route.homes(homes);
+    }
+    let harness = Harness::with_order(route, &addrs);
+    let mut view: View = (**harness.view.load()).clone();
+    let regions = [("here", "near"), ("there", "far")];
+    let regions = regions.map(|(zone, region)| (zone.into(), region.into()));
+    view.regions = Arc::new(regions.into());
+    harness.view.store(view.into());
     harness.list_slots(1);
-    harness.evacuate(evacuated);
+    harness.evacuate(scene.evacuated);
     for _ in 0..LEARNED {
         assert!(harness.send(&[]).is_complete);
     }
@@ -42,8 +63,8 @@
         while sent() == LEARNED {
             Timer::after(Duration::from_millis(5)).await;
         }
-        // The load of the pool is summed again after this time.
-        harness.clock.age_by(20);
+        // The load of the pool is summed again after 20 ms.
+        harness.clock.age_by(scene.learned_before_ms.max(20));
         let sent_before = sent();
         let received = harness.send_async(&[("x-budget-ms", "100")]).await;
         (received, sent() > sent_before)
@@ -54,16 +75,44 @@
 }
 
 /// Guards against a refusal that leaves out the time to write the answer, that counts the slots of
-/// evacuated zones as room, or that happens while slots are free.
+/// evacuated zones or outside the homes as room, that happens while slots are free, or that rests on a pace
+/// which may have changed.
 #[test]
 fn a_request_that_cannot_end_is_refused_only_if_no_slot_is_open_to_it() {
-    let cases: [(&str, usize, &[&str], bool); 3] = [
-        ("full", 1, &[], true),
-        ("the free slot is evacuated", 2, &["here"], true),
-        ("a slot is free", 2, &[], false),
+    let one = || Scene {
+        endpoint_count: 1,
+        ..Scene::default()
+    };
+    let two = || Scene {
+        endpoint_count: 2,
+        ..Scene::default()
+    };
+    let old_pace = Scene {
+        learned_before_ms: 10_000,
+        ..one()
+    };
+    let evacuated = Scene {
+        evacuated: &["here"],
+        ..two()
+    };
+    let home = Scene {
+        homes: Some(&["near"]),
+        ..two()
+    };
+    let homes = Scene {
+        homes: Some(&["near", "far"]),
+        ..two()
+    };
+    let cases = [
+        ("full", one(), true),
+        ("the free slot is evacuated", evacuated, true),
+        ("the free slot is in no home", home, true),
+        ("a slot is free", two(), false),
+        ("a slot in a home is free", homes, false),
+        ("full, no fresh pace", old_pace, false),
     ];
-    for (name, endpoint_count, evacuated, is_refused) in cases {
-        let (received, is_sent) = send_beside_a_stream(endpoint_count, evacuated);
+    for (name, scene, is_refused) in cases {
+        let (received, is_sent) = send_beside_a_stream(&scene);
         let is_not_run = received.status == 503 && received.verdict.as_deref() == Some("not-run");
         assert_eq!(is_not_run, is_refused, "{name}");
         assert_eq!(is_sent, !is_refused, "{name}");
@@ -78,11 +127,12 @@
     let harness = Harness::with_order(route(RetrySafety::ResumableStream), &[endpoint.addr]);
     assert!(harness.send(&[]).is_complete);
     assert!(harness.send(&[("x-after", "5")]).is_complete);
-    let priority = |index| {
-        let head = endpoint.head(index);
-        let line = head.lines().find(|line| line.starts_with("x-priority"));
-        line.map(str::to_owned)
-    };
-    assert!(priority(0).is_some());
-    assert_eq!(priority(0), priority(1));
+    assert!(priority(&endpoint, 0).is_some());
+    assert_eq!(priority(&endpoint, 0), priority(&endpoint, 1));
+}
+
+fn priority(endpoint: &ScriptedEndpoint, index: usize) -> Option<String> {
+    let head = endpoint.head(index);
+    let line = head.lines().find(|line| line.starts_with("x-priority"));
+    line.map(str::to_owned)
 }
