limits: Decide refusals by the engine priority that is sent

Cause: a request was refused by the wait of the lower engine priority of a workspace that gives way, and before the one in four requests was chosen that keeps the engine priority of its class. While the pool was full, such a workspace could be refused altogether.

Change: whether a request is late, gives way or is the one in four is decided first; the refusal is then decided with the wait of the engine priority that is sent. A refused request leaves the one in four due, so that refusals do not use it up.

Test: one_in_four_requests_that_give_way_is_sent_while_the_others_are_refused; before, all eight requests of the workspace that gives way are refused.

--- a/crates/limits/src/service_order.rs
+++ b/crates/limits/src/service_order.rs
@@ -217,20 +217,26 @@
             (class_rank, OrderReason::InTime)
         };
         let wait_ms = self.waits[usize::from(rank)].at(now_ms);
-        let is_full = pressure.load_share >= 1.0;
-        let ends_late = wait_ms + request.least_end_ms > request.deadline_left_ms;
-        if is_full && ends_late && request.may_be_refused {
-            return Some(Order::Refuse);
-        }
         let is_late = wait_ms + request.first_event_ms > request.objective_left_ms;
         let (rank, reason) = if is_late {
             (LATE_RANK, OrderReason::Late)
         } else {
             (rank, reason)
         };
-        let gives_way = matches!(reason, OrderReason::Late | OrderReason::Overuse);
-        if gives_way && self.takes_floor(request.workspace, class) {
-            return Some(Order::Send(class_rank, OrderReason::Floor));
+        let gives_way = reason != OrderReason::InTime;
+        let (rank, reason) = if gives_way && self.is_floor_due(request.workspace, class) {
+            (class_rank, OrderReason::Floor)
+        } else {
+            (rank, reason)
+        };
+        let wait_ms = self.waits[usize::from(rank)].at(now_ms);
+        let is_full = pressure.load_share >= 1.0;
+        let ends_late = wait_ms + request.least_end_ms > request.deadline_left_ms;
+        if is_full && ends_late && request.may_be_refused {
+            return Some(Order::Refuse);
+        }
+        if reason == OrderReason::Floor {
+            *self.floor_count(request.workspace, class) = 0;
         }
         Some(Order::Send(rank, reason))
     }
@@ -290,12 +296,17 @@
         own_ms > OVERUSE_FACTOR * others_ms
     }
 
-    /// Returns whether this request is the one in several that does not give way.
-    fn takes_floor(&mut self, workspace: Option<&str>, class: u8) -> bool {
+    /// Counts a request that would give way, and returns whether it is the one in several that does not. It
+    /// remains due until one is sent, so that refusals do not use it up.
+    fn is_floor_due(&mut self, workspace: Option<&str>, class: u8) -> bool {
+        let count = self.floor_count(workspace, class);
+        *count = (*count + 1).min(FLOOR_INTERVAL);
+        *count == FLOOR_INTERVAL
+    }
+
+    fn floor_count(&mut self, workspace: Option<&str>, class: u8) -> &mut u32 {
         let usage = workspace.and_then(|name| self.workspaces.get_mut(name));
         let usage = usage.unwrap_or(&mut self.total);
-        let count = &mut usage.floors[usize::from(class)];
-        *count = (*count + 1) % FLOOR_INTERVAL;
-        *count == 0
+        &mut usage.floors[usize::from(class)]
     }
 }
--- a/crates/limits/tests/service_order.rs
+++ b/crates/limits/tests/service_order.rs
@@ -579,3 +579,49 @@
         );
     }
 }
+
+/// Guards against a workspace that gives way and is refused altogether while the pool is full, as the wait of
+/// requests that give way is above its deadlines.
+#[test]
+fn one_in_four_requests_that_give_way_is_sent_while_the_others_are_refused() {
+    let other = PendingRequest {
+        priority: 0,
+        workspace: Some("clinic"),
+        work_ms: 10.0,
+        first_event_ms: 100.0,
+        objective_left_ms: 2_000.0,
+        least_end_ms: 500.0,
+        deadline_left_ms: 1_000.0,
+        may_be_refused: true,
+    };
+    let overused = PendingRequest {
+        workspace: Some("flood"),
+        work_ms: 1_000.0,
+        ..other
+    };
+    let late = PendingRequest {
+        workspace: Some("late"),
+        objective_left_ms: 0.0,
+        work_ms: 0.0,
+        ..other
+    };
+    let full = Pressure {
+        wait_share: 0.5,
+        load_share: 1.2,
+    };
+    for (pending, given_way) in [(overused, 5), (late, 8)] {
+        let mut order = ServiceOrder::default();
+        order.order(&other, full, 0);
+        for _ in 0..40 {
+            order.record_wait(given_way, 1_500.0, 0);
+        }
+        let orders: Vec<_> = (0..8).map(|_| order.order(&pending, full, 0)).collect();
+        for (index, found) in orders.iter().enumerate() {
+            let expected = match index % 4 {
+                3 => Order::Send(2, OrderReason::Floor),
+                _ => Order::Refuse,
+            };
+            assert_eq!(*found, Some(expected), "{:?} {index}", pending.workspace);
+        }
+    }
+}
