serve: Do not take resumed and moved streams for late

Cause: the time left to the objective counts from arrival, so that a stream that was resumed or moved after its objective got the engine priority of requests that can only be late, and was preempted first. Its caller has the first event.

Change: the time left to the objective is infinite for requests that go on after an earlier run.

Test: a_resumed_stream_is_not_late; before, the resumed run is sent with engine priority 8.

--- a/crates/limits/src/service_order.rs
+++ b/crates/limits/src/service_order.rs
@@ -68,7 +68,8 @@
     pub work_ms: f64,
     /// Expected time to its first event, without the wait.
     pub first_event_ms: f64,
-    /// Time left to its latency objective; 0 or below once that has passed.
+    /// Time left to its latency objective; 0 or below once that has passed, and infinite once the caller has
+    /// the first event.
     pub objective_left_ms: f64,
     /// Least time to the end of its answer, without the wait: hardly any such request ends sooner.
     pub least_end_ms: f64,
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -34,12 +34,19 @@
         let work_ms = prefill_ms + self.decode_ms(context);
         let fixed_ms = context.baselines.fixed_ms(&self.service);
         let pool = self.pool_load(context, view);
+        // The caller of a stream that goes on has its first event.
+        let has_begun = self.is_resumed || self.info.resume_after.is_some();
+        let objective_left_ms = if has_begun {
+            f64::INFINITY
+        } else {
+            self.objective_left_ms()
+        };
         let request = PendingRequest {
             priority: self.priority(),
             workspace,
             work_ms,
             first_event_ms: fixed_ms + prefill_ms,
-            objective_left_ms: self.objective_left_ms(),
+            objective_left_ms,
             least_end_ms: fixed_ms + self.least_run_ms(context) * pool.fastest_ratio,
             deadline_left_ms: self.deadline_left_ms(),
             // One that may have run before cannot be refused as not run.
--- a/crates/serve/tests/service_order.rs
+++ b/crates/serve/tests/service_order.rs
@@ -136,3 +136,24 @@
     let line = head.lines().find(|line| line.starts_with("x-priority"));
     line.map(str::to_owned)
 }
+
+/// Guards against a resumed stream that counts as late since its request arrived longer ago than its objective,
+/// and is preempted before others although its caller has its first event.
+#[test]
+fn a_resumed_stream_is_not_late() {
+    let cut = vec![
+        stream_head(90),
+        events(1..=2),
+        Step::Sleep(100),
+        Step::Reset,
+    ];
+    let rest = vec![stream_head(90), events(3..=6), stream_end()];
+    let endpoint = ScriptedEndpoint::start(vec![cut, rest]);
+    let route = route(RetrySafety::ResumableStream).objective_ms(50);
+    let harness = Harness::with_order(route, &[endpoint.addr]);
+    harness.list_slots(1);
+    assert!(harness.send(&[]).is_complete);
+    assert_eq!(endpoint.request_count(), 2);
+    assert!(priority(&endpoint, 0).is_some());
+    assert_eq!(priority(&endpoint, 0), priority(&endpoint, 1));
+}
