--- a/crates/limits/tests/service_order.rs
+++ b/crates/limits/tests/service_order.rs
@@ -187,7 +187,7 @@
     by_workspace: BTreeMap<usize, [f64; 4]>,
     preempted: u32,
     /// Requests of the same class for which running ones were preempted.
-    preempted_by_like: u32,
+    preempted_by_same_class: u32,
     refused: u32,
 }
 
@@ -216,11 +216,11 @@
             .collect();
         let workspaces: Vec<String> = self.by_workspace.values().map(rows).collect();
         println!(
-            "{name}: worth {:.3}, worth/served {}, preempted {} (by like {}), refused {}, workspaces {}",
+            "{name}: worth {:.3}, worth/served {}, preempted {} (by same class {}), refused {}, workspaces {}",
             self.worth_share(),
             classes.join(", "),
             self.preempted,
-            self.preempted_by_like,
+            self.preempted_by_same_class,
             self.refused,
             workspaces.join(" ")
         );
@@ -281,9 +281,9 @@
             if self.running[victim].rank <= call.rank {
                 return None;
             }
-            let is_like = self.running[victim].class == call.class;
+            let is_same_class = self.running[victim].class == call.class;
             outcome.preempted += 1;
-            outcome.preempted_by_like += u32::from(is_like);
+            outcome.preempted_by_same_class += u32::from(is_same_class);
             let mut victim = self.running.remove(victim);
             victim.preempt(now_ms);
             self.queue.push(victim);
@@ -398,27 +398,33 @@
     outcome
 }
 
-/// Plays several seeds and sums what they give.
-fn play_seeds(load: Load, policy: Policy, preemption: Preemption) -> Outcome {
+/// Plays the seeds, and returns the outcome of each and their sum.
+fn play_seeds(load: Load, policy: Policy, preemption: Preemption) -> (Vec<Outcome>, Outcome) {
+    let outcomes: Vec<Outcome> = (1..=5)
+        .map(|seed| play(load, policy, preemption, seed))
+        .collect();
     let mut sum = Outcome::default();
-    for seed in 1..=3 {
-        let outcome = play(load, policy, preemption, seed);
-        for (class, row) in outcome.by_class {
-            add_row(sum.by_class.entry(class).or_default(), row);
+    for outcome in &outcomes {
+        for (class, row) in &outcome.by_class {
+            add_row(sum.by_class.entry(class).or_default(), *row);
         }
-        for (workspace, row) in outcome.by_workspace {
-            add_row(sum.by_workspace.entry(workspace).or_default(), row);
+        for (workspace, row) in &outcome.by_workspace {
+            add_row(sum.by_workspace.entry(*workspace).or_default(), *row);
         }
         sum.preempted += outcome.preempted;
-        sum.preempted_by_like += outcome.preempted_by_like;
+        sum.preempted_by_same_class += outcome.preempted_by_same_class;
         sum.refused += outcome.refused;
     }
-    sum.print(&format!("{load:?} {preemption:?} {policy:?}"));
-    sum
+    let worths = outcomes.iter().map(Outcome::worth_share);
+    let worths: Vec<String> = worths.map(|worth| format!("{worth:.3}")).collect();
+    let name = format!("{load:?} {preemption:?} {policy:?}");
+    sum.print(&format!("{name} (worth by seed {})", worths.join(" ")));
+    (outcomes, sum)
 }
 
-/// Guards against an order that serves callers worse than none, or that starves a class or a workspace,
-/// whether or not the engine preempts.
+/// Guards against an order that serves callers worse than none, that starves a class or a workspace, or that
+/// preempts more requests of the same class than several numbers for each class do, whether or not the engine
+/// preempts.
 #[test]
 fn order_serves_more_worth_than_arrival_and_a_threshold_and_starves_nobody() {
     for load in [Load::Burst, Load::Flood] {
@@ -430,11 +436,22 @@
             let arrival = play_seeds(load, Policy::Arrival, preemption);
             let threshold = play_seeds(load, Policy::Threshold, preemption);
             play_seeds(load, Policy::ByClass, preemption);
-            play_seeds(load, Policy::FineOrdered, preemption);
-            let ordered = play_seeds(load, Policy::Ordered, preemption);
+            let (_, fine) = play_seeds(load, Policy::FineOrdered, preemption);
+            let (ordered_seeds, ordered) = play_seeds(load, Policy::Ordered, preemption);
             let name = format!("{load:?} {preemption:?}");
-            for other in [&arrival, &threshold] {
+            if preemption != Preemption::Never {
+                assert!(
+                    ordered.preempted_by_same_class < fine.preempted_by_same_class,
+                    "{name}"
+                );
+            }
+            for (other_seeds, other) in [&arrival, &threshold] {
                 assert!(ordered.worth_share() > other.worth_share(), "{name}");
+                for (seed, outcome) in ordered_seeds.iter().enumerate() {
+                    let worth = outcome.worth_share();
+                    let other_worth = other_seeds[seed].worth_share();
+                    assert!(worth > other_worth, "{name} seed {}", seed + 1);
+                }
                 for class in &CLASSES {
                     let share = |outcome: &Outcome| {
                         let [earned, owed, served, sent] = outcome.by_class[class.name];
@@ -547,8 +564,12 @@
         ),
         ("hopeless, full", hopeless, full, Some(Order::Refuse)),
     ];
-    for (name, request, pressure, expected) in cases {
-        let found = ServiceOrder::default().order(&request, pressure, 0);
+    for (name, pending, pressure, expected) in cases {
+        let mut order = ServiceOrder::default();
+        for _ in 0..8 {
+            assert_eq!(order.order(&request, calm, 0), None, "{name}");
+        }
+        let found = order.order(&pending, pressure, 0);
         assert_eq!(found, expected, "{name}");
     }
 }
