limits, serve: Measure waits for each class and reason

Cause: waits were measured for each engine priority. At 7 these are the requests of priority 3 and above and those of workspaces that give way, at 8 those of all classes, so that one could count as late or be refused for the waits of others.

Change: waits are measured for each class and for each reason (in time, of a workspace that gives way, late). Late ones are apart from those of workspaces that give way, as their longer wait would make the latter count as late.

Test: waits_of_one_class_or_reason_say_nothing_of_another; it fails if waits of the two reasons are mixed.

--- a/crates/limits/src/service_order.rs
+++ b/crates/limits/src/service_order.rs
@@ -32,9 +32,6 @@
 /// class does not take the time of the next one either.
 const OVERUSE_STEP: u8 = CLASS_STEP + 1;
 
-/// Number of engine priorities.
-const RANKS: usize = 10;
-
 /// Rank of the last request in time.
 const LAST_RANK_IN_TIME: u8 = LATE_RANK - 1;
 
@@ -149,7 +146,7 @@
     }
 }
 
-/// Mean wait at an engine priority, in milliseconds.
+/// Mean wait of requests, in milliseconds.
 #[derive(Debug, Clone, Copy, Default)]
 struct Wait {
     mean_ms: f64,
@@ -163,10 +160,29 @@
     }
 }
 
+/// Mean waits of the requests of one class.
+#[derive(Debug, Default)]
+struct ClassWaits {
+    /// Of those with the engine priority of the class.
+    in_time: Wait,
+    overuse: Wait,
+    late: Wait,
+}
+
+impl ClassWaits {
+    fn of(&mut self, reason: OrderReason) -> &mut Wait {
+        match reason {
+            OrderReason::InTime | OrderReason::Floor => &mut self.in_time,
+            OrderReason::Overuse => &mut self.overuse,
+            OrderReason::Late => &mut self.late,
+        }
+    }
+}
+
 /// Orders the requests of one service on one instance.
 ///
-/// Urgent requests wait less than others, so that waits are measured for each engine priority. Those of
-/// requests that give way say nothing of their class.
+/// Urgent requests wait less than others, so that waits are measured for each class. Those of requests that
+/// give way say nothing of others of their class, and are measured apart for each reason.
 ///
 /// # Examples
 ///
@@ -190,7 +206,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct ServiceOrder {
-    waits: [Wait; RANKS],
+    waits: [ClassWaits; MAX_CLASS as usize + 1],
     workspaces: HashMap<Arc<str>, Usage>,
     total: Usage,
 }
@@ -217,7 +233,7 @@
         } else {
             (class_rank, OrderReason::InTime)
         };
-        let wait_ms = self.waits[usize::from(rank)].at(now_ms);
+        let wait_ms = self.waits[usize::from(class)].of(reason).at(now_ms);
         let is_late = wait_ms + request.first_event_ms > request.objective_left_ms;
         let (rank, reason) = if is_late {
             (LATE_RANK, OrderReason::Late)
@@ -230,7 +246,7 @@
         } else {
             (rank, reason)
         };
-        let wait_ms = self.waits[usize::from(rank)].at(now_ms);
+        let wait_ms = self.waits[usize::from(class)].of(reason).at(now_ms);
         let is_full = pressure.load_share >= 1.0;
         let ends_late = wait_ms + request.least_end_ms > request.deadline_left_ms;
         if is_full && ends_late && request.may_be_refused {
@@ -247,13 +263,14 @@
         (FIRST_RANK + CLASS_STEP * priority.min(MAX_CLASS)).min(LAST_RANK_IN_TIME)
     }
 
-    /// Records how long a request of an engine priority waited for its first event beyond undisturbed
-    /// prefill.
-    pub fn record_wait(&mut self, rank: u8, wait_ms: f64, now_ms: u64) {
+    /// Records how long a request of a priority that was sent for a reason waited for its first event beyond
+    /// undisturbed prefill.
+    pub fn record_wait(&mut self, priority: u8, reason: OrderReason, wait_ms: f64, now_ms: u64) {
         if !wait_ms.is_finite() {
             return;
         }
-        let wait = &mut self.waits[usize::from(rank).min(RANKS - 1)];
+        let class = usize::from(priority.min(MAX_CLASS));
+        let wait = self.waits[class].of(reason);
         let mean_ms = wait.at(now_ms);
         wait.mean_ms = mean_ms + WAIT_SMOOTHING * (wait_ms.max(0.0) - mean_ms);
         wait.updated_ms = now_ms;
--- a/crates/limits/tests/service_order.rs
+++ b/crates/limits/tests/service_order.rs
@@ -122,6 +122,7 @@
     /// Whether it is the second attempt of its caller.
     has_waited: bool,
     rank: u8,
+    reason: OrderReason,
     /// Work done, also reading the prompt, and work to be repeated after a preemption.
     done_ms: f64,
     repeat_ms: f64,
@@ -317,6 +318,7 @@
                 work_ms: class.work_ms * (0.3 + 1.4 * random.f64()),
                 has_waited: random.f64() < 0.2,
                 rank: 0,
+                reason: OrderReason::InTime,
                 done_ms: 0.0,
                 repeat_ms: 0.0,
                 first_event_ms: None,
@@ -358,6 +360,9 @@
                 continue;
             };
             call.rank = rank;
+            if let (Policy::Ordered, Some(Order::Send(_, reason))) = (policy, place) {
+                call.reason = reason;
+            }
             engine.queue.push(call);
         }
         let mut running = Vec::with_capacity(SLOTS);
@@ -368,12 +373,7 @@
                 let class = &CLASSES[call.class];
                 let wait_ms = first_ms - call.reading_ms();
                 wait_share += 0.05 * (wait_ms / class.objective_ms - wait_share);
-                let rank = if policy == Policy::FineOrdered {
-                    ServiceOrder::class_rank(class.priority)
-                } else {
-                    call.rank
-                };
-                order.record_wait(rank, wait_ms, now_ms);
+                order.record_wait(class.priority, call.reason, wait_ms, now_ms);
             }
             let is_over = now > call.arrived_ms + CLASSES[call.class].deadline_ms;
             if is_whole || is_over {
@@ -630,11 +630,11 @@
         wait_share: 0.5,
         load_share: 1.2,
     };
-    for (pending, given_way) in [(overused, 5), (late, 8)] {
+    for (pending, reason) in [(overused, OrderReason::Overuse), (late, OrderReason::Late)] {
         let mut order = ServiceOrder::default();
         order.order(&other, full, 0);
         for _ in 0..40 {
-            order.record_wait(given_way, 1_500.0, 0);
+            order.record_wait(0, reason, 1_500.0, 0);
         }
         let orders: Vec<_> = (0..8).map(|_| order.order(&pending, full, 0)).collect();
         for (index, found) in orders.iter().enumerate() {
@@ -646,3 +646,38 @@
         }
     }
 }
+
+/// Guards against waits of requests that give way, or of another class with the same engine priority, that make
+/// a request count as late.
+#[test]
+fn waits_of_one_class_or_reason_say_nothing_of_another() {
+    let waits = Pressure {
+        wait_share: 0.5,
+        load_share: 0.5,
+    };
+    for (priority, reason, measured) in [
+        (1, OrderReason::Overuse, 3),
+        (2, OrderReason::Overuse, 3),
+        (3, OrderReason::Overuse, 3),
+        (3, OrderReason::InTime, 2),
+        (0, OrderReason::Late, 0),
+    ] {
+        let request = PendingRequest {
+            priority: measured,
+            workspace: None,
+            work_ms: 100.0,
+            first_event_ms: 300.0,
+            objective_left_ms: 2_000.0,
+            least_end_ms: 900.0,
+            deadline_left_ms: 5_000.0,
+            may_be_refused: true,
+        };
+        let mut order = ServiceOrder::default();
+        for _ in 0..40 {
+            order.record_wait(priority, reason, 3_000.0, 0);
+        }
+        let expected = Order::Send(ServiceOrder::class_rank(measured), OrderReason::InTime);
+        let found = order.order(&request, waits, 0);
+        assert_eq!(found, Some(expected), "{priority} {reason:?}");
+    }
+}
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -1,7 +1,7 @@
 //! The rank of a request among those of its service while capacity is short.
 
 use kernel::{Failure, Reason, Verdict};
-use limits::{Order, PendingRequest, Pressure, ServiceOrder};
+use limits::{Order, OrderReason, PendingRequest, Pressure, ServiceOrder};
 
 use crate::active_request::ActiveRequest;
 use crate::baseline::BaselineKey;
@@ -61,9 +61,12 @@
             .service_orders
             .order(service, &request, pressure, context.now_ms());
         match order {
-            None => self.rank = Some(ServiceOrder::class_rank(request.priority)),
+            None => {
+                let rank = ServiceOrder::class_rank(request.priority);
+                self.place = Some((rank, OrderReason::InTime));
+            }
             Some(Order::Send(rank, reason)) => {
-                self.rank = Some(rank);
+                self.place = Some((rank, reason));
                 let observer = &context.observer;
                 observer.request_ordered(request.priority, workspace, reason.as_str());
                 tracing::debug!(
