serve: Compute the least time of a run only if the pool is full

Cause: the least time of a run was computed for each send, although only a refusal needs it, which is decided while the pool is full. It was infinite without a permitted size, so that the request would have been refused. The load of a pool was summed while the orders of all services were borrowed.

Change: the least time is computed only from a load of 1, and is 0 without a permitted size. The borrow ends before the sum.

Test: the service_order tests of serve pass; there is no test that fails before, as the decisions are the same.

--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -41,13 +41,19 @@
         } else {
             self.objective_left_ms()
         };
+        // It counts only for a refusal, which needs a full pool.
+        let least_run_ms = if pool.load_share >= 1.0 {
+            self.least_run_ms(context)
+        } else {
+            0.0
+        };
         let request = PendingRequest {
             priority: self.priority(),
             workspace,
             work_ms,
             first_event_ms: fixed_ms + prefill_ms,
             objective_left_ms,
-            least_end_ms: fixed_ms + self.least_run_ms(context) * pool.fastest_ratio,
+            least_end_ms: fixed_ms + least_run_ms * pool.fastest_ratio,
             deadline_left_ms: self.deadline_left_ms(),
             // One that may have run before cannot be refused as not run.
             may_be_refused: self.verdict == Verdict::NotRun,
@@ -98,10 +104,9 @@
     }
 
     /// Estimates the least time in which a run of any permitted size may read the prompt and write the
-    /// answer at an endpoint of ordinary speed, in milliseconds.
+    /// answer at an endpoint of ordinary speed, in milliseconds; 0 if no size is permitted.
     fn least_run_ms(&self, context: &RequestContext) -> f64 {
-        let mut least_ms = f64::INFINITY;
-        for size in self.permitted_sizes() {
+        let run_ms = |size| {
             let key = BaselineKey {
                 service: self.service.clone(),
                 size,
@@ -112,9 +117,10 @@
             // A pace that no stream showed lately may have changed since.
             let run = run.filter(|_| pace.is_some_and(|pace| pace.is_fresh));
             let writing_ms = run.map_or(0.0, |run| run.least_ms());
-            least_ms = least_ms.min(reading_ms + writing_ms);
-        }
-        least_ms
+            reading_ms + writing_ms
+        };
+        let runs_ms = self.permitted_sizes().into_iter().map(run_ms);
+        runs_ms.reduce(f64::min).unwrap_or(0.0)
     }
 
     /// Returns the load of the endpoints to which requests of the service may be sent.
@@ -128,7 +134,7 @@
             let open = pool.map_or(Vec::new(), |pool| open_endpoints(view, pool, now_ms));
             for (endpoint, share) in open {
                 let state = context.endpoint_states.of(endpoint);
-                let may_enter = self.may_enter(view, &endpoint.zone);
+                let may_enter = self.is_permitted_in(view, &endpoint.zone);
                 if !may_enter || state.is_misdirected() || state.is_leaving() {
                     continue;
                 }
--- a/crates/serve/src/service_orders.rs
+++ b/crates/serve/src/service_orders.rs
@@ -57,15 +57,17 @@
         now_ms: u64,
         sum: impl FnOnce() -> PoolLoad,
     ) -> PoolLoad {
-        let mut orders = self.by_service.borrow_mut();
-        let state = orders.entry(service.clone()).or_default();
-        if let Some((summed_ms, load)) = state.pool_load
+        let orders = self.by_service.borrow();
+        let last = orders.get(service).and_then(|state| state.pool_load);
+        drop(orders);
+        if let Some((summed_ms, load)) = last
             && now_ms < summed_ms + POOL_LOAD_MS
         {
             return load;
         }
         let load = sum();
-        state.pool_load = Some((now_ms, load));
+        let mut orders = self.by_service.borrow_mut();
+        orders.entry(service.clone()).or_default().pool_load = Some((now_ms, load));
         load
     }
 
