--- a/crates/serve/tests/homes.rs
+++ b/crates/serve/tests/homes.rs
@@ -13,7 +13,7 @@
 use member::Member;
 use relay::Handler;
 use route::{RetrySafety, Route, Table};
-use serve::View;
+use serve::{RolloutStage, RolloutView, View};
 
 fn change(harness: &Harness, change: impl FnOnce(&mut View)) {
     let mut view: View = (**harness.view.load()).clone();
@@ -76,6 +76,35 @@
     assert_eq!((near.request_count(), far.request_count()), (sends, 0));
 }
 
+/// Guards against sessions without an endpoint of their version in the homes that leave the homes, or that get
+/// a version which only other sessions try.
+#[test]
+fn a_rollout_moves_no_session_out_of_the_homes() {
+    for (stage, near_version, is_served) in [
+        (RolloutStage::Ramping(0.0), "v2", false),
+        (RolloutStage::Withdrawn, "v2", false),
+        (RolloutStage::Ramping(0.0), "v1", true),
+        (RolloutStage::Done, "v1", true),
+        (RolloutStage::Done, "v2", true),
+    ] {
+        let [near, far] = [(); 2].map(|()| ScriptedEndpoint::start(vec![answer("a"); 3]));
+        let far_version = if near_version == "v1" { "v2" } else { "v1" };
+        let endpoints = [(near.addr, near_version), (far.addr, far_version)];
+        let rollout = RolloutView {
+            target: "v2".into(),
+            stage,
+        };
+        let route = route(RetrySafety::Idempotent).homes(&["near"]);
+        let harness = Harness::with_versions(route, &endpoints, Some(rollout), 10.0);
+        change(&harness, |_| ());
+        let status = harness.send(&[]).status;
+        let name = format!("{stage:?} {near_version}");
+        assert_eq!(status == 200, is_served, "{name}");
+        let sent = (near.request_count(), far.request_count());
+        assert_eq!(sent, (usize::from(is_served), 0), "{name}");
+    }
+}
+
 /// Guards against a request body that is handed over to an instance outside the homes.
 #[test]
 fn peers_outside_the_homes_carry_nothing() {
