limits, serve, control: Use plainer names and comments for orders and homes

Change: is_permitted_in, is_preferred, and three comments.

Test: none, as nothing but names and comments changes.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -366,7 +366,7 @@
         }
     }
 
-    /// Logs the home regions in which no zone is. They are in force, as a home says where data may go.
+    /// Logs home regions that the settings name for no zone. They remain in force, as homes limit where data may go.
     fn log_unknown_homes(&self, table: &route::Table) {
         for region in table.home_regions() {
             let mut known = self.settings.regions.values();
--- a/crates/limits/tests/service_order.rs
+++ b/crates/limits/tests/service_order.rs
@@ -1,4 +1,4 @@
-//! Plays overload on an engine without a network, and compares who is served by order of arrival, by a
+//! Simulates an overloaded engine without a network, and compares who is served by order of arrival, by a
 //! fixed threshold, by class alone, by [`ServiceOrder`] and by an order with several numbers for one class.
 //!
 //! The engine admits by number and then by arrival. Its memory may be limited, and a request that finds
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -52,7 +52,7 @@
     if view.evacuations.is_empty() && request.homes.is_none() {
         return pool.eligible(unit);
     }
-    let is_home = |endpoint: &Endpoint| request.may_enter(view, &endpoint.zone);
+    let is_home = |endpoint: &Endpoint| request.is_permitted_in(view, &endpoint.zone);
     if view.evacuations.is_empty() {
         return pool.eligible_among(unit, is_home);
     }
--- a/crates/serve/src/homes.rs
+++ b/crates/serve/src/homes.rs
@@ -52,13 +52,13 @@
             Some(region)
         };
         let homes = || routes.iter().flat_map(|route| &route.homes);
-        let is_near = |member: &Member| {
+        let is_preferred = |member: &Member| {
             caller_region.is_some() && self.region(&member.zone) == caller_region
                 || homes().all(|homes| self.is_in_homes(homes, &member.zone))
         };
         let is_home_of_one =
             |member: &Member| homes().any(|homes| self.is_in_homes(homes, &member.zone));
-        for is_allowed in [&is_near as &dyn Fn(&Member) -> bool, &is_home_of_one] {
+        for is_allowed in [&is_preferred as &dyn Fn(&Member) -> bool, &is_home_of_one] {
             if chosen.iter().any(|member| is_allowed(member)) {
                 chosen.retain(|member| is_allowed(member));
                 return chosen;
@@ -70,7 +70,7 @@
 
 impl ActiveRequest {
     /// Returns whether the request and its body may be sent to a zone.
-    pub(crate) fn may_enter(&self, view: &View, zone: &str) -> bool {
+    pub(crate) fn is_permitted_in(&self, view: &View, zone: &str) -> bool {
         let homes = self.homes.as_ref();
         homes.is_none_or(|homes| view.is_in_homes(homes, zone))
     }
@@ -86,7 +86,7 @@
         }
         let pool = view.pools.get(&self.service);
         let mut endpoints = pool.into_iter().flat_map(|pool| &pool.endpoints);
-        if endpoints.any(|endpoint| self.may_enter(view, &endpoint.zone)) {
+        if endpoints.any(|endpoint| self.is_permitted_in(view, &endpoint.zone)) {
             return Ok(());
         }
         Counters::add(&context.counters.without_home);
--- a/crates/serve/src/peer_choice.rs
+++ b/crates/serve/src/peer_choice.rs
@@ -44,7 +44,7 @@
         };
         // The region of the caller is not known here, so that a peer must be in a home.
         if request.peers_asked.contains(&member.incarnation)
-            || !request.may_enter(view, &member.zone)
+            || !request.is_permitted_in(view, &member.zone)
             || !may_reach(member, view, context, &endpoints)
         {
             continue;
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -134,8 +134,8 @@
             let open = pool.map_or(Vec::new(), |pool| open_endpoints(view, pool, now_ms));
             for (endpoint, share) in open {
                 let state = context.endpoint_states.of(endpoint);
-                let may_enter = self.is_permitted_in(view, &endpoint.zone);
-                if !may_enter || state.is_misdirected() || state.is_leaving() {
+                let is_permitted_in = self.is_permitted_in(view, &endpoint.zone);
+                if !is_permitted_in || state.is_misdirected() || state.is_leaving() {
                     continue;
                 }
                 load += state.load() * share;
--- a/crates/serve/src/service_orders.rs
+++ b/crates/serve/src/service_orders.rs
@@ -10,7 +10,7 @@
 /// notable on a tenth of a core.
 const POOL_LOAD_MS: u64 = 20;
 
-/// What the endpoints of a service have to offer at some time.
+/// Load and relative speed of the endpoints of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct PoolLoad {
     /// Load, as a share of the slots.
