--- a/crates/limits/tests/service_order.rs
+++ b/crates/limits/tests/service_order.rs
@@ -1,4 +1,4 @@
-//! Plays overload on an engine without a network, and compares who is served by order of arrival, by a
+//! Simulates an overloaded engine without a network, and compares who is served by order of arrival, by a
 //! fixed threshold, by class alone, by [`ServiceOrder`] and by an order with several numbers for one class.
 //!
 //! The engine admits by number and then by arrival. Its memory may be limited, and a request that finds
@@ -122,6 +122,7 @@
     /// Whether it is the second attempt of its caller.
     has_waited: bool,
     rank: u8,
+    reason: OrderReason,
     /// Work done, also reading the prompt, and work to be repeated after a preemption.
     done_ms: f64,
     repeat_ms: f64,
@@ -187,7 +188,7 @@
     by_workspace: BTreeMap<usize, [f64; 4]>,
     preempted: u32,
     /// Requests of the same class for which running ones were preempted.
-    preempted_by_like: u32,
+    preempted_by_same_class: u32,
     refused: u32,
 }
 
@@ -216,11 +217,11 @@
             .collect();
         let workspaces: Vec<String> = self.by_workspace.values().map(rows).collect();
         println!(
-            "{name}: worth {:.3}, worth/served {}, preempted {} (by like {}), refused {}, workspaces {}",
+            "{name}: worth {:.3}, worth/served {}, preempted {} (by same class {}), refused {}, workspaces {}",
             self.worth_share(),
             classes.join(", "),
             self.preempted,
-            self.preempted_by_like,
+            self.preempted_by_same_class,
             self.refused,
             workspaces.join(" ")
         );
@@ -281,9 +282,9 @@
             if self.running[victim].rank <= call.rank {
                 return None;
             }
-            let is_like = self.running[victim].class == call.class;
+            let is_same_class = self.running[victim].class == call.class;
             outcome.preempted += 1;
-            outcome.preempted_by_like += u32::from(is_like);
+            outcome.preempted_by_same_class += u32::from(is_same_class);
             let mut victim = self.running.remove(victim);
             victim.preempt(now_ms);
             self.queue.push(victim);
@@ -317,6 +318,7 @@
                 work_ms: class.work_ms * (0.3 + 1.4 * random.f64()),
                 has_waited: random.f64() < 0.2,
                 rank: 0,
+                reason: OrderReason::InTime,
                 done_ms: 0.0,
                 repeat_ms: 0.0,
                 first_event_ms: None,
@@ -358,6 +360,9 @@
                 continue;
             };
             call.rank = rank;
+            if let (Policy::Ordered, Some(Order::Send(_, reason))) = (policy, place) {
+                call.reason = reason;
+            }
             engine.queue.push(call);
         }
         let mut running = Vec::with_capacity(SLOTS);
@@ -368,12 +373,7 @@
                 let class = &CLASSES[call.class];
                 let wait_ms = first_ms - call.reading_ms();
                 wait_share += 0.05 * (wait_ms / class.objective_ms - wait_share);
-                let rank = if policy == Policy::FineOrdered {
-                    ServiceOrder::class_rank(class.priority)
-                } else {
-                    call.rank
-                };
-                order.record_wait(rank, wait_ms, now_ms);
+                order.record_wait(class.priority, call.reason, wait_ms, now_ms);
             }
             let is_over = now > call.arrived_ms + CLASSES[call.class].deadline_ms;
             if is_whole || is_over {
@@ -398,27 +398,33 @@
     outcome
 }
 
-/// Plays several seeds and sums what they give.
-fn play_seeds(load: Load, policy: Policy, preemption: Preemption) -> Outcome {
+/// Plays the seeds, and returns the outcome of each and their sum.
+fn play_seeds(load: Load, policy: Policy, preemption: Preemption) -> (Vec<Outcome>, Outcome) {
+    let outcomes: Vec<Outcome> = (1..=5)
+        .map(|seed| play(load, policy, preemption, seed))
+        .collect();
     let mut sum = Outcome::default();
-    for seed in 1..=3 {
-        let outcome = play(load, policy, preemption, seed);
-        for (class, row) in outcome.by_class {
-            add_row(sum.by_class.entry(class).or_default(), row);
+    for outcome in &outcomes {
+        for (class, row) in &outcome.by_class {
+            add_row(sum.by_class.entry(class).or_default(), *row);
         }
-        for (workspace, row) in outcome.by_workspace {
-            add_row(sum.by_workspace.entry(workspace).or_default(), row);
+        for (workspace, row) in &outcome.by_workspace {
+            add_row(sum.by_workspace.entry(*workspace).or_default(), *row);
         }
         sum.preempted += outcome.preempted;
-        sum.preempted_by_like += outcome.preempted_by_like;
+        sum.preempted_by_same_class += outcome.preempted_by_same_class;
         sum.refused += outcome.refused;
     }
-    sum.print(&format!("{load:?} {preemption:?} {policy:?}"));
-    sum
+    let worths = outcomes.iter().map(Outcome::worth_share);
+    let worths: Vec<String> = worths.map(|worth| format!("{worth:.3}")).collect();
+    let name = format!("{load:?} {preemption:?} {policy:?}");
+    sum.print(&format!("{name} (worth by seed {})", worths.join(" ")));
+    (outcomes, sum)
 }
 
-/// Guards against an order that serves callers worse than none, or that starves a class or a workspace,
-/// whether or not the engine preempts.
+/// Guards against an order that serves callers worse than none, that starves a class or a workspace, or that
+/// preempts more requests of the same class than several numbers for each class do, whether or not the engine
+/// preempts.
 #[test]
 fn order_serves_more_worth_than_arrival_and_a_threshold_and_starves_nobody() {
     for load in [Load::Burst, Load::Flood] {
@@ -430,11 +436,22 @@
             let arrival = play_seeds(load, Policy::Arrival, preemption);
             let threshold = play_seeds(load, Policy::Threshold, preemption);
             play_seeds(load, Policy::ByClass, preemption);
-            play_seeds(load, Policy::FineOrdered, preemption);
-            let ordered = play_seeds(load, Policy::Ordered, preemption);
+            let (_, fine) = play_seeds(load, Policy::FineOrdered, preemption);
+            let (ordered_seeds, ordered) = play_seeds(load, Policy::Ordered, preemption);
             let name = format!("{load:?} {preemption:?}");
-            for other in [&arrival, &threshold] {
+            if preemption != Preemption::Never {
+                assert!(
+                    ordered.preempted_by_same_class < fine.preempted_by_same_class,
+                    "{name}"
+                );
+            }
+            for (other_seeds, other) in [&arrival, &threshold] {
                 assert!(ordered.worth_share() > other.worth_share(), "{name}");
+                for (seed, outcome) in ordered_seeds.iter().enumerate() {
+                    let worth = outcome.worth_share();
+                    let other_worth = other_seeds[seed].worth_share();
+                    assert!(worth > other_worth, "{name} seed {}", seed + 1);
+                }
                 for class in &CLASSES {
                     let share = |outcome: &Outcome| {
                         let [earned, owed, served, sent] = outcome.by_class[class.name];
@@ -547,8 +564,12 @@
         ),
         ("hopeless, full", hopeless, full, Some(Order::Refuse)),
     ];
-    for (name, request, pressure, expected) in cases {
-        let found = ServiceOrder::default().order(&request, pressure, 0);
+    for (name, pending, pressure, expected) in cases {
+        let mut order = ServiceOrder::default();
+        for _ in 0..8 {
+            assert_eq!(order.order(&request, calm, 0), None, "{name}");
+        }
+        let found = order.order(&pending, pressure, 0);
         assert_eq!(found, expected, "{name}");
     }
 }
@@ -579,3 +600,84 @@
         );
     }
 }
+
+/// Guards against a workspace that gives way and is refused altogether while the pool is full, as the wait of
+/// requests that give way is above its deadlines.
+#[test]
+fn one_in_four_requests_that_give_way_is_sent_while_the_others_are_refused() {
+    let other = PendingRequest {
+        priority: 0,
+        workspace: Some("clinic"),
+        work_ms: 10.0,
+        first_event_ms: 100.0,
+        objective_left_ms: 2_000.0,
+        least_end_ms: 500.0,
+        deadline_left_ms: 1_000.0,
+        may_be_refused: true,
+    };
+    let overused = PendingRequest {
+        workspace: Some("flood"),
+        work_ms: 1_000.0,
+        ..other
+    };
+    let late = PendingRequest {
+        workspace: Some("late"),
+        objective_left_ms: 0.0,
+        work_ms: 0.0,
+        ..other
+    };
+    let full = Pressure {
+        wait_share: 0.5,
+        load_share: 1.2,
+    };
+    for (pending, reason) in [(overused, OrderReason::Overuse), (late, OrderReason::Late)] {
+        let mut order = ServiceOrder::default();
+        order.order(&other, full, 0);
+        for _ in 0..40 {
+            order.record_wait(0, reason, 1_500.0, 0);
+        }
+        let orders: Vec<_> = (0..8).map(|_| order.order(&pending, full, 0)).collect();
+        for (index, found) in orders.iter().enumerate() {
+            let expected = match index % 4 {
+                3 => Order::Send(2, OrderReason::Floor),
+                _ => Order::Refuse,
+            };
+            assert_eq!(*found, Some(expected), "{:?} {index}", pending.workspace);
+        }
+    }
+}
+
+/// Guards against waits of requests that give way, or of another class with the same engine priority, that make
+/// a request count as late.
+#[test]
+fn waits_of_one_class_or_reason_say_nothing_of_another() {
+    let waits = Pressure {
+        wait_share: 0.5,
+        load_share: 0.5,
+    };
+    for (priority, reason, measured) in [
+        (1, OrderReason::Overuse, 3),
+        (2, OrderReason::Overuse, 3),
+        (3, OrderReason::Overuse, 3),
+        (3, OrderReason::InTime, 2),
+        (0, OrderReason::Late, 0),
+    ] {
+        let request = PendingRequest {
+            priority: measured,
+            workspace: None,
+            work_ms: 100.0,
+            first_event_ms: 300.0,
+            objective_left_ms: 2_000.0,
+            least_end_ms: 900.0,
+            deadline_left_ms: 5_000.0,
+            may_be_refused: true,
+        };
+        let mut order = ServiceOrder::default();
+        for _ in 0..40 {
+            order.record_wait(priority, reason, 3_000.0, 0);
+        }
+        let expected = Order::Send(ServiceOrder::class_rank(measured), OrderReason::InTime);
+        let found = order.order(&request, waits, 0);
+        assert_eq!(found, Some(expected), "{priority} {reason:?}");
+    }
+}
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -1,7 +1,7 @@
 //! The rank of a request among those of its service while capacity is short.
 
 use kernel::{Failure, Reason, Verdict};
-use limits::{Order, PendingRequest, Pressure, ServiceOrder};
+use limits::{Order, OrderReason, PendingRequest, Pressure, ServiceOrder};
 
 use crate::active_request::ActiveRequest;
 use crate::baseline::BaselineKey;
@@ -34,13 +34,26 @@
         let work_ms = prefill_ms + self.decode_ms(context);
         let fixed_ms = context.baselines.fixed_ms(&self.service);
         let pool = self.pool_load(context, view);
+        // The caller of a stream that goes on has its first event.
+        let has_begun = self.is_resumed || self.info.resume_after.is_some();
+        let objective_left_ms = if has_begun {
+            f64::INFINITY
+        } else {
+            self.objective_left_ms()
+        };
+        // It counts only for a refusal, which needs a full pool.
+        let least_run_ms = if pool.load_share >= 1.0 {
+            self.least_run_ms(context)
+        } else {
+            0.0
+        };
         let request = PendingRequest {
             priority: self.priority(),
             workspace,
             work_ms,
             first_event_ms: fixed_ms + prefill_ms,
-            objective_left_ms: self.objective_left_ms(),
-            least_end_ms: fixed_ms + self.least_run_ms(context) * pool.fastest_ratio,
+            objective_left_ms,
+            least_end_ms: fixed_ms + least_run_ms * pool.fastest_ratio,
             deadline_left_ms: self.deadline_left_ms(),
             // One that may have run before cannot be refused as not run.
             may_be_refused: self.verdict == Verdict::NotRun,
@@ -54,9 +67,12 @@
             .service_orders
             .order(service, &request, pressure, context.now_ms());
         match order {
-            None => self.rank = Some(ServiceOrder::class_rank(request.priority)),
+            None => {
+                let rank = ServiceOrder::class_rank(request.priority);
+                self.place = Some((rank, OrderReason::InTime));
+            }
             Some(Order::Send(rank, reason)) => {
-                self.rank = Some(rank);
+                self.place = Some((rank, reason));
                 let observer = &context.observer;
                 observer.request_ordered(request.priority, workspace, reason.as_str());
                 tracing::debug!(
@@ -88,20 +104,23 @@
     }
 
     /// Estimates the least time in which a run of any permitted size may read the prompt and write the
-    /// answer at an endpoint of ordinary speed, in milliseconds.
+    /// answer at an endpoint of ordinary speed, in milliseconds; 0 if no size is permitted.
     fn least_run_ms(&self, context: &RequestContext) -> f64 {
-        let mut least_ms = f64::INFINITY;
-        for size in self.permitted_sizes() {
+        let run_ms = |size| {
             let key = BaselineKey {
                 service: self.service.clone(),
                 size,
             };
             let reading_ms = context.baselines.reading_ms(&key, self.info.new_tokens());
+            let pace = context.run_book.pace(&key, context.now_ms());
             let run = self.run_outlook(context, size, self.events_before());
+            // A pace that no stream showed lately may have changed since.
+            let run = run.filter(|_| pace.is_some_and(|pace| pace.is_fresh));
             let writing_ms = run.map_or(0.0, |run| run.least_ms());
-            least_ms = least_ms.min(reading_ms + writing_ms);
-        }
-        least_ms
+            reading_ms + writing_ms
+        };
+        let runs_ms = self.permitted_sizes().into_iter().map(run_ms);
+        runs_ms.reduce(f64::min).unwrap_or(0.0)
     }
 
     /// Returns the load of the endpoints to which requests of the service may be sent.
@@ -115,8 +134,8 @@
             let open = pool.map_or(Vec::new(), |pool| open_endpoints(view, pool, now_ms));
             for (endpoint, share) in open {
                 let state = context.endpoint_states.of(endpoint);
-                let may_enter = self.may_enter(view, &endpoint.zone);
-                if !may_enter || state.is_misdirected() || state.is_leaving() {
+                let is_permitted_in = self.is_permitted_in(view, &endpoint.zone);
+                if !is_permitted_in || state.is_misdirected() || state.is_leaving() {
                     continue;
                 }
                 load += state.load() * share;
--- a/crates/serve/src/service_orders.rs
+++ b/crates/serve/src/service_orders.rs
@@ -4,13 +4,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use limits::{Order, PendingRequest, Pressure, ServiceOrder};
+use limits::{Order, OrderReason, PendingRequest, Pressure, ServiceOrder};
 
 /// Time for which the load of a pool is used, in milliseconds. The sum over 90 endpoints for each send is
 /// notable on a tenth of a core.
 const POOL_LOAD_MS: u64 = 20;
 
-/// What the endpoints of a service have to offer at some time.
+/// Load and relative speed of the endpoints of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct PoolLoad {
     /// Load, as a share of the slots.
@@ -35,11 +35,19 @@
 }
 
 impl ServiceOrders {
-    /// Records how long a request of an engine priority waited for its first event beyond undisturbed prefill.
-    pub(crate) fn record_wait(&self, service: &Arc<str>, rank: u8, wait_ms: f64, now_ms: u64) {
+    /// Records how long a request of a priority that was sent for a reason waited for its first event beyond
+    /// undisturbed prefill.
+    pub(crate) fn record_wait(
+        &self,
+        service: &Arc<str>,
+        priority: u8,
+        reason: OrderReason,
+        wait_ms: f64,
+        now_ms: u64,
+    ) {
         let mut orders = self.by_service.borrow_mut();
         let state = orders.entry(service.clone()).or_default();
-        state.order.record_wait(rank, wait_ms, now_ms);
+        state.order.record_wait(priority, reason, wait_ms, now_ms);
     }
 
     /// Returns the load of a service's pool, which `sum` computes if the last one is too old.
@@ -49,15 +57,17 @@
         now_ms: u64,
         sum: impl FnOnce() -> PoolLoad,
     ) -> PoolLoad {
-        let mut orders = self.by_service.borrow_mut();
-        let state = orders.entry(service.clone()).or_default();
-        if let Some((summed_ms, load)) = state.pool_load
+        let orders = self.by_service.borrow();
+        let last = orders.get(service).and_then(|state| state.pool_load);
+        drop(orders);
+        if let Some((summed_ms, load)) = last
             && now_ms < summed_ms + POOL_LOAD_MS
         {
             return load;
         }
         let load = sum();
-        state.pool_load = Some((now_ms, load));
+        let mut orders = self.by_service.borrow_mut();
+        orders.entry(service.clone()).or_default().pool_load = Some((now_ms, load));
         load
     }
 
