check-config: Treat an empty list of workspaces as no list

Routes require keys only once the table has a workspace, so that an empty list opens every route, but the differences said that its requests are refused with 401. Keys are required by a list that is not empty.

--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -9,6 +9,9 @@
 /// What is printed for a value that the operator did not write.
 const NOT_SET: &str = "not set";
 
+/// What is printed for an empty list.
+const EMPTY: &str = "none";
+
 /// One difference.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -137,19 +140,19 @@
     }
 
     fn compare_workspaces(&mut self, in_force: &Config, new: &Config) {
-        let effect = match (&in_force.workspaces, &new.workspaces) {
-            (None, Some(_)) => {
+        let effect = match (in_force.requires_keys(), new.requires_keys()) {
+            (false, true) => {
                 "new requests without a valid key are refused with 401, except on public routes; \
                  requests in progress complete"
             }
-            (Some(_), None) => "new requests need no key; requests in progress complete",
+            (true, false) => "keys are no longer required: every caller is served",
             _ => "",
         };
         if !effect.is_empty() {
             let entry = (self.names)(Field::Workspaces);
-            let describe = |config: &Config| match &config.workspaces {
-                Some(workspaces) => format!("{} listed", workspaces.len()),
-                None => NOT_SET.to_owned(),
+            let describe = |config: &Config| match config.workspaces.len() {
+                0 => EMPTY.to_owned(),
+                count => format!("{count} listed"),
             };
             let (before, after) = (describe(in_force), describe(new));
             // The section is no field of an entry, and its name says enough.
@@ -161,10 +164,8 @@
                 effect: effect.to_owned(),
             });
         }
-        let old_entries = in_force.workspaces.as_deref().unwrap_or_default();
-        let new_entries = new.workspaces.as_deref().unwrap_or_default();
-        let before = by_name(old_entries, |workspace| &workspace.name);
-        let after = by_name(new_entries, |workspace| &workspace.name);
+        let before = by_name(&in_force.workspaces, |workspace| &workspace.name);
+        let after = by_name(&new.workspaces, |workspace| &workspace.name);
         self.compare_entries(
             "workspace",
             &before,
@@ -177,7 +178,7 @@
                 }
             },
         );
-        self.compare_keys(old_entries, new_entries, new.workspaces.is_some());
+        self.compare_keys(&in_force.workspaces, &new.workspaces, new.requires_keys());
     }
 
     /// Compares keys without printing them, as they are secret: each is named by its place in the
--- a/crates/check/src/config.rs
+++ b/crates/check/src/config.rs
@@ -11,8 +11,15 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: Option<Limits>,
-    /// Workspaces, or `None` where callers need no keys.
-    pub workspaces: Option<Vec<Workspace>>,
+    /// Workspaces; without any, callers need no keys.
+    pub workspaces: Vec<Workspace>,
+}
+
+impl Config {
+    /// Returns whether routes that are not public require a key.
+    pub fn requires_keys(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
 }
 
 /// One route.
--- a/crates/check/src/rules.rs
+++ b/crates/check/src/rules.rs
@@ -23,10 +23,8 @@
     if let Some(limits) = &config.limits {
         check_limits(limits, &mut report);
     }
-    if let Some(workspaces) = &config.workspaces {
-        let need_keys = config.routes.iter().any(|route| !route.public);
-        check_workspaces(workspaces, need_keys, &mut report);
-    }
+    let need_keys = config.requires_keys() && config.routes.iter().any(|route| !route.public);
+    check_workspaces(&config.workspaces, need_keys, &mut report);
     report.findings
 }
 
