config: Check a configuration after it is in force, with a bound on findings

A check ran on the control thread before the table took effect, and kept all findings: one route with 15,000 splits and 75,000 sizes gave over a billion. The newest version is now checked in a task of the control thread's executor after it is published.

--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -330,8 +330,8 @@
     let mut values = vec![
         (Field::HealthPath, quoted(&service.health_path)),
         (Field::MaxConnections, optional(service.max_connections)),
-        (Field::ColdStart, optional(service.cold_start_s)),
-        (Field::ColdRate, optional(service.cold_per_s)),
+        (Field::ColdStart, optional(service.cold_start_s.as_ref())),
+        (Field::ColdRate, optional(service.cold_per_s.as_ref())),
     ];
     values.extend(engine_values(service.engine.as_ref()));
     values
--- a/crates/check/src/config.rs
+++ b/crates/check/src/config.rs
@@ -1,5 +1,7 @@
 //! A configuration as the operator wrote it.
 
+use std::fmt;
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
@@ -80,13 +82,41 @@
     /// Connections that one endpoint accepts from all clients together.
     pub max_connections: Option<u32>,
     /// How long an endpoint is cold after its start.
-    pub cold_start_s: Option<f64>,
+    pub cold_start_s: Option<Number>,
     /// Requests per second that a cold endpoint takes.
-    pub cold_per_s: Option<f64>,
+    pub cold_per_s: Option<Number>,
     /// Model engines.
     pub engine: Option<Engine>,
 }
 
+/// Value of a field in which the operator may have written anything.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Number {
+    /// A number.
+    Readable(f64),
+    /// Anything else, as written, which is ignored.
+    Unreadable(String),
+}
+
+impl Number {
+    /// Returns the number, if it is one.
+    pub fn value(&self) -> Option<f64> {
+        match self {
+            Number::Readable(value) => Some(*value),
+            Number::Unreadable(_) => None,
+        }
+    }
+}
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Number::Readable(value) => value.fmt(f),
+            Number::Unreadable(text) => text.fmt(f),
+        }
+    }
+}
+
 /// Model engines of a service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Engine {
--- a/crates/check/src/finding.rs
+++ b/crates/check/src/finding.rs
@@ -94,6 +94,22 @@
     pub message: String,
 }
 
+/// Findings up to a limit.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// The first findings.
+    pub kept: Vec<Finding>,
+    /// How many more there are.
+    pub left_out: usize,
+}
+
+impl Findings {
+    /// Returns how many findings there are, with those left out.
+    pub fn count(&self) -> usize {
+        self.kept.len() + self.left_out
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let class = self.code.class().name();
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -15,8 +15,8 @@
 //!     idle_timeout_ms: 15_000,
 //! };
 //! let config = Config { version: 1, limits: Some(limits), ..Config::default() };
-//! let found = findings(&config, |_| "field");
-//! assert_eq!(found[0].code.name(), "head-above-body");
+//! let found = findings(&config, |_| "field", 50);
+//! assert_eq!(found.kept[0].code.name(), "head-above-body");
 //! ```
 
 mod changes;
@@ -26,7 +26,7 @@
 mod rules;
 
 pub use changes::{Change, changes};
-pub use config::{Config, Engine, Limits, Model, Route, Service, Split, Workspace};
-pub use finding::{Class, Code, Finding};
+pub use config::{Config, Engine, Limits, Model, Number, Route, Service, Split, Workspace};
+pub use finding::{Class, Code, Finding, Findings};
 pub use names::{Field, Names};
-pub use rules::{findings, version_finding};
+pub use rules::{findings, shorten, version_finding};
--- a/crates/check/src/rules.rs
+++ b/crates/check/src/rules.rs
@@ -1,9 +1,10 @@
 //! The rules.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::borrow::Cow;
+use std::collections::{HashMap, HashSet};
 
-use crate::config::{Config, Limits, Route, Service, Workspace};
-use crate::finding::{Code, Finding};
+use crate::config::{Config, Limits, Number, Route, Service, Workspace};
+use crate::finding::{Code, Finding, Findings};
 use crate::names::{Field, Names};
 
 /// Smallest weight that has an effect, as routes keep weights in thousandths.
@@ -12,11 +13,15 @@
 /// Lowest rate of a cold endpoint that permits a request in each second.
 const MIN_COLD_PER_S: f64 = 1.0;
 
-/// Returns what is wrong with a configuration, in the order of the document.
-pub fn findings(config: &Config, names: Names) -> Vec<Finding> {
+/// Longest value that is printed, in characters, as operators may have written any text.
+const MAX_PRINTED_CHARS: usize = 64;
+
+/// Returns the first `limit` findings in a configuration, in the order of the document, and counts the others.
+pub fn findings(config: &Config, names: Names, limit: usize) -> Findings {
     let mut report = Report {
         names,
-        findings: Vec::new(),
+        limit,
+        findings: Findings::default(),
     };
     check_routes(config, &mut report);
     check_services(config, &mut report);
@@ -28,6 +33,14 @@
     report.findings
 }
 
+/// Cuts a value to the length that is printed.
+pub fn shorten(text: &str) -> Cow<'_, str> {
+    match text.char_indices().nth(MAX_PRINTED_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]).into(),
+        None => text.into(),
+    }
+}
+
 /// Returns a finding if a version is not above the one in force, so that instances may ignore it.
 pub fn version_finding(in_force: &Config, new: &Config, names: Names) -> Option<Finding> {
     (new.version <= in_force.version).then(|| Finding {
@@ -42,41 +55,85 @@
     })
 }
 
+/// Findings up to a limit, and the names of fields in their messages.
 struct Report {
     names: Names,
-    findings: Vec<Finding>,
+    limit: usize,
+    findings: Findings,
 }
 
 impl Report {
-    fn push(&mut self, code: Code, place: String, message: String) {
-        self.findings.push(Finding {
+    /// Adds a finding. Its place and message are formatted only if it is kept, as a large document may have
+    /// very many.
+    fn push(&mut self, code: Code, describe: impl FnOnce(Names) -> (String, String)) {
+        if self.is_full() {
+            self.findings.left_out += 1;
+            return;
+        }
+        let (place, message) = describe(self.names);
+        self.findings.kept.push(Finding {
             code,
             place,
             message,
         });
     }
 
-    fn entry(&self, section: Field, index: usize) -> String {
-        format!("{}[{index}]", (self.names)(section))
+    fn is_full(&self) -> bool {
+        self.findings.kept.len() >= self.limit
     }
 
-    fn field(&self, entry: &str, field: Field) -> String {
-        format!("{entry}.{}", (self.names)(field))
+    fn entry(&self, section: Field, index: usize) -> String {
+        format!("{}[{index}]", (self.names)(section))
     }
 
     /// Reports a number below the least valid one.
     fn check_least(&mut self, entry: &str, field: Field, value: Option<f64>, least: f64) {
         if let Some(value) = value.filter(|value| *value < least) {
-            let message = format!("{value} is out of range, expected {least} or more");
-            self.push(Code::NumberRange, self.field(entry, field), message);
+            self.push(Code::NumberRange, |names| {
+                let message = format!("{value} is out of range, expected {least} or more");
+                (path(entry, names(field)), message)
+            });
+        }
+    }
+
+    /// Reports a number that cannot be read or is below 0.
+    fn check_number(&mut self, entry: &str, field: Field, number: Option<&Number>) {
+        match number {
+            Some(Number::Unreadable(text)) => self.push(Code::FieldType, |names| {
+                let message = format!("{} is no number and is ignored", shorten(text));
+                (path(entry, names(field)), message)
+            }),
+            Some(Number::Readable(value)) => self.check_least(entry, field, Some(*value), 0.0),
+            None => {}
+        }
+    }
+}
+
+/// Returns the path of a field.
+fn path(entry: &str, field: &str) -> String {
+    format!("{entry}.{field}")
+}
+
+/// A listed service with the names of its engine's models.
+struct Listed<'a> {
+    service: &'a Service,
+    models: HashSet<&'a str>,
+}
+
+impl Listed<'_> {
+    fn new(service: &Service) -> Listed<'_> {
+        let models = service.engine.iter().flat_map(|engine| &engine.models);
+        Listed {
+            service,
+            models: models.map(|model| &*model.name).collect(),
         }
     }
 }
 
 fn check_routes(config: &Config, report: &mut Report) {
-    let mut services: HashMap<&str, &Service> = HashMap::new();
+    let mut services: HashMap<&str, Listed<'_>> = HashMap::new();
     for service in &config.services {
-        services.insert(&service.name, service);
+        services.insert(&service.name, Listed::new(service));
     }
     let mut first_routes: HashMap<(&str, &str), &Route> = HashMap::new();
     for (index, route) in config.routes.iter().enumerate() {
@@ -91,12 +148,15 @@
             first_routes.insert(key, route);
             continue;
         };
-        let message = format!(
-            "route '{}' gets no request, as route '{}' before it has the same host and prefix; \
-             remove one of them or change its prefix",
-            route.name, first.name
-        );
-        report.push(Code::RouteUnreachable, entry, message);
+        report.push(Code::RouteUnreachable, |_| {
+            let message = format!(
+                "route '{}' gets no request, as route '{}' before it has the same host and prefix; \
+                 remove one of them or change its prefix",
+                shorten(&route.name),
+                shorten(&first.name)
+            );
+            (entry, message)
+        });
     }
 }
 
@@ -104,76 +164,117 @@
     if route.prefix.starts_with('/') && route.prefix.ends_with('/') {
         return;
     }
-    let message = format!(
-        "prefix \"{}\" does not begin and end with a slash",
-        route.prefix
-    );
-    let place = report.field(entry, Field::Prefix);
-    report.push(Code::PrefixSlash, place, message);
+    report.push(Code::PrefixSlash, |names| {
+        let message = format!(
+            "prefix \"{}\" does not begin and end with a slash",
+            shorten(&route.prefix)
+        );
+        (path(entry, names(Field::Prefix)), message)
+    });
 }
 
 fn check_route_services(
     route: &Route,
-    services: &HashMap<&str, &Service>,
+    services: &HashMap<&str, Listed<'_>>,
     entry: &str,
     report: &mut Report,
 ) {
+    let route_name = shorten(&route.name);
     if route.splits.is_empty() {
-        let message = format!("route '{}' leads to no service; name one", route.name);
-        report.push(Code::RouteNoService, entry.to_owned(), message);
+        report.push(Code::RouteNoService, |_| {
+            let message = format!("route '{route_name}' leads to no service; name one");
+            (entry.to_owned(), message)
+        });
         return;
     }
     let has_traffic = route.splits.iter().any(|split| split.weight >= MIN_WEIGHT);
     if !has_traffic {
-        let message = format!(
-            "no service of route '{}' has a weight above 0, so its requests are refused; \
-             give one a weight",
-            route.name
-        );
-        let place = report.field(entry, Field::Split);
-        report.push(Code::SplitAllZero, place, message);
+        report.push(Code::SplitAllZero, |names| {
+            let message = format!(
+                "no service of route '{route_name}' has a weight above 0, so its requests are \
+                 refused; give one a weight"
+            );
+            (path(entry, names(Field::Split)), message)
+        });
+    }
+    let mut size_counts: HashMap<&str, usize> = HashMap::new();
+    for size in &route.model_sizes {
+        *size_counts.entry(size).or_default() += 1;
     }
+    let mut checked: HashSet<&str> = HashSet::new();
     for (index, split) in route.splits.iter().enumerate() {
         let part = match route.is_split {
-            true => format!("{}[{index}]", report.field(entry, Field::Split)),
+            true => format!("{}[{index}]", path(entry, (report.names)(Field::Split))),
             false => entry.to_owned(),
         };
         report.check_least(&part, Field::Weight, Some(split.weight), 0.0);
         if has_traffic && (0.0..MIN_WEIGHT).contains(&split.weight) {
-            let message = format!(
-                "service '{}' gets no request of route '{}' with weight {}; remove it or give it \
-                 a weight of {MIN_WEIGHT} or more",
-                split.service, route.name, split.weight
-            );
-            let place = report.field(&part, Field::Weight);
-            report.push(Code::SplitZero, place, message);
+            report.push(Code::SplitZero, |names| {
+                let message = format!(
+                    "service '{}' gets no request of route '{route_name}' with weight {}; remove \
+                     it or give it a weight of {MIN_WEIGHT} or more",
+                    shorten(&split.service),
+                    split.weight
+                );
+                (path(&part, names(Field::Weight)), message)
+            });
         }
-        let place = report.field(&part, Field::Service);
-        let Some(service) = services.get(&*split.service) else {
-            let message = format!("service '{}' is not listed; declare it", split.service);
-            report.push(Code::ServiceUnknown, place, message);
+        let Some(listed) = services.get(&*split.service) else {
+            report.push(Code::ServiceUnknown, |names| {
+                let message = format!(
+                    "service '{}' is not listed; declare it",
+                    shorten(&split.service)
+                );
+                (path(&part, names(Field::Service)), message)
+            });
             continue;
         };
-        if split.weight >= MIN_WEIGHT {
-            check_sizes(route, service, entry, report);
+        if split.weight >= MIN_WEIGHT && checked.insert(&split.service) {
+            check_sizes(route, &size_counts, listed, entry, report);
         }
     }
 }
 
-fn check_sizes(route: &Route, service: &Service, entry: &str, report: &mut Report) {
+/// Reports the sizes of a route that the engine of a service does not list. They are counted first, over the
+/// shorter list, so that only services for which a finding is kept take time in proportion to the sizes.
+fn check_sizes(
+    route: &Route,
+    size_counts: &HashMap<&str, usize>,
+    listed: &Listed<'_>,
+    entry: &str,
+    report: &mut Report,
+) {
+    let models = &listed.models;
+    let known: usize = if models.len() < size_counts.len() {
+        let counts = models.iter().map(|model| size_counts.get(model));
+        counts.flatten().sum()
+    } else {
+        let known = size_counts
+            .iter()
+            .filter(|(size, _)| models.contains(*size));
+        known.map(|(_, count)| count).sum()
+    };
+    let mut unknown = route.model_sizes.len() - known;
     for (index, size) in route.model_sizes.iter().enumerate() {
-        let mut engines = service.engine.iter();
-        if engines.any(|engine| engine.models.iter().any(|model| model.name == *size)) {
+        if unknown == 0 || report.is_full() {
+            break;
+        }
+        if models.contains(&**size) {
             continue;
         }
-        let message = format!(
-            "service '{}' declares no engine with model '{size}'; declare the model there or \
-             remove it from the route",
-            service.name
-        );
-        let place = format!("{}[{index}]", report.field(entry, Field::Sizes));
-        report.push(Code::SizeUnknown, place, message);
+        unknown -= 1;
+        report.push(Code::SizeUnknown, |names| {
+            let message = format!(
+                "service '{}' declares no engine with model '{}'; declare the model there or \
+                 remove it from the route",
+                shorten(&listed.service.name),
+                shorten(size)
+            );
+            let place = format!("{}[{index}]", path(entry, names(Field::Sizes)));
+            (place, message)
+        });
     }
+    report.findings.left_out += unknown;
 }
 
 fn check_route_numbers(route: &Route, entry: &str, report: &mut Report) {
@@ -187,37 +288,40 @@
     };
     let timeout = (report.names)(Field::Timeout);
     if let Some(gap_ms) = route.max_gap_ms.filter(|gap_ms| *gap_ms > timeout_ms) {
-        let message = format!(
-            "a gap of {gap_ms} ms is never reached within {timeout} {timeout_ms}; lower the gap or \
-             raise the timeout"
-        );
-        let place = report.field(entry, Field::MaxGap);
-        report.push(Code::GapAboveTimeout, place, message);
+        report.push(Code::GapAboveTimeout, |names| {
+            let message = format!(
+                "a gap of {gap_ms} ms is never reached within {timeout} {timeout_ms}; lower the \
+                 gap or raise the timeout"
+            );
+            (path(entry, names(Field::MaxGap)), message)
+        });
     }
     let Some(objective_ms) = route.objective_ms else {
         return;
     };
     if objective_ms > timeout_ms {
-        let message = format!(
-            "an objective of {objective_ms} ms is above {timeout} {timeout_ms}; lower the \
-             objective or raise the timeout"
-        );
-        let place = report.field(entry, Field::Objective);
-        report.push(Code::ObjectiveAboveTimeout, place, message);
+        report.push(Code::ObjectiveAboveTimeout, |names| {
+            let message = format!(
+                "an objective of {objective_ms} ms is above {timeout} {timeout_ms}; lower the \
+                 objective or raise the timeout"
+            );
+            (path(entry, names(Field::Objective)), message)
+        });
         return;
     }
     // Requests that may not be repeated usually run once, whatever the limit on attempts.
     let attempts = attempts.filter(|attempts| *attempts > 1.0 && route.may_retry);
     if let Some(attempts) = attempts.filter(|attempts| attempts * objective_ms > timeout_ms) {
-        let objective = (report.names)(Field::Objective);
-        let message = format!(
-            "{attempts} attempts of {objective} {objective_ms} take {} ms, but {timeout} is \
-             {timeout_ms}, so that the last ones get less than the objective; lower the attempts \
-             or the objective, or raise the timeout",
-            attempts * objective_ms
-        );
-        let place = report.field(entry, Field::MaxAttempts);
-        report.push(Code::AttemptsAboveTimeout, place, message);
+        report.push(Code::AttemptsAboveTimeout, |names| {
+            let message = format!(
+                "{attempts} attempts of {} {objective_ms} take {} ms, but {timeout} is \
+                 {timeout_ms}, so that the last ones get less than the objective; lower the \
+                 attempts or the objective, or raise the timeout",
+                names(Field::Objective),
+                attempts * objective_ms
+            );
+            (path(entry, names(Field::MaxAttempts)), message)
+        });
     }
 }
 
@@ -233,35 +337,43 @@
         if !is_set {
             continue;
         }
-        let message = format!(
-            "{} has no effect, as {} of route '{}' is \"{}\" and its responses are no streams; \
-             remove it or change the kind",
-            (report.names)(field),
-            (report.names)(Field::Kind),
-            route.name,
-            route.kind
-        );
-        report.push(Code::NotStreaming, report.field(entry, field), message);
+        report.push(Code::NotStreaming, |names| {
+            let message = format!(
+                "{} has no effect, as {} of route '{}' is \"{}\" and its responses are no \
+                 streams; remove it or change the kind",
+                names(field),
+                names(Field::Kind),
+                shorten(&route.name),
+                shorten(&route.kind)
+            );
+            (path(entry, names(field)), message)
+        });
     }
 }
 
 fn check_services(config: &Config, report: &mut Report) {
-    let mut used: BTreeSet<&str> = BTreeSet::new();
+    let mut used: HashSet<&str> = HashSet::new();
     for route in &config.routes {
         used.extend(route.splits.iter().map(|split| &*split.service));
     }
-    let mut seen: BTreeSet<&str> = BTreeSet::new();
+    let mut seen: HashSet<&str> = HashSet::new();
     for (index, service) in config.services.iter().enumerate() {
         let entry = report.entry(Field::Services, index);
-        let name = &*service.name;
-        if !seen.insert(name) {
-            let message = format!(
-                "service '{name}' is listed more than once and the last one counts; remove the others"
-            );
-            report.push(Code::ServiceDuplicate, entry.clone(), message);
-        } else if !used.contains(name) {
-            let message = format!("no route leads to service '{name}'; add a route or remove it");
-            report.push(Code::ServiceUnused, entry.clone(), message);
+        let name = shorten(&service.name);
+        if !seen.insert(&service.name) {
+            report.push(Code::ServiceDuplicate, |_| {
+                let message = format!(
+                    "service '{name}' is listed more than once and the last one counts; remove \
+                     the others"
+                );
+                (entry.clone(), message)
+            });
+        } else if !used.contains(&*service.name) {
+            report.push(Code::ServiceUnused, |_| {
+                let message =
+                    format!("no route leads to service '{name}'; add a route or remove it");
+                (entry.clone(), message)
+            });
         }
         check_cold(service, &entry, report);
         check_engine(service, &entry, report);
@@ -269,30 +381,35 @@
 }
 
 fn check_cold(service: &Service, entry: &str, report: &mut Report) {
-    report.check_least(entry, Field::ColdStart, service.cold_start_s, 0.0);
-    report.check_least(entry, Field::ColdRate, service.cold_per_s, 0.0);
+    report.check_number(entry, Field::ColdStart, service.cold_start_s.as_ref());
+    report.check_number(entry, Field::ColdRate, service.cold_per_s.as_ref());
+    let declared_start_s = service.cold_start_s.as_ref().and_then(Number::value);
+    let per_s = service.cold_per_s.as_ref().and_then(Number::value);
     // A time of 0 declares that endpoints are never cold.
-    let start_s = service.cold_start_s.filter(|start_s| *start_s > 0.0);
-    let (set, missing) = match (start_s, service.cold_per_s) {
+    let start_s = declared_start_s.filter(|start_s| *start_s > 0.0);
+    let (set, missing) = match (start_s, per_s) {
         (Some(_), None) => (Field::ColdStart, Field::ColdRate),
-        (None, Some(_)) if service.cold_start_s.is_none() => (Field::ColdRate, Field::ColdStart),
+        (None, Some(_)) if declared_start_s.is_none() => (Field::ColdRate, Field::ColdStart),
         (Some(_), Some(per_s)) if (0.0..MIN_COLD_PER_S).contains(&per_s) => {
-            let message = format!(
-                "{per_s} requests a second is less than one, so that a cold endpoint may get none \
-                 for seconds; use {MIN_COLD_PER_S} or more"
-            );
-            let place = report.field(entry, Field::ColdRate);
-            report.push(Code::ColdRateLow, place, message);
+            report.push(Code::ColdRateLow, |names| {
+                let message = format!(
+                    "{per_s} requests a second is less than one, so that a cold endpoint may get \
+                     none for seconds; use {MIN_COLD_PER_S} or more"
+                );
+                (path(entry, names(Field::ColdRate)), message)
+            });
             return;
         }
         _ => return,
     };
-    let message = format!(
-        "{} has no effect without {}; set both or neither",
-        (report.names)(set),
-        (report.names)(missing)
-    );
-    report.push(Code::ColdIncomplete, report.field(entry, set), message);
+    report.push(Code::ColdIncomplete, |names| {
+        let message = format!(
+            "{} has no effect without {}; set both or neither",
+            names(set),
+            names(missing)
+        );
+        (path(entry, names(set)), message)
+    });
 }
 
 fn check_engine(service: &Service, entry: &str, report: &mut Report) {
@@ -306,20 +423,24 @@
     let Some(engine) = &service.engine else {
         return;
     };
-    let engine_entry = report.field(entry, Field::Engine);
+    let engine_entry = path(entry, (report.names)(Field::Engine));
     for (index, model) in engine.models.iter().enumerate() {
-        let part = format!("{}[{index}]", report.field(&engine_entry, Field::Models));
-        report.check_least(&part, Field::Cost, Some(model.cost), 0.0);
+        if model.cost < 0.0 {
+            let models = path(&engine_entry, (report.names)(Field::Models));
+            let part = format!("{models}[{index}]");
+            report.check_least(&part, Field::Cost, Some(model.cost), 0.0);
+        }
     }
     if let Some(connections) = connections.filter(|connections| engine.slots > *connections) {
-        let message = format!(
-            "{} slots are more than {} {connections}, so that some stay idle; raise the connections \
-             or lower the slots",
-            engine.slots,
-            (report.names)(Field::MaxConnections)
-        );
-        let place = report.field(&engine_entry, Field::Slots);
-        report.push(Code::SlotsAboveConnections, place, message);
+        report.push(Code::SlotsAboveConnections, |names| {
+            let message = format!(
+                "{} slots are more than {} {connections}, so that some stay idle; raise the \
+                 connections or lower the slots",
+                engine.slots,
+                names(Field::MaxConnections)
+            );
+            (path(&engine_entry, names(Field::Slots)), message)
+        });
     }
 }
 
@@ -347,37 +468,47 @@
         if value <= upper {
             continue;
         }
-        let upper_name = (report.names)(upper_field);
-        let message = format!("{value} is above {upper_name} {upper}; lower it or raise the other");
-        report.push(code, report.field(entry, field), message);
+        report.push(code, |names| {
+            let upper_name = names(upper_field);
+            let message =
+                format!("{value} is above {upper_name} {upper}; lower it or raise the other");
+            (path(entry, names(field)), message)
+        });
     }
 }
 
 fn check_workspaces(workspaces: &[Workspace], need_keys: bool, report: &mut Report) {
-    let mut names: BTreeSet<&str> = BTreeSet::new();
-    let mut owners: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut seen: HashSet<&str> = HashSet::new();
+    let mut owners: HashMap<&str, usize> = HashMap::new();
     for (index, workspace) in workspaces.iter().enumerate() {
         let entry = report.entry(Field::Workspaces, index);
-        let name = &workspace.name;
-        if !names.insert(name) {
-            let message = format!("workspace '{name}' is listed more than once; merge them");
-            report.push(Code::WorkspaceDuplicate, entry.clone(), message);
+        let name = shorten(&workspace.name);
+        if !seen.insert(&workspace.name) {
+            report.push(Code::WorkspaceDuplicate, |_| {
+                let message = format!("workspace '{name}' is listed more than once; merge them");
+                (entry.clone(), message)
+            });
         }
         if need_keys && workspace.keys.is_empty() {
-            let message = format!("no request belongs to workspace '{name}'; give it a key");
-            report.push(Code::WorkspaceNoKeys, entry.clone(), message);
+            report.push(Code::WorkspaceNoKeys, |_| {
+                let message = format!("no request belongs to workspace '{name}'; give it a key");
+                (entry.clone(), message)
+            });
         }
         for (key_index, key) in workspace.keys.iter().enumerate() {
             let owner = *owners.entry(key).or_insert(index);
             if owner == index {
                 continue;
             }
-            let message = format!(
-                "the key also belongs to workspace '{}' and the last one counts; remove it from one",
-                workspaces[owner].name
-            );
-            let place = format!("{}[{key_index}]", report.field(&entry, Field::Keys));
-            report.push(Code::KeyDuplicate, place, message);
+            report.push(Code::KeyDuplicate, |names| {
+                let message = format!(
+                    "the key also belongs to workspace '{}' and the last one counts; remove it \
+                     from one",
+                    shorten(&workspaces[owner].name)
+                );
+                let place = format!("{}[{key_index}]", path(&entry, names(Field::Keys)));
+                (place, message)
+            });
         }
     }
 }
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use catalog::Object;
-use check::Finding;
+use check::Findings;
 use route::Table;
 use serde_json::Value;
 use serve::Endpoint;
@@ -87,10 +87,10 @@
     /// Fails when the object is not a valid configuration.
     fn decode_table(&self, object: &Object) -> Result<Table, DecodeError>;
 
-    /// Returns what the rules find in a configuration object that is decoded.
-    fn check_config(&self, object: &Object) -> Vec<Finding> {
-        let _ = object;
-        Vec::new()
+    /// Returns the first findings of the rules, up to a limit, in a configuration object that is decoded.
+    fn check_config(&self, object: &Object, limit: usize) -> Findings {
+        let _ = (object, limit);
+        Findings::default()
     }
 
     /// Decodes an endpoint's entry.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod codec;
+mod config_checks;
 mod convert;
 mod coordinator;
 mod encoded;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,6 +15,7 @@
 use wire::ConfigDigest;
 
 use crate::codec::{Feed, StoreCodec};
+use crate::config_checks::ConfigChecks;
 use crate::convert::missing_since;
 use crate::encoded::EncodedObjects;
 use crate::evacuations::Evacuations;
@@ -37,10 +38,6 @@
 /// second call fails by then.
 const HAND_OVER_MS: u64 = 250;
 
-/// Largest number of findings that are logged for one version, as a large configuration may repeat
-/// the same problem in every entry.
-const MAX_LOGGED_FINDINGS: usize = 50;
-
 /// How long an instance that no longer calls the store counts as one that it does not answer, in
 /// milliseconds.
 const LOST_STORE_MS: u64 = 10_000;
@@ -93,6 +90,7 @@
     pub(crate) evacuations: Evacuations,
     pub(crate) liveness: StoreLiveness,
     pub(crate) interrupts: WatchInterrupts,
+    pub(crate) config_checks: ConfigChecks,
     /// When this instance said that the store does not answer it.
     lost_store_ms: Cell<Option<u64>>,
     pub(crate) stopping: Cell<bool>,
@@ -142,6 +140,7 @@
             evacuations: Evacuations::new(components.settings.evacuate_ms),
             liveness: StoreLiveness::default(),
             interrupts: WatchInterrupts::new(),
+            config_checks: ConfigChecks::new(),
             lost_store_ms: Cell::new(None),
             stopping: Cell::new(false),
             peers_tried: Cell::new(false),
@@ -333,7 +332,7 @@
                     "config: in force"
                 );
                 if current != Some(table.version()) {
-                    self.log_findings(object, table.version());
+                    self.config_checks.request(object, table.version());
                 }
                 self.log_unknown_homes(&table);
                 *self.table.borrow_mut() = Some(Arc::new(table));
@@ -348,24 +347,6 @@
         }
     }
 
-    /// Logs what the rules find in a configuration that comes into force. It has no other effect.
-    fn log_findings(&self, object: &Object, version: u64) {
-        let findings = self.codec.check_config(object);
-        for finding in findings.iter().take(MAX_LOGGED_FINDINGS) {
-            tracing::warn!(
-                version,
-                code = finding.code.name(),
-                place = finding.place,
-                problem = finding.message,
-                "config: finding"
-            );
-        }
-        let left_out = findings.len().saturating_sub(MAX_LOGGED_FINDINGS);
-        if left_out > 0 {
-            tracing::warn!(version, left_out, "config: findings left out");
-        }
-    }
-
     /// Logs the home regions in which no zone is. They are in force, as a home says where data may go.
     fn log_unknown_homes(&self, table: &route::Table) {
         for region in table.home_regions() {
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -17,6 +17,7 @@
 use store::ObjectApi;
 
 use crate::codec::StoreCodec;
+use crate::config_checks;
 use crate::coordinator;
 use crate::evacuation_feed;
 use crate::expiry_grace::MIN_KEPT_MS;
@@ -207,6 +208,7 @@
         .detach();
     executor.spawn(registration::run(control.clone())).detach();
     executor.spawn(coordinator::run(control.clone())).detach();
+    executor.spawn(config_checks::run(control.clone())).detach();
     executor.spawn(expire_endpoints(control.clone())).detach();
     executor.spawn(hand_over_watches(control.clone())).detach();
     // The traffic thread polls the reactor. A second thread that polled it would add a hop to each
