--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use async_io::Timer;
 use catalog::Object;
+use check::Findings;
 use control::{
     DecodeError, Dependencies, Feed, Handle, RolloutSpec, RolloutState, Settings, StoreCodec,
 };
@@ -378,6 +379,13 @@
         Ok(Table::new(version).with_route(route))
     }
 
+    fn check_config(&self, object: &Object, _limit: usize) -> Findings {
+        let value = object.value.as_ref();
+        let check_ms = value.and_then(|value| value["check_ms"].as_u64());
+        std::thread::sleep(Duration::from_millis(check_ms.unwrap_or_default()));
+        Findings::default()
+    }
+
     fn decode_endpoint(&self, object: &Object) -> Result<Endpoint, DecodeError> {
         let value = object.value.clone().unwrap_or_default();
         Ok(Endpoint {
--- a/crates/control/tests/large_configuration.rs
+++ b/crates/control/tests/large_configuration.rs
@@ -98,3 +98,23 @@
         instance.handle.shutdown();
     }
 }
+
+/// Guards against a configuration that comes into force only after it has been checked.
+#[test]
+fn a_check_does_not_delay_the_configuration() {
+    const CHECK_MS: u64 = 2_500;
+    let store = MemoryStore::default();
+    store.write("config/main", json!({ "version": 1 }));
+    let instance = Instance::start("a", &store);
+    eventually("the first version is in force", || {
+        instance.version() == Some(1)
+    });
+    let written = Instant::now();
+    store.write("config/main", json!({ "version": 2, "check_ms": CHECK_MS }));
+    eventually("the second version is in force", || {
+        instance.version() == Some(2)
+    });
+    let elapsed = written.elapsed();
+    assert!(elapsed < Duration::from_millis(CHECK_MS), "{elapsed:?}");
+    instance.handle.shutdown();
+}
