check-config: State when another idle timeout takes effect

A lower value does not apply at once to connections that are idle: they keep the timer of their idle period. Cases for a higher and a lower value; two cases in which the limits are added or removed show both.

--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -127,13 +127,13 @@
         }
     }
 
-    fn compare_limits(&mut self, before: Option<&Limits>, after: Option<&Limits>) {
+    fn compare_limits(&mut self, in_force: Option<&Limits>, new: Option<&Limits>) {
         let entry = (self.names)(Field::Limits);
         for ((field, before), (_, after)) in
-            limit_values(before).into_iter().zip(limit_values(after))
+            limit_values(in_force).into_iter().zip(limit_values(new))
         {
             if before != after {
-                let effect = limit_effect(field);
+                let effect = limit_effect(field, in_force, new);
                 self.push(entry, Kind::Changed(field), &before, &after, effect);
             }
         }
@@ -365,14 +365,21 @@
     ]
 }
 
-fn limit_effect(field: Field) -> &'static str {
-    match field {
-        Field::IdleTimeout => {
-            "applies at once, also to connections that are idle; requests in progress complete"
+fn limit_effect(field: Field, in_force: Option<&Limits>, new: Option<&Limits>) -> &'static str {
+    if field != Field::IdleTimeout {
+        return "applies to requests that arrive after the change; requests in progress keep the limit \
+                that they arrived with";
+    }
+    match (in_force, new) {
+        (Some(before), Some(after)) if after.idle_timeout_ms > before.idle_timeout_ms => {
+            "also applies to connections that are idle; requests in progress complete"
+        }
+        (Some(_), Some(_)) => {
+            "applies to each connection from its next idle period; requests in progress complete"
         }
         _ => {
-            "applies to requests that arrive after the change; requests in progress keep the limit \
-             that they arrived with"
+            "a higher value also applies to connections that are idle, a lower one from their next \
+             idle period; requests in progress complete"
         }
     }
 }
