check-config: Check and compare home regions

The description lacked allowed-regions, so that neither its changes nor lists that instances ignore were seen. An empty list gives home-empty, anything but a list of names field-type. Case: both on routes and workspaces.

--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
-use crate::config::{Config, Engine, Limits, Route, Service, Workspace};
+use crate::config::{Config, Engine, Homes, Limits, Route, Service, Workspace};
 use crate::names::{Field, Names};
 
 /// What is printed for a value that the operator did not write.
@@ -256,6 +256,22 @@
     value.map_or_else(|| NOT_SET.to_owned(), |value| value.to_string())
 }
 
+/// Joins the entries of a list.
+fn joined(entries: &[String]) -> String {
+    match entries {
+        [] => EMPTY.to_owned(),
+        entries => entries.join(", "),
+    }
+}
+
+fn home_regions(homes: Option<&Homes>) -> String {
+    match homes {
+        Some(Homes::Regions(regions)) => joined(regions),
+        Some(Homes::Unreadable(text)) => text.clone(),
+        None => NOT_SET.to_owned(),
+    }
+}
+
 fn quoted(text: &str) -> String {
     format!("\"{text}\"")
 }
@@ -286,6 +302,7 @@
         (Field::Affinity, route.prefix_affinity.to_string()),
         (Field::Resumable, route.resumable.to_string()),
         (Field::MaxGap, optional(route.max_gap_ms)),
+        (Field::Homes, home_regions(route.homes.as_ref())),
     ]
 }
 
@@ -349,7 +366,10 @@
 }
 
 fn workspace_values(workspace: &Workspace) -> Values {
-    vec![(Field::Priority, optional(workspace.priority))]
+    vec![
+        (Field::Priority, optional(workspace.priority)),
+        (Field::Homes, home_regions(workspace.homes.as_ref())),
+    ]
 }
 
 fn limit_values(limits: Option<&Limits>) -> Values {
--- a/crates/check/src/config.rs
+++ b/crates/check/src/config.rs
@@ -61,6 +61,8 @@
     pub resumable: bool,
     /// Longest gap between events.
     pub max_gap_ms: Option<f64>,
+    /// Regions in which requests may run.
+    pub homes: Option<Homes>,
 }
 
 /// Share of a route's traffic that a service receives.
@@ -117,6 +119,15 @@
     }
 }
 
+/// Home regions, in place of which the operator may have written anything.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Homes {
+    /// Names of regions. Without any, the list is ignored.
+    Regions(Vec<String>),
+    /// Anything else, as written, which is ignored.
+    Unreadable(String),
+}
+
 /// Model engines of a service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Engine {
@@ -159,4 +170,6 @@
     pub keys: Vec<String>,
     /// Priority that overrides the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run.
+    pub homes: Option<Homes>,
 }
--- a/crates/check/src/finding.rs
+++ b/crates/check/src/finding.rs
@@ -80,6 +80,7 @@
     ArrivalAboveIdle "arrival-above-idle" Contradiction,
     ColdRateLow "cold-rate-low" Contradiction,
     ColdIncomplete "cold-incomplete" Contradiction,
+    HomeEmpty "home-empty" Contradiction,
     SlotsAboveConnections "slots-above-connections" Contradiction,
 }
 
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -26,7 +26,7 @@
 mod rules;
 
 pub use changes::{Change, changes};
-pub use config::{Config, Engine, Limits, Model, Number, Route, Service, Split, Workspace};
+pub use config::{Config, Engine, Homes, Limits, Model, Number, Route, Service, Split, Workspace};
 pub use finding::{Class, Code, Finding, Findings};
 pub use names::{Field, Names};
 pub use rules::{findings, shorten, version_finding};
--- a/crates/check/src/names.rs
+++ b/crates/check/src/names.rs
@@ -39,6 +39,7 @@
     ArrivalTimeout,
     IdleTimeout,
     Keys,
+    Homes,
 }
 
 /// Returns the name of a field as the operator writes it.
--- a/crates/check/src/rules.rs
+++ b/crates/check/src/rules.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 
-use crate::config::{Config, Limits, Number, Route, Service, Workspace};
+use crate::config::{Config, Homes, Limits, Number, Route, Service, Workspace};
 use crate::finding::{Code, Finding, Findings};
 use crate::names::{Field, Names};
 
@@ -109,6 +109,27 @@
     }
 }
 
+/// Reports home regions that instances ignore.
+fn check_homes(homes: Option<&Homes>, entry: &str, report: &mut Report) {
+    match homes {
+        Some(Homes::Regions(regions)) if regions.is_empty() => {
+            report.push(Code::HomeEmpty, |names| {
+                let message = "an empty list is ignored, so that requests run in all regions; name \
+                               a region or remove the list";
+                (path(entry, names(Field::Homes)), message.to_owned())
+            });
+        }
+        Some(Homes::Unreadable(text)) => report.push(Code::FieldType, |names| {
+            let message = format!(
+                "{} is no list of names and is ignored, so that requests run in all regions",
+                shorten(text)
+            );
+            (path(entry, names(Field::Homes)), message)
+        }),
+        Some(Homes::Regions(_)) | None => {}
+    }
+}
+
 /// Returns the path of a field.
 fn path(entry: &str, field: &str) -> String {
     format!("{entry}.{field}")
@@ -142,6 +163,7 @@
         check_route_services(route, &services, &entry, report);
         check_route_numbers(route, &entry, report);
         check_streaming(route, &entry, report);
+        check_homes(route.homes.as_ref(), &entry, report);
         // A shorter prefix hides no longer one, as the longest matching prefix is chosen.
         let key = (&*route.host, &*route.prefix);
         let Some(first) = first_routes.get(&key) else {
@@ -510,6 +532,7 @@
                 (entry.clone(), message)
             });
         }
+        check_homes(workspace.homes.as_ref(), &entry, report);
         for (key_index, key) in workspace.keys.iter().enumerate() {
             let owner = *owners.entry(key).or_insert(index);
             if owner == index {
