--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -295,8 +295,8 @@
         (Field::Timeout, optional(route.timeout_ms)),
         (Field::Objective, optional(route.objective_ms)),
         (Field::Priority, route.priority.to_string()),
-        (Field::Sizes, route.model_sizes.join(", ")),
-        (services_field, services.join(", ")),
+        (Field::Sizes, joined(&route.model_sizes)),
+        (services_field, joined(&services)),
         (Field::MaxAttempts, optional(route.max_attempts)),
         (Field::Public, route.public.to_string()),
         (Field::Affinity, route.prefix_affinity.to_string()),
@@ -339,7 +339,7 @@
             Field::KvCache,
             optional(engine.map(|engine| engine.kv_cache_tokens)),
         ),
-        (Field::Models, models.join(", ")),
+        (Field::Models, joined(&models)),
     ]
 }
 
--- a/crates/check/src/config.rs
+++ b/crates/check/src/config.rs
@@ -162,7 +162,7 @@
 }
 
 /// One workspace. Its keys are secret and never part of a message.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct Workspace {
     /// Name of the workspace.
     pub name: String,
@@ -173,3 +173,14 @@
     /// Regions in which its requests may run.
     pub homes: Option<Homes>,
 }
+
+impl fmt::Debug for Workspace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Workspace")
+            .field("name", &self.name)
+            .field("key_count", &self.keys.len())
+            .field("priority", &self.priority)
+            .field("homes", &self.homes)
+            .finish()
+    }
+}
--- a/crates/check/src/rules.rs
+++ b/crates/check/src/rules.rs
@@ -204,7 +204,7 @@
     let route_name = shorten(&route.name);
     if route.splits.is_empty() {
         report.push(Code::RouteNoService, |_| {
-            let message = format!("route '{route_name}' leads to no service; name one");
+            let message = format!("route '{route_name}' has no service; name one");
             (entry.to_owned(), message)
         });
         return;
