--- a/crates/control/src/config_checks.rs
+++ b/crates/control/src/config_checks.rs
@@ -2,12 +2,12 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_channel::{Receiver, Sender, bounded};
 use catalog::Object;
 
 use crate::codec::StoreCodec;
-use crate::state::Control;
 
 /// Largest number of findings that are logged for one version, as a large configuration may repeat
 /// the same problem in every entry.
@@ -40,11 +40,11 @@
 }
 
 /// Checks each configuration that has come into force, unless a newer one follows before.
-pub(crate) async fn run(control: Rc<Control>) {
-    while control.config_checks.woken.recv().await.is_ok() {
-        let waiting = control.config_checks.waiting.take();
+pub(crate) async fn run(checks: Rc<ConfigChecks>, codec: Arc<dyn StoreCodec>) {
+    while checks.woken.recv().await.is_ok() {
+        let waiting = checks.waiting.take();
         if let Some((object, version)) = waiting {
-            log_findings(&*control.codec, &object, version);
+            log_findings(&*codec, &object, version);
         }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -90,7 +91,7 @@
     pub(crate) evacuations: Evacuations,
     pub(crate) liveness: StoreLiveness,
     pub(crate) interrupts: WatchInterrupts,
-    pub(crate) config_checks: ConfigChecks,
+    pub(crate) config_checks: Rc<ConfigChecks>,
     /// When this instance said that the store does not answer it.
     lost_store_ms: Cell<Option<u64>>,
     pub(crate) stopping: Cell<bool>,
@@ -140,7 +141,7 @@
             evacuations: Evacuations::new(components.settings.evacuate_ms),
             liveness: StoreLiveness::default(),
             interrupts: WatchInterrupts::new(),
-            config_checks: ConfigChecks::new(),
+            config_checks: Rc::new(ConfigChecks::new()),
             lost_store_ms: Cell::new(None),
             stopping: Cell::new(false),
             peers_tried: Cell::new(false),
--- a/crates/control/src/thread.rs
+++ b/crates/control/src/thread.rs
@@ -208,7 +208,12 @@
         .detach();
     executor.spawn(registration::run(control.clone())).detach();
     executor.spawn(coordinator::run(control.clone())).detach();
-    executor.spawn(config_checks::run(control.clone())).detach();
+    executor
+        .spawn(config_checks::run(
+            control.config_checks.clone(),
+            control.codec.clone(),
+        ))
+        .detach();
     executor.spawn(expire_endpoints(control.clone())).detach();
     executor.spawn(hand_over_watches(control.clone())).detach();
     // The traffic thread polls the reactor. A second thread that polled it would add a hop to each
