--- a/crates/check/src/changes.rs
+++ b/crates/check/src/changes.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
-use crate::config::{Config, Engine, Limits, Route, Service, Workspace};
+use crate::config::{Config, Engine, Homes, Limits, Route, Service, Workspace};
 use crate::names::{Field, Names};
 
 /// What is printed for a value that the operator did not write.
 const NOT_SET: &str = "not set";
 
+/// What is printed for an empty list.
+const EMPTY: &str = "none";
+
 /// One difference.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -124,32 +127,32 @@
         }
     }
 
-    fn compare_limits(&mut self, before: Option<&Limits>, after: Option<&Limits>) {
+    fn compare_limits(&mut self, in_force: Option<&Limits>, new: Option<&Limits>) {
         let entry = (self.names)(Field::Limits);
         for ((field, before), (_, after)) in
-            limit_values(before).into_iter().zip(limit_values(after))
+            limit_values(in_force).into_iter().zip(limit_values(new))
         {
             if before != after {
-                let effect = limit_effect(field);
+                let effect = limit_effect(field, in_force, new);
                 self.push(entry, Kind::Changed(field), &before, &after, effect);
             }
         }
     }
 
     fn compare_workspaces(&mut self, in_force: &Config, new: &Config) {
-        let effect = match (&in_force.workspaces, &new.workspaces) {
-            (None, Some(_)) => {
+        let effect = match (in_force.requires_keys(), new.requires_keys()) {
+            (false, true) => {
                 "new requests without a valid key are refused with 401, except on public routes; \
                  requests in progress complete"
             }
-            (Some(_), None) => "new requests need no key; requests in progress complete",
+            (true, false) => "keys are no longer required: every caller is served",
             _ => "",
         };
         if !effect.is_empty() {
             let entry = (self.names)(Field::Workspaces);
-            let describe = |config: &Config| match &config.workspaces {
-                Some(workspaces) => format!("{} listed", workspaces.len()),
-                None => NOT_SET.to_owned(),
+            let describe = |config: &Config| match config.workspaces.len() {
+                0 => EMPTY.to_owned(),
+                count => format!("{count} listed"),
             };
             let (before, after) = (describe(in_force), describe(new));
             // The section is no field of an entry, and its name says enough.
@@ -161,10 +164,8 @@
                 effect: effect.to_owned(),
             });
         }
-        let old_entries = in_force.workspaces.as_deref().unwrap_or_default();
-        let new_entries = new.workspaces.as_deref().unwrap_or_default();
-        let before = by_name(old_entries, |workspace| &workspace.name);
-        let after = by_name(new_entries, |workspace| &workspace.name);
+        let before = by_name(&in_force.workspaces, |workspace| &workspace.name);
+        let after = by_name(&new.workspaces, |workspace| &workspace.name);
         self.compare_entries(
             "workspace",
             &before,
@@ -177,7 +178,7 @@
                 }
             },
         );
-        self.compare_keys(old_entries, new_entries, new.workspaces.is_some());
+        self.compare_keys(&in_force.workspaces, &new.workspaces, new.requires_keys());
     }
 
     /// Compares keys without printing them, as they are secret: each is named by its place in the
@@ -255,6 +256,22 @@
     value.map_or_else(|| NOT_SET.to_owned(), |value| value.to_string())
 }
 
+/// Joins the entries of a list.
+fn joined(entries: &[String]) -> String {
+    match entries {
+        [] => EMPTY.to_owned(),
+        entries => entries.join(", "),
+    }
+}
+
+fn home_regions(homes: Option<&Homes>) -> String {
+    match homes {
+        Some(Homes::Regions(regions)) => joined(regions),
+        Some(Homes::Unreadable(text)) => text.clone(),
+        None => NOT_SET.to_owned(),
+    }
+}
+
 fn quoted(text: &str) -> String {
     format!("\"{text}\"")
 }
@@ -278,13 +295,14 @@
         (Field::Timeout, optional(route.timeout_ms)),
         (Field::Objective, optional(route.objective_ms)),
         (Field::Priority, route.priority.to_string()),
-        (Field::Sizes, route.model_sizes.join(", ")),
-        (services_field, services.join(", ")),
+        (Field::Sizes, joined(&route.model_sizes)),
+        (services_field, joined(&services)),
         (Field::MaxAttempts, optional(route.max_attempts)),
         (Field::Public, route.public.to_string()),
         (Field::Affinity, route.prefix_affinity.to_string()),
         (Field::Resumable, route.resumable.to_string()),
         (Field::MaxGap, optional(route.max_gap_ms)),
+        (Field::Homes, home_regions(route.homes.as_ref())),
     ]
 }
 
@@ -321,7 +339,7 @@
             Field::KvCache,
             optional(engine.map(|engine| engine.kv_cache_tokens)),
         ),
-        (Field::Models, models.join(", ")),
+        (Field::Models, joined(&models)),
     ]
 }
 
@@ -329,8 +347,8 @@
     let mut values = vec![
         (Field::HealthPath, quoted(&service.health_path)),
         (Field::MaxConnections, optional(service.max_connections)),
-        (Field::ColdStart, optional(service.cold_start_s)),
-        (Field::ColdRate, optional(service.cold_per_s)),
+        (Field::ColdStart, optional(service.cold_start_s.as_ref())),
+        (Field::ColdRate, optional(service.cold_per_s.as_ref())),
     ];
     values.extend(engine_values(service.engine.as_ref()));
     values
@@ -348,7 +366,10 @@
 }
 
 fn workspace_values(workspace: &Workspace) -> Values {
-    vec![(Field::Priority, optional(workspace.priority))]
+    vec![
+        (Field::Priority, optional(workspace.priority)),
+        (Field::Homes, home_regions(workspace.homes.as_ref())),
+    ]
 }
 
 fn limit_values(limits: Option<&Limits>) -> Values {
@@ -364,14 +385,21 @@
     ]
 }
 
-fn limit_effect(field: Field) -> &'static str {
-    match field {
-        Field::IdleTimeout => {
-            "applies at once, also to connections that are idle; requests in progress complete"
+fn limit_effect(field: Field, in_force: Option<&Limits>, new: Option<&Limits>) -> &'static str {
+    if field != Field::IdleTimeout {
+        return "applies to requests that arrive after the change; requests in progress keep the limit \
+                that they arrived with";
+    }
+    match (in_force, new) {
+        (Some(before), Some(after)) if after.idle_timeout_ms > before.idle_timeout_ms => {
+            "also applies to connections that are idle; requests in progress complete"
+        }
+        (Some(_), Some(_)) => {
+            "applies to each connection from its next idle period; requests in progress complete"
         }
         _ => {
-            "applies to requests that arrive after the change; requests in progress keep the limit \
-             that they arrived with"
+            "a higher value also applies to connections that are idle, a lower one from their next \
+             idle period; requests in progress complete"
         }
     }
 }
--- a/crates/check/src/config.rs
+++ b/crates/check/src/config.rs
@@ -1,5 +1,7 @@
 //! A configuration as the operator wrote it.
 
+use std::fmt;
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
@@ -11,8 +13,15 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: Option<Limits>,
-    /// Workspaces, or `None` where callers need no keys.
-    pub workspaces: Option<Vec<Workspace>>,
+    /// Workspaces; without any, callers need no keys.
+    pub workspaces: Vec<Workspace>,
+}
+
+impl Config {
+    /// Returns whether routes that are not public require a key.
+    pub fn requires_keys(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
 }
 
 /// One route.
@@ -52,6 +61,8 @@
     pub resumable: bool,
     /// Longest gap between events.
     pub max_gap_ms: Option<f64>,
+    /// Regions in which requests may run.
+    pub homes: Option<Homes>,
 }
 
 /// Share of a route's traffic that a service receives.
@@ -73,13 +84,50 @@
     /// Connections that one endpoint accepts from all clients together.
     pub max_connections: Option<u32>,
     /// How long an endpoint is cold after its start.
-    pub cold_start_s: Option<f64>,
+    pub cold_start_s: Option<Number>,
     /// Requests per second that a cold endpoint takes.
-    pub cold_per_s: Option<f64>,
+    pub cold_per_s: Option<Number>,
     /// Model engines.
     pub engine: Option<Engine>,
 }
 
+/// Value of a field in which the operator may have written anything.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Number {
+    /// A number.
+    Readable(f64),
+    /// Anything else, as written, which is ignored.
+    Unreadable(String),
+}
+
+impl Number {
+    /// Returns the number, if it is one.
+    pub fn value(&self) -> Option<f64> {
+        match self {
+            Number::Readable(value) => Some(*value),
+            Number::Unreadable(_) => None,
+        }
+    }
+}
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Number::Readable(value) => value.fmt(f),
+            Number::Unreadable(text) => text.fmt(f),
+        }
+    }
+}
+
+/// Home regions, in place of which the operator may have written anything.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Homes {
+    /// Names of regions. Without any, the list is ignored.
+    Regions(Vec<String>),
+    /// Anything else, as written, which is ignored.
+    Unreadable(String),
+}
+
 /// Model engines of a service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Engine {
@@ -114,7 +162,7 @@
 }
 
 /// One workspace. Its keys are secret and never part of a message.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct Workspace {
     /// Name of the workspace.
     pub name: String,
@@ -122,4 +170,17 @@
     pub keys: Vec<String>,
     /// Priority that overrides the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run.
+    pub homes: Option<Homes>,
+}
+
+impl fmt::Debug for Workspace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Workspace")
+            .field("name", &self.name)
+            .field("key_count", &self.keys.len())
+            .field("priority", &self.priority)
+            .field("homes", &self.homes)
+            .finish()
+    }
 }
