--- a/crates/limits/src/windowed_retry.rs
+++ b/crates/limits/src/windowed_retry.rs
@@ -146,12 +146,6 @@
         true
     }
 
-    /// Returns whether a retry is allowed now.
-    pub fn can_acquire(&mut self, now_ms: u64, fleet: Fleet) -> bool {
-        self.update(now_ms, fleet);
-        self.source(now_ms, fleet).is_some()
-    }
-
     /// Counts a retry that was acquired at a time as one that may arrive at any time from now on: an
     /// endpoint that does not answer may read it much later.
     pub fn defer_arrival(&mut self, acquired_ms: u64) {
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -74,7 +74,6 @@
     ordered: Family<OrderLabels, Counter>,
     retries: Gauge<u64, AtomicU64>,
     refused_retries: Gauge<u64, AtomicU64>,
-    awaited_retries: Gauge<u64, AtomicU64>,
     without_home: Gauge<u64, AtomicU64>,
     handed_over: Gauge<u64, AtomicU64>,
     carried: Gauge<u64, AtomicU64>,
@@ -110,7 +109,6 @@
         let ordered = Family::<OrderLabels, Counter>::default();
         let retries = Gauge::default();
         let refused_retries = Gauge::default();
-        let awaited_retries = Gauge::default();
         let without_home = Gauge::default();
         let handed_over = Gauge::default();
         let carried = Gauge::default();
@@ -152,11 +150,6 @@
             "Retries that the retry budget did not allow",
             refused_retries.clone(),
         );
-        registry.register(
-            "awaited_repeats",
-            "Retries that answers which broke off waited for while the retry budget was used up",
-            awaited_retries.clone(),
-        );
         registry.register(
             "without_home",
             "Requests for which no endpoint was in a home region",
@@ -264,7 +257,6 @@
             ordered,
             retries,
             refused_retries,
-            awaited_retries,
             without_home,
             handed_over,
             carried,
@@ -295,8 +287,6 @@
         self.retries.set(counters.retries.load(Ordering::Relaxed));
         self.refused_retries
             .set(counters.refused_retries.load(Ordering::Relaxed));
-        self.awaited_retries
-            .set(counters.awaited_retries.load(Ordering::Relaxed));
         self.without_home
             .set(counters.without_home.load(Ordering::Relaxed));
         self.handed_over
--- a/crates/serve/src/dispatch.rs
+++ b/crates/serve/src/dispatch.rs
@@ -120,7 +120,6 @@
                 );
                 return Err(failure.retry_after_ms(self.retry_after_ms(FULL_RETRY_AFTER_MS)));
             }
-            self.await_retry(context).await;
             self.check_crashes(context)?;
             let view = context.view();
             self.check_homes(context, &view)?;
@@ -151,10 +150,7 @@
     ///
     /// Fails if the budget is used up.
     fn acquire_retry(&mut self, context: &RequestContext) -> Result<(), Failure> {
-        // Answers that broke off go before requests that have not run.
-        let gives_way =
-            self.verdict == Verdict::NotRun && context.has_waiting_retries(&self.service);
-        if !gives_way && context.try_acquire_retry(&self.service) {
+        if context.try_acquire_retry(&self.service) {
             self.repeats.record_retry(context.now_ms());
             return Ok(());
         }
--- a/crates/serve/src/escalation.rs
+++ b/crates/serve/src/escalation.rs
@@ -206,7 +206,6 @@
 
     pub(crate) fn may_escalate(&self, context: &RequestContext) -> bool {
         self.route.retry_safety != RetrySafety::NonIdempotentStream
-            && !context.has_waiting_retries(&self.service)
             && context.retry_budget_used(&self.service) < MAX_ESCALATION_BUDGET_SHARE
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -63,7 +63,6 @@
 mod request_key;
 mod request_log;
 mod request_order;
-mod retry_wait;
 mod run;
 mod run_book;
 mod service_orders;
--- a/crates/serve/src/outcome.rs
+++ b/crates/serve/src/outcome.rs
@@ -39,8 +39,6 @@
     pub retries: AtomicU64,
     /// Retries that the budget did not allow.
     pub refused_retries: AtomicU64,
-    /// Retries that requests waited for while the budget was used up.
-    pub awaited_retries: AtomicU64,
     /// Answers of smaller models that were discarded for the largest one.
     pub escalated: AtomicU64,
     /// Requests for which no endpoint was in a home region.
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -83,7 +83,6 @@
                 clock,
                 view,
                 retry_windows: RefCell::default(),
-                retry_queues: RefCell::default(),
                 retry_schedules: RefCell::default(),
                 late_repeats: Rc::default(),
                 baselines: LatencyBaselines::default(),
--- a/crates/serve/src/projection.rs
+++ b/crates/serve/src/projection.rs
@@ -319,7 +319,7 @@
     }
 
     /// Returns the longest gap in a stream that its caller waits out, in milliseconds.
-    pub(crate) fn caller_patience_ms(&self) -> f64 {
+    fn caller_patience_ms(&self) -> f64 {
         let objective_ms = self.route.objective_ms as f64 * PATIENCE_OBJECTIVES;
         let gap_ms = self.route.max_gap_ms.unwrap_or_default() as f64 * PATIENCE_GAPS;
         MIN_CALLER_PATIENCE_MS.max(objective_ms).max(gap_ms)
--- a/crates/serve/src/request_context.rs
+++ b/crates/serve/src/request_context.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use kernel::Clock;
-use limits::{Fleet, FleetSize, ReachProbes, RetryAfterSchedule, RetryQueue, WindowedRetryBudget};
+use limits::{Fleet, FleetSize, ReachProbes, RetryAfterSchedule, WindowedRetryBudget};
 
 use crate::baseline::LatencyBaselines;
 use crate::buffered_body::BufferedBytes;
@@ -45,8 +45,6 @@
     pub(crate) fleet_size: RefCell<FleetSize>,
     /// Retry windows by service.
     pub(crate) retry_windows: RefCell<HashMap<Arc<str>, WindowedRetryBudget>>,
-    /// Requests that wait for a retry, by service.
-    pub(crate) retry_queues: RefCell<HashMap<Arc<str>, RetryQueue>>,
     pub(crate) late_repeats: Rc<LateRepeats>,
     pub(crate) baselines: LatencyBaselines,
     pub(crate) size_book: SizeBook,
@@ -100,29 +98,6 @@
         self.with_window(service, |window| window.try_acquire(now_ms, fleet))
     }
 
-    /// Returns whether this instance's share of a service's retry budget allows a retry now.
-    pub(crate) fn can_retry(&self, service: &Arc<str>) -> bool {
-        let now_ms = self.now_ms();
-        let fleet = self.fleet(now_ms);
-        self.count_late_repeats(now_ms);
-        self.with_window(service, |window| window.can_acquire(now_ms, fleet))
-    }
-
-    /// Returns whether requests that broke off wait for a retry.
-    pub(crate) fn has_waiting_retries(&self, service: &Arc<str>) -> bool {
-        let queues = self.retry_queues.borrow();
-        queues.get(service).is_some_and(|queue| !queue.is_empty())
-    }
-
-    pub(crate) fn with_retry_queue<T>(
-        &self,
-        service: &Arc<str>,
-        act: impl FnOnce(&mut RetryQueue) -> T,
-    ) -> T {
-        let mut queues = self.retry_queues.borrow_mut();
-        act(queues.entry(service.clone()).or_default())
-    }
-
     fn count_late_repeats(&self, now_ms: u64) {
         self.late_repeats.update(
             now_ms,
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -28,9 +28,6 @@
     /// Whether requests for model engines are ordered by what their delay costs while capacity is
     /// short.
     pub service_order: bool,
-    /// How long a request that broke off may wait for a retry while the budget is used up, in
-    /// milliseconds; 0 for not at all.
-    pub max_retry_wait_ms: u64,
     /// Memory of all response bodies that are being read together, in bytes.
     pub max_buffered_bytes: u64,
 }
@@ -58,7 +55,6 @@
             cold_slack: 0.0,
             completion: true,
             service_order: false,
-            max_retry_wait_ms: 0,
             max_buffered_bytes: MAX_BUFFERED_BYTES,
         }
     }
@@ -101,12 +97,6 @@
         self
     }
 
-    /// Sets how long a request that broke off may wait for a retry, in milliseconds.
-    pub fn max_retry_wait_ms(mut self, wait_ms: u64) -> Settings {
-        self.max_retry_wait_ms = wait_ms;
-        self
-    }
-
     /// Returns whether lengths of answers and times per event are needed.
     pub(crate) fn learns_runs(&self) -> bool {
         self.completion || self.service_order
