limits: Confirm the end of a cold period with the endpoint

An endpoint that restarts within its cold period, while no instance has a connection to it and before its entry tells, was taken for warm as the earlier period ended, and got requests in bulk.

--- a/crates/limits/src/cold_period.rs
+++ b/crates/limits/src/cold_period.rs
@@ -14,6 +14,10 @@
 /// it is by the time that it took to arrive.
 const MAX_TRANSIT_MS: u64 = 100;
 
+/// How long an endpoint still counts as cold beyond the end of a period that it did not confirm, in milliseconds: a
+/// health check that begins at the end, its answer, and the reports of it that cross a large fleet take about 350 ms.
+pub const COLD_GRACE_MS: u64 = 450;
+
 /// Instances that pass a report on in a large fleet.
 const MAX_HOPS: u32 = 2;
 
@@ -74,6 +78,10 @@
     /// Instances that passed that on.
     hops: u32,
     observed_ms: u64,
+    /// Whether the endpoint itself said that it is cold no longer.
+    is_confirmed: bool,
+    /// The end at which the endpoint was asked last.
+    asked_until_ms: u64,
 }
 
 impl ColdPeriod {
@@ -81,7 +89,7 @@
     pub fn observe(&mut self, left_ms: u64, is_told: bool, now_ms: u64) {
         let until_ms = now_ms + left_ms.min(MAX_COLD_MS);
         self.observed_ms = now_ms;
-        self.until_ms = self.until_ms.max(until_ms);
+        self.extend(until_ms);
         if is_told && until_ms > self.told_until_ms {
             self.told_until_ms = until_ms;
             self.hops = 0;
@@ -96,16 +104,26 @@
         }
         self.told_until_ms = until_ms;
         self.hops = hops.saturating_add(1);
-        self.until_ms = self.until_ms.max(until_ms);
+        // An answer that was asked for before may be that of an earlier run.
+        self.observed_ms = now_ms;
+        self.extend(until_ms);
         true
     }
 
+    fn extend(&mut self, until_ms: u64) {
+        if until_ms > self.until_ms {
+            self.until_ms = until_ms;
+            self.is_confirmed = false;
+        }
+    }
+
     /// Records how long the endpoint itself says that it stays cold, when it was asked at a time. An answer to an
     /// earlier question than the last observation may be that of an earlier run.
     pub fn record_answer(&mut self, left_ms: u64, asked_ms: u64, now_ms: u64) {
         if left_ms == 0 && asked_ms > self.observed_ms {
             self.until_ms = self.until_ms.min(now_ms);
             self.told_until_ms = self.told_until_ms.min(now_ms);
+            self.is_confirmed = true;
         } else if left_ms > 0 {
             self.observe(left_ms, true, now_ms);
         }
@@ -116,6 +134,21 @@
         now_ms < self.until_ms
     }
 
+    /// Returns whether the period has ended, and the endpoint has not confirmed this yet but has time to.
+    pub fn awaits_confirmation(&self, now_ms: u64) -> bool {
+        let is_over = self.until_ms > 0 && now_ms >= self.until_ms;
+        is_over && !self.is_confirmed && now_ms < self.until_ms + COLD_GRACE_MS
+    }
+
+    /// Returns whether the endpoint is to be asked now whether it is cold no longer, which it is once for each end.
+    pub fn try_ask(&mut self, now_ms: u64) -> bool {
+        let may_ask = self.awaits_confirmation(now_ms) && self.asked_until_ms != self.until_ms;
+        if may_ask {
+            self.asked_until_ms = self.until_ms;
+        }
+        may_ask
+    }
+
     /// Returns for how long the endpoint counts as cold, in milliseconds.
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.until_ms.saturating_sub(now_ms)
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -44,7 +44,7 @@
 pub use admission::{Admission, AdmissionSettings};
 pub use balance::{Choice, EndpointView, choose, choose_by_prefix};
 pub use cold_limit::{ColdDivision, ColdLimit, ColdRate};
-pub use cold_period::{ColdPeriod, ColdSight, MAX_COLD_MS};
+pub use cold_period::{COLD_GRACE_MS, ColdPeriod, ColdSight, MAX_COLD_MS};
 pub use crash_guard::{Admittance, CrashGuard};
 pub use crash_history::{Crash, CrashBlock, CrashHistory, CrashReport, Subject};
 pub use endpoint_capacity::{EndpointCapacity, Withheld};
--- a/crates/serve/src/endpoint_cold.rs
+++ b/crates/serve/src/endpoint_cold.rs
@@ -140,9 +140,38 @@
     }
 
     /// Returns whether the endpoint counts as cold. While it is out of reach, the request that reaches it again
-    /// would find it so.
+    /// would find it so. It may have restarted unseen until it confirms the end of a period.
     pub(crate) fn is_cold(&self, is_out_of_reach: bool, now_ms: u64) -> bool {
-        self.rules.get().is_some() && (is_out_of_reach || self.period.get().is_cold(now_ms))
+        let period = self.period.get();
+        let counts_as_cold = period.is_cold(now_ms) || period.awaits_confirmation(now_ms);
+        self.rules.get().is_some() && (is_out_of_reach || counts_as_cold)
+    }
+
+    /// Returns whether the next request that the endpoint gets from this instance is the health check at the end of
+    /// its period.
+    pub(crate) fn is_kept_for_check(&self, now_ms: u64) -> bool {
+        let Some(rules) = self.rules.get().filter(|rules| rules.is_sender) else {
+            return false;
+        };
+        let period = self.period.get();
+        // A request within an interval of the end would delay the check.
+        let is_near = (1..=rules.division.interval_ms).contains(&period.left_ms(now_ms));
+        is_near || period.awaits_confirmation(now_ms)
+    }
+
+    /// Returns whether this instance is to ask the endpoint, once for each end of a period, whether it is cold no
+    /// longer.
+    pub(crate) fn awaits_check(&self, now_ms: u64) -> bool {
+        let is_sender = self.rules.get().is_some_and(|rules| rules.is_sender);
+        is_sender && self.period.get().try_ask(now_ms)
+    }
+
+    /// Records that this instance asks the endpoint now, and returns whether it did not yet at this end.
+    pub(crate) fn try_ask(&self, now_ms: u64) -> bool {
+        let mut is_first = false;
+        self.period
+            .update(now_ms, |period| is_first = period.try_ask(now_ms));
+        is_first
     }
 
     /// Returns for how long the endpoint counts as cold, in milliseconds.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -266,6 +266,15 @@
         view: &View,
         now_ms: u64,
     ) -> Option<Withheld> {
+        self.update_cold(endpoint, now_ms);
+        if self.is_cold() && self.cold.is_kept_for_check(now_ms) {
+            return Some(Withheld::Cold);
+        }
+        self.withheld_check(endpoint, view, now_ms)
+    }
+
+    /// Returns why the endpoint gets no health check now, if it gets none.
+    fn withheld_check(&self, endpoint: &Endpoint, view: &View, now_ms: u64) -> Option<Withheld> {
         self.update_cold(endpoint, now_ms);
         let place = || EndpointUse {
             rank: view.rank_for(&endpoint.id),
@@ -280,7 +289,7 @@
 
     /// Takes a health check from what the endpoint wants of requests, and returns whether it wants any.
     pub(crate) fn try_acquire_check(&self, endpoint: &Endpoint, view: &View, now_ms: u64) -> bool {
-        let is_open = self.withheld(endpoint, view, now_ms).is_none();
+        let is_open = self.withheld_check(endpoint, view, now_ms).is_none();
         if is_open {
             self.acquire(now_ms);
         }
--- a/crates/serve/src/life.rs
+++ b/crates/serve/src/life.rs
@@ -94,6 +94,32 @@
     checked.unwrap_or(Sign::new(Life::NoAnswer))
 }
 
+/// Asks an endpoint whose cold period ends here whether it is cold no longer. It counts as broken if it refuses or
+/// closes the connection.
+pub(crate) async fn confirm_warm(
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    state: &EndpointState,
+    health_path: &str,
+) {
+    let timeout = Duration::from_millis(context.settings.connect_timeout_ms);
+    let asked_at = Instant::now();
+    let question = Question {
+        context,
+        endpoint,
+        state,
+        alive_at: asked_at,
+        // The answer has as long as the connection.
+        until: asked_at + 2 * timeout,
+    };
+    let protocol = &context.endpoint_protocol;
+    let request = protocol.encode_health_check(endpoint, health_path);
+    let answer = Box::pin(question.ask_once(&request)).await;
+    if let Err(Life::RefusesConnection | Life::ClosesConnection) = answer {
+        state.cold.record_broken(context.now_ms());
+    }
+}
+
 /// The answer to a question, and its connection if it is kept.
 struct Answer {
     responder: Responder,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use kernel::{Clock, Failure, Reason, Verdict};
 use limits::FleetSize;
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
@@ -129,9 +130,10 @@
         self.context.buffered_bytes.total()
     }
 
-    /// Probes endpoints that may be out of reach, as long as it is polled.
+    /// Probes endpoints that may be out of reach, and asks those whose cold periods end, as long as it is polled.
     pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
-        reach::probe(self.context.clone())
+        let probes = reach::probe(self.context.clone());
+        probes.or(reach::confirm_cold_ends(self.context.clone()))
     }
 
     /// Serves a request of a caller, or one that a peer handed over.
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -149,6 +149,10 @@
         Responder {
             id: head.headers.get("x-instance").map(Into::into),
             started_ms: started.and_then(|text| text.parse().ok()),
+            cold_left_ms: head
+                .headers
+                .get("x-cold-ms")
+                .and_then(|text| text.parse().ok()),
             ..Responder::default()
         }
     }
