--- a/crates/limits/src/cold_limit.rs
+++ b/crates/limits/src/cold_limit.rs
@@ -46,6 +46,7 @@
 /// let division = limit.divide(75);
 /// assert_eq!((division.senders, division.interval_ms), (3, 510));
 /// assert_eq!(division.max_in_second(), 2);
+/// assert_eq!(division.checkers, 6);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdDivision {
@@ -53,6 +54,9 @@
     pub senders: usize,
     /// Shortest time between two requests of one of them, in milliseconds.
     pub interval_ms: u64,
+    /// Number of instances that ask it for its health at the end of its cold period, the first ones by rank. With the
+    /// requests of the senders they are at most half of the bound.
+    pub checkers: usize,
 }
 
 impl ColdLimit {
@@ -73,10 +77,17 @@
         } else {
             (MS_PER_S / share_per_s).ceil()
         };
-        ColdDivision {
+        let mut division = ColdDivision {
             senders,
             interval_ms: (interval_ms as u64).saturating_add(PATH_MARGIN_MS),
-        }
+            checkers: senders,
+        };
+        // Their checks take the place of a request of the senders, and are further ones of other instances.
+        let rest = half - senders as f64 * division.max_in_second() as f64;
+        division.checkers = (senders + rest.max(0.0) as usize)
+            .min(instances)
+            .max(senders);
+        division
     }
 }
 
--- a/crates/limits/tests/cold_fleet.rs
+++ b/crates/limits/tests/cold_fleet.rs
@@ -171,6 +171,13 @@
 fn a_settled_fleet_sends_what_its_senders_may() {
     let most = FleetPlay::new(1, INSTANCES).run(|_, _| {});
     assert_eq!(most, 6);
+    // Two halves with the health checks at the end of a period.
+    for instances in 1..INSTANCES {
+        let division = LIMIT.divide(instances);
+        let checks = division.checkers - division.senders;
+        let half = division.senders as u64 * division.max_in_second() + checks as u64;
+        assert!(2.0 * half as f64 <= LIMIT.bound(), "{instances}: {half}");
+    }
 }
 
 /// Guards against two halves that each replace the senders of the other.
@@ -348,9 +355,9 @@
         let until_ms = again_ms + START_MS;
         let mut told_ms = None;
         for now_ms in (0..STOP_MS).step_by(STEP_MS as usize) {
-            for index in 0..INSTANCES {
+            for (index, known_ms) in known_ms.iter().enumerate() {
                 let instance = &mut play.instances[index];
-                if now_ms == known_ms[index].next_multiple_of(STEP_MS) {
+                if now_ms == known_ms.next_multiple_of(STEP_MS) {
                     instance.period.observe(START_MS, true, now_ms);
                 }
                 let is_sender = instance.capacity.cold_interval_ms().is_some();
--- a/crates/serve/src/cold_senders.rs
+++ b/crates/serve/src/cold_senders.rs
@@ -57,10 +57,12 @@
             slack: self.slack,
         };
         let division = limit.divide(view.instance_count);
+        let rank = may_rank.then(|| view.rank_for(&endpoint.id));
         ColdRules {
             start_ms: cold.start_ms.min(MAX_COLD_MS),
             division,
-            is_sender: may_rank && view.rank_for(&endpoint.id) < division.senders,
+            is_sender: rank.is_some_and(|rank| rank < division.senders),
+            is_checker: rank.is_some_and(|rank| rank < division.checkers),
         }
     }
 
--- a/crates/serve/src/endpoint_cold.rs
+++ b/crates/serve/src/endpoint_cold.rs
@@ -20,6 +20,8 @@
     pub(crate) division: ColdDivision,
     /// Whether this instance is one of those that send.
     pub(crate) is_sender: bool,
+    /// Whether it asks for the endpoint's health at the end of a cold period.
+    pub(crate) is_checker: bool,
 }
 
 /// Ages by which the first sight of a run is judged, in milliseconds.
@@ -162,8 +164,8 @@
     /// Returns whether this instance is to ask the endpoint, once for each end of a period, whether it is cold no
     /// longer.
     pub(crate) fn awaits_check(&self, now_ms: u64) -> bool {
-        let is_sender = self.rules.get().is_some_and(|rules| rules.is_sender);
-        is_sender && self.period.get().try_ask(now_ms)
+        let is_checker = self.rules.get().is_some_and(|rules| rules.is_checker);
+        is_checker && self.period.get().try_ask(now_ms)
     }
 
     /// Records that this instance asks the endpoint now, and returns whether it did not yet at this end.
--- a/crates/serve/src/endpoint_state.rs
+++ b/crates/serve/src/endpoint_state.rs
@@ -296,6 +296,24 @@
         is_open
     }
 
+    /// Takes the health check at the end of a cold period, and returns whether the endpoint wants it. Those of
+    /// instances that do not send to it while it is cold are in no rate.
+    pub(crate) fn try_acquire_end_check(
+        &self,
+        endpoint: &Endpoint,
+        view: &View,
+        now_ms: u64,
+    ) -> bool {
+        let is_open = match self.withheld_check(endpoint, view, now_ms) {
+            Some(Withheld::Cold) => self.cold.rules().is_some_and(|rules| !rules.is_sender),
+            withheld => withheld.is_none(),
+        };
+        if is_open {
+            self.acquire(now_ms);
+        }
+        is_open
+    }
+
     /// Takes a request from what the endpoint wants.
     pub(crate) fn acquire(&self, now_ms: u64) {
         self.capacity.borrow_mut().acquire(now_ms);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -26,6 +26,7 @@
 mod carry;
 mod carry_handler;
 mod carry_message;
+mod cold_ends;
 mod cold_senders;
 mod completion;
 mod continuation;
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -21,6 +21,7 @@
 use crate::caller_protocol::CallerProtocol;
 use crate::carried::CarriedCount;
 use crate::carry_message::CarryOrder;
+use crate::cold_ends;
 use crate::dispatch::StartedResponse;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_states::EndpointStates;
@@ -133,7 +134,7 @@
     /// Probes endpoints that may be out of reach, and asks those whose cold periods end, as long as it is polled.
     pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
         let probes = reach::probe(self.context.clone());
-        probes.or(reach::confirm_cold_ends(self.context.clone()))
+        probes.or(cold_ends::confirm(self.context.clone()))
     }
 
     /// Serves a request of a caller, or one that a peer handed over.
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -17,7 +17,6 @@
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_states::EndpointStates;
 use crate::evacuation::eligible;
-use crate::life::confirm_warm;
 use crate::outcome::Counters;
 use crate::request_context::RequestContext;
 use crate::shared_load::service_hash;
@@ -26,9 +25,6 @@
 /// How often the states of endpoints are checked for those to probe.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How often cold endpoints are checked for those whose periods end.
-const COLD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Returns what this instance reaches of the endpoints that could take a request.
 pub(crate) fn reach(request: &ActiveRequest, view: &View, context: &RequestContext) -> Reach {
     let Some(pool) = view.pools.get(&request.service) else {
@@ -80,54 +76,6 @@
     }
 }
 
-/// Asks cold endpoints at the ends of their periods whether they are cold no longer.
-pub(crate) async fn confirm_cold_ends(context: Rc<RequestContext>) {
-    let executor = LocalExecutor::new();
-    let checks = async {
-        loop {
-            Timer::after(COLD_CHECK_INTERVAL).await;
-            for (target, health_path) in ends_to_confirm(&context) {
-                let context = context.clone();
-                let check = async move {
-                    let Target { endpoint, state } = target;
-                    confirm_warm(&context, &endpoint, &state, &health_path).await;
-                };
-                executor.spawn(check).detach();
-            }
-        }
-    };
-    executor.run(checks).await
-}
-
-/// Returns the endpoints to ask now at the ends of their cold periods, with the paths of their health checks.
-fn ends_to_confirm(context: &RequestContext) -> Vec<(Target, Arc<str>)> {
-    let now_ms = context.now_ms();
-    let view = context.view();
-    let mut targets = Vec::new();
-    let Some(table) = &view.table else {
-        return targets;
-    };
-    for (service, pool) in &view.pools {
-        let service = table.service(service);
-        let checked = service.filter(|service| service.cold.is_some());
-        let Some(service) = checked.filter(|service| !service.health_path.is_empty()) else {
-            continue;
-        };
-        for endpoint in &pool.endpoints {
-            let state = context.endpoint_states.of(endpoint);
-            let may_ask = !view.is_evacuated(&endpoint.zone, now_ms)
-                && !state.is_out_of_reach()
-                && state.cold.awaits_check(now_ms)
-                && state.try_acquire_check(endpoint, &view, now_ms);
-            if may_ask && state.cold.try_ask(now_ms) {
-                let endpoint = endpoint.clone();
-                targets.push((Target { endpoint, state }, service.health_path.clone()));
-            }
-        }
-    }
-    targets
-}
-
 /// Returns the endpoints to probe now, and lets those get requests that peers reach again.
 fn due(context: &RequestContext) -> Vec<Target> {
     let now_ms = context.now_ms();
--- a/crates/serve/tests/cold_endpoints.rs
+++ b/crates/serve/tests/cold_endpoints.rs
@@ -178,7 +178,7 @@
 
 /// Guards against requests in bulk to an endpoint that restarted unseen within its cold period, as that ends.
 #[test]
-fn senders_ask_at_the_end_of_a_cold_period_and_tell_of_a_restart() {
+fn instances_ask_at_the_end_of_a_cold_period_and_tell_of_a_restart() {
     const INSTANCES: usize = 8;
     let (endpoints, addrs) = start(1);
     let log = &endpoints[0].log;
@@ -198,7 +198,8 @@
     age_by(START_MS);
     log.cold_left_ms.store(2_000, Ordering::Relaxed);
     wait_for_checks();
-    assert_eq!(log.health_checks.load(Ordering::Relaxed), 3);
+    // Three that send, and one more within half of the bound.
+    assert_eq!(log.health_checks.load(Ordering::Relaxed), 4);
     let reports = |instance: &Harness| {
         let shared = instance.pipeline.shared_loads();
         shared.cold().to_report(instance.clock_ms())
