--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use kernel::{Clock, Failure, Reason, Verdict};
 use limits::FleetSize;
 use relay::{Body, Handler, Limits, LocalFuture, Request, Response};
@@ -20,6 +21,7 @@
 use crate::caller_protocol::CallerProtocol;
 use crate::carried::CarriedCount;
 use crate::carry_message::CarryOrder;
+use crate::cold_ends;
 use crate::dispatch::StartedResponse;
 use crate::endpoint_protocol::EndpointProtocol;
 use crate::endpoint_states::EndpointStates;
@@ -129,9 +131,10 @@
         self.context.buffered_bytes.total()
     }
 
-    /// Probes endpoints that may be out of reach, as long as it is polled.
+    /// Probes endpoints that may be out of reach, and asks those whose cold periods end, as long as it is polled.
     pub fn probe_endpoints(&self) -> impl Future<Output = ()> + use<> {
-        reach::probe(self.context.clone())
+        let probes = reach::probe(self.context.clone());
+        probes.or(cold_ends::confirm(self.context.clone()))
     }
 
     /// Serves a request of a caller, or one that a peer handed over.
