--- a/crates/limits/src/service_order.rs
+++ b/crates/limits/src/service_order.rs
@@ -4,9 +4,6 @@
 //! It answers bursts of one class that last some seconds, and a workspace that sends many times its
 //! usual, on engines that queue the requests of all instances. Engines admit and preempt by a
 //! number, so that instances which judge alike order their requests together without a message.
-//!
-//! All requests of one class that can be in time have the same number. A preempted stream pauses and its
-//! prompt is read again, which costs more than the order within a class is worth.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,18 +16,13 @@
 const SHORT_LOAD_SHARE: f64 = 0.9;
 
 /// Priorities above this one share its rank.
-const MAX_CLASS: u8 = 3;
+const MAX_CLASS: u8 = 2;
 
-/// Engine priority of an urgent request in time, the step to the next class, and the engine priority of
-/// requests that can only be late. The first classes have the same numbers without this order, so that its
-/// start preempts nothing.
-const FIRST_RANK: u8 = 2;
+/// Engine priority of an urgent request in time, and the steps to the next class and to requests
+/// that can only be late.
+const FIRST_RANK: u8 = 1;
 const CLASS_STEP: u8 = 2;
-const LATE_RANK: u8 = 8;
-
-/// Step of a request whose workspace gives way: behind the next class, so that a workspace which floods one
-/// class does not take the time of the next one either.
-const OVERUSE_STEP: u8 = CLASS_STEP + 1;
+const LATE_RANK: u8 = 7;
 
 /// Rank of the last request in time.
 const LAST_RANK_IN_TIME: u8 = LATE_RANK - 1;
@@ -45,10 +37,13 @@
 /// Time in which recorded work loses most of its weight, in milliseconds: several bursts.
 const WORK_MEMORY_MS: f64 = 10_000.0;
 
+/// Weight of the latest sample in the mean work of a class.
+const SMOOTHING: f64 = 0.05;
+
 /// Time in which a wait that no later request shows loses half of its weight, in milliseconds.
 const WAIT_HALF_LIFE_MS: f64 = 1_000.0;
 
-/// Weight of the latest sample in a mean wait.
+/// Weight of the latest sample in the mean wait of a class.
 const WAIT_SMOOTHING: f64 = 0.2;
 
 /// Most workspaces whose work is remembered.
@@ -65,15 +60,14 @@
     pub work_ms: f64,
     /// Expected time to its first event, without the wait.
     pub first_event_ms: f64,
-    /// Time left to its latency objective; 0 or below once that has passed, and infinite once the caller has
-    /// the first event.
+    /// Time left to its latency objective; 0 or below once that has passed.
     pub objective_left_ms: f64,
-    /// Least time to the end of its answer, without the wait: hardly any such request ends sooner.
-    pub least_end_ms: f64,
+    /// Expected time to the end of its answer, without the wait.
+    pub end_ms: f64,
     /// Time left to its deadline.
     pub deadline_left_ms: f64,
-    /// Whether it can be refused as one that has not run.
-    pub may_be_refused: bool,
+    /// Whether it has waited for an earlier attempt.
+    pub has_waited: bool,
 }
 
 /// How short the capacity of a service is.
@@ -95,8 +89,10 @@
 /// Why a request has its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum OrderReason {
-    /// It can be in time.
-    InTime,
+    /// In time, with at most the usual work of its class.
+    Short,
+    /// In time, with more work than usual.
+    Long,
     /// Its workspace uses several times as much as the others.
     Overuse,
     /// It can only be late.
@@ -109,7 +105,8 @@
     /// Returns the name for logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            OrderReason::InTime => "in_time",
+            OrderReason::Short => "short",
+            OrderReason::Long => "long",
             OrderReason::Overuse => "overuse",
             OrderReason::Late => "late",
             OrderReason::Floor => "floor",
@@ -146,7 +143,7 @@
     }
 }
 
-/// Mean wait of requests, in milliseconds.
+/// Mean wait of a class, in milliseconds.
 #[derive(Debug, Clone, Copy, Default)]
 struct Wait {
     mean_ms: f64,
@@ -160,29 +157,9 @@
     }
 }
 
-/// Mean waits of the requests of one class.
-#[derive(Debug, Default)]
-struct ClassWaits {
-    /// Of those with the engine priority of the class.
-    in_time: Wait,
-    overuse: Wait,
-    late: Wait,
-}
-
-impl ClassWaits {
-    fn of(&mut self, reason: OrderReason) -> &mut Wait {
-        match reason {
-            OrderReason::InTime | OrderReason::Floor => &mut self.in_time,
-            OrderReason::Overuse => &mut self.overuse,
-            OrderReason::Late => &mut self.late,
-        }
-    }
-}
-
 /// Orders the requests of one service on one instance.
 ///
-/// Urgent requests wait less than others, so that waits are measured for each class. Those of requests that
-/// give way say nothing of others of their class, and are measured apart for each reason.
+/// Urgent requests wait less than others, so that waits are measured for each class.
 ///
 /// # Examples
 ///
@@ -195,18 +172,19 @@
 ///     work_ms: 100.0,
 ///     first_event_ms: 300.0,
 ///     objective_left_ms: 2_000.0,
-///     least_end_ms: 900.0,
+///     end_ms: 900.0,
 ///     deadline_left_ms: 5_000.0,
-///     may_be_refused: true,
+///     has_waited: false,
 /// };
 /// let mut order = ServiceOrder::default();
 /// assert_eq!(order.order(&request, Pressure::default(), 0), None);
 /// let pressure = Pressure { wait_share: 0.5, load_share: 0.7 };
-/// assert_eq!(order.order(&request, pressure, 0), Some(Order::Send(4, OrderReason::InTime)));
+/// assert_eq!(order.order(&request, pressure, 0), Some(Order::Send(3, OrderReason::Short)));
 /// ```
 #[derive(Debug, Default)]
 pub struct ServiceOrder {
-    waits: [ClassWaits; MAX_CLASS as usize + 1],
+    mean_work_ms: [Option<f64>; MAX_CLASS as usize + 1],
+    waits: [Wait; MAX_CLASS as usize + 1],
     workspaces: HashMap<Arc<str>, Usage>,
     total: Usage,
 }
@@ -219,73 +197,63 @@
         pressure: Pressure,
         now_ms: u64,
     ) -> Option<Order> {
-        self.record(request, now_ms);
+        let is_long = self.record(request, now_ms);
         if !pressure.is_short() {
             return None;
         }
         let class = request.priority.min(MAX_CLASS);
-        let class_rank = ServiceOrder::class_rank(class);
-        let (rank, reason) = if self.is_overused(request.workspace, now_ms) {
-            (
-                (class_rank + OVERUSE_STEP).min(LAST_RANK_IN_TIME),
-                OrderReason::Overuse,
-            )
-        } else {
-            (class_rank, OrderReason::InTime)
-        };
-        let wait_ms = self.waits[usize::from(class)].of(reason).at(now_ms);
+        let wait_ms = self.waits[usize::from(class)].at(now_ms);
+        let is_full = pressure.load_share >= 1.0;
+        if is_full && wait_ms + request.end_ms > request.deadline_left_ms {
+            return Some(Order::Refuse);
+        }
+        let rank = FIRST_RANK + CLASS_STEP * class;
         let is_late = wait_ms + request.first_event_ms > request.objective_left_ms;
         let (rank, reason) = if is_late {
-            (LATE_RANK, OrderReason::Late)
+            (LATE_RANK + class, OrderReason::Late)
+        } else if self.is_overused(request.workspace, now_ms) {
+            let lowered = rank + CLASS_STEP + 1;
+            (lowered.min(LAST_RANK_IN_TIME), OrderReason::Overuse)
+        } else if is_long {
+            (rank + 1, OrderReason::Long)
         } else {
-            (rank, reason)
+            (rank, OrderReason::Short)
         };
-        let gives_way = reason != OrderReason::InTime;
-        let (rank, reason) = if gives_way && self.is_floor_due(request.workspace, class) {
-            (class_rank, OrderReason::Floor)
-        } else {
-            (rank, reason)
-        };
-        let wait_ms = self.waits[usize::from(class)].of(reason).at(now_ms);
-        let is_full = pressure.load_share >= 1.0;
-        let ends_late = wait_ms + request.least_end_ms > request.deadline_left_ms;
-        if is_full && ends_late && request.may_be_refused {
-            return Some(Order::Refuse);
-        }
-        if reason == OrderReason::Floor {
-            *self.floor_count(request.workspace, class) = 0;
+        let gives_way = matches!(reason, OrderReason::Late | OrderReason::Overuse);
+        if gives_way && self.takes_floor(request.workspace, class) {
+            let rank = FIRST_RANK + CLASS_STEP * class + 1;
+            return Some(Order::Send(rank, OrderReason::Floor));
         }
+        let rank = rank - u8::from(request.has_waited);
         Some(Order::Send(rank, reason))
     }
 
-    /// Returns the engine priority of all requests of a priority that can be in time.
-    pub fn class_rank(priority: u8) -> u8 {
-        (FIRST_RANK + CLASS_STEP * priority.min(MAX_CLASS)).min(LAST_RANK_IN_TIME)
-    }
-
-    /// Records how long a request of a priority that was sent for a reason waited for its first event beyond
-    /// undisturbed prefill.
-    pub fn record_wait(&mut self, priority: u8, reason: OrderReason, wait_ms: f64, now_ms: u64) {
+    /// Records how long a request of a priority waited for its first event beyond undisturbed prefill.
+    pub fn record_wait(&mut self, priority: u8, wait_ms: f64, now_ms: u64) {
         if !wait_ms.is_finite() {
             return;
         }
-        let class = usize::from(priority.min(MAX_CLASS));
-        let wait = self.waits[class].of(reason);
+        let wait = &mut self.waits[usize::from(priority.min(MAX_CLASS))];
         let mean_ms = wait.at(now_ms);
         wait.mean_ms = mean_ms + WAIT_SMOOTHING * (wait_ms.max(0.0) - mean_ms);
         wait.updated_ms = now_ms;
     }
 
-    fn record(&mut self, request: &PendingRequest<'_>, now_ms: u64) {
+    /// Records the work of a request, and returns whether it is more than usual for its class.
+    fn record(&mut self, request: &PendingRequest<'_>, now_ms: u64) -> bool {
         let work_ms = if request.work_ms.is_finite() {
             request.work_ms.max(0.0)
         } else {
             0.0
         };
+        let mean = &mut self.mean_work_ms[usize::from(request.priority.min(MAX_CLASS))];
+        let usual_ms = mean.unwrap_or(work_ms);
+        *mean = Some(usual_ms + SMOOTHING * (work_ms - usual_ms));
         self.total.add(work_ms, now_ms);
         if let Some(usage) = self.usage(request.workspace, now_ms) {
             usage.add(work_ms, now_ms);
         }
+        work_ms > usual_ms
     }
 
     fn usage(&mut self, workspace: Option<&str>, now_ms: u64) -> Option<&mut Usage> {
@@ -314,17 +282,12 @@
         own_ms > OVERUSE_FACTOR * others_ms
     }
 
-    /// Counts a request that would give way, and returns whether it is the one in several that does not. It
-    /// remains due until one is sent, so that refusals do not use it up.
-    fn is_floor_due(&mut self, workspace: Option<&str>, class: u8) -> bool {
-        let count = self.floor_count(workspace, class);
-        *count = (*count + 1).min(FLOOR_INTERVAL);
-        *count == FLOOR_INTERVAL
-    }
-
-    fn floor_count(&mut self, workspace: Option<&str>, class: u8) -> &mut u32 {
+    /// Returns whether this request is the one in several that does not give way.
+    fn takes_floor(&mut self, workspace: Option<&str>, class: u8) -> bool {
         let usage = workspace.and_then(|name| self.workspaces.get_mut(name));
         let usage = usage.unwrap_or(&mut self.total);
-        &mut usage.floors[usize::from(class)]
+        let count = &mut usage.floors[usize::from(class)];
+        *count = (*count + 1) % FLOOR_INTERVAL;
+        *count == 0
     }
 }
--- a/crates/serve/src/active_request.rs
+++ b/crates/serve/src/active_request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use kernel::{Failure, Incarnation, Reason, Verdict};
-use limits::{OrderReason, PromptLoad, RequestLoad};
+use limits::{PromptLoad, RequestLoad};
 use relay::{Request, ResponseHead};
 use route::{Route, Workspace};
 use xxhash_rust::xxh3::xxh3_64;
@@ -95,8 +95,8 @@
     pub(crate) end_is_recorded: bool,
     /// Index of the model size in the route.
     pub(crate) size: Option<usize>,
-    /// Engine priority of the last or next send and the reason for it, if requests of the service are ordered.
-    pub(crate) place: Option<(u8, OrderReason)>,
+    /// Engine priority of the next send while capacity is short.
+    pub(crate) rank: Option<u8>,
     /// Index of the smaller size whose answer was discarded before this run.
     pub(crate) unsure_size: Option<usize>,
     /// Confidence of the model in its answer, from 0 to 100.
@@ -238,7 +238,7 @@
 
     /// Returns the priority among the requests of an endpoint, where 0 is the most urgent.
     pub(crate) fn endpoint_priority(&self) -> u8 {
-        if let Some((rank, _)) = self.place {
+        if let Some(rank) = self.rank {
             return rank.min(LEAST_URGENT_PRIORITY);
         }
         let priority = BASE_PRIORITY.saturating_add(self.priority().saturating_mul(PRIORITY_STEP));
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -110,7 +110,7 @@
         crashes: 0,
         end_is_recorded: false,
         size: None,
-        place: None,
+        rank: None,
         unsure_size: None,
         confidence: None,
         last_endpoint: None,
--- a/crates/serve/src/pipeline.rs
+++ b/crates/serve/src/pipeline.rs
@@ -468,16 +468,12 @@
 fn record_wait(context: &RequestContext, request: &ActiveRequest, started: &StartedResponse) {
     let undisturbed_ms = started.reading_ms + context.baselines.fixed_ms(&request.service);
     let wait_ms = started.time_to_head.as_millis() as f64 - undisturbed_ms;
-    if let Some((_, reason)) = request.place {
-        let (orders, priority) = (&context.service_orders, request.priority());
-        orders.record_wait(
-            &request.service,
-            priority,
-            reason,
-            wait_ms,
-            context.now_ms(),
-        );
-    }
+    context.service_orders.record_wait(
+        &request.service,
+        request.priority(),
+        wait_ms,
+        context.now_ms(),
+    );
     context.baselines.record_wait(
         &request.service,
         wait_ms,
--- a/crates/serve/src/request_order.rs
+++ b/crates/serve/src/request_order.rs
@@ -1,7 +1,7 @@
 //! The rank of a request among those of its service while capacity is short.
 
 use kernel::{Failure, Reason, Verdict};
-use limits::{Order, OrderReason, PendingRequest, Pressure, ServiceOrder};
+use limits::{Order, PendingRequest, Pressure};
 
 use crate::active_request::ActiveRequest;
 use crate::baseline::BaselineKey;
@@ -47,16 +47,21 @@
         } else {
             0.0
         };
+        // One that may have run before cannot be refused as not run.
+        let deadline_left_ms = if self.verdict == Verdict::NotRun {
+            self.deadline_left_ms()
+        } else {
+            f64::INFINITY
+        };
         let request = PendingRequest {
             priority: self.priority(),
             workspace,
             work_ms,
             first_event_ms: fixed_ms + prefill_ms,
             objective_left_ms,
-            least_end_ms: fixed_ms + least_run_ms * pool.fastest_ratio,
-            deadline_left_ms: self.deadline_left_ms(),
-            // One that may have run before cannot be refused as not run.
-            may_be_refused: self.verdict == Verdict::NotRun,
+            end_ms: fixed_ms + least_run_ms * pool.fastest_ratio,
+            deadline_left_ms,
+            has_waited: self.has_waited(),
         };
         let pressure = Pressure {
             wait_share: context.baselines.wait_share(&self.service),
@@ -66,13 +71,11 @@
         let order = context
             .service_orders
             .order(service, &request, pressure, context.now_ms());
+        self.rank = None;
         match order {
-            None => {
-                let rank = ServiceOrder::class_rank(request.priority);
-                self.place = Some((rank, OrderReason::InTime));
-            }
+            None => return Ok(()),
             Some(Order::Send(rank, reason)) => {
-                self.place = Some((rank, reason));
+                self.rank = Some(rank);
                 let observer = &context.observer;
                 observer.request_ordered(request.priority, workspace, reason.as_str());
                 tracing::debug!(
--- a/crates/serve/src/service_orders.rs
+++ b/crates/serve/src/service_orders.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use limits::{Order, OrderReason, PendingRequest, Pressure, ServiceOrder};
+use limits::{Order, PendingRequest, Pressure, ServiceOrder};
 
 /// Time for which the load of a pool is used, in milliseconds. The sum over 90 endpoints for each send is
 /// notable on a tenth of a core.
@@ -37,17 +37,10 @@
 impl ServiceOrders {
     /// Records how long a request of a priority that was sent for a reason waited for its first event beyond
     /// undisturbed prefill.
-    pub(crate) fn record_wait(
-        &self,
-        service: &Arc<str>,
-        priority: u8,
-        reason: OrderReason,
-        wait_ms: f64,
-        now_ms: u64,
-    ) {
+    pub(crate) fn record_wait(&self, service: &Arc<str>, priority: u8, wait_ms: f64, now_ms: u64) {
         let mut orders = self.by_service.borrow_mut();
         let state = orders.entry(service.clone()).or_default();
-        state.order.record_wait(priority, reason, wait_ms, now_ms);
+        state.order.record_wait(priority, wait_ms, now_ms);
     }
 
     /// Returns the load of a service's pool, which `sum` computes if the last one is too old.
