serve: Look for ends of cold periods only where endpoints can be cold

Cause: every instance looked at all endpoints each 50 ms, also where no service has cold endpoints. Change: each 200 ms while none is cold, which is less than half of the grace, and each 2 s where no service has any.

--- a/crates/serve/src/cold_ends.rs
+++ b/crates/serve/src/cold_ends.rs
@@ -15,13 +15,33 @@
 /// How often cold endpoints are checked for those whose periods end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same while no endpoint is cold, less than half of the grace, and where no service has cold endpoints: looking
+/// at all endpoints takes a notable part of a tenth of a core.
+const WARM_INTERVAL: Duration = Duration::from_millis(200);
+const UNUSED_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Endpoints of the services that have cold ones.
+struct Checked {
+    is_used: bool,
+    has_cold: bool,
+    /// Endpoints to ask now, with the paths of their health checks.
+    targets: Vec<(Arc<Endpoint>, Rc<EndpointState>, Arc<str>)>,
+}
+
 /// Asks cold endpoints at the ends of their periods whether they are cold no longer.
 pub(crate) async fn confirm(context: Rc<RequestContext>) {
     let executor = LocalExecutor::new();
     let checks = async {
+        let mut interval = CHECK_INTERVAL;
         loop {
-            Timer::after(CHECK_INTERVAL).await;
-            for (endpoint, state, health_path) in ends_to_confirm(&context) {
+            Timer::after(interval).await;
+            let checked = ends_to_confirm(&context);
+            interval = match (checked.is_used, checked.has_cold) {
+                (false, _) => UNUSED_INTERVAL,
+                (true, false) => WARM_INTERVAL,
+                (true, true) => CHECK_INTERVAL,
+            };
+            for (endpoint, state, health_path) in checked.targets {
                 let context = context.clone();
                 let check = async move {
                     confirm_warm(&context, &endpoint, &state, &health_path).await;
@@ -33,31 +53,46 @@
     executor.run(checks).await
 }
 
-/// Returns the endpoints to ask now at the ends of their cold periods, with the paths of their health checks.
-fn ends_to_confirm(context: &RequestContext) -> Vec<(Arc<Endpoint>, Rc<EndpointState>, Arc<str>)> {
+/// Finds the endpoints to ask now at the ends of their cold periods.
+fn ends_to_confirm(context: &RequestContext) -> Checked {
+    let mut checked = Checked {
+        is_used: false,
+        has_cold: false,
+        targets: Vec::new(),
+    };
     let now_ms = context.now_ms();
-    let view = context.view();
-    let mut targets = Vec::new();
+    let view = context.view.load_full();
     let Some(table) = &view.table else {
-        return targets;
+        return checked;
     };
     for (service, pool) in &view.pools {
         let service = table.service(service);
-        let checked = service.filter(|service| service.cold.is_some());
-        let Some(service) = checked.filter(|service| !service.health_path.is_empty()) else {
+        let Some(service) = service.filter(|service| service.cold.is_some()) else {
             continue;
         };
+        if !checked.is_used {
+            // Takes over what the view says of cold endpoints.
+            context.endpoint_states.sync(&view, now_ms);
+        }
+        checked.is_used = true;
+        if service.health_path.is_empty() {
+            continue;
+        }
         for endpoint in &pool.endpoints {
             let state = context.endpoint_states.of(endpoint);
+            if !state.cold.is_cold(state.is_out_of_reach(), now_ms) {
+                continue;
+            }
+            checked.has_cold = true;
             let may_ask = !view.is_evacuated(&endpoint.zone, now_ms)
                 && !state.is_out_of_reach()
                 && state.cold.awaits_check(now_ms)
                 && state.try_acquire_end_check(endpoint, &view, now_ms);
             if may_ask && state.cold.try_ask(now_ms) {
-                let endpoint = endpoint.clone();
-                targets.push((endpoint, state, service.health_path.clone()));
+                let health_path = service.health_path.clone();
+                checked.targets.push((endpoint.clone(), state, health_path));
             }
         }
     }
-    targets
+    checked
 }
