--- a/crates/check/src/names.rs
+++ b/crates/check/src/names.rs
@@ -9,7 +9,6 @@
     Services,
     Limits,
     Workspaces,
-    Name,
     Host,
     Prefix,
     Kind,
