fakes: Run crowds of callers in one place

Cause: the tests of callers that exceed the limits of rosemary-gate and rosemary-entry each had the same crowd and the same reading of memory and descriptors. Change: fakes::peak_with_crowd serves both. Crowds, bounds and assertions are unchanged; the callers of rosemary-entry get the same time-out for reads, which they do not use.

--- a/crates/entry/tests/hard_callers.rs
+++ b/crates/entry/tests/hard_callers.rs
@@ -4,13 +4,12 @@
 mod common;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::TcpStream;
 use std::sync::{Mutex, PoisonError};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use common::{Fleet, wait_until};
+use fakes::{CrowdCaller, peak_with_crowd};
 use trial::Deployment;
 
 /// Limits that a small crowd exceeds.
@@ -27,14 +26,9 @@
 /// How long a crowd keeps its connections open.
 const HOLD: Duration = Duration::from_secs(3);
 
-/// How often memory and descriptors are read.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Each crowd takes much of the machine, so that only one test runs at a time.
 static TURN: Mutex<()> = Mutex::new(());
 
-type Caller = fn(&mut TcpStream) -> std::io::Result<()>;
-
 fn post(stream: &mut TcpStream, framing: &str) -> std::io::Result<()> {
     let head = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: crowd\r\nAuthorization: Bearer key-bir-hospital\r\n{framing}\r\n\r\n"
@@ -65,60 +59,11 @@
     Ok(())
 }
 
-/// Runs callers until the end of the crowd, however they are treated.
-fn run_crowd(addr: SocketAddr, count: usize, caller: Caller) {
-    let ends_at = Instant::now() + HOLD;
-    thread::scope(|scope| {
-        for _ in 0..count {
-            scope.spawn(move || {
-                let Ok(mut stream) = TcpStream::connect(addr) else {
-                    return;
-                };
-                stream.set_write_timeout(Some(HOLD)).unwrap();
-                // The instance may close or refuse the connection.
-                let _ = caller(&mut stream);
-                thread::sleep(ends_at.saturating_duration_since(Instant::now()));
-            });
-        }
-    });
-}
-
-/// The most memory in KB and the most descriptors that a process has used.
-#[derive(Debug, Default)]
-struct Peak {
-    resident_kb: u64,
-    fds: u64,
-}
-
-impl Peak {
-    fn sample(&mut self, process: u32) {
-        let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let resident = resident.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
-        self.resident_kb = self.resident_kb.max(resident.unwrap_or_default());
-        let fds = std::fs::read_dir(format!("/proc/{process}/fd"));
-        self.fds = self.fds.max(fds.map_or(0, |fds| fds.count() as u64));
-    }
-}
-
-fn check_crowd(name: &str, count: usize, caller: Caller) {
+fn check_crowd(name: &str, count: usize, caller: CrowdCaller) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let fleet = Fleet::start_with(Deployment::Shrestha, 1, 0, SETTINGS);
     let entry = &fleet.entries[0];
-    let is_over = AtomicBool::new(false);
-    let peak = thread::scope(|scope| {
-        let sampler = scope.spawn(|| {
-            let mut peak = Peak::default();
-            while !is_over.load(Ordering::SeqCst) {
-                peak.sample(entry.id());
-                thread::sleep(SAMPLE_INTERVAL);
-            }
-            peak
-        });
-        run_crowd(entry.http_addr, count, caller);
-        is_over.store(true, Ordering::SeqCst);
-        sampler.join().unwrap()
-    });
+    let peak = peak_with_crowd(entry.id(), entry.http_addr, HOLD, &[(count, caller)]);
     println!("{name}: {peak:?}");
     // A process that ended answers nothing.
     wait_until("an ordinary request is answered after the crowd", || {
