serve: Return when to look again for ends of cold periods

Cause: two flags stood for the time until the next look and were turned into it by the caller. Change: the function that looks at the endpoints returns that time. Behaviour is unchanged.

--- a/crates/serve/src/cold_ends.rs
+++ b/crates/serve/src/cold_ends.rs
@@ -20,12 +20,11 @@
 const WARM_INTERVAL: Duration = Duration::from_millis(200);
 const UNUSED_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Endpoints of the services that have cold ones.
-struct Checked {
-    is_used: bool,
-    has_cold: bool,
-    /// Endpoints to ask now, with the paths of their health checks.
-    targets: Vec<(Arc<Endpoint>, Rc<EndpointState>, Arc<str>)>,
+/// An endpoint to ask, and the path of its health check.
+struct Target {
+    endpoint: Arc<Endpoint>,
+    state: Rc<EndpointState>,
+    health_path: Arc<str>,
 }
 
 /// Asks cold endpoints at the ends of their periods whether they are cold no longer.
@@ -35,16 +34,17 @@
         let mut interval = CHECK_INTERVAL;
         loop {
             Timer::after(interval).await;
-            let checked = ends_to_confirm(&context);
-            interval = match (checked.is_used, checked.has_cold) {
-                (false, _) => UNUSED_INTERVAL,
-                (true, false) => WARM_INTERVAL,
-                (true, true) => CHECK_INTERVAL,
-            };
-            for (endpoint, state, health_path) in checked.targets {
+            let (next_interval, targets) = ends_to_confirm(&context);
+            interval = next_interval;
+            for target in targets {
                 let context = context.clone();
                 let check = async move {
-                    confirm_warm(&context, &endpoint, &state, &health_path).await;
+                    let Target {
+                        endpoint,
+                        state,
+                        health_path,
+                    } = &target;
+                    confirm_warm(&context, endpoint, state, health_path).await;
                 };
                 executor.spawn(check).detach();
             }
@@ -53,46 +53,45 @@
     executor.run(checks).await
 }
 
-/// Finds the endpoints to ask now at the ends of their cold periods.
-fn ends_to_confirm(context: &RequestContext) -> Checked {
-    let mut checked = Checked {
-        is_used: false,
-        has_cold: false,
-        targets: Vec::new(),
-    };
+/// Returns when to look again, and the endpoints to ask now at the ends of their cold periods.
+fn ends_to_confirm(context: &RequestContext) -> (Duration, Vec<Target>) {
+    let mut interval = UNUSED_INTERVAL;
+    let mut targets = Vec::new();
     let now_ms = context.now_ms();
     let view = context.view.load_full();
     let Some(table) = &view.table else {
-        return checked;
+        return (interval, targets);
     };
     for (service, pool) in &view.pools {
         let service = table.service(service);
         let Some(service) = service.filter(|service| service.cold.is_some()) else {
             continue;
         };
-        if !checked.is_used {
-            // Takes over what the view says of cold endpoints.
-            context.endpoint_states.sync(&view, now_ms);
-        }
-        checked.is_used = true;
+        interval = interval.min(WARM_INTERVAL);
+        // Takes over what the view says of cold endpoints, if it has changed.
+        context.endpoint_states.sync(&view, now_ms);
         if service.health_path.is_empty() {
             continue;
         }
         for endpoint in &pool.endpoints {
             let state = context.endpoint_states.of(endpoint);
-            if !state.cold.is_cold(state.is_out_of_reach(), now_ms) {
+            let is_out_of_reach = state.is_out_of_reach();
+            if !state.cold.is_cold(is_out_of_reach, now_ms) {
                 continue;
             }
-            checked.has_cold = true;
+            interval = CHECK_INTERVAL;
             let may_ask = !view.is_evacuated(&endpoint.zone, now_ms)
-                && !state.is_out_of_reach()
+                && !is_out_of_reach
                 && state.cold.awaits_check(now_ms)
                 && state.try_acquire_end_check(endpoint, &view, now_ms);
             if may_ask && state.cold.try_ask(now_ms) {
-                let health_path = service.health_path.clone();
-                checked.targets.push((endpoint.clone(), state, health_path));
+                targets.push(Target {
+                    endpoint: endpoint.clone(),
+                    state,
+                    health_path: service.health_path.clone(),
+                });
             }
         }
     }
-    checked
+    (interval, targets)
 }
