relay: Refuse responses whose status is not one of HTTP

A caller got an answer with status 000, with the body and the seal of an endpoint in trouble. The same held for all codes of three digits below 100 and above 599.

Cause: the parser of heads (`httparse`) takes any three digits for a status, and nothing after it asked whether there is such a status.

Change: `ResponseHead::parse` fails with `HeadError::InvalidStatus` unless the code is within 100 to 599. All heads of responses go through it: those of endpoints, health checks, the store, peers and the client of `web`. As with any other malformed head, the request may have run: it is repeated where that is allowed, else the caller gets 502.

Ruled out: codes of other lengths or with a sign, which the parser refuses.

--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -1,12 +1,16 @@
 //! Heads of requests and responses.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use crate::headers::Headers;
 
 /// Maximum number of header fields in one head.
 const MAX_HEADER_FIELDS: usize = 96;
 
+/// Status codes that HTTP defines. Clients differ in what they make of any other, although it has three digits.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Why a head cannot be parsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadError {
@@ -14,14 +18,20 @@
     Malformed,
     /// The head has more header fields than the parser accepts.
     TooManyFields,
+    /// The status code of a response is not one of HTTP.
+    InvalidStatus(u16),
 }
 
 impl fmt::Display for HeadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            HeadError::Malformed => "malformed HTTP/1 head",
-            HeadError::TooManyFields => "too many header fields",
-        })
+        match self {
+            HeadError::Malformed => f.write_str("malformed HTTP/1 head"),
+            HeadError::TooManyFields => f.write_str("too many header fields"),
+            HeadError::InvalidStatus(status) => {
+                let (first, last) = (STATUSES.start(), STATUSES.end());
+                write!(f, "status {status:03} is not between {first} and {last}")
+            }
+        }
     }
 }
 
@@ -119,15 +129,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are not a head or it has too many fields.
+    /// Fails if the bytes are not a head, it has too many fields, or its status is not one of HTTP.
     pub fn parse(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut parsed = httparse::Response::new(&mut fields);
         let httparse::Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
+        let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(HeadError::InvalidStatus(status));
+        }
         let head = ResponseHead {
-            status: parsed.code.unwrap_or_default(),
+            status,
             minor_version: parsed.version.unwrap_or_default(),
             headers: copy_fields(parsed.headers),
         };
--- a/crates/relay/src/receive.rs
+++ b/crates/relay/src/receive.rs
@@ -140,7 +140,9 @@
             }
             Ok(None) => {}
             Err(HeadError::TooManyFields) => return Err(ReceiveError::Rejected(431)),
-            Err(HeadError::Malformed) => return Err(ReceiveError::Rejected(400)),
+            Err(HeadError::Malformed | HeadError::InvalidStatus(_)) => {
+                return Err(ReceiveError::Rejected(400));
+            }
         }
         let room = limits.max_head_bytes - socket.buffered().len();
         match timeout_at(deadline, socket.fill_by(room)).await {
