serve: Test that answers with odd names of fields are not passed on

Cause: reported of other systems: a blank or a control byte in the name of a field was passed on, or changed which body the caller got. Change: a test only; the parser of heads refuses such names already.

--- a/crates/serve/tests/odd_heads.rs
+++ b/crates/serve/tests/odd_heads.rs
@@ -50,6 +50,13 @@
     format!("{line}\r\n{SEALED}Content-Length: {length}\r\n\r\n{BODY}").into_bytes()
 }
 
+/// An answer with a line in its head, sound but for it.
+fn with_line(line: &[u8]) -> Vec<u8> {
+    let answer = with_status_line("HTTP/1.1 200 OK");
+    let (status_line, rest) = answer.split_at("HTTP/1.1 200 OK\r\n".len());
+    [status_line, line, b"\r\n", rest].concat()
+}
+
 /// Users' report: a caller got a status of 000 as an answer.
 #[test]
 fn answers_without_a_status_of_http_are_not_passed_on() {
@@ -70,3 +77,37 @@
     let faults = passed_on(&answers);
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Reported of other systems: the line was passed on, or the body was not that of the endpoint.
+#[test]
+fn answers_with_odd_names_of_fields_are_not_passed_on() {
+    let lines: [&[u8]; 12] = [
+        b"x name: 1",
+        b"x\tname: 1",
+        b" x-name: 1",
+        b"x-name : 1",
+        b"Content-Length : 3",
+        b"Content-Length\t: 3",
+        b"Content\x01-Length: 3",
+        b"x\x00name: 1",
+        b"x\x7fname: 1",
+        b"x\xe9name: 1",
+        b": 1",
+        b"no colon",
+    ];
+    let answers: Vec<_> = lines
+        .iter()
+        .map(|line| {
+            (
+                std::str::from_utf8(line).unwrap_or("not UTF-8"),
+                with_line(line),
+            )
+        })
+        .collect();
+    let faults = passed_on(&answers);
+    assert!(faults.is_empty(), "{faults:#?}");
+    let sound = receive(&with_line(b"x-name: 1"), Close::Fin);
+    for received in sound {
+        assert_eq!((received.status, &*received.body), (200, BODY));
+    }
+}
