relay, serve: Test early answers to uploads whose connection is reset

Cause: reported of other systems: an endpoint answered a long upload at once, without a length, and reset the connection; the part was passed on as complete. The failure of the write takes the error of the socket, so that the read after it sees a plain end. Change: tests only. The case is handled: a write that fails ends the exchange, whatever was read by then.

--- a/crates/relay/tests/early_answers.rs
+++ b/crates/relay/tests/early_answers.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use common::write;
+use common::{read_until, write};
 use futures_lite::future::zip;
-use relay::{Exchange, ExchangeError, ResponseHead};
+use relay::{Exchange, ExchangeError, ResponseHead, Socket};
 
 /// Longest time for which the client does not run between the connect and its first write.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
@@ -139,3 +139,37 @@
     assert_eq!(async_io::block_on(exchange(addr)).unwrap().status, 503);
     assert!(thread.join().unwrap().ends_with("\r\n\r\n"));
 }
+
+/// Guards against a part of an answer that looks whole: the failure of a write takes the error of the
+/// connection, so that a read after it would see a plain end.
+#[test]
+fn an_answer_whose_connection_is_reset_during_the_upload_fails() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (sender, has_reset) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_until(&mut stream, "\r\n\r\n");
+        write(&mut stream, "HTTP/1.1 200 OK\r\n\r\npart");
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+        drop(stream);
+        sender.send(()).unwrap();
+    });
+    let head = b"POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n";
+    let body = Bytes::from(vec![b'u'; 16 << 20]);
+    let deadline = Instant::now() + MAX_PAUSE;
+    let result = async_io::block_on(async {
+        let socket = Socket::connect(addr, deadline).await.unwrap();
+        let upload = async {
+            let started = Exchange::start_on(socket, deadline, "POST", head, &body).await;
+            let (mut exchange, _) = started.map_err(|err| err.to_string())?;
+            let read = exchange.read_to_end(1 << 20).await;
+            read.map_err(|err| err.to_string())
+        };
+        // Runs once the buffers are full, so that the answer and the reset are there before the next write.
+        let pause = async { has_reset.recv_timeout(MAX_PAUSE).unwrap() };
+        zip(upload, pause).await.0
+    });
+    assert!(result.is_err(), "{result:?}");
+}
