control: Log an unreadable roll-out once

An instance wrote about ten log lines a second for each entry in `rollouts` that cannot be decoded, for as long as it stood.

Cause: the roll-outs are decoded anew at each evaluation, every 100 ms, and each failure was logged.

Change: it is logged when the object changes, as for the configuration and for endpoints.

Measured: an_unreadable_roll_out_is_logged_once failed before with 38 lines of one run of about four seconds, and passes now.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -77,12 +77,9 @@
         if !is_spec {
             continue;
         }
-        let spec = match control.codec.decode_rollout(object) {
-            Ok(spec) => spec,
-            Err(err) => {
-                tracing::warn!(path = &*object.path, problem = %err, "rollout: spec unreadable");
-                continue;
-            }
+        // Logged when the object changes.
+        let Ok(spec) = control.codec.decode_rollout(object) else {
+            continue;
         };
         let status = replica.get(&format!("{}{STATUS_SUFFIX}", object.path));
         let state = status
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -308,6 +308,18 @@
             self.apply_config(object, behind_ms);
         } else if is_in(Feed::Endpoints) {
             self.apply_endpoint(object);
+        } else if is_in(Feed::Rollouts) {
+            self.log_unreadable_rollout(object);
+        }
+    }
+
+    /// Logs that a changed roll-out cannot be decoded. It is left out whenever roll-outs are evaluated.
+    fn log_unreadable_rollout(&self, object: &Object) {
+        if object.value.is_none() || object.path.ends_with(STATUS_SUFFIX) {
+            return;
+        }
+        if let Err(err) = self.codec.decode_rollout(object) {
+            tracing::warn!(path = &*object.path, problem = %err, "rollout: spec unreadable");
         }
     }
 
