store: Percent-encode paths of objects in calls

Calls of `rosemary-entry`, `rosemaryctl` and `rosemary-burn` on an object whose path holds `?`, `#`, `%`, a backslash or a line break reached another object or none. Found by reading every other place that names objects of the store.

Cause: the path was parsed as part of a URL.

The fake platform decodes paths.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -5,6 +5,7 @@
 
 use http_types::{Method, Response};
 use kernel::{Clock, SystemClock};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use smol::Timer;
 use store::{AnswerSample, InstanceState, ListedInstance, Precondition, StoreError};
@@ -52,7 +53,8 @@
 
 impl Platform {
     async fn respond(&self, mut incoming: IncomingRequest) -> Response {
-        let path = incoming.path().trim_start_matches('/').to_owned();
+        let path = percent_decode_str(incoming.path()).decode_utf8_lossy();
+        let path = path.trim_start_matches('/').to_owned();
         let body = incoming.read_body().await.unwrap_or_default();
         if let Some(rest) = path.strip_prefix("admin/") {
             return admin::handle(&self.state, rest, &incoming, &body);
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -18,6 +18,7 @@
     AnswerSample, InstanceList, ListedInstance, Listing, ObjectApi, Precondition, Rating,
     RatingService, WeightStore, Weights,
 };
+use crate::encoding::encode_name;
 use crate::error::StoreError;
 use crate::rate_limiter::{RateLimiter, RateLimits};
 use crate::raw_listing::RawListing;
@@ -83,7 +84,9 @@
     }
 
     fn url(&self, path: &str, query: &[(&str, &str)]) -> Result<Url, StoreError> {
-        let base = format!("http://{}/{path}", self.addr);
+        let segments = path.split('/').map(|name| encode_name(name.as_bytes()));
+        let segments: Vec<String> = segments.map(|name| name.to_string()).collect();
+        let base = format!("http://{}/{}", self.addr, segments.join("/"));
         let url = if query.is_empty() {
             Url::parse(&base)
         } else {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod api;
+mod encoding;
 mod error;
 mod http_client;
 mod rate_limiter;
@@ -24,6 +25,7 @@
     AnswerSample, InstanceList, InstanceState, ListedInstance, Listing, ObjectApi, Precondition,
     Rating, RatingService, WeightStore, Weights,
 };
+pub use encoding::encode_name;
 pub use error::StoreError;
 pub use http_client::HttpPlatformClient;
 pub use rate_limiter::{CallCounts, RateLimiter, RateLimits};
