store: Read listings that hold bytes that are not UTF-8

One such value of another writer made `rosemary-entry`, `rosemaryctl` and `rosemary-burn` fail to list all objects beside it.

Cause: the body of a response was decoded as a whole from bytes, which have to be UTF-8 also where a value is not looked at. The client of the users' platform replaces such bytes.

Change: this client replaces them as well.

Measured: an_object_that_is_not_utf_8_does_not_hide_those_beside_it failed before ("invalid unicode code point") and passes now.

--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -148,8 +148,9 @@
                 ));
             }
         }
-        serde_json::from_slice(&bytes)
-            .map_err(|err| unavailable(Verdict::MayHaveRun, err.to_string()))
+        // Other writers may have stored bytes that are not UTF-8.
+        let text = String::from_utf8_lossy(&bytes);
+        serde_json::from_str(&text).map_err(|err| unavailable(Verdict::MayHaveRun, err.to_string()))
     }
 
     async fn write(
--- a/crates/store/tests/odd_objects.rs
+++ b/crates/store/tests/odd_objects.rs
@@ -10,7 +10,8 @@
 const TIMEOUT_MS: u64 = 2_000;
 
 /// Answers one call with a body.
-fn serve(body: String) -> SocketAddr {
+fn serve(body: impl Into<Vec<u8>>) -> SocketAddr {
+    let body = body.into();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -19,7 +20,7 @@
         let _ = stream.read(&mut request).unwrap();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.write_all(head.as_bytes()).unwrap();
-        stream.write_all(body.as_bytes()).unwrap();
+        stream.write_all(&body).unwrap();
     });
     addr
 }
@@ -55,3 +56,16 @@
         assert_eq!(found, expected, "{value:.20}");
     }
 }
+
+#[test]
+fn an_object_that_is_not_utf_8_does_not_hide_those_beside_it() {
+    let mut body = br#"{"revision": 9, "objects": [
+        {"path": "a", "revision": 3, "value": {}},
+        {"path": "odd", "revision": 5, "value": "?"}]}"#
+        .to_vec();
+    let position = body.iter().position(|byte| *byte == b'?').unwrap();
+    body[position] = 0xff;
+    let listing = smol::block_on(client(serve(body)).list("")).unwrap();
+    let paths: Vec<&str> = listing.objects.iter().map(|object| &*object.path).collect();
+    assert_eq!(paths, ["a", "odd"]);
+}
