store: Decode lists of instances and ratings entry by entry

One odd entry in the platform's list of instances, such as a state that is not known, made `rosemary-entry` fail to read the whole list, and one odd rating all ratings of a call.

Cause: both lists were decoded as a whole, unlike listings of objects.

Change: their entries are decoded one by one, and unreadable ones are left out and logged.

Measured: an_odd_instance_does_not_hide_those_beside_it and an_odd_rating_does_not_hide_those_beside_it failed before (invalid type) and pass now.

--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -21,7 +21,7 @@
 use crate::encoding::encode_name;
 use crate::error::StoreError;
 use crate::rate_limiter::{RateLimiter, RateLimits};
-use crate::raw_listing::RawListing;
+use crate::raw_listing::{RawList, RawListing};
 
 /// The maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
@@ -244,7 +244,8 @@
     fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, StoreError>> {
         Box::pin(async move {
             let url = self.url("instances", &[])?;
-            self.call(CallKind::Read, Method::Get, url, None, 0).await
+            let call = self.call::<RawList>(CallKind::Read, Method::Get, url, None, 0);
+            Ok(call.await?.decode())
         })
     }
 }
@@ -272,14 +273,9 @@
     ) -> BoxFuture<'a, Result<Vec<Rating>, StoreError>> {
         Box::pin(async move {
             let url = self.url("ratings/poll", &[])?;
-            self.call(
-                CallKind::Unlimited,
-                Method::Post,
-                url,
-                Some(to_json(&ids)),
-                0,
-            )
-            .await
+            let body = Some(to_json(&ids));
+            let call = self.call::<RawList>(CallKind::Unlimited, Method::Post, url, body, 0);
+            Ok(call.await?.decode())
         })
     }
 }
--- a/crates/store/src/raw_listing.rs
+++ b/crates/store/src/raw_listing.rs
@@ -1,14 +1,33 @@
-//! Listings whose objects are decoded one by one.
+//! Listings and lists whose entries are decoded one by one.
 
 use std::sync::Arc;
 
 use catalog::Object;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::value::RawValue;
 
 use crate::api::Listing;
 
+/// A list in which other writers may have stored entries that cannot be decoded.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawList(Vec<Box<RawValue>>);
+
+impl RawList {
+    /// Decodes the entries, and leaves out those that are unreadable.
+    pub(crate) fn decode<T: DeserializeOwned>(self) -> Vec<T> {
+        let mut entries = Vec::new();
+        for raw in self.0 {
+            match serde_json::from_str(raw.get()) {
+                Ok(entry) => entries.push(entry),
+                Err(err) => tracing::warn!(error = %err, "store: unreadable entry"),
+            }
+        }
+        entries
+    }
+}
+
 /// A listing in which other writers may have stored values that cannot be decoded.
 #[derive(Debug, Deserialize)]
 pub(crate) struct RawListing {
--- a/crates/store/tests/odd_objects.rs
+++ b/crates/store/tests/odd_objects.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use serde_json::Value;
-use store::{HttpPlatformClient, ObjectApi, RateLimits};
+use store::{HttpPlatformClient, InstanceList, ObjectApi, RateLimits, RatingService};
 
 const TIMEOUT_MS: u64 = 2_000;
 
@@ -69,3 +69,26 @@
     let paths: Vec<&str> = listing.objects.iter().map(|object| &*object.path).collect();
     assert_eq!(paths, ["a", "odd"]);
 }
+
+#[test]
+fn an_odd_instance_does_not_hide_those_beside_it() {
+    let sound = |name| {
+        format!(r#"{{"name": "{name}", "addr": "127.0.0.1:1", "zone": "z", "state": "live"}}"#)
+    };
+    for odd in ["7", "null", "{}", r#"{"name": "x", "state": "resting"}"#] {
+        let body = format!("[{}, {odd}, {}]", sound("a"), sound("b"));
+        let listed = smol::block_on(client(serve(body)).instances());
+        let names: Result<Vec<_>, _> =
+            listed.map(|listed| listed.into_iter().map(|instance| instance.name).collect());
+        assert_eq!(names, Ok(vec!["a".into(), "b".into()]), "{odd}");
+    }
+}
+
+#[test]
+fn an_odd_rating_does_not_hide_those_beside_it() {
+    let body =
+        r#"[{"id": "a", "good": true}, {"id": "b", "good": "yes"}, {"id": "c", "good": false}]"#;
+    let rated = smol::block_on(client(serve(body)).ratings(&[])).unwrap();
+    let ids: Vec<&str> = rated.iter().map(|rating| &*rating.id).collect();
+    assert_eq!(ids, ["a", "c"]);
+}
