wire, entry: Refuse peers of another fleet

Callers saw: requests served by the instances of another fleet, and billed in its statements; instances that list too many members.

Cause: an instance goes on probing the addresses of members that ended and of configured peers that are absent. If an instance of another fleet listens there by then, both exchange members, and the two fleets become one. The directory then names the instances of both to callers.

Change: the setting `fleet` names the fleet, each envelope carries the name, and a link refuses messages of a fleet with another name. Without a name on either side nothing is refused, so that a running fleet can be given one and builds of different age work together. The tests name each fleet.

Ruled out: an identity by the platform's address, since instances of one fleet may reach the platform at different addresses; by the incarnation, as a restarted instance has a new one.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -197,6 +197,7 @@
             Ok(Envelope {
                 from,
                 body: Some(Body::Loads(loads)),
+                ..
             }) => {
                 let now_ms = control.now_ms();
                 let from = Incarnation::from_u64(from);
--- a/crates/entry/src/answer/receipt_writer.rs
+++ b/crates/entry/src/answer/receipt_writer.rs
@@ -110,19 +110,16 @@
         saved_batch: shared.outbox.saved_batch.load(Ordering::Relaxed),
         receipts: receipts.iter().map(receipt_to_wire).collect(),
     };
-    let envelope = Envelope::new(shared.incarnation.as_u64(), Body::ReceiptBatch(message));
+    let envelope = shared.envelope(Body::ReceiptBatch(message));
     let timeout = Duration::from_millis(shared.settings.receipt_hold_timeout_ms);
     for (peer, addr) in holder_candidates(shared) {
         // The link to the last holder stays open while a peer that is tried before it fails.
         let held = match held_by.take_if(|held| held.peer == peer) {
             Some(held) => Some(held),
-            None => match Link::connect(addr, timeout).await {
-                Ok(link) => {
-                    let link = link.metered(&shared.peer_bytes);
-                    Some(HolderLink { peer, link })
-                }
-                Err(_) => None,
-            },
+            None => {
+                let link = shared.connect_peer(addr, timeout).await.ok();
+                link.map(|link| HolderLink { peer, link })
+            }
         };
         let Some(mut held) = held else {
             continue;
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -10,7 +10,7 @@
 use kernel::Incarnation;
 use member::{Absent, Member, Status};
 use smol::Timer;
-use wire::{Ack, Body, EndpointInfo, Envelope, Fetch, Link, LinkError, Ping};
+use wire::{Ack, Body, EndpointInfo, Fetch, Link, LinkError, Ping};
 
 use crate::control::state::{ControlState, LeavingEndpoint};
 
@@ -169,10 +169,8 @@
     update: Ping,
 ) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout)
-        .await?
-        .metered(&control.shared.peer_bytes);
-    let ping = Envelope::new(control.shared.incarnation.as_u64(), Body::Ping(update));
+    let mut link = control.shared.connect_peer(addr, timeout).await?;
+    let ping = control.shared.envelope(Body::Ping(update));
     // A member table takes as long as it arrives.
     let reply = link.transfer(&ping, timeout).await?;
     control.record_contact();
@@ -247,9 +245,7 @@
         return Ok(());
     };
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout)
-        .await?
-        .metered(&control.shared.peer_bytes);
+    let mut link = control.shared.connect_peer(addr, timeout).await?;
     fetch(control, &mut link, since, timeout).await?;
     adopt_complete_revision(control, ping);
     Ok(())
@@ -279,13 +275,10 @@
     since: u64,
     timeout: Duration,
 ) -> Result<(), LinkError> {
-    let request = Envelope::new(
-        control.shared.incarnation.as_u64(),
-        Body::Fetch(Fetch {
-            since,
-            ..Fetch::default()
-        }),
-    );
+    let request = control.shared.envelope(Body::Fetch(Fetch {
+        since,
+        ..Fetch::default()
+    }));
     let reply = link.transfer(&request, timeout).await?;
     let Some(Body::Objects(objects)) = reply.body else {
         return Ok(());
--- a/crates/entry/src/control/rollouts.rs
+++ b/crates/entry/src/control/rollouts.rs
@@ -18,7 +18,7 @@
 };
 use smol::Timer;
 use store::{ObjectApi, Precondition};
-use wire::{Body, Envelope, EvidenceReport, Link};
+use wire::{Body, Envelope, EvidenceReport};
 
 use crate::control::state::ControlState;
 use crate::control::{endpoint_commands, gossip};
@@ -135,12 +135,11 @@
         rollout: rollout.name.to_string(),
         classes: evidence_to_wire(&evidence),
     };
-    let envelope = Envelope::new(control.shared.incarnation.as_u64(), Body::Evidence(body));
+    let envelope = control.shared.envelope(Body::Evidence(body));
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
-    let Ok(link) = Link::connect(addr, timeout).await else {
+    let Ok(mut link) = control.shared.connect_peer(addr, timeout).await else {
         return;
     };
-    let mut link = link.metered(&control.shared.peer_bytes);
     let answer = link.call(&envelope, timeout).await;
     if let Ok(Envelope {
         body: Some(Body::AcceptReply(held)),
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -100,6 +100,7 @@
             peer_bytes: Arc::default(),
             capacity: OnceLock::new(),
             stopping: AtomicBool::new(false),
+            other_fleet_seen: AtomicBool::new(false),
             executor: executor.clone(),
             clock,
             settings,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -11,7 +11,7 @@
 use async_io::Async;
 use kernel::Incarnation;
 use smol::Timer;
-use wire::{Body, Envelope, Link};
+use wire::{Body, Link, LinkError};
 
 use crate::state::messages::PeerMessage;
 use crate::state::shared::Shared;
@@ -24,7 +24,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let link = Link::new(stream).metered(&shared.peer_bytes);
+                let link = shared.peer_link(Link::new(stream));
                 shared.executor.spawn(serve(shared.clone(), link)).detach();
             }
             Err(_) => drop(Timer::after(ACCEPT_ERROR_PAUSE).await),
@@ -44,7 +44,15 @@
 
 /// Serves a peer's messages, and sets `home` to the peer once it has sent receipts to hold.
 async fn serve_messages(shared: &Shared, link: &mut Link, home: &mut Option<Incarnation>) {
-    while let Ok(envelope) = link.receive().await {
+    loop {
+        let envelope = match link.receive().await {
+            Ok(envelope) => envelope,
+            Err(err @ LinkError::OtherFleet(_)) => {
+                shared.log_other_fleet(&err);
+                return;
+            }
+            Err(_) => return,
+        };
         let from = Incarnation::from_u64(envelope.from);
         let Some(body) = envelope.body else {
             return;
@@ -59,8 +67,7 @@
         let Some(reply) = reply else {
             return;
         };
-        let envelope = Envelope::new(shared.incarnation.as_u64(), reply);
-        if link.send(&envelope).await.is_err() {
+        if link.send(&shared.envelope(reply)).await.is_err() {
             return;
         }
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -87,6 +87,7 @@
 settings! {
     name: String = "entry-1".to_owned(), "text", "The instance's name.";
     zone: String = "zone-1".to_owned(), "text", "The availability zone of the instance.";
+    fleet: String = String::new(), "text", "The name of the fleet. Instances of a fleet with another name are refused as peers; empty to accept all.";
     listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7001)), "IP address and port", "The address where callers connect.";
     peer_listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7501)), "IP address and port", "The address where other instances connect.";
     peers: Vec<SocketAddr> = Vec::new(), "IP addresses and ports", "Peers to join before the platform's instance list is read.";
--- a/crates/entry/src/state/shared.rs
+++ b/crates/entry/src/state/shared.rs
@@ -1,7 +1,9 @@
 //! State shared by all threads of an instance.
 
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -10,6 +12,7 @@
 use store::HttpPlatformClient;
 use upstream::Dispatcher;
 use web::Client;
+use wire::{Body, Envelope, Link, LinkError};
 
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -49,5 +52,38 @@
     /// Of the listener for callers, once it is bound.
     pub(crate) capacity: OnceLock<Arc<web::Capacity>>,
     pub(crate) stopping: AtomicBool,
+    /// Set once a connection of another fleet was refused.
+    pub(crate) other_fleet_seen: AtomicBool,
     pub(crate) executor: Arc<Executor<'static>>,
 }
+
+impl Shared {
+    /// Wraps a message to a peer.
+    pub(crate) fn envelope(&self, body: Body) -> Envelope {
+        Envelope::new(self.incarnation.as_u64(), body).in_fleet(&self.settings.fleet)
+    }
+
+    /// Connects to a peer.
+    pub(crate) async fn connect_peer(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Link, LinkError> {
+        Ok(self.peer_link(Link::connect(addr, timeout).await?))
+    }
+
+    /// Counts the bytes of a link to a peer, and limits it to this fleet.
+    pub(crate) fn peer_link(&self, link: Link) -> Link {
+        link.metered(&self.peer_bytes)
+            .in_fleet(&self.settings.fleet)
+    }
+
+    /// Logs that a connection of another fleet was refused; as a warning the first time only.
+    pub(crate) fn log_other_fleet(&self, err: &LinkError) {
+        if self.other_fleet_seen.swap(true, Ordering::Relaxed) {
+            tracing::debug!("member: connection refused, {err}");
+        } else {
+            tracing::warn!("member: connection refused, {err}");
+        }
+    }
+}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -121,6 +121,11 @@
 
     /// Starts one more entry process and adds it to the platform's instance list.
     pub fn add(&mut self) {
+        self.add_at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    }
+
+    /// Like [`Fleet::add`], with a given address for peers.
+    pub fn add_at(&mut self, peer_listen: SocketAddr) {
         let zone = self.deployment.zones()[self.started % 3];
         self.started += 1;
         let name = format!("entry-{}", self.started);
@@ -129,12 +134,13 @@
             .iter()
             .map(|entry| format!("\"{}\"", entry.peer_addr))
             .collect();
+        // Each fleet has a platform of its own, whose address also names the fleet.
+        let platform = self.backends.platform_addr;
         let settings = format!(
-            "name = \"{name}\"\nzone = \"{zone}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\npeers = [{}]\ngossip_interval_ms = 150\ngossip_timeout_ms = 300\nsuspect_ms = 1000\n\
+            "name = \"{name}\"\nfleet = \"{platform}\"\nzone = \"{zone}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"{peer_listen}\"\n\
+             platform = \"{platform}\"\npeers = [{}]\ngossip_interval_ms = 150\ngossip_timeout_ms = 300\nsuspect_ms = 1000\n\
              receipt_flush_ms = 150\nsettle_interval_ms = 200\naddress_lifetime_ms = 700\nplatform_timeout_ms = 1000\n\
              list_interval_ms = 300\ncut_off_ms = 2500\nplatform_reads_per_s = 200.0\nplatform_writes_per_s = 200.0\n{}",
-            self.backends.platform_addr,
             peers.join(", "),
             self.settings,
         );
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -105,6 +105,7 @@
     pub fn settings(&self, index: usize) -> Settings {
         Settings {
             name: format!("entry-{}", index + 1),
+            fleet: self.backends.platform_addr.to_string(),
             zone: self.deployment.zones()[index % 3].to_owned(),
             listen: FREE_PORT,
             peer_listen: FREE_PORT,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -33,6 +33,8 @@
     Decode(prost::DecodeError),
     /// The peer closed the connection.
     Closed,
+    /// The peer belongs to the fleet with this name.
+    OtherFleet(String),
 }
 
 impl fmt::Display for LinkError {
@@ -41,6 +43,7 @@
             LinkError::Io(err) => write!(f, "peer connection failed: {err}"),
             LinkError::Decode(err) => write!(f, "cannot decode the peer's message: {err}"),
             LinkError::Closed => f.write_str("the peer closed the connection"),
+            LinkError::OtherFleet(fleet) => write!(f, "the peer belongs to fleet \"{fleet}\""),
         }
     }
 }
@@ -59,6 +62,7 @@
     codec: LengthDelimitedCodec,
     read_buffer: BytesMut,
     byte_counter: Arc<AtomicU64>,
+    fleet: Arc<str>,
 }
 
 impl Link {
@@ -73,6 +77,7 @@
             codec,
             read_buffer: BytesMut::new(),
             byte_counter: Arc::default(),
+            fleet: "".into(),
         }
     }
 
@@ -82,6 +87,12 @@
         self
     }
 
+    /// Receives messages only from peers of the fleet `fleet` and of fleets without a name.
+    pub fn in_fleet(mut self, fleet: &str) -> Link {
+        self.fleet = fleet.into();
+        self
+    }
+
     /// Connects to a peer.
     ///
     /// # Errors
@@ -111,8 +122,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks or is closed, and when a frame is too long or does not hold
-    /// an envelope.
+    /// Fails when the connection breaks or is closed, and when a frame is too long, does not hold
+    /// an envelope or is of another fleet.
     pub async fn receive(&mut self) -> Result<Envelope, LinkError> {
         loop {
             if let Some(envelope) = self.decode_buffered()? {
@@ -127,6 +138,9 @@
             return Ok(None);
         };
         let envelope = Envelope::decode_frame(&frame).map_err(LinkError::Decode)?;
+        if envelope.is_from_other_fleet(&self.fleet) {
+            return Err(LinkError::OtherFleet(envelope.fleet));
+        }
         Ok(Some(envelope))
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -11,6 +11,9 @@
     /// The message, or `None` if its kind is unknown to this version.
     #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
+    /// Name of the sender's fleet, or empty if it has none.
+    #[prost(string, tag = "10")]
+    pub fleet: String,
 }
 
 /// The content of an [`Envelope`].
@@ -425,9 +428,23 @@
         Envelope {
             from,
             body: Some(body),
+            fleet: String::new(),
         }
     }
 
+    /// Sets the name of the sender's fleet.
+    pub fn in_fleet(mut self, fleet: &str) -> Envelope {
+        self.fleet = fleet.to_owned();
+        self
+    }
+
+    /// Returns whether the sender belongs to another fleet than `fleet`.
+    ///
+    /// A fleet without a name is no other one, so that a name can be given to running instances in turn.
+    pub fn is_from_other_fleet(&self, fleet: &str) -> bool {
+        !fleet.is_empty() && !self.fleet.is_empty() && self.fleet != fleet
+    }
+
     /// Returns the length of the encoded envelope in bytes.
     pub fn frame_bytes(&self) -> usize {
         self.encoded_len()
