control, platform: Refuse peers of another fleet

It probes the addresses of members that ended and of the absent peers in its settings, and takes over the members and the configuration of whatever instance answers there.

Change: the setting `fleet` of the gate, carried and checked on connections and on the datagrams with loads. Messages and connections are made in one place. The users' platform gives a process no name of its deployment, so that deploy/settings.toml leaves it empty and nothing changes there.

--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -14,7 +14,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{FutureExt, future};
-use wire::{Body, Envelope, Fetch, Link, LinkError, Objects, Ping};
+use wire::{Body, Fetch, LinkError, Objects, Ping};
 
 use crate::convert::object_from_wire;
 use crate::offer::Offer;
@@ -309,7 +309,7 @@
     bytes: &Arc<AtomicU64>,
 ) -> Result<usize, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let link = Link::connect(offer.peer_addr, timeout).await?;
+    let link = control.connect_peer(offer.peer_addr, timeout).await?;
     let kind = &offer.digest.kind;
     let fetch = Fetch {
         since,
@@ -317,7 +317,7 @@
         accepts_compressed: true,
         era: control.era_of(kind) + 1,
     };
-    let request = Envelope::new(control.incarnation.as_u64(), Body::Fetch(fetch));
+    let request = control.envelope(Body::Fetch(fetch));
     let response = link
         .metered(bytes)
         .transfer(&request, timeout * TURN_TIMEOUT_FACTOR)
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -9,7 +9,7 @@
 use catalog::Digest;
 use kernel::Incarnation;
 use member::{Member, Status};
-use wire::{Ack, Body, ConfigDigest, Envelope, Link, LinkError, Ping};
+use wire::{Ack, Body, ConfigDigest, LinkError, Ping};
 
 use crate::convert::{digest_to_wire, member_from_wire, member_to_wire};
 use crate::fetch;
@@ -163,8 +163,8 @@
 /// Sends a probe, applies the response, and returns the incarnation that sent it.
 async fn send(control: &Control, addr: SocketAddr, update: Ping) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut link = Link::connect(addr, timeout).await?;
-    let ping = Envelope::new(control.incarnation.as_u64(), Body::Ping(update));
+    let mut link = control.connect_peer(addr, timeout).await?;
+    let ping = control.envelope(Body::Ping(update));
     // A member table takes as long as it arrives.
     let response = link.transfer(&ping, timeout).await?;
     let from = Incarnation::from_u64(response.from);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 mod load_plan;
 mod loads;
 mod offer;
+mod peer_link;
 mod peer_loads;
 mod peer_paces;
 mod peers;
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -175,7 +175,7 @@
     report: LoadReport,
 ) -> std::io::Result<()> {
     let addr: SocketAddr = peer.parse().map_err(std::io::Error::other)?;
-    let envelope = Envelope::new(control.incarnation.as_u64(), Body::Loads(report));
+    let envelope = control.envelope(Body::Loads(report));
     socket.send_to(&envelope.encode_frame(), addr).await?;
     Ok(())
 }
@@ -194,6 +194,9 @@
             }
         };
         match Envelope::decode_frame(&buffer[..length]) {
+            Ok(envelope) if envelope.is_from_other_fleet(&control.settings.fleet) => {
+                control.log_other_fleet(&envelope.fleet);
+            }
             Ok(Envelope {
                 from,
                 body: Some(Body::Loads(loads)),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -8,7 +8,7 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use kernel::Incarnation;
-use wire::{Body, Envelope, Link, Objects};
+use wire::{Body, Envelope, Link, LinkError, Objects};
 
 use crate::convert::object_to_wire;
 use crate::gossip;
@@ -34,7 +34,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let link = Link::new(stream);
+                let link = control.accept_peer(stream);
                 let serving = serve(control.clone(), uplink.clone(), link);
                 executor.spawn(serving).detach();
             }
@@ -48,7 +48,7 @@
 
 async fn serve(control: Rc<Control>, uplink: Rc<Uplink>, mut link: Link) {
     let mut turn = None;
-    while let Some(envelope) = receive(&mut link).await {
+    while let Some(envelope) = receive(&control, &mut link).await {
         // The peer has the whole response once it asks again or closes the connection.
         drop(turn.take());
         let from = Incarnation::from_u64(envelope.from);
@@ -87,8 +87,17 @@
 }
 
 /// Waits for the next request, and returns `None` if there is none in time.
-async fn receive(link: &mut Link) -> Option<Envelope> {
-    let receive = async { link.receive().await.ok() };
+async fn receive(control: &Control, link: &mut Link) -> Option<Envelope> {
+    let receive = async {
+        match link.receive().await {
+            Ok(envelope) => Some(envelope),
+            Err(LinkError::OtherFleet(fleet)) => {
+                control.log_other_fleet(&fleet);
+                None
+            }
+            Err(_) => None,
+        }
+    };
     let expire = async {
         Timer::after(IDLE_TIMEOUT).await;
         None
@@ -126,5 +135,5 @@
         }
         _ => return None,
     };
-    Some(Envelope::new(control.incarnation.as_u64(), response))
+    Some(control.envelope(response))
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -11,6 +11,8 @@
 pub struct Settings {
     /// The instance's name, unique in the fleet.
     pub name: Arc<str>,
+    /// The name of the fleet, or empty to accept instances of all fleets as peers.
+    pub fleet: Arc<str>,
     /// The availability zone of the instance.
     pub zone: Arc<str>,
     /// The address on which callers connect.
@@ -77,6 +79,7 @@
     pub fn new(name: &str, zone: &str) -> Settings {
         Settings {
             name: name.into(),
+            fleet: "".into(),
             zone: zone.into(),
             http_addr: String::new(),
             peer_addr: String::new(),
@@ -96,6 +99,12 @@
         }
     }
 
+    /// Sets the name of the fleet. Instances of a fleet with another name are refused as peers.
+    pub fn fleet(mut self, fleet: &str) -> Settings {
+        self.fleet = fleet.into();
+        self
+    }
+
     /// Sets the addresses on which callers and peers connect.
     pub fn addresses(mut self, http_addr: &str, peer_addr: &str) -> Settings {
         self.http_addr = http_addr.to_owned();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -95,6 +95,8 @@
     /// When this instance said that the store does not answer it.
     lost_store_ms: Cell<Option<u64>>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether a message of another fleet was refused.
+    pub(crate) other_fleet_seen: Cell<bool>,
     /// Whether every configured peer has responded or failed once.
     pub(crate) peers_tried: Cell<bool>,
     /// Whether a change has not been pushed to peers yet.
@@ -144,6 +146,7 @@
             config_checks: Rc::new(ConfigChecks::new()),
             lost_store_ms: Cell::new(None),
             stopping: Cell::new(false),
+            other_fleet_seen: Cell::new(false),
             peers_tried: Cell::new(false),
             has_unsent_changes: Cell::new(false),
             lags: RefCell::default(),
