wire: Make the sender of messages one type

Cause: read again as a newcomer, control and entry wrapped messages and made links with the fleet's name in the same lines.

Change: wire::Identity holds the incarnation and the fleet, wraps messages, connects to peers and wraps their connections; both crates use it. Behaviour stays as it is.

--- a/crates/control/src/fetch.rs
+++ b/crates/control/src/fetch.rs
@@ -309,7 +309,7 @@
     bytes: &Arc<AtomicU64>,
 ) -> Result<usize, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let link = control.connect_peer(offer.peer_addr, timeout).await?;
+    let link = control.identity.connect(offer.peer_addr, timeout).await?;
     let kind = &offer.digest.kind;
     let fetch = Fetch {
         since,
@@ -317,7 +317,7 @@
         accepts_compressed: true,
         era: control.era_of(kind) + 1,
     };
-    let request = control.envelope(Body::Fetch(fetch));
+    let request = control.identity.envelope(Body::Fetch(fetch));
     let response = link
         .metered(bytes)
         .transfer(&request, timeout * TURN_TIMEOUT_FACTOR)
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -163,8 +163,8 @@
 /// Sends a probe, applies the response, and returns the incarnation that sent it.
 async fn send(control: &Control, addr: SocketAddr, update: Ping) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.settings.gossip_timeout_ms);
-    let mut link = control.connect_peer(addr, timeout).await?;
-    let ping = control.envelope(Body::Ping(update));
+    let mut link = control.identity.connect(addr, timeout).await?;
+    let ping = control.identity.envelope(Body::Ping(update));
     // A member table takes as long as it arrives.
     let response = link.transfer(&ping, timeout).await?;
     let from = Incarnation::from_u64(response.from);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,7 +27,6 @@
 mod load_plan;
 mod loads;
 mod offer;
-mod peer_link;
 mod peer_loads;
 mod peer_paces;
 mod peers;
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -19,6 +19,7 @@
 use crate::convert::crash_to_wire;
 use crate::load_plan::{LoadPlan, Scope};
 use crate::peer_loads::CutOffInstances;
+use crate::peers;
 use crate::state::Control;
 
 /// The largest report, in bytes.
@@ -175,7 +176,7 @@
     report: LoadReport,
 ) -> std::io::Result<()> {
     let addr: SocketAddr = peer.parse().map_err(std::io::Error::other)?;
-    let envelope = control.envelope(Body::Loads(report));
+    let envelope = control.identity.envelope(Body::Loads(report));
     socket.send_to(&envelope.encode_frame(), addr).await?;
     Ok(())
 }
@@ -194,8 +195,8 @@
             }
         };
         match Envelope::decode_frame(&buffer[..length]) {
-            Ok(envelope) if envelope.is_from_other_fleet(&control.settings.fleet) => {
-                control.log_other_fleet(&envelope.fleet);
+            Ok(envelope) if control.identity.refuses(&envelope) => {
+                peers::log_other_fleet(&control, &envelope.fleet);
             }
             Ok(Envelope {
                 from,
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -34,7 +34,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let link = control.accept_peer(stream);
+                let link = control.identity.accept(stream);
                 let serving = serve(control.clone(), uplink.clone(), link);
                 executor.spawn(serving).detach();
             }
@@ -92,7 +92,7 @@
         match link.receive().await {
             Ok(envelope) => Some(envelope),
             Err(LinkError::OtherFleet(fleet)) => {
-                control.log_other_fleet(&fleet);
+                log_other_fleet(control, &fleet);
                 None
             }
             Err(_) => None,
@@ -135,5 +135,14 @@
         }
         _ => return None,
     };
-    Some(control.envelope(response))
+    Some(control.identity.envelope(response))
+}
+
+/// Logs that a message of another fleet was refused; as a warning the first time only.
+pub(crate) fn log_other_fleet(control: &Control, fleet: &str) {
+    if control.other_fleet_seen.replace(true) {
+        tracing::debug!(fleet, "member: message of another fleet refused");
+    } else {
+        tracing::warn!(fleet, "member: message of another fleet refused");
+    }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -13,7 +13,7 @@
 use member::{Member, MemberTable as Members, MemberTableSettings, Status};
 use serve::{Pool, SharedLoads, VersionCounters, View};
 use store::{Listing, ObjectApi};
-use wire::ConfigDigest;
+use wire::{ConfigDigest, Identity};
 
 use crate::codec::{Feed, StoreCodec};
 use crate::config_checks::ConfigChecks;
@@ -70,6 +70,7 @@
 pub(crate) struct Control {
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
+    pub(crate) identity: Identity,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) store: Arc<dyn ObjectApi>,
     pub(crate) codec: Arc<dyn StoreCodec>,
@@ -132,6 +133,10 @@
         };
         Control {
             incarnation: components.own_member.incarnation,
+            identity: Identity::new(
+                components.own_member.incarnation.as_u64(),
+                &components.settings.fleet,
+            ),
             replica: RefCell::default(),
             members: RefCell::new(Members::new(components.own_member, table)),
             trackers: RefCell::default(),
--- a/crates/entry/src/answer/receipt_writer.rs
+++ b/crates/entry/src/answer/receipt_writer.rs
@@ -110,7 +110,7 @@
         saved_batch: shared.outbox.saved_batch.load(Ordering::Relaxed),
         receipts: receipts.iter().map(receipt_to_wire).collect(),
     };
-    let envelope = shared.envelope(Body::ReceiptBatch(message));
+    let envelope = shared.identity.envelope(Body::ReceiptBatch(message));
     let timeout = Duration::from_millis(shared.settings.receipt_hold_timeout_ms);
     for (peer, addr) in holder_candidates(shared) {
         // The link to the last holder stays open while a peer that is tried before it fails.
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -170,7 +170,7 @@
 ) -> Result<Incarnation, LinkError> {
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
     let mut link = control.shared.connect_peer(addr, timeout).await?;
-    let ping = control.shared.envelope(Body::Ping(update));
+    let ping = control.shared.identity.envelope(Body::Ping(update));
     // A member table takes as long as it arrives.
     let reply = link.transfer(&ping, timeout).await?;
     control.record_contact();
@@ -275,7 +275,7 @@
     since: u64,
     timeout: Duration,
 ) -> Result<(), LinkError> {
-    let request = control.shared.envelope(Body::Fetch(Fetch {
+    let request = control.shared.identity.envelope(Body::Fetch(Fetch {
         since,
         ..Fetch::default()
     }));
--- a/crates/entry/src/control/rollouts.rs
+++ b/crates/entry/src/control/rollouts.rs
@@ -135,7 +135,7 @@
         rollout: rollout.name.to_string(),
         classes: evidence_to_wire(&evidence),
     };
-    let envelope = control.shared.envelope(Body::Evidence(body));
+    let envelope = control.shared.identity.envelope(Body::Evidence(body));
     let timeout = Duration::from_millis(control.shared.settings.gossip_timeout_ms);
     let Ok(mut link) = control.shared.connect_peer(addr, timeout).await else {
         return;
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -16,6 +16,7 @@
 use store::{HttpPlatformClient, RateLimits};
 use upstream::{DispatchSettings, Dispatcher};
 use web::{Client, DrainState, Limits, Server};
+use wire::Identity;
 
 use crate::answer::{receipt_takeover, receipt_writer};
 use crate::api::routes::Router;
@@ -78,6 +79,7 @@
         let threads = settings.traffic_threads;
         let shared = Arc::new(Shared {
             incarnation,
+            identity: Identity::new(incarnation.as_u64(), &settings.fleet),
             started_ms: clock.wall_ms(),
             view: ArcSwap::from_pointee(View::default()),
             dispatcher: Dispatcher::new(dispatch_settings(&settings), clock.clone()),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,7 +24,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let link = shared.peer_link(Link::new(stream));
+                let link = shared.identity.accept(stream).metered(&shared.peer_bytes);
                 shared.executor.spawn(serve(shared.clone(), link)).detach();
             }
             Err(_) => drop(Timer::after(ACCEPT_ERROR_PAUSE).await),
@@ -67,7 +67,7 @@
         let Some(reply) = reply else {
             return;
         };
-        if link.send(&shared.envelope(reply)).await.is_err() {
+        if link.send(&shared.identity.envelope(reply)).await.is_err() {
             return;
         }
     }
--- a/crates/entry/src/state/shared.rs
+++ b/crates/entry/src/state/shared.rs
@@ -12,7 +12,7 @@
 use store::HttpPlatformClient;
 use upstream::Dispatcher;
 use web::Client;
-use wire::{Body, Envelope, Link, LinkError};
+use wire::{Identity, Link, LinkError};
 
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -28,6 +28,7 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
+    pub(crate) identity: Identity,
     pub(crate) started_ms: u64,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) view: ArcSwap<View>,
@@ -58,24 +59,14 @@
 }
 
 impl Shared {
-    /// Wraps a message to a peer.
-    pub(crate) fn envelope(&self, body: Body) -> Envelope {
-        Envelope::new(self.incarnation.as_u64(), body).in_fleet(&self.settings.fleet)
-    }
-
     /// Connects to a peer.
     pub(crate) async fn connect_peer(
         &self,
         addr: SocketAddr,
         timeout: Duration,
     ) -> Result<Link, LinkError> {
-        Ok(self.peer_link(Link::connect(addr, timeout).await?))
-    }
-
-    /// Counts the bytes of a link to a peer, and limits it to this fleet.
-    pub(crate) fn peer_link(&self, link: Link) -> Link {
-        link.metered(&self.peer_bytes)
-            .in_fleet(&self.settings.fleet)
+        let link = self.identity.connect(addr, timeout).await?;
+        Ok(link.metered(&self.peer_bytes))
     }
 
     /// Logs that a connection of another fleet was refused; as a warning the first time only.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,10 +14,12 @@
 //! ```
 
 mod compression;
+mod identity;
 mod link;
 mod message;
 
 pub use compression::{compress, decompress};
+pub use identity::Identity;
 pub use link::{Link, LinkError, MAX_FRAME_BYTES};
 pub use message::{
     AcceptReply, Ack, Body, ClassOutcomes, ColdEndpoint, ConfigDigest, CrashReport, CutOff, Demand,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -88,8 +88,8 @@
     }
 
     /// Receives messages only from peers of the fleet `fleet` and of fleets without a name.
-    pub fn in_fleet(mut self, fleet: &str) -> Link {
-        self.fleet = fleet.into();
+    pub(crate) fn in_fleet(mut self, fleet: &Arc<str>) -> Link {
+        self.fleet = fleet.clone();
         self
     }
 
