fakes: Do not count requests of other programs as runs

A fake endpoint took any request for a run. The system had given it a port at which another program still looked for an endpoint that had ended.

Ruled out: that the key was claimed twice or the call sent again. In a run that failed alike, with the runs printed, the extra one was of an engine, without identifier and model; rosemary-entry sends an identifier with each.

Change: a fake endpoint answers 400 to a request without x-request-id and records no run. A request of rosemary-entry without one would fail its caller, so that the checks are as strict as before.

--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -80,6 +80,10 @@
         if path == "/orders" {
             return self.handle_order(incoming).await;
         }
+        // Only other programs, which take this for an endpoint that had its port, send no identifier.
+        if id.is_empty() {
+            return web::json(400, &json!({ "error": "the request has no x-request-id" }));
+        }
         let faults = self.state.faults.consume(&self.name);
         let Ok(body) = incoming.read_body().await else {
             return web::json(400, &json!({}));
