--- a/review/stand_ins_2/client.rs
+++ b/review/stand_ins_2/client.rs
@@ -16,6 +16,7 @@
 /// The time budget of plain requests and of streams.
 const PLAIN_BUDGET: Duration = Duration::from_millis(1_500);
 const STREAM_BUDGET: Duration = Duration::from_millis(25_000);
+const READING_BUDGET: Duration = Duration::from_millis(20_000);
 
 /// A new channel is given this long.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
@@ -27,10 +28,11 @@
 /// One client attempt.
 #[derive(Clone)]
 pub struct Sent {
-    pub gate: usize,
     pub class: &'static str,
-    pub attempt: String,
     pub sent_ms: u64,
+    pub attempt: String,
+    /// Whether the channel was kept from an earlier request.
+    pub is_kept: bool,
     /// When the whole answer was there, and its status.
     pub answered: Option<(u64, u16)>,
 }
@@ -65,14 +67,20 @@
         format!("{:016x}", 0x9c41_0000 + self.next.fetch_add(1, Ordering::SeqCst))
     }
 
-    fn record_sent(&self, gate: usize, class: &'static str, attempt: &str) -> usize {
+    fn record_sent(
+        &self,
+        gate: usize,
+        class: &'static str,
+        attempt: &str,
+        is_kept: bool,
+    ) -> usize {
         self.record.note(&format!("client sends {attempt} {class} to gate {}", gate + 1));
         let mut sent = self.sent.lock().unwrap();
         sent.push(Sent {
-            gate,
             class,
-            attempt: attempt.to_owned(),
             sent_ms: self.record.ms(),
+            attempt: attempt.to_owned(),
+            is_kept,
             answered: None,
         });
         sent.len() - 1
@@ -112,6 +120,7 @@
         kept: &mut Option<Channel>,
     ) {
         let attempt = self.attempt();
+        let is_kept = kept.is_some();
         let mut channel = match kept.take() {
             Some(channel) => channel,
             None => match TcpStream::connect_timeout(&addr, CONNECT_TIME) {
@@ -122,7 +131,7 @@
                 }
             },
         };
-        let number = self.record_sent(gate, class, &attempt);
+        let number = self.record_sent(gate, class, &attempt, is_kept);
         let (method, body) = match class {
             "lookup" => ("GET", ""),
             _ => ("POST", "seat 12, row 4"),
@@ -156,7 +165,7 @@
         std::thread::spawn(move || {
             while !clients.stop.load(Ordering::SeqCst) {
                 let attempt = clients.attempt();
-                let number = clients.record_sent(gate, "plan", &attempt);
+                let number = clients.record_sent(gate, "plan", &attempt, false);
                 let answer = clients.stream(addr, &attempt);
                 clients.record_answer(number, &attempt, answer);
                 std::thread::sleep(pause);
@@ -164,23 +173,60 @@
         })
     }
 
+    /// Sends requests for streams that may run once only on one kept channel, a pause after each answer, until told
+    /// to stop.
+    pub fn send_readings(&self, gate: usize, addr: SocketAddr, pause: Duration) -> JoinHandle<()> {
+        let clients = self.clone();
+        std::thread::spawn(move || {
+            let mut channel = None;
+            while !clients.stop.load(Ordering::SeqCst) {
+                clients.reading(gate, addr, &mut channel);
+                std::thread::sleep(pause);
+            }
+        })
+    }
+
+    fn reading(&self, gate: usize, addr: SocketAddr, kept: &mut Option<Channel>) {
+        let attempt = self.attempt();
+        let is_kept = kept.is_some();
+        let mut channel = match kept.take() {
+            Some(channel) => channel,
+            None => match TcpStream::connect_timeout(&addr, CONNECT_TIME) {
+                Ok(stream) => Channel::new(stream),
+                Err(err) => {
+                    self.record.note(&format!("client gets no channel to gate {}: {err}", gate + 1));
+                    return;
+                }
+            },
+        };
+        let number = self.record_sent(gate, "reading", &attempt, is_kept);
+        let deadline = Instant::now() + READING_BUDGET;
+        let mut exchange = || {
+            channel.send(stream_request("reading", &attempt, READING_BUDGET).as_bytes())?;
+            let head = channel.read_head(deadline)?;
+            loop {
+                if !head.is_chunked() {
+                    channel.read_body(&head, deadline)?;
+                    break;
+                }
+                let patience = deadline.min(Instant::now() + PATIENCE);
+                if channel.read_chunk(patience)?.is_empty() {
+                    break;
+                }
+            }
+            Ok((head.status(), head.closes()))
+        };
+        let answer: std::io::Result<(u16, bool)> = exchange();
+        if matches!(answer, Ok((_, false))) {
+            *kept = Some(channel);
+        }
+        self.record_answer(number, &attempt, answer.map(|(status, _)| status));
+    }
+
     /// Reads a stream to its end, or until no event has come for too long.
     pub fn stream(&self, addr: SocketAddr, attempt: &str) -> std::io::Result<u16> {
         let mut stream = TcpStream::connect_timeout(&addr, CONNECT_TIME)?;
-        let body = "plan the seats";
-        let budget_ms = STREAM_BUDGET.as_millis();
-        let request = format!(
-            "POST /plan/2f HTTP/1.1\r\nHost: seats.example\r\n{}: {attempt}\r\n\
-             {}: {budget_ms}\r\n{}: {API_KEY}\r\n{}: m2\r\n{}: 5380,76\r\n\
-             {}: 5c1e07a2:512,91bd3f06:4868,{attempt}:1230\r\nContent-Length: {}\r\n\r\n{body}",
-            wire("attempt-id"),
-            wire("budget"),
-            wire("key"),
-            wire("model"),
-            wire("usage"),
-            wire("prefix"),
-            body.len()
-        );
+        let request = stream_request("plan", attempt, STREAM_BUDGET);
         std::io::Write::write_all(&mut stream, request.as_bytes())?;
         let deadline = Instant::now() + STREAM_BUDGET;
         let mut event_at = Instant::now();
@@ -221,6 +267,24 @@
     }
 }
 
+/// Returns a request for a stream.
+fn stream_request(class: &str, attempt: &str, budget: Duration) -> String {
+    let body = "plan the seats";
+    format!(
+        "POST /{class}/2f HTTP/1.1\r\nHost: seats.example\r\n{}: {attempt}\r\n{}: {}\r\n\
+         {}: {API_KEY}\r\n{}: m2\r\n{}: 5380,150\r\n\
+         {}: 5c1e07a2:512,91bd3f06:4868,{attempt}:1230\r\nContent-Length: {}\r\n\r\n{body}",
+        wire("attempt-id"),
+        wire("budget"),
+        budget.as_millis(),
+        wire("key"),
+        wire("model"),
+        wire("usage"),
+        wire("prefix"),
+        body.len()
+    )
+}
+
 fn contains(bytes: &[u8], wanted: &[u8]) -> bool {
     bytes.windows(wanted.len()).any(|part| part == wanted)
 }
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod record;
 mod restore;
+mod rollout;
 mod runner;
 mod store;
 mod wire;
@@ -28,6 +29,7 @@
     let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = Record::create(Path::new(&path)).and_then(|record| match &*case {
         "flood" => flood::play(&record, is_troubled),
+        "rollout" => rollout::play(&record, is_troubled),
         "restore" => restore::play(&record, is_troubled),
         _ => Err(std::io::Error::other(format!("no case '{case}'"))),
     });
--- a/review/stand_ins_2/record.rs
+++ b/review/stand_ins_2/record.rs
@@ -24,10 +24,6 @@
         self.began.elapsed().as_millis() as u64
     }
 
-    pub fn ms_at(&self, at: Instant) -> u64 {
-        at.saturating_duration_since(self.began).as_millis() as u64
-    }
-
     pub fn note(&self, line: &str) {
         let ms = self.ms();
         let mut file = self.file.lock().unwrap();
--- a/review/stand_ins_2/runner.rs
+++ b/review/stand_ins_2/runner.rs
@@ -35,6 +35,7 @@
     pub id: String,
     pub addr: SocketAddr,
     pub service: String,
+    pub version: String,
     pub born_ms: u64,
     pub runs: Mutex<Vec<Run>>,
     pub record: Record,
@@ -52,6 +53,16 @@
         service: &str,
         record: &Record,
         behavior: Box<dyn Behavior>,
+    ) -> std::io::Result<Arc<Server>> {
+        Server::start_version(id, service, "v1", record, behavior)
+    }
+
+    pub fn start_version(
+        id: &str,
+        service: &str,
+        version: &str,
+        record: &Record,
+        behavior: Box<dyn Behavior>,
     ) -> std::io::Result<Arc<Server>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -59,6 +70,7 @@
             id: id.to_owned(),
             addr: listener.local_addr()?,
             service: service.to_owned(),
+            version: version.to_owned(),
             born_ms: born.map_or(0, |born| born.as_millis() as u64),
             runs: Mutex::default(),
             record: record.clone(),
@@ -90,6 +102,7 @@
             .trim()
             .replace("@service", &self.service)
             .replace("@address", &self.addr.to_string())
+            .replace("@version", &self.version)
             .replace("@slots", &slots.to_string())
             .replace("@born", &self.born_ms.to_string())
     }
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -91,6 +91,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns the status of an object, which the system writes.
+    pub fn status(&self, kind: &str, name: &str) -> String {
+        let state = self.state.lock().unwrap();
+        let object = state.live(kind, name);
+        object.map_or_else(String::new, |object| object.status.clone())
+    }
+
     /// Returns when watchers were told that a server is gone, in milliseconds.
     pub fn told(&self) -> Vec<u64> {
         self.state.lock().unwrap().told_ms.clone()
