review: a stream cut by the gate's own timeout is ended as complete

Cause: a kernel timeout on an answer without a length is taken for silence, and the next read for its end.

--- /dev/null
+++ b/review/stand_ins_3/case.rs
@@ -0,0 +1,249 @@
+//! The cases.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::client::{self, Request};
+use crate::endpoint::{Config, Endpoint};
+use crate::gate::{self, Folder};
+use crate::note;
+use crate::store::Store;
+use crate::wire;
+
+/// Runs a case, and returns whether the rule was broken.
+pub fn run(number: &str, has_trouble: bool) -> Result<bool, String> {
+    match number {
+        "11" => late_body(has_trouble),
+        "12" => wrong_model(has_trouble),
+        _ => Err(format!("there is no case {number}")),
+    }
+}
+
+fn config(id: &str) -> Config {
+    Config {
+        id: id.to_owned(),
+        receive_buffer: None,
+        head_chunk: 8192,
+    }
+}
+
+const EVENTS: u64 = 60;
+const EVENT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// A runner answers before it has read a long body, and reads on later, while its answer ends with its channel.
+fn late_body(has_trouble: bool) -> Result<bool, String> {
+    let folder = Folder::new();
+    let store = Store::start();
+    let run = move |endpoint: &Endpoint, mut stream: &TcpStream, mut message: wire::Message| {
+        let id = message.field(wire::name("attempt")).unwrap_or("").to_owned();
+        if !has_trouble {
+            wire::read_body(stream, &mut message)?;
+        }
+        let head = endpoint.success(&message);
+        write!(stream, "{head}Content-Type: text/event-stream\r\n\r\n")?;
+        let mut reading = None;
+        for number in 1..=EVENTS {
+            write!(stream, "id: {number}\ndata: {}\n\n", "x".repeat(40))?;
+            std::thread::sleep(EVENT_INTERVAL);
+            if has_trouble && number == EVENTS * 3 / 4 {
+                let mut reader = stream.try_clone()?;
+                let mut left = message.length() - message.rest.len();
+                reading = Some(std::thread::spawn(move || {
+                    let mut buffer = [0; 1024];
+                    while left > 0 {
+                        match reader.read(&mut buffer) {
+                            Ok(0) | Err(_) => break,
+                            Ok(count) => left -= count.min(left),
+                        }
+                    }
+                    left
+                }));
+            }
+        }
+        let left = reading.map_or(0, |reading| reading.join().unwrap_or(0));
+        note(&format!("{} made all {EVENTS} events of {id}, {left} bytes of its body unread", endpoint.id));
+        Ok(())
+    };
+    let endpoints: Vec<Arc<Endpoint>> = ["i-1", "i-2"]
+        .iter()
+        .map(|id| {
+            let config = Config {
+                receive_buffer: Some(2048),
+                head_chunk: 256,
+                ..config(id)
+            };
+            Endpoint::start(config, run)
+        })
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        store.register(&endpoint.id, "model", endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let body = vec![b'p'; 12_000];
+    let mut calls = Vec::new();
+    for number in 0..6 {
+        let addr = gates[number % gates.len()].addrs.callers;
+        let body = body.clone();
+        calls.push(std::thread::spawn(move || {
+            let id = format!("a{number:015}");
+            let fields = format!(
+                "{}: small\r\n{}: 6610,400\r\n{}: 5c1e07a2:6600,{number:x}:10\r\n",
+                wire::name("model"),
+                wire::name("usage"),
+                wire::name("prefix")
+            );
+            let request = Request {
+                method: "POST",
+                path: "/draft/1",
+                id: &id,
+                deadline_ms: 25_000,
+                fields: &fields,
+                body: &body,
+            };
+            note(&format!("client sends {id}"));
+            let answer = client::call(addr, &request);
+            note(&format!(
+                "client got {id}: status {}, last event {:?}, complete {}, {:?}",
+                answer.status(),
+                answer.last_event(),
+                answer.is_complete,
+                answer.error
+            ));
+            answer.status() == 200 && answer.is_complete && answer.last_event() != Some(EVENTS)
+        }));
+    }
+    let broken = calls.into_iter().filter_map(|call| call.join().ok());
+    let broken = broken.filter(|is_broken| *is_broken).count();
+    note(&format!("{broken} streams ended as complete before their last event"));
+    Ok(broken > 0)
+}
+
+/// The models that the configuration names.
+const MODELS: [&str; 2] = ["small", "large"];
+
+/// Answers like a runner that has these models, and like a plain service.
+fn answer(endpoint: &Endpoint, mut stream: &TcpStream, mut message: wire::Message) -> io::Result<()> {
+    wire::read_body(stream, &mut message)?;
+    if message.line().1.starts_with("/digest/") {
+        if !MODELS.contains(&message.field(wire::name("model")).unwrap_or("")) {
+            let id = message.field(wire::name("attempt")).unwrap_or("");
+            note(&format!("{} has no such model, 421 to {id}", endpoint.id));
+            return endpoint.refuse(stream, &message, "421 Misdirected Request");
+        }
+        let head = endpoint.success(&message);
+        write!(stream, "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        for number in 1..=4 {
+            std::thread::sleep(Duration::from_millis(20));
+            let event = format!("id: {number}\ndata: word\n\n");
+            write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        }
+        return write!(stream, "0\r\n\r\n");
+    }
+    std::thread::sleep(Duration::from_millis(15));
+    let head = endpoint.success(&message);
+    write!(stream, "{head}Content-Length: 4\r\n\r\ndone")
+}
+
+/// Kinds of requests, with their methods and paths.
+const KINDS: [(&str, &str, &str); 3] = [
+    ("digest", "POST", "/digest/1"),
+    ("print", "POST", "/print/1"),
+    ("clear", "GET", "/clear/1"),
+];
+
+fn prompt_fields(model: &str, last: usize) -> String {
+    format!(
+        "{}: {model}\r\n{}: 6610,400\r\n{}: 5c1e07a2:5000,{last:x}:1610\r\n",
+        wire::name("model"),
+        wire::name("usage"),
+        wire::name("prefix")
+    )
+}
+
+/// A client names a model that there is not in some requests. Others go on as usual.
+fn wrong_model(has_trouble: bool) -> Result<bool, String> {
+    const LENGTH: Duration = Duration::from_secs(40);
+    const INTERVAL: Duration = Duration::from_millis(250);
+    const TROUBLE_AFTER: Duration = Duration::from_secs(3);
+    const WRONG: usize = 12;
+    const WRONG_INTERVAL: Duration = Duration::from_millis(500);
+    let folder = Folder::new();
+    let store = Store::start();
+    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-m3", "i-a1", "i-a2"]
+        .iter()
+        .map(|id| Endpoint::start(config(id), answer))
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        let service = if endpoint.id.contains('m') { "model" } else { "app" };
+        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let addrs: Vec<_> = gates.iter().map(|gate| gate.addrs.callers).collect();
+    let began = Instant::now();
+    let mut callers = Vec::new();
+    for (kind, method, path) in KINDS {
+        let addrs = addrs.clone();
+        callers.push(std::thread::spawn(move || {
+            let (mut sent, mut served) = (0, 0);
+            while began.elapsed() < LENGTH {
+                let id = format!("{kind}-{sent}");
+                let fields = match kind {
+                    "digest" => prompt_fields("*", sent),
+                    _ => String::new(),
+                };
+                let request = Request {
+                    method,
+                    path,
+                    id: &id,
+                    deadline_ms: 5_000,
+                    fields: &fields,
+                    body: if method == "GET" { b"" } else { b"{}" },
+                };
+                let answer = client::call(addrs[sent % addrs.len()], &request);
+                let is_served = answer.status() == 200 && answer.is_complete;
+                note(&format!("client got {id}: status {}, complete {}", answer.status(), answer.is_complete));
+                sent += 1;
+                served += usize::from(is_served);
+                std::thread::sleep(INTERVAL);
+            }
+            (kind, sent, served)
+        }));
+    }
+    std::thread::sleep(TROUBLE_AFTER);
+    for number in (0..WRONG).filter(|_| has_trouble) {
+        let id = format!("wrong-{number}");
+        let fields = prompt_fields("tiny", 7_000 + number);
+        let request = Request {
+            method: "POST",
+            path: "/digest/1",
+            id: &id,
+            deadline_ms: 5_000,
+            fields: &fields,
+            body: b"{}",
+        };
+        let answer = client::call(addrs[number % addrs.len()], &request);
+        note(&format!("client with a wrong model got {id}: status {}", answer.status()));
+        std::thread::sleep(WRONG_INTERVAL);
+    }
+    let mut counts = Vec::new();
+    for caller in callers {
+        counts.push(caller.join().map_err(|_| "a client failed")?);
+    }
+    let all_sent: usize = counts.iter().map(|(_, sent, _)| sent).sum();
+    let all_served: usize = counts.iter().map(|(_, _, served)| served).sum();
+    let all = all_served as f64 / all_sent as f64;
+    note(&format!("all: {all_served} of {all_sent} served"));
+    let mut is_broken = false;
+    for (kind, sent, served) in counts {
+        let share = served as f64 / sent as f64;
+        note(&format!("{kind}: {served} of {sent} served"));
+        is_broken |= share < all / 4.0;
+    }
+    Ok(is_broken)
+}
