review: streams of runners that read late are cut

Cause: the gate's TCP user timeout ends connections whose peer has no room for more. Change: case 13; the stand-ins send streams in chunks too.

--- a/review/stand_ins_3/case.rs
+++ b/review/stand_ins_3/case.rs
@@ -15,7 +15,8 @@
 /// Runs a case, and returns whether the rule was broken.
 pub fn run(number: &str, has_trouble: bool) -> Result<bool, String> {
     match number {
-        "11" => late_body(has_trouble),
+        "11" => late_body(has_trouble, false),
+        "13" => late_body(has_trouble, true),
         "12" => wrong_model(has_trouble),
         _ => Err(format!("there is no case {number}")),
     }
@@ -32,20 +33,31 @@
 const EVENTS: u64 = 60;
 const EVENT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// A runner answers before it has read a long body, and reads on later, while its answer ends with its channel.
-fn late_body(has_trouble: bool) -> Result<bool, String> {
+/// A runner answers before it has read a long body, and reads on later. Its answer is in chunks, or ends with its
+/// channel. Returns whether streams ended as complete before their last event, or, if they are in chunks, whether more
+/// than three kept channels were closed before that.
+fn late_body(has_trouble: bool, is_chunked: bool) -> Result<bool, String> {
     let folder = Folder::new();
     let store = Store::start();
     let run = move |endpoint: &Endpoint, mut stream: &TcpStream, mut message: wire::Message| {
         let id = message.field(wire::name("attempt")).unwrap_or("").to_owned();
-        if !has_trouble {
+        let is_short = message.length() < 100;
+        if !has_trouble || is_short {
             wire::read_body(stream, &mut message)?;
         }
         let head = endpoint.success(&message);
-        write!(stream, "{head}Content-Type: text/event-stream\r\n\r\n")?;
+        let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
+        write!(stream, "{head}Content-Type: text/event-stream\r\n{framing}\r\n")?;
+        let send = |mut stream: &TcpStream, text: String| match is_chunked {
+            true => write!(stream, "{:x}\r\n{text}\r\n", text.len()),
+            false => write!(stream, "{text}"),
+        };
         let mut reading = None;
         for number in 1..=EVENTS {
-            write!(stream, "id: {number}\ndata: {}\n\n", "x".repeat(40))?;
+            send(stream, format!("id: {number}\ndata: {}\n\n", "x".repeat(40)))?;
+            if is_short {
+                break;
+            }
             std::thread::sleep(EVENT_INTERVAL);
             if has_trouble && number == EVENTS * 3 / 4 {
                 let mut reader = stream.try_clone()?;
@@ -62,6 +74,9 @@
                 }));
             }
         }
+        if is_chunked {
+            write!(stream, "0\r\n\r\n")?;
+        }
         let left = reading.map_or(0, |reading| reading.join().unwrap_or(0));
         note(&format!("{} made all {EVENTS} events of {id}, {left} bytes of its body unread", endpoint.id));
         Ok(())
@@ -96,16 +111,28 @@
                 wire::name("usage"),
                 wire::name("prefix")
             );
-            let request = Request {
+            let mut request = Request {
                 method: "POST",
                 path: "/draft/1",
                 id: &id,
                 deadline_ms: 25_000,
                 fields: &fields,
-                body: &body,
+                body: b"{}",
             };
+            let stream = client::connect(addr).ok()?;
+            let quick = (8192, Duration::ZERO);
+            let first = format!("{id}-first");
+            if is_chunked {
+                request.id = &first;
+                request.send(&stream).ok()?;
+                let answer = client::read(&stream, quick);
+                note(&format!("client got {first}: status {}, complete {}", answer.status(), answer.is_complete));
+                request.id = &id;
+            }
+            request.body = &body;
             note(&format!("client sends {id}"));
-            let answer = client::call(addr, &request);
+            request.send(&stream).ok()?;
+            let answer = client::read(&stream, quick);
             note(&format!(
                 "client got {id}: status {}, last event {:?}, complete {}, {:?}",
                 answer.status(),
@@ -113,11 +140,16 @@
                 answer.is_complete,
                 answer.error
             ));
-            answer.status() == 200 && answer.is_complete && answer.last_event() != Some(EVENTS)
+            let has_last = answer.last_event() == Some(EVENTS);
+            Some(answer.status() == 200 && !has_last && answer.is_complete != is_chunked)
         }));
     }
-    let broken = calls.into_iter().filter_map(|call| call.join().ok());
+    let broken = calls.into_iter().filter_map(|call| call.join().ok().flatten());
     let broken = broken.filter(|is_broken| *is_broken).count();
+    if is_chunked {
+        note(&format!("{broken} kept channels were closed before the answer of a sound runner had ended"));
+        return Ok(broken > 3);
+    }
     note(&format!("{broken} streams ended as complete before their last event"));
     Ok(broken > 0)
 }
