--- a/review/stand_ins_3/case.rs
+++ b/review/stand_ins_3/case.rs
@@ -17,6 +17,7 @@
     match number {
         "11" => late_body(has_trouble, false),
         "13" => late_body(has_trouble, true),
+        "14" => head_request(has_trouble),
         "12" => wrong_model(has_trouble),
         _ => Err(format!("there is no case {number}")),
     }
@@ -168,6 +169,9 @@
         }
         let head = endpoint.success(&message);
         write!(stream, "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        if message.line().0 == "HEAD" {
+            return Ok(());
+        }
         for number in 1..=4 {
             std::thread::sleep(Duration::from_millis(20));
             let event = format!("id: {number}\ndata: word\n\n");
@@ -279,3 +283,65 @@
     }
     Ok(is_broken)
 }
+
+/// A client asks for the head of an answer on a channel, and then for another answer.
+fn head_request(has_trouble: bool) -> Result<bool, String> {
+    let folder = Folder::new();
+    let store = Store::start();
+    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-a1", "i-a2"]
+        .iter()
+        .map(|id| Endpoint::start(config(id), answer))
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        let service = if endpoint.id.contains('m') { "model" } else { "app" };
+        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let mut spoiled = 0;
+    for number in 0..6 {
+        let failed = |err: io::Error| err.to_string();
+        let stream = client::connect(gates[number % gates.len()].addrs.callers).map_err(failed)?;
+        let id = format!("h{number}-first");
+        let fields = prompt_fields("*", number);
+        let first = Request {
+            method: if has_trouble { "HEAD" } else { "POST" },
+            path: "/digest/1",
+            id: &id,
+            deadline_ms: 5_000,
+            fields: &fields,
+            body: b"",
+        };
+        first.send(&stream).map_err(failed)?;
+        let status = if has_trouble {
+            // There is no body, whatever the head says of one.
+            let message = wire::read_head(&stream, Vec::new(), 1).map_err(failed)?;
+            message.status()
+        } else {
+            client::read(&stream, (1, Duration::ZERO)).status()
+        };
+        note(&format!("client got {id}, {}: status {status}", first.method));
+        if status != 200 {
+            return Err("the first request was not served".to_owned());
+        }
+        // What follows may only be the answer to the next request.
+        std::thread::sleep(Duration::from_millis(200));
+        let id = format!("h{number}-second");
+        let second = Request {
+            method: "GET",
+            path: "/clear/1",
+            id: &id,
+            deadline_ms: 5_000,
+            fields: "",
+            body: b"",
+        };
+        second.send(&stream).map_err(failed)?;
+        let message = wire::read_head(&stream, Vec::new(), 1).map_err(failed)?;
+        let line = message.head.lines().next().unwrap_or("").to_owned();
+        note(&format!("client got {id}: first line {line:?}"));
+        spoiled += usize::from(!line.starts_with("HTTP/1.1 "));
+    }
+    note(&format!("{spoiled} of 6 channels brought bytes that are no answer"));
+    Ok(spoiled > 0)
+}
