--- a/review/stand_ins_3/case.rs
+++ b/review/stand_ins_3/case.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use crate::client::{self, Request};
@@ -16,8 +17,9 @@
 pub fn run(number: &str, has_trouble: bool) -> Result<bool, String> {
     match number {
         "11" => late_body(has_trouble, false),
-        "13" => late_body(has_trouble, true),
-        "14" => head_request(has_trouble),
+        "13" => head_request(has_trouble),
+        "14" => late_body(has_trouble, true),
+        "lost-end" => lost_end(has_trouble),
         "12" => wrong_model(has_trouble),
         _ => Err(format!("there is no case {number}")),
     }
@@ -345,3 +347,99 @@
     note(&format!("{spoiled} of 6 channels brought bytes that are no answer"));
     Ok(spoiled > 0)
 }
+
+/// One of three runners breaks some of its streams off between the last event and the end. The others are sound, and
+/// say that nothing follows when they are asked to go on.
+fn lost_end(has_trouble: bool) -> Result<bool, String> {
+    const LENGTH: Duration = Duration::from_secs(60);
+    const CALLERS: usize = 8;
+    /// The faulty runner breaks off one in so many of its answers.
+    const BROKEN_EVERY: u64 = 50;
+    const EVENTS: u64 = 6;
+    let folder = Folder::new();
+    let store = Store::start();
+    let run = move |endpoint: &Endpoint, mut stream: &TcpStream, mut message: wire::Message| {
+        wire::read_body(stream, &mut message)?;
+        let id = message.field(wire::name("attempt")).unwrap_or("").to_owned();
+        let run_number = endpoint.runs.fetch_add(1, Ordering::SeqCst) + 1;
+        let head = endpoint.success(&message);
+        write!(stream, "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        let after = message.field(wire::name("resume")).and_then(|text| text.parse().ok());
+        let after = after.unwrap_or(0);
+        for number in after + 1..=EVENTS {
+            std::thread::sleep(Duration::from_millis(20));
+            let event = format!("id: {number}\ndata: word\n\n");
+            write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        }
+        if has_trouble && endpoint.id == "i-m1" && run_number % BROKEN_EVERY == 0 {
+            note(&format!("{} breaks {id} off after event {EVENTS}", endpoint.id));
+            return Ok(());
+        }
+        if after > 0 {
+            note(&format!("{} goes on with {id} after event {after}, to its end", endpoint.id));
+        }
+        write!(stream, "0\r\n\r\n")
+    };
+    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-m3"]
+        .iter()
+        .map(|id| Endpoint::start(config(id), run))
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        store.register(&endpoint.id, "model", endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let began = Instant::now();
+    let mut callers = Vec::new();
+    for caller in 0..CALLERS {
+        let addr = gates[caller % gates.len()].addrs.callers;
+        callers.push(std::thread::spawn(move || {
+            let (mut sent, mut lost) = (0, 0);
+            let mut kept = None;
+            while began.elapsed() < LENGTH {
+                let is_kept = kept.is_some();
+                let Ok(stream) = kept.take().map_or_else(|| client::connect(addr), Ok) else {
+                    std::thread::sleep(Duration::from_millis(100));
+                    continue;
+                };
+                let id = format!("c{caller}-{sent}");
+                let fields = prompt_fields("small", caller * 10_000 + sent);
+                let request = Request {
+                    method: "POST",
+                    path: "/notice/1",
+                    id: &id,
+                    deadline_ms: 20_000,
+                    fields: &fields,
+                    body: b"{}",
+                };
+                sent += 1;
+                if request.send(&stream).is_err() {
+                    continue;
+                }
+                let answer = client::read(&stream, (8192, Duration::ZERO));
+                if answer.is_complete {
+                    kept = Some(stream);
+                } else {
+                    note(&format!(
+                        "client got {id}: status {}, last event {:?}, complete false, kept channel {is_kept}, {:?}",
+                        answer.status(),
+                        answer.last_event(),
+                        answer.error
+                    ));
+                    lost += usize::from(is_kept && answer.last_event() == Some(EVENTS));
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            (sent, lost)
+        }));
+    }
+    let (mut sent, mut lost) = (0, 0);
+    for caller in callers {
+        let counts = caller.join().map_err(|_| "a client failed")?;
+        sent += counts.0;
+        lost += counts.1;
+    }
+    note(&format!("{sent} requests; {lost} kept channels were closed although a sound runner had said that nothing follows"));
+    Ok(lost > 3)
+}
--- a/review/stand_ins_3/endpoint.rs
+++ b/review/stand_ins_3/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::note;
@@ -126,7 +126,6 @@
 
     /// Returns the head of a success, without its framing and its end.
     pub fn success(&self, message: &Message) -> String {
-        self.runs.fetch_add(1, Ordering::SeqCst);
         let id = message.field(name("attempt")).unwrap_or("");
         note(&format!("{} runs {id}", self.id));
         format!(
