--- a/review/stand_ins_3/case.rs
+++ b/review/stand_ins_3/case.rs
@@ -1,9 +1,11 @@
 //! The cases.
 
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::client::{self, Request};
@@ -19,6 +21,7 @@
         "11" => late_body(has_trouble, false),
         "13" => head_request(has_trouble),
         "14" => late_body(has_trouble, true),
+        "15" => early_head(has_trouble),
         "lost-end" => lost_end(has_trouble),
         "12" => wrong_model(has_trouble),
         _ => Err(format!("there is no case {number}")),
@@ -202,50 +205,54 @@
     )
 }
 
-/// A client names a model that there is not in some requests. Others go on as usual.
-fn wrong_model(has_trouble: bool) -> Result<bool, String> {
-    const LENGTH: Duration = Duration::from_secs(40);
+/// How long a client waits for the first event of a stream: eight times the pause, or four times the objective.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// A caller of one kind of requests, which returns the kind and how many were sent and served.
+type Caller = JoinHandle<(&'static str, usize, usize)>;
+
+/// Starts a caller of each kind, which sends one request after the other, with a body of some bytes if it sends any.
+fn start_callers(
+    addrs: &[SocketAddr],
+    kinds: &[(&'static str, &'static str, &'static str)],
+    length: Duration,
+    body_bytes: usize,
+) -> Vec<Caller> {
     const INTERVAL: Duration = Duration::from_millis(250);
-    const TROUBLE_AFTER: Duration = Duration::from_secs(3);
-    const WRONG: usize = 12;
-    const WRONG_INTERVAL: Duration = Duration::from_millis(500);
-    let folder = Folder::new();
-    let store = Store::start();
-    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-m3", "i-a1", "i-a2"]
-        .iter()
-        .map(|id| Endpoint::start(config(id), answer))
-        .collect();
-    store.configure(1, 5_000);
-    for endpoint in &endpoints {
-        let service = if endpoint.id.contains('m') { "model" } else { "app" };
-        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
-    }
-    let gates = gate::start(&store, 2, &folder)?;
-    std::thread::sleep(Duration::from_secs(2));
-    let addrs: Vec<_> = gates.iter().map(|gate| gate.addrs.callers).collect();
     let began = Instant::now();
     let mut callers = Vec::new();
-    for (kind, method, path) in KINDS {
-        let addrs = addrs.clone();
+    for (number, (kind, method, path)) in kinds.iter().copied().enumerate() {
+        let addrs = addrs.to_vec();
+        let body = match method {
+            "GET" => Vec::new(),
+            _ => vec![b'p'; body_bytes],
+        };
         callers.push(std::thread::spawn(move || {
             let (mut sent, mut served) = (0, 0);
-            while began.elapsed() < LENGTH {
-                let id = format!("{kind}-{sent}");
+            while began.elapsed() < length {
+                let id = format!("{kind}-{number}-{sent}");
+                let last = number * 10_000 + sent;
                 let fields = match kind {
-                    "digest" => prompt_fields("*", sent),
+                    "digest" => prompt_fields("*", last),
+                    "notice" => prompt_fields("small", last),
                     _ => String::new(),
                 };
                 let request = Request {
                     method,
                     path,
                     id: &id,
-                    deadline_ms: 5_000,
+                    deadline_ms: 20_000,
                     fields: &fields,
-                    body: if method == "GET" { b"" } else { b"{}" },
+                    body: &body,
                 };
-                let answer = client::call(addrs[sent % addrs.len()], &request);
+                let answer = client::call_within(addrs[sent % addrs.len()], &request, PATIENCE);
                 let is_served = answer.status() == 200 && answer.is_complete;
-                note(&format!("client got {id}: status {}, complete {}", answer.status(), answer.is_complete));
+                note(&format!(
+                    "client got {id}: status {}, complete {}, {:?}",
+                    answer.status(),
+                    answer.is_complete,
+                    answer.error
+                ));
                 sent += 1;
                 served += usize::from(is_served);
                 std::thread::sleep(INTERVAL);
@@ -253,6 +260,51 @@
             (kind, sent, served)
         }));
     }
+    callers
+}
+
+/// Returns whether a kind of requests was served less than a quarter as often as all.
+fn is_starved(callers: Vec<Caller>) -> Result<bool, String> {
+    let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for caller in callers {
+        let (kind, sent, served) = caller.join().map_err(|_| "a client failed")?;
+        let count = counts.entry(kind).or_default();
+        *count = (count.0 + sent, count.1 + served);
+    }
+    let all_sent: usize = counts.values().map(|(sent, _)| sent).sum();
+    let all_served: usize = counts.values().map(|(_, served)| served).sum();
+    let all = all_served as f64 / all_sent as f64;
+    note(&format!("all: {all_served} of {all_sent} served"));
+    let mut is_broken = false;
+    for (kind, (sent, served)) in counts {
+        let share = served as f64 / sent as f64;
+        note(&format!("{kind}: {served} of {sent} served"));
+        is_broken |= share < all / 4.0;
+    }
+    Ok(is_broken)
+}
+
+/// A client names a model that there is not in some requests. Others go on as usual.
+fn wrong_model(has_trouble: bool) -> Result<bool, String> {
+    const LENGTH: Duration = Duration::from_secs(40);
+    const TROUBLE_AFTER: Duration = Duration::from_secs(3);
+    const WRONG: usize = 12;
+    const WRONG_INTERVAL: Duration = Duration::from_millis(500);
+    let folder = Folder::new();
+    let store = Store::start();
+    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-m3", "i-a1", "i-a2"]
+        .iter()
+        .map(|id| Endpoint::start(config(id), answer))
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        let service = if endpoint.id.contains('m') { "model" } else { "app" };
+        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let addrs: Vec<_> = gates.iter().map(|gate| gate.addrs.callers).collect();
+    let callers = start_callers(&addrs, &KINDS, LENGTH, 2);
     std::thread::sleep(TROUBLE_AFTER);
     for number in (0..WRONG).filter(|_| has_trouble) {
         let id = format!("wrong-{number}");
@@ -269,21 +321,7 @@
         note(&format!("client with a wrong model got {id}: status {}", answer.status()));
         std::thread::sleep(WRONG_INTERVAL);
     }
-    let mut counts = Vec::new();
-    for caller in callers {
-        counts.push(caller.join().map_err(|_| "a client failed")?);
-    }
-    let all_sent: usize = counts.iter().map(|(_, sent, _)| sent).sum();
-    let all_served: usize = counts.iter().map(|(_, _, served)| served).sum();
-    let all = all_served as f64 / all_sent as f64;
-    note(&format!("all: {all_served} of {all_sent} served"));
-    let mut is_broken = false;
-    for (kind, sent, served) in counts {
-        let share = served as f64 / sent as f64;
-        note(&format!("{kind}: {served} of {sent} served"));
-        is_broken |= share < all / 4.0;
-    }
-    Ok(is_broken)
+    is_starved(callers)
 }
 
 /// A client asks for the head of an answer on a channel, and then for another answer.
@@ -443,3 +481,52 @@
     note(&format!("{sent} requests; {lost} kept channels were closed although a sound runner had said that nothing follows"));
     Ok(lost > 3)
 }
+
+/// Runners begin their answers before they have read a long body, and make their events once they have read it.
+fn early_head(has_trouble: bool) -> Result<bool, String> {
+    const BODY_BYTES: usize = 1 << 20;
+    const EVENTS: u64 = 6;
+    const LENGTH: Duration = Duration::from_secs(60);
+    let folder = Folder::new();
+    let store = Store::start();
+    let run = move |endpoint: &Endpoint, mut stream: &TcpStream, mut message: wire::Message| {
+        let id = message.field(wire::name("attempt")).unwrap_or("").to_owned();
+        if !has_trouble {
+            wire::read_body(stream, &mut message)?;
+        }
+        let head = endpoint.success(&message);
+        write!(stream, "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        if has_trouble {
+            std::thread::sleep(Duration::from_millis(50));
+            wire::read_body(stream, &mut message)?;
+            note(&format!("{} has read the body of {id}", endpoint.id));
+        }
+        for number in 1..=EVENTS {
+            std::thread::sleep(Duration::from_millis(20));
+            let event = format!("id: {number}\ndata: word\n\n");
+            write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        }
+        write!(stream, "0\r\n\r\n")
+    };
+    let mut endpoints = Vec::new();
+    for id in ["i-m1", "i-m2", "i-m3"] {
+        endpoints.push(("model", Endpoint::start(config(id), run)));
+    }
+    for id in ["i-a1", "i-a2"] {
+        endpoints.push(("app", Endpoint::start(config(id), answer)));
+    }
+    store.configure(1, 5_000);
+    for (service, endpoint) in &endpoints {
+        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, 2, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let addrs: Vec<_> = gates.iter().map(|gate| gate.addrs.callers).collect();
+    let kinds = [
+        ("notice", "POST", "/notice/1"),
+        ("notice", "POST", "/notice/2"),
+        ("print", "POST", "/print/1"),
+        ("clear", "GET", "/clear/1"),
+    ];
+    is_starved(start_callers(&addrs, &kinds, LENGTH, BODY_BYTES))
+}
--- a/review/stand_ins_3/client.rs
+++ b/review/stand_ins_3/client.rs
@@ -132,7 +132,15 @@
 
 /// Sends a request on a new connection and reads its answer at once.
 pub fn call(addr: SocketAddr, request: &Request<'_>) -> Answer {
-    let sent = connect(addr).and_then(|stream| request.send(&stream).map(|()| stream));
+    call_within(addr, request, Duration::from_secs(40))
+}
+
+/// As above, and leaves if nothing arrives for some time.
+pub fn call_within(addr: SocketAddr, request: &Request<'_>, patience: Duration) -> Answer {
+    let sent = connect(addr).and_then(|stream| {
+        stream.set_read_timeout(Some(patience))?;
+        request.send(&stream).map(|()| stream)
+    });
     match sent {
         Ok(stream) => read(&stream, (8192, Duration::ZERO)),
         Err(err) => Answer {
