review: a gate that is cut off by resets of open channels serves nothing

The gate then takes the endpoint for reached.

Change: case 13 is a gate whose path to all runners accepts its channels and resets them (RECOVER). HEAD on a stream is case 14 now; the former case 14, of the same timeout as case 11, is no case any more (stand-in late-stream).

--- a/review/stand_ins_3/case.rs
+++ b/review/stand_ins_3/case.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::{Config, Endpoint};
 use crate::gate::{self, Folder};
 use crate::note;
+use crate::path;
 use crate::store::Store;
 use crate::wire;
 
@@ -19,11 +20,12 @@
 pub fn run(number: &str, has_trouble: bool) -> Result<bool, String> {
     match number {
         "11" => late_body(has_trouble),
-        "13" => head_request(has_trouble),
-        "14" => late_stream(has_trouble),
+        "12" => wrong_model(has_trouble),
+        "13" => cut_path(has_trouble),
+        "14" => head_request(has_trouble),
         "15" => early_head(has_trouble),
         "lost-end" => lost_end(has_trouble),
-        "12" => wrong_model(has_trouble),
+        "late-stream" => late_stream(has_trouble),
         _ => Err(format!("there is no case {number}")),
     }
 }
@@ -547,3 +549,115 @@
     ];
     is_starved(start_callers(&addrs, &kinds, LENGTH, BODY_BYTES))
 }
+
+/// One of four gates is cut off from all endpoints: its path accepts its connections and resets them. Returns whether
+/// first tries are served too seldom there from some time after the begin of the cut until its end.
+fn cut_path(has_trouble: bool) -> Result<bool, String> {
+    const GATES: usize = 4;
+    const LENGTH: Duration = Duration::from_secs(16);
+    const CUT_AFTER: Duration = Duration::from_secs(6);
+    const CUT_FOR: Duration = Duration::from_secs(5);
+    const STABLE_WINDOW: Duration = Duration::from_secs(3);
+    let folder = Folder::new();
+    let store = Store::start();
+    let endpoints: Vec<_> = ["i-m1", "i-m2", "i-m3", "i-a1", "i-a2", "i-a3"]
+        .iter()
+        .map(|id| Endpoint::start(config(id), answer))
+        .collect();
+    store.configure(1, 5_000);
+    for endpoint in &endpoints {
+        let service = if endpoint.id.contains('m') { "model" } else { "app" };
+        store.register(&endpoint.id, service, endpoint.addr, endpoint.born, "ready");
+    }
+    let gates = gate::start(&store, GATES, &folder)?;
+    std::thread::sleep(Duration::from_secs(2));
+    let began = Instant::now();
+    let mut callers = Vec::new();
+    for (gate, addr) in gates.iter().map(|gate| gate.addrs.callers).enumerate() {
+        for (caller, kind) in [KINDS[0], KINDS[0], KINDS[1], KINDS[2]].into_iter().enumerate() {
+            let call = move || first_tries(addr, kind, gate * 10 + caller, began, LENGTH);
+            callers.push((gate, std::thread::spawn(call)));
+        }
+    }
+    std::thread::sleep(CUT_AFTER);
+    let cut_at = began.elapsed();
+    if has_trouble {
+        path::set_cut(Some(gates[0].child.id()));
+        note("gate-0 is cut off from all endpoints");
+    }
+    std::thread::sleep(CUT_FOR);
+    path::set_cut(None);
+    let healed_at = began.elapsed();
+    note("the cut has ended");
+    let mut counts: BTreeMap<(bool, &str), (usize, usize)> = BTreeMap::new();
+    for (gate, caller) in callers {
+        let tries = caller.join().map_err(|_| "a client failed")?;
+        for try_ in tries.iter().filter(|try_| (cut_at + STABLE_WINDOW..healed_at).contains(&try_.sent_at)) {
+            for kind in [try_.kind, "all"] {
+                let (sent, served) = counts.entry((gate == 0, kind)).or_default();
+                *sent += 1;
+                *served += usize::from(try_.is_served);
+            }
+        }
+    }
+    for ((is_cut, kind), (sent, served)) in &counts {
+        let place = if *is_cut { "gate-0" } else { "the other gates" };
+        note(&format!("{kind} at {place}: {served} of {sent} first tries served"));
+    }
+    let count = |is_cut| counts.get(&(is_cut, "all")).copied().ok_or("no first tries in the window");
+    let ((sent, served), (others_sent, others_served)) = (count(true)?, count(false)?);
+    let share = served as f64 / sent as f64;
+    let others_share = others_served as f64 / others_sent as f64;
+    let failed = (sent - served) as f64;
+    Ok(share < others_share * 2.0 / 3.0 && failed > 10.0 + sent as f64 / 50.0)
+}
+
+/// The first try of a request.
+struct FirstTry {
+    kind: &'static str,
+    sent_at: Duration,
+    is_served: bool,
+}
+
+/// Sends one request of a kind after the other for some time from a begin, each once.
+fn first_tries(
+    addr: SocketAddr,
+    (kind, method, path): (&'static str, &'static str, &'static str),
+    caller: usize,
+    began: Instant,
+    length: Duration,
+) -> Vec<FirstTry> {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let mut tries = Vec::new();
+    while began.elapsed() < length {
+        let id = format!("{kind}-{caller}-{}", tries.len());
+        let fields = match kind {
+            "digest" => prompt_fields("*", caller * 10_000 + tries.len()),
+            _ => String::new(),
+        };
+        let request = Request {
+            method,
+            path,
+            id: &id,
+            deadline_ms: 20_000,
+            fields: &fields,
+            body: if method == "GET" { b"" } else { b"{}" },
+        };
+        let sent_at = began.elapsed();
+        let answer = client::call_within(addr, &request, PATIENCE);
+        note(&format!(
+            "client got {id}: status {}, last event {:?}, complete {}, {:?}",
+            answer.status(),
+            answer.last_event(),
+            answer.is_complete,
+            answer.error
+        ));
+        tries.push(FirstTry {
+            kind,
+            sent_at,
+            is_served: answer.status() == 200 && answer.is_complete,
+        });
+        std::thread::sleep(INTERVAL);
+    }
+    tries
+}
--- a/review/stand_ins_3/endpoint.rs
+++ b/review/stand_ins_3/endpoint.rs
@@ -8,6 +8,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::note;
+use crate::path;
 use crate::wire::{self, Message, name};
 
 /// Answers a request whose head was read.
@@ -68,6 +69,9 @@
                 let endpoint = serving.clone();
                 std::thread::spawn(move || {
                     let _ = stream.set_nodelay(true);
+                    if path::is_cut(&stream) {
+                        return path::reset(&stream);
+                    }
                     // The gate may have gone.
                     if let Err(err) = endpoint.serve(&stream) {
                         note(&format!("{}: connection ended: {err}", endpoint.id));
--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod gate;
 mod json;
+mod path;
 mod store;
 mod wire;
 
